--- /dev/null
+++ b/lib/src/control.rs
@@ -0,0 +1,500 @@
+//! The control state machine of one daemon.
+//!
+//! It folds the log, holds leases, places models on backend servers and answers claims and edits.
+//! It has no clock, socket or thread: `handle` takes an event with its time and returns effects.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::append::Appender;
+use crate::claims::ClaimDesk;
+use crate::claims::ClaimStep;
+use crate::demand::Demand;
+use crate::event::Choice;
+use crate::event::ClaimAnswer;
+use crate::event::Decision;
+use crate::event::EditAnswer;
+use crate::event::Effect;
+use crate::event::Event;
+use crate::event::Hint;
+use crate::fleet::Fleet;
+use crate::fold;
+use crate::fold::Outcome;
+use crate::fold::Rejection;
+use crate::host::Action;
+use crate::host::Order;
+use crate::host::OrderAnswer;
+use crate::host::Report;
+use crate::ids::CentreId;
+use crate::ids::ClaimKey;
+use crate::ids::DaemonId;
+use crate::ids::Fence;
+use crate::ids::Incarnation;
+use crate::ids::ModelName;
+use crate::ids::Offset;
+use crate::ids::SlotId;
+use crate::keepwarm::KeepWarm;
+use crate::keepwarm::Policy;
+use crate::lease::Authority;
+use crate::rates::Rates;
+use crate::record::Entry;
+use crate::record::Phase;
+use crate::record::Record;
+use crate::state::State;
+use crate::table::Edit;
+use crate::watch::Watches;
+
+/// The log counts as down after this time without an answer to a read.
+const LOG_SILENCE: Duration = Duration::from_secs(4);
+/// Entries between two checkpoints, at which daemons compare the hashes of their states.
+const CHECKPOINT_EVERY: Offset = 1024;
+/// Hints of a lease holder count for this long.
+const HINT_FRESH: Duration = Duration::from_secs(4);
+
+/// What a control state machine is told at its start.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// This daemon.
+    pub id: DaemonId,
+    /// Its start count; larger than any before.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Least time between two entries.
+    pub gap: Duration,
+    /// How keep-warm times are chosen.
+    pub policy: Policy,
+    /// Time between reports of one backend server.
+    pub poll: Duration,
+}
+
+/// The control state machine.
+#[derive(Debug)]
+pub struct Controller {
+    pub(crate) settings: ControlSettings,
+    pub(crate) state: State,
+    pub(crate) appender: Appender,
+    pub(crate) authority: Authority,
+    pub(crate) demand: Demand,
+    pub(crate) fleet: Fleet,
+    pub(crate) rates: Rates,
+    pub(crate) warm: KeepWarm,
+    pub(crate) watches: Watches,
+    pub(crate) effects: Vec<Effect>,
+    /// When the log's current tick was read.
+    pub(crate) ticked: Duration,
+    /// Offset of the last snapshot in the log.
+    pub(crate) snapshot: Offset,
+    /// Whether the daemon is stopping and takes no lease.
+    pub(crate) stopping: bool,
+    desk: ClaimDesk,
+    edits: VecDeque<Edit>,
+    hints: BTreeMap<DaemonId, (Duration, Vec<Hint>)>,
+    heard: Option<Duration>,
+    checkpoint: (Offset, u64),
+    /// Why models wait for a load, as last logged.
+    pub(crate) held: BTreeMap<ModelName, &'static str>,
+    /// Fence of the lease as last logged.
+    pub(crate) led: Option<Fence>,
+}
+
+impl Controller {
+    /// Creates a state machine that has read nothing.
+    pub fn new(settings: ControlSettings) -> Self {
+        let id = settings.id.clone();
+        let incarnation = settings.incarnation;
+        Self {
+            state: State::default(),
+            appender: Appender::new(id.clone(), incarnation, settings.gap),
+            authority: Authority::default(),
+            demand: Demand::default(),
+            fleet: Fleet::default(),
+            rates: Rates::default(),
+            warm: KeepWarm::new(settings.policy),
+            watches: Watches::default(),
+            effects: Vec::new(),
+            ticked: Duration::ZERO,
+            snapshot: 0,
+            stopping: false,
+            desk: ClaimDesk::new(id, incarnation),
+            edits: VecDeque::new(),
+            hints: BTreeMap::new(),
+            heard: None,
+            checkpoint: (0, 0),
+            held: BTreeMap::new(),
+            led: None,
+            settings,
+        }
+    }
+
+    /// Returns the log's state as far as it was read.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the hosts as this daemon sees them.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Returns the loading speeds learned so far.
+    pub fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
+    /// Returns the last checkpoint's offset and the state's hash there.
+    pub fn checkpoint(&self) -> (Offset, u64) {
+        self.checkpoint
+    }
+
+    /// Returns the fresh hints of all lease holders.
+    pub fn hints(&self, now: Duration) -> Vec<Hint> {
+        let fresh = self.hints.values().filter(|(at, _)| now < *at + HINT_FRESH);
+        fresh.flat_map(|(_, hints)| hints.iter().cloned()).collect()
+    }
+
+    /// Returns replicas of this daemon's data centre that serve though the log does not show it.
+    pub fn own_hints(&self) -> Vec<Hint> {
+        if self.fence().is_none() {
+            return Vec::new();
+        }
+        self.local_slots()
+            .into_iter()
+            .filter(|id| self.watches.get(*id).is_some_and(|w| w.loaded))
+            .filter_map(|id| self.state.slots.get(&id))
+            .filter(|s| s.phase != Phase::Loaded && s.phase != Phase::Draining)
+            .map(|s| Hint { model: s.model.clone(), server: s.server.clone() })
+            .collect()
+    }
+
+    /// Returns whether the log answers reads and appends.
+    pub fn is_log_up(&self, now: Duration) -> bool {
+        let read = self.heard.is_some_and(|at| now < at + LOG_SILENCE);
+        let bound = crate::claims::CLAIM_BOUND;
+        let append = self.appender.waiting(now).is_none_or(|waited| waited < bound);
+        read && append
+    }
+
+    /// Returns the fencing number of the lease that the log says this daemon holds.
+    pub fn fence(&self) -> Option<Fence> {
+        let lease = self.state.leases.get(&self.settings.centre)?;
+        let own =
+            lease.daemon == self.settings.id && lease.incarnation == self.settings.incarnation;
+        own.then_some(lease.fence)
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Entry(offset, entry) => self.take_entry(now, offset, &entry),
+            Event::LogRead => self.log_read(now),
+            Event::LogFailed => {}
+            Event::Appended { sequence, done } => self.appender.answered(now, sequence, done),
+            Event::Hosts(hosts) => self.take_hosts(now, hosts),
+            Event::Report(server, report) => self.take_report(now, &server, report),
+            Event::Ordered(order, answer) => self.take_answer(now, &order, answer),
+            Event::Demand(daemon, waiting) => self.demand.report(now, &daemon, &waiting),
+            Event::Hints(daemon, hints) => self.take_hints(now, daemon, hints),
+            Event::Edit(edit) => self.take_edit(edit),
+            Event::Claim(key) => self.take_claim(now, key),
+            Event::Unclaim(key) => self.withdraw(key),
+            Event::Settle(settlement) => {
+                self.appender.push(Record::Settle(settlement));
+            }
+            Event::Stop => self.stop(),
+        }
+        self.send(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes over a whole state, read from a snapshot or a peer.
+    ///
+    /// Ignored unless it is ahead of what was read.
+    pub fn install(&mut self, now: Duration, state: State) -> Vec<Effect> {
+        if state.offset <= self.state.offset {
+            return Vec::new();
+        }
+        self.state = state;
+        let writer = self.state.writers.get(&self.settings.id);
+        let own = writer.filter(|w| w.incarnation == self.settings.incarnation);
+        if let Some(sequence) = own.map(|w| w.sequence) {
+            self.appender.skip_to(sequence);
+        }
+        self.authority.restart_waits(now);
+        self.observe(now);
+        let (answers, records) = self.desk.resync(&self.state);
+        for (key, answer) in answers {
+            self.effects.push(Effect::Claimed(key, answer));
+        }
+        for record in records {
+            self.appender.push(record);
+        }
+        self.answer_edits();
+        self.effects.push(Effect::Publish);
+        self.send(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    pub(crate) fn decide(
+        &mut self,
+        action: Choice,
+        model: &str,
+        place: &str,
+        reason: impl Into<String>,
+    ) {
+        self.effects.push(Effect::Decide(Decision {
+            action,
+            model: model.into(),
+            place: place.into(),
+            reason: reason.into(),
+        }));
+    }
+
+    pub(crate) fn local_slots(&self) -> Vec<SlotId> {
+        let local = |server: &str| {
+            self.state.servers.get(server).is_some_and(|s| s.centre == self.settings.centre)
+        };
+        self.state.slots.iter().filter(|(_, s)| local(&s.server)).map(|(id, _)| *id).collect()
+    }
+
+    fn send(&mut self, now: Duration) {
+        if let Some(entry) = self.appender.poll(now) {
+            self.effects.push(Effect::Append(entry));
+        }
+    }
+
+    fn log_read(&mut self, now: Duration) {
+        if self.heard.is_some_and(|at| now >= at + LOG_SILENCE) {
+            // While the log was silent nobody's renewal could be read.
+            self.authority.restart_waits(now);
+        }
+        self.heard = Some(now);
+    }
+
+    fn take_entry(&mut self, now: Duration, offset: Offset, entry: &Entry) {
+        if offset != self.state.offset {
+            // Read before, or read past what was taken over meanwhile.
+            return;
+        }
+        let tick = self.state.tick;
+        let outcomes = fold::apply(&mut self.state, offset, entry);
+        if self.state.offset.is_multiple_of(CHECKPOINT_EVERY) {
+            self.checkpoint = (self.state.offset, self.state.hash());
+        }
+        if self.state.tick != tick {
+            self.ticked = now;
+        }
+        let back = self.appender.read_back(entry);
+        let own =
+            entry.writer == self.settings.id && entry.incarnation == self.settings.incarnation;
+        let mut changed = false;
+        for (record, outcome) in entry.records.iter().zip(outcomes) {
+            changed |= outcome.is_ok() && !matches!(record, Record::Claim(_) | Record::Settle(_));
+            self.note(record, outcome);
+            if own {
+                self.note_own(record, outcome, back.map(|b| b.sent));
+            }
+        }
+        self.observe(now);
+        if changed {
+            self.effects.push(Effect::Publish);
+        }
+    }
+
+    fn observe(&mut self, now: Duration) {
+        let centre = self.settings.centre.clone();
+        self.authority.observe(now, &centre, self.state.leases.get(&centre));
+        self.note_lead();
+    }
+
+    fn note(&mut self, record: &Record, outcome: Outcome) {
+        match record {
+            Record::Snapshot(part) if part.part + 1 == part.parts => {
+                self.snapshot = self.snapshot.max(part.at);
+            }
+            Record::Edit(edit) if outcome.is_ok() => {
+                let reason = format!("id={} rows={}", edit.id, edit.changes.len());
+                self.decide(Choice::Accept, "", "", reason);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_own(&mut self, record: &Record, outcome: Outcome, sent: Option<Duration>) {
+        match record {
+            Record::Bid(_) | Record::Renew if outcome.is_ok() => {
+                if let Some(sent) = sent {
+                    self.authority.renewed(sent);
+                }
+            }
+            Record::Claim(key) => self.note_claim(*key, outcome),
+            Record::Edit(_) => self.answer_edits(),
+            Record::Intent(intent) => {
+                if let Err(rejection) = outcome {
+                    let (model, server) = (intent.model.clone(), intent.server.clone());
+                    self.decide(Choice::Reject, &model, &server, rejection.to_string());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn note_claim(&mut self, key: ClaimKey, outcome: Outcome) {
+        if outcome == Err(Rejection::Duplicate) {
+            return;
+        }
+        match self.desk.decided(key, outcome, &self.state) {
+            Ok(Some(answer)) => self.effects.push(Effect::Claimed(key, answer)),
+            Ok(None) => {}
+            Err(settlement) => {
+                self.appender.push(Record::Settle(settlement));
+            }
+        }
+    }
+
+    fn take_claim(&mut self, now: Duration, key: ClaimKey) {
+        let log_up = self.is_log_up(now);
+        match self.desk.want(now, key, &self.state, log_up) {
+            ClaimStep::Answer(answer) => self.effects.push(Effect::Claimed(key, answer)),
+            ClaimStep::Append(key) => {
+                if !self.appender.push(Record::Claim(key)) {
+                    self.withdraw(key);
+                    self.effects.push(Effect::Claimed(key, ClaimAnswer::LogDown));
+                }
+            }
+            ClaimStep::Wait => {}
+        }
+    }
+
+    fn withdraw(&mut self, key: ClaimKey) {
+        if let Some(settlement) = self.desk.unwant(key, &self.state) {
+            self.appender.push(Record::Settle(settlement));
+        }
+    }
+
+    pub(crate) fn refuse_overdue(&mut self, now: Duration) {
+        for key in self.desk.overdue(now) {
+            self.effects.push(Effect::Claimed(key, ClaimAnswer::LogDown));
+        }
+    }
+
+    fn take_edit(&mut self, edit: Edit) {
+        self.edits.push_back(edit.clone());
+        if self.state.edit(&edit.id).is_some() {
+            self.answer_edits();
+            return;
+        }
+        let record = Record::Edit(edit);
+        if !self.appender.holds(&record) {
+            self.appender.push(record);
+        }
+    }
+
+    /// Answers the edits that the log has decided.
+    fn answer_edits(&mut self) {
+        let waiting = std::mem::take(&mut self.edits);
+        for edit in waiting {
+            let Some(line) = self.state.edit(&edit.id) else {
+                self.edits.push_back(edit);
+                continue;
+            };
+            let answer = match &line.conflict {
+                None => EditAnswer::Accepted(line.position),
+                Some(row) => EditAnswer::Conflict(row.clone()),
+            };
+            self.effects.push(Effect::Edited(edit, answer));
+        }
+    }
+
+    fn take_hints(&mut self, now: Duration, daemon: DaemonId, hints: Vec<Hint>) {
+        let had = self.hints.insert(daemon, (now, hints.clone()));
+        if had.is_none_or(|(_, old)| old != hints) {
+            self.effects.push(Effect::Publish);
+        }
+    }
+
+    fn take_report(&mut self, now: Duration, server: &str, report: Option<Report>) {
+        let Some(report) = report else {
+            self.fleet.failed(now, server);
+            self.effects.push(Effect::Publish);
+            return;
+        };
+        let known = self.state.servers.get(server);
+        if known.is_some_and(|s| s.incarnation != report.incarnation) {
+            // The report is of another start than the one the log knows.
+            return;
+        }
+        let was = self.fleet.member(server).is_some_and(|m| m.leaving);
+        self.note_use(now, server, &report);
+        let leaving = report.leaving;
+        self.fleet.reported(now, server, report);
+        if leaving && !was {
+            self.effects.push(Effect::Publish);
+        }
+    }
+
+    fn note_use(&mut self, now: Duration, server: &str, report: &Report) {
+        for id in self.local_slots() {
+            let Some(slot) = self.state.slots.get(&id).filter(|s| s.server == server) else {
+                continue;
+            };
+            let Some(line) = report.model(&slot.model) else {
+                continue;
+            };
+            let model = slot.model.clone();
+            let watch = self.watches.entry(now, id);
+            let begun = line.served != watch.served;
+            watch.served = line.served;
+            watch.active = line.active;
+            if begun || line.active > 0 {
+                watch.used = now;
+                if let Some(gap) = self.watches.used(now, &model) {
+                    self.warm.returned(&model, gap);
+                }
+            }
+        }
+    }
+
+    fn take_answer(&mut self, now: Duration, order: &Order, answer: OrderAnswer) {
+        if answer == OrderAnswer::Unknown {
+            self.fleet.failed(now, &order.server);
+        }
+        self.watches.answered(order, answer);
+        if answer == OrderAnswer::Stale {
+            self.decide(
+                Choice::Reject,
+                &order.model,
+                &order.server,
+                "the engine knows a newer fence",
+            );
+        }
+    }
+
+    pub(crate) fn order(&mut self, now: Duration, id: SlotId, action: Action) {
+        let (Some(fence), Some(slot)) = (self.fence(), self.state.slots.get(&id)) else {
+            return;
+        };
+        let Some(server) = self.state.servers.get(&slot.server) else {
+            return;
+        };
+        let row = self.state.table.row(&slot.model);
+        let order = Order {
+            action,
+            server: slot.server.clone(),
+            incarnation: server.incarnation,
+            model: slot.model.clone(),
+            slot: id,
+            ticket: slot.ticket,
+            fence,
+            memory_mib: slot.memory_mib,
+            load_mib: row.map_or(0, |r| r.load_mib),
+        };
+        // An engine that ignores fencing numbers must get no order after the lease's end; one that
+        // heeds them refuses it itself.
+        let until = if server.fencing { None } else { self.authority.until() };
+        self.watches.ordered(now, id, action, slot.ticket);
+        self.effects.push(Effect::Order(order, until));
+    }
+}
--- /dev/null
+++ b/lib/src/duty.rs
@@ -0,0 +1,426 @@
+//! What a daemon does as time passes: leases, reports, loads and unloads.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::control::Controller;
+use crate::event::Choice;
+use crate::event::Effect;
+use crate::fleet::Member;
+use crate::host::Action;
+use crate::host::Host;
+use crate::host::Role;
+use crate::ids::ModelName;
+use crate::ids::Offset;
+use crate::ids::ServerId;
+use crate::ids::SlotId;
+use crate::lease::BID_AFTER;
+use crate::lease::RENEW_EVERY;
+use crate::placement::Plan;
+use crate::placement::Scene;
+use crate::record::Bid;
+use crate::record::Freed;
+use crate::record::Intent;
+use crate::record::Phase;
+use crate::record::PhaseChange;
+use crate::record::Record;
+use crate::record::ServerFacts;
+use crate::record::Source;
+use crate::snapshot;
+use crate::state::Slot;
+use crate::state::TICK_PERIOD_S;
+use crate::upkeep::Step;
+use crate::upkeep::Upkeep;
+use crate::watch::Watches;
+
+/// Time between reports of a server on which something loads: a finished load is seen soon.
+const LOADING_POLL: Duration = Duration::from_millis(100);
+/// How much rarer servers are asked on which nothing is loaded.
+const EMPTY_POLL_FACTOR: u32 = 10;
+/// Bids of one data centre's daemons are spread over this time.
+const BID_SPREAD: Duration = Duration::from_millis(1500);
+/// Entries between two snapshots.
+pub const SNAPSHOT_EVERY: Offset = 5000;
+/// Snapshots of several daemons are spread over this many entries.
+const SNAPSHOT_SPREAD: Offset = 2000;
+
+impl Controller {
+    pub(crate) fn tick(&mut self, now: Duration) {
+        self.demand.expire(now);
+        self.refuse_overdue(now);
+        self.keep_lease(now);
+        if self.fence().is_none() {
+            return;
+        }
+        self.state_hosts();
+        self.poll_servers(now);
+        self.keep_slots(now);
+        self.place_models(now);
+        self.keep_log(now);
+    }
+
+    pub(crate) fn stop(&mut self) {
+        self.stopping = true;
+        self.appender.discard(|r| matches!(r, Record::Bid(_) | Record::Renew));
+        if let Some(fence) = self.fence() {
+            self.appender.push(Record::Release(self.settings.centre.clone(), fence));
+        }
+    }
+
+    pub(crate) fn take_hosts(&mut self, now: Duration, hosts: Vec<Host>) {
+        self.fleet.replace(hosts);
+        self.watches.retain(|id| self.state.slots.contains_key(&id));
+        self.observe_centres(now);
+        self.effects.push(Effect::Publish);
+    }
+
+    /// Watches the leases of all data centres, so that a lost one is noticed.
+    fn observe_centres(&mut self, now: Duration) {
+        for (centre, lease) in &self.state.leases {
+            self.authority.observe(now, centre, Some(lease));
+        }
+    }
+
+    fn spread(&self) -> u64 {
+        xxh3_64(self.settings.id.as_bytes())
+    }
+
+    fn keep_lease(&mut self, now: Duration) {
+        if self.stopping {
+            return;
+        }
+        if self.fence().is_some() {
+            let due = self.authority.renewal_due(now, RENEW_EVERY);
+            if due && !self.appender.any(|r| *r == Record::Renew) {
+                self.appender.push(Record::Renew);
+            }
+            return;
+        }
+        let patience = BID_SPREAD.mul_f64((self.spread() % 100) as f64 / 100.0);
+        let centre = self.settings.centre.clone();
+        let Some(seen) = self.authority.bid(now, &centre, patience) else {
+            return;
+        };
+        // A queued bid that names an old renewal can no longer win.
+        self.appender.discard(|r| matches!(r, Record::Bid(b) if b.seen != seen));
+        if !self.appender.any(|r| matches!(r, Record::Bid(_))) {
+            self.appender.push(Record::Bid(Bid { centre: centre.clone(), seen }));
+            self.decide(Choice::Bid, "", &centre, format!("no renewal since {seen}"));
+        }
+    }
+
+    /// Notes a lease won or lost.
+    ///
+    /// What was known of slots under an older fence is forgotten: another holder may have given
+    /// orders meanwhile, so an old answer proves nothing.
+    pub(crate) fn note_lead(&mut self) {
+        let fence = self.fence();
+        if fence == self.led {
+            return;
+        }
+        let centre = self.settings.centre.clone();
+        match fence {
+            Some(fence) => self.decide(Choice::Lead, "", &centre, format!("fence={fence}")),
+            None => self.decide(Choice::Yield, "", &centre, "the lease went to another daemon"),
+        }
+        self.led = fence;
+        self.watches = Watches::default();
+    }
+
+    /// Writes to the log which backend servers there are.
+    fn state_hosts(&mut self) {
+        if !self.fleet.is_known() {
+            return;
+        }
+        let mut records = Vec::new();
+        for member in self.fleet.with_role(Role::Engine) {
+            let known = self.state.servers.get(&member.host.id);
+            let current = known.is_some_and(|s| s.incarnation >= member.host.incarnation);
+            if member.host.centre == self.settings.centre && !current {
+                records.push(Record::Server(facts(&member.host)));
+            }
+        }
+        for (id, server) in &self.state.servers {
+            if self.fleet.member(id).is_none() && self.answers_for(&server.centre) {
+                records.push(Record::Gone(id.clone(), server.incarnation));
+            }
+        }
+        for record in records {
+            if !self.appender.holds(&record) {
+                self.appender.push(record);
+            }
+        }
+    }
+
+    /// Returns whether this daemon states which hosts of `centre` are gone.
+    ///
+    /// Slots of a lost data centre would stay taken for ever, since its own daemons are gone too.
+    /// Holders of other leases free them, on the host list's word, when its lease has lapsed.
+    fn answers_for(&self, centre: &str) -> bool {
+        centre == self.settings.centre
+            || self.state.leases.get(centre).is_none_or(|lease| {
+                self.fleet.is_known() && self.fleet.member(&lease.daemon).is_none()
+            })
+    }
+
+    fn poll_servers(&mut self, now: Duration) {
+        let due: Vec<_> = self
+            .fleet
+            .with_role(Role::Engine)
+            .filter(|m| m.host.centre == self.settings.centre)
+            .filter(|m| m.polled.is_none_or(|at| now >= at + self.poll_period(m)))
+            .map(|m| m.host.id.clone())
+            .collect();
+        for id in due {
+            self.fleet.polled(now, &id);
+            self.effects.push(Effect::Poll(id));
+        }
+    }
+
+    fn poll_period(&self, member: &Member) -> Duration {
+        let slots = || self.state.slots.iter().filter(|(_, s)| s.server == member.host.id);
+        if slots().any(|(id, s)| self.is_loading(*id, s)) {
+            return LOADING_POLL;
+        }
+        let empty = slots().all(|(_, s)| s.phase == Phase::Reserved);
+        let factor = if empty && member.report.is_some() { EMPTY_POLL_FACTOR } else { 1 };
+        self.settings.poll * factor
+    }
+
+    fn is_loading(&self, id: SlotId, slot: &Slot) -> bool {
+        let woken = || {
+            self.watches
+                .get(id)
+                .is_some_and(|w| !w.loaded && w.order.is_some_and(|o| o.action == Action::Load))
+        };
+        slot.phase.is_loading() || (slot.phase == Phase::Reserved && woken())
+    }
+
+    fn keep_slots(&mut self, now: Duration) {
+        for id in self.local_slots() {
+            let Some(slot) = self.state.slots.get(&id).cloned() else {
+                continue;
+            };
+            self.watches.entry(now, id).follow(now, &slot);
+            let step = {
+                let upkeep = self.upkeep(now);
+                self.watches.get(id).and_then(|watch| upkeep.step(id, &slot, watch))
+            };
+            if let Some(step) = step {
+                self.take_step(now, id, &slot, step);
+            }
+        }
+    }
+
+    fn scene(&self, now: Duration) -> Scene<'_> {
+        Scene {
+            now,
+            centre: &self.settings.centre,
+            state: &self.state,
+            fleet: &self.fleet,
+            demand: &self.demand,
+            rates: &self.rates,
+            watches: &self.watches,
+        }
+    }
+
+    fn upkeep(&self, now: Duration) -> Upkeep<'_> {
+        Upkeep {
+            scene: self.scene(now),
+            warm: &self.warm,
+            me: (&self.settings.id, self.settings.incarnation),
+            valid: self.authority.is_valid(now),
+        }
+    }
+
+    fn take_step(&mut self, now: Duration, id: SlotId, slot: &Slot, step: Step) {
+        let (model, server) = (slot.model.as_str(), slot.server.as_str());
+        match step {
+            Step::Load => self.order(now, id, Action::Load),
+            Step::Ready => self.note_ready(now, id, slot),
+            Step::Drain(reason) => {
+                if self.change_phase(id, Phase::Draining) {
+                    self.decide(Choice::Drain, model, server, reason);
+                }
+            }
+            Step::Retain => {
+                if self.change_phase(id, Phase::Loaded) {
+                    self.decide(Choice::Retain, model, server, "it is wanted again");
+                }
+            }
+            Step::Unload(reason) => {
+                self.order(now, id, Action::Unload);
+                self.decide(Choice::Unload, model, server, reason);
+            }
+            Step::Sleep(_) => {
+                self.change_phase(id, Phase::Reserved);
+            }
+            Step::Free(reason) => self.free(now, id, slot, reason),
+        }
+    }
+
+    fn note_ready(&mut self, now: Duration, id: SlotId, slot: &Slot) {
+        let watch = self.watches.entry(now, id);
+        if !watch.loaded {
+            watch.loaded = true;
+            watch.used = now;
+            let took = now.saturating_sub(watch.began);
+            if let (Phase::Loading(source), Some(row)) =
+                (slot.phase, self.state.table.row(&slot.model))
+            {
+                self.rates.learn(row.load_mib, source, took);
+            }
+            let reason = format!("loaded in {:.2}s", took.as_secs_f64());
+            self.decide(Choice::Ready, &slot.model, &slot.server, reason);
+            self.effects.push(Effect::Publish);
+        }
+        self.change_phase(id, Phase::Loaded);
+    }
+
+    fn free(&mut self, now: Duration, id: SlotId, slot: &Slot, reason: String) {
+        let Some(fence) = self.fence() else {
+            return;
+        };
+        let orderer_gone = self.upkeep(now).is_gone(slot);
+        let record = Record::Freed(Freed { slot: id, fence, orderer_gone });
+        if !self.appender.holds(&record) {
+            self.appender.push(record);
+            self.decide(Choice::Free, &slot.model, &slot.server, reason);
+        }
+    }
+
+    /// Queues a change of phase; returns false where it is queued already.
+    fn change_phase(&mut self, slot: SlotId, phase: Phase) -> bool {
+        let Some(fence) = self.fence() else {
+            return false;
+        };
+        let record = Record::Phase(PhaseChange { slot, fence, phase });
+        let is_new = !self.appender.holds(&record);
+        if is_new {
+            self.appender.push(record);
+        }
+        is_new
+    }
+
+    fn place_models(&mut self, now: Duration) {
+        if self.stopping {
+            return;
+        }
+        for plan in self.scene(now).plan_loads() {
+            match plan {
+                Plan::Place { model, server, source, reason } => {
+                    self.place(now, model, server, source, reason);
+                }
+                Plan::Wake { slot, source, reason } => self.wake(now, slot, source, reason),
+                Plan::Evict { slot, reason } => self.evict(now, slot, reason),
+                Plan::Hold { model, reason } => {
+                    if self.held.insert(model.clone(), reason) != Some(reason) {
+                        self.decide(Choice::Hold, &model, "", reason);
+                    }
+                }
+            }
+        }
+        let demand = &self.demand;
+        self.held.retain(|model, _| demand.total(model).is_some());
+    }
+
+    fn place(
+        &mut self,
+        now: Duration,
+        model: ModelName,
+        server: ServerId,
+        source: Source,
+        reason: String,
+    ) {
+        let (Some(fence), Some(facts)) = (self.fence(), self.state.servers.get(&server)) else {
+            return;
+        };
+        let queued = self.appender.any(|r| matches!(r, Record::Intent(i) if i.model == model));
+        if queued || !self.is_log_up(now) {
+            return;
+        }
+        let incarnation = facts.incarnation;
+        self.decide(Choice::Place, &model, &server, reason);
+        let intent = Intent { model, server, incarnation, fence, source };
+        self.appender.push(Record::Intent(intent));
+    }
+
+    /// Loads into a reserved slot.
+    ///
+    /// The record comes first, so that others see the load. While the log is down an engine that
+    /// fences is ordered at once: the slot's count and memory are this lease's until the engine
+    /// has seen a newer fence, so a holder that lost the lease unknowingly is refused there.
+    fn wake(&mut self, now: Duration, id: SlotId, source: Source, reason: String) {
+        let Some(slot) = self.state.slots.get(&id).cloned() else {
+            return;
+        };
+        if self.is_log_up(now) {
+            if self.change_phase(id, Phase::Loading(source)) {
+                self.decide(Choice::Wake, &slot.model, &slot.server, reason);
+            }
+            return;
+        }
+        let fencing = self.state.servers.get(&slot.server).is_some_and(|s| s.fencing);
+        let ordered = self.watches.get(id).and_then(|w| w.order);
+        if fencing && ordered.is_none_or(|o| o.action != Action::Load) {
+            self.order(now, id, Action::Load);
+            self.decide(Choice::Wake, &slot.model, &slot.server, "reserved; the log is down");
+        }
+    }
+
+    fn evict(&mut self, now: Duration, id: SlotId, reason: String) {
+        let Some(slot) = self.state.slots.get(&id).cloned() else {
+            return;
+        };
+        let watch = self.watches.entry(now, id);
+        if !watch.giving {
+            watch.giving = true;
+            self.decide(Choice::Drain, &slot.model, &slot.server, reason);
+        }
+    }
+
+    /// Advances the log's clock and writes snapshots before older entries expire.
+    fn keep_log(&mut self, now: Duration) {
+        let period = Duration::from_secs(TICK_PERIOD_S);
+        if now >= self.ticked + period && !self.appender.any(|r| matches!(r, Record::Tick(_))) {
+            self.appender.push(Record::Tick(self.state.tick + 1));
+        }
+        let due = self.snapshot + SNAPSHOT_EVERY + self.spread() % SNAPSHOT_SPREAD;
+        let writing = || self.appender.any(|r| matches!(r, Record::Snapshot(_)));
+        if self.state.offset >= due && !writing() {
+            for part in snapshot::split(&self.state) {
+                self.appender.push(Record::Snapshot(part));
+            }
+        }
+    }
+
+    /// Returns the loaded models of this daemon's data centre that have no request, if it leads.
+    pub fn idle_models(&self) -> Vec<ModelName> {
+        if self.fence().is_none() {
+            return Vec::new();
+        }
+        self.local_slots()
+            .into_iter()
+            .filter(|id| self.watches.get(*id).is_some_and(|w| w.active == 0))
+            .filter_map(|id| self.state.slots.get(&id))
+            .filter(|s| matches!(s.phase, Phase::Loaded | Phase::Draining))
+            .map(|s| s.model.clone())
+            .collect()
+    }
+
+    /// Returns whether the lease of `centre` lapsed long ago, as far as this daemon read the log.
+    pub fn is_lapsed(&self, now: Duration, centre: &str) -> bool {
+        self.authority.bid(now, centre, BID_AFTER).is_some()
+    }
+}
+
+fn facts(host: &Host) -> ServerFacts {
+    ServerFacts {
+        id: host.id.clone(),
+        incarnation: host.incarnation,
+        centre: host.centre.clone(),
+        memory_mib: host.memory_mib,
+        fencing: host.fencing,
+    }
+}
--- /dev/null
+++ b/lib/src/engine.rs
@@ -0,0 +1,67 @@
+//! Control of model engines: load reports and orders.
+
+use std::fmt;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+use crate::host::Order;
+use crate::host::OrderAnswer;
+use crate::host::Report;
+
+/// Longest wait for a report or for the answer to an order, in whole seconds.
+const TIMEOUT_S: u64 = 2;
+
+/// An engine did not report.
+#[derive(Debug, Error)]
+#[error("no report: {0}")]
+pub struct ReportError(pub String);
+
+/// A model engine's control side.
+pub trait Engine: fmt::Debug + Send + Sync {
+    /// Asks for the load report.
+    ///
+    /// # Errors
+    ///
+    /// The engine did not answer.
+    fn report(&self, addr: SocketAddr) -> Result<Report, ReportError>;
+
+    /// Gives an order. A load goes on after the answer and shows in the reports.
+    fn order(&self, addr: SocketAddr, order: &Order) -> OrderAnswer;
+}
+
+/// Model engines over HTTP.
+#[derive(Debug, Default)]
+pub struct HttpEngine;
+
+impl Engine for HttpEngine {
+    fn report(&self, addr: SocketAddr) -> Result<Report, ReportError> {
+        let response = minreq::get(format!("http://{addr}/report"))
+            .with_timeout(TIMEOUT_S)
+            .with_follow_redirects(false)
+            .send()
+            .map_err(|e| ReportError(e.to_string()))?;
+        serde_json::from_slice(response.as_bytes()).map_err(|e| ReportError(e.to_string()))
+    }
+
+    fn order(&self, addr: SocketAddr, order: &Order) -> OrderAnswer {
+        let Ok(body) = serde_json::to_vec(order) else {
+            return OrderAnswer::Unsent;
+        };
+        let request = minreq::post(format!("http://{addr}/order")).with_body(body);
+        // One connection and one write: the order is never repeated below this line.
+        let sent = request.with_timeout(TIMEOUT_S).with_follow_redirects(false).send();
+        match sent {
+            Ok(response) if response.status_code == 200 => {
+                serde_json::from_slice(response.as_bytes()).unwrap_or(OrderAnswer::Unknown)
+            }
+            Ok(_) => OrderAnswer::Unknown,
+            // Nothing was written on a connection that was refused.
+            Err(minreq::Error::IoError(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                OrderAnswer::Unsent
+            }
+            Err(_) => OrderAnswer::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/fleet.rs
@@ -0,0 +1,114 @@
+//! Hosts that can be reached: the host list, load reports and this daemon's own failures.
+//!
+//! The host list lags. A backend server that leaves says so in its reports and refusals, and one
+//! that died fails this daemon's own requests; both take it out of routing before the list does.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::host::Host;
+use crate::host::Report;
+use crate::host::Role;
+use crate::ids::Incarnation;
+use crate::ids::ServerId;
+use crate::suspicion::Suspicion;
+
+/// What is known of one host.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The host list's line.
+    pub host: Host,
+    /// Whether the host list or the host itself says that it leaves.
+    pub leaving: bool,
+    /// Last report and when it came.
+    pub report: Option<(Duration, Report)>,
+    /// When the last report was asked for.
+    pub polled: Option<Duration>,
+    suspicion: Suspicion,
+}
+
+impl Member {
+    fn new(host: Host) -> Self {
+        let leaving = host.leaving;
+        Self { host, leaving, report: None, polled: None, suspicion: Suspicion::default() }
+    }
+
+    /// Returns whether the host failed several times and is left alone for now.
+    pub fn is_suspected(&self, now: Duration) -> bool {
+        self.suspicion.holds(now)
+    }
+
+    /// Returns whether new work may go there.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        !self.leaving && !self.is_suspected(now)
+    }
+}
+
+/// All hosts of the host list.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    members: BTreeMap<ServerId, Member>,
+    known: bool,
+}
+
+impl Fleet {
+    /// Takes over a complete host list and returns the hosts that are not in it any more.
+    pub fn replace(&mut self, hosts: Vec<Host>) -> Vec<(ServerId, Incarnation)> {
+        self.known = true;
+        let mut old = std::mem::take(&mut self.members);
+        for host in hosts {
+            let kept = old.remove(&host.id).filter(|m| m.host.incarnation == host.incarnation);
+            let mut member = kept.unwrap_or_else(|| Member::new(host.clone()));
+            // A host that said itself that it leaves does not come back by a lagging list.
+            member.leaving |= host.leaving;
+            member.host = host;
+            self.members.insert(member.host.id.clone(), member);
+        }
+        old.into_values().map(|m| (m.host.id, m.host.incarnation)).collect()
+    }
+
+    /// Returns whether a host list was read at least once.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Returns what is known of `id`.
+    pub fn member(&self, id: &str) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// Iterates over the hosts with `role`.
+    pub fn with_role(&self, role: Role) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |m| m.host.role == role)
+    }
+
+    /// Notes that a report of `id` is being asked for.
+    pub fn polled(&mut self, now: Duration, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.polled = Some(now);
+        }
+    }
+
+    /// Notes a load report.
+    pub fn reported(&mut self, now: Duration, id: &str, report: Report) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.leaving |= report.leaving;
+            member.suspicion.answered();
+            member.report = Some((now, report));
+        }
+    }
+
+    /// Notes that the host refused work because it leaves.
+    pub fn left(&mut self, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.leaving = true;
+        }
+    }
+
+    /// Notes that a connection or report failed.
+    pub fn failed(&mut self, now: Duration, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.suspicion.failed(now);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/fold.rs
@@ -0,0 +1,366 @@
+//! The deterministic fold of the log.
+//!
+//! Every daemon applies the same entries in the same order. Racing records need no agreement: the
+//! first whose preconditions hold is accepted, every other is rejected with a reason, and all
+//! readers come to the same result. Nothing here reads a clock.
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::ids::ClaimKey;
+use crate::ids::Fence;
+use crate::ids::Offset;
+use crate::ids::Position;
+use crate::ids::ServerId;
+use crate::ids::position;
+use crate::record::Bid;
+use crate::record::Entry;
+use crate::record::Freed;
+use crate::record::Intent;
+use crate::record::Phase;
+use crate::record::PhaseChange;
+use crate::record::Record;
+use crate::record::ServerFacts;
+use crate::record::Settlement;
+use crate::state::CLAIM_TICKS;
+use crate::state::Claim;
+use crate::state::ClaimEnd;
+use crate::state::EditLine;
+use crate::state::Lease;
+use crate::state::MAX_HISTORY;
+use crate::state::Slot;
+use crate::state::State;
+use crate::state::WRITER_TICKS;
+use crate::state::Writer;
+use crate::table::Edit;
+use crate::verdict::Verdict;
+
+/// Why a record has no effect.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
+pub enum Rejection {
+    /// The writer's entry was read before.
+    #[error("duplicate entry")]
+    Duplicate,
+    /// The edit was based on an old version of a row.
+    #[error("edit conflict")]
+    Conflict,
+    /// The writer does not hold the lease that the record needs.
+    #[error("lease not held")]
+    NotHolder,
+    /// The lease was renewed or changed hands since the bidder looked.
+    #[error("lease renewed meanwhile")]
+    LeaseRenewed,
+    /// The model has no row, or its row is not loaded onto backend servers.
+    #[error("model not in the table")]
+    NoModel,
+    /// The model already has as many slots as the table allows.
+    #[error("replica count reached")]
+    CountReached,
+    /// The model already has a slot on this backend server.
+    #[error("already on this server")]
+    SameServer,
+    /// The backend server's memory is taken.
+    #[error("memory taken")]
+    MemoryTaken,
+    /// The backend server is unknown or has another incarnation.
+    #[error("server replaced")]
+    ServerReplaced,
+    /// The slot is not there.
+    #[error("slot not found")]
+    NoSlot,
+    /// An order of another daemon may still reach a backend server that ignores fencing numbers.
+    #[error("an order may be under way")]
+    OrderUnresolved,
+    /// The request is claimed already.
+    #[error("claimed already")]
+    Claimed,
+    /// The claim is not the writer's.
+    #[error("claim not held")]
+    NotClaimant,
+    /// The statement is old news.
+    #[error("stale")]
+    Stale,
+}
+
+/// What became of one record.
+pub type Outcome = Result<Position, Rejection>;
+
+/// Applies one entry at `offset` and returns what became of each record.
+///
+/// An offset below `state.offset` was applied before and is ignored; a gap above it means that
+/// records expired unread, and the caller must start from a snapshot instead.
+pub fn apply(state: &mut State, offset: Offset, entry: &Entry) -> Vec<Outcome> {
+    debug_assert!(offset >= state.offset, "entries are applied in order");
+    state.offset = offset + 1;
+    if !is_new(state, entry) {
+        return vec![Err(Rejection::Duplicate); entry.records.len()];
+    }
+    let apply_one = |(index, record)| {
+        let at = position(offset, index);
+        apply_record(state, entry, at, record).map(|()| at)
+    };
+    entry.records.iter().enumerate().map(apply_one).collect()
+}
+
+/// Notes the entry's number and returns whether it was not read before.
+///
+/// An append whose answer was lost may stand in the log twice, the second time after later
+/// entries of the same writer. A writer has one append under way at a time, so every number up to
+/// the last one seen is old.
+fn is_new(state: &mut State, entry: &Entry) -> bool {
+    let this =
+        Writer { incarnation: entry.incarnation, sequence: entry.sequence, tick: state.tick };
+    let last = state.writers.get(&entry.writer);
+    let is_new =
+        last.is_none_or(|w| (w.incarnation, w.sequence) < (this.incarnation, this.sequence));
+    if is_new {
+        state.writers.insert(entry.writer.clone(), this);
+    }
+    is_new
+}
+
+fn apply_record(
+    state: &mut State,
+    entry: &Entry,
+    at: Position,
+    record: &Record,
+) -> Result<(), Rejection> {
+    match record {
+        Record::Edit(edit) => apply_edit(state, at, edit),
+        Record::Server(facts) => apply_server(state, facts),
+        Record::Gone(server, incarnation) => apply_gone(state, server, *incarnation),
+        Record::Bid(bid) => apply_bid(state, entry, at, bid),
+        Record::Renew => apply_renew(state, entry, at),
+        Record::Release(centre, fence) => {
+            let lease = state.leases.get(centre).ok_or(Rejection::NotHolder)?;
+            check_holder(entry, lease, *fence)?;
+            state.leases.remove(centre);
+            Ok(())
+        }
+        Record::Intent(intent) => apply_intent(state, entry, at, intent),
+        Record::Phase(change) => apply_phase(state, entry, at, change),
+        Record::Freed(freed) => apply_freed(state, entry, freed),
+        Record::Claim(key) => apply_claim(state, entry, *key),
+        Record::Settle(settlement) => apply_settle(state, entry, settlement),
+        Record::Tick(tick) => apply_tick(state, *tick),
+        // Snapshots are collected by the reader; they change nothing.
+        Record::Snapshot(_) => Ok(()),
+    }
+}
+
+fn apply_edit(state: &mut State, at: Position, edit: &Edit) -> Result<(), Rejection> {
+    if state.edit(&edit.id).is_some() {
+        return Err(Rejection::Duplicate);
+    }
+    let conflict = state.table.conflict(edit).cloned();
+    state.history.push_back(EditLine {
+        id: edit.id.clone(),
+        author: edit.author.clone(),
+        position: at,
+        rows: edit.changes.iter().map(|c| c.name.clone()).collect(),
+        conflict: conflict.clone(),
+    });
+    if state.history.len() > MAX_HISTORY {
+        state.history.pop_front();
+    }
+    if conflict.is_some() {
+        return Err(Rejection::Conflict);
+    }
+    state.table = state.table.apply(edit, at);
+    Ok(())
+}
+
+fn apply_server(state: &mut State, facts: &ServerFacts) -> Result<(), Rejection> {
+    if let Some(old) = state.servers.get(&facts.id) {
+        if old.incarnation >= facts.incarnation {
+            return Err(Rejection::Stale);
+        }
+        drop_slots(state, &facts.id);
+    }
+    state.servers.insert(facts.id.clone(), facts.clone());
+    Ok(())
+}
+
+fn apply_gone(state: &mut State, server: &ServerId, incarnation: u64) -> Result<(), Rejection> {
+    let known = state.servers.get(server).ok_or(Rejection::Stale)?;
+    if known.incarnation > incarnation {
+        return Err(Rejection::Stale);
+    }
+    drop_slots(state, server);
+    state.servers.remove(server);
+    Ok(())
+}
+
+fn drop_slots(state: &mut State, server: &ServerId) {
+    state.slots.retain(|_, slot| slot.server != *server);
+}
+
+fn apply_bid(state: &mut State, entry: &Entry, at: Position, bid: &Bid) -> Result<(), Rejection> {
+    // A holder that renewed after the bidder's last look keeps the lease: the bidder's clock may
+    // have run while it read nothing.
+    let renewed = state.leases.get(&bid.centre).map_or(0, |l| l.renewed);
+    if renewed != bid.seen {
+        return Err(Rejection::LeaseRenewed);
+    }
+    state.leases.insert(
+        bid.centre.clone(),
+        Lease {
+            daemon: entry.writer.clone(),
+            incarnation: entry.incarnation,
+            fence: at,
+            renewed: at,
+        },
+    );
+    Ok(())
+}
+
+fn apply_renew(state: &mut State, entry: &Entry, at: Position) -> Result<(), Rejection> {
+    let mut held = 0;
+    for lease in state.leases.values_mut() {
+        if lease.daemon == entry.writer && lease.incarnation == entry.incarnation {
+            lease.renewed = at;
+            held += 1;
+        }
+    }
+    if held == 0 { Err(Rejection::NotHolder) } else { Ok(()) }
+}
+
+fn check_holder(entry: &Entry, lease: &Lease, fence: Fence) -> Result<(), Rejection> {
+    let holds = lease.daemon == entry.writer
+        && lease.incarnation == entry.incarnation
+        && lease.fence == fence;
+    if holds { Ok(()) } else { Err(Rejection::NotHolder) }
+}
+
+fn apply_intent(
+    state: &mut State,
+    entry: &Entry,
+    at: Position,
+    intent: &Intent,
+) -> Result<(), Rejection> {
+    let server = state.servers.get(&intent.server).ok_or(Rejection::ServerReplaced)?;
+    if server.incarnation != intent.incarnation {
+        return Err(Rejection::ServerReplaced);
+    }
+    let lease = state.leases.get(&server.centre).ok_or(Rejection::NotHolder)?;
+    check_holder(entry, lease, intent.fence)?;
+    let row = state.table.row(&intent.model).ok_or(Rejection::NoModel)?;
+    if !row.is_loaded() {
+        return Err(Rejection::NoModel);
+    }
+    if state.slots_of(&intent.model).count() >= row.replicas as usize {
+        return Err(Rejection::CountReached);
+    }
+    if state.slots_of(&intent.model).any(|(_, s)| s.server == intent.server) {
+        return Err(Rejection::SameServer);
+    }
+    if state.taken_mib(&intent.server) + row.memory_mib > server.memory_mib {
+        return Err(Rejection::MemoryTaken);
+    }
+    let slot = Slot {
+        model: intent.model.clone(),
+        server: intent.server.clone(),
+        memory_mib: row.memory_mib,
+        phase: Phase::Loading(intent.source),
+        orderer: (entry.writer.clone(), entry.incarnation),
+        fence: intent.fence,
+        ticket: at,
+    };
+    state.slots.insert(at, slot);
+    Ok(())
+}
+
+fn apply_phase(
+    state: &mut State,
+    entry: &Entry,
+    at: Position,
+    change: &PhaseChange,
+) -> Result<(), Rejection> {
+    let slot = state.slots.get(&change.slot).ok_or(Rejection::NoSlot)?;
+    let lease = state.lease_of(&slot.server).ok_or(Rejection::NotHolder)?;
+    check_holder(entry, lease, change.fence)?;
+    let fencing = state.servers.get(&slot.server).is_some_and(|s| s.fencing);
+    let writer = (entry.writer.clone(), entry.incarnation);
+    // On a backend server that ignores fencing numbers, only a report that the model is loaded
+    // resolves an order of another daemon; until then the slot may not be ordered again.
+    let unresolved = !fencing && slot.phase.is_loading() && slot.orderer != writer;
+    if unresolved && change.phase != Phase::Loaded {
+        return Err(Rejection::OrderUnresolved);
+    }
+    let slot = state.slots.get_mut(&change.slot).ok_or(Rejection::NoSlot)?;
+    slot.phase = change.phase;
+    slot.fence = change.fence;
+    if change.phase.is_loading() {
+        slot.orderer = writer;
+        slot.ticket = at;
+    }
+    Ok(())
+}
+
+fn apply_freed(state: &mut State, entry: &Entry, freed: &Freed) -> Result<(), Rejection> {
+    let slot = state.slots.get(&freed.slot).ok_or(Rejection::NoSlot)?;
+    let server = state.servers.get(&slot.server).ok_or(Rejection::ServerReplaced)?;
+    let lease = state.leases.get(&server.centre).ok_or(Rejection::NotHolder)?;
+    check_holder(entry, lease, freed.fence)?;
+    let own = slot.orderer.0 == entry.writer && slot.orderer.1 == entry.incarnation;
+    let unresolved = !server.fencing && slot.phase.is_loading() && !own;
+    if unresolved && !freed.orderer_gone {
+        return Err(Rejection::OrderUnresolved);
+    }
+    state.slots.remove(&freed.slot);
+    Ok(())
+}
+
+fn apply_claim(state: &mut State, entry: &Entry, key: ClaimKey) -> Result<(), Rejection> {
+    if state.claims.contains_key(&key) {
+        return Err(Rejection::Claimed);
+    }
+    let claim = Claim {
+        daemon: entry.writer.clone(),
+        incarnation: entry.incarnation,
+        tick: state.tick,
+        end: None,
+    };
+    state.claims.insert(key, claim);
+    state.expiry.push_back((state.tick, key));
+    Ok(())
+}
+
+fn apply_settle(
+    state: &mut State,
+    entry: &Entry,
+    settlement: &Settlement,
+) -> Result<(), Rejection> {
+    let claim = state.claims.get_mut(&settlement.key).ok_or(Rejection::NotClaimant)?;
+    if claim.daemon != entry.writer || claim.incarnation != entry.incarnation {
+        return Err(Rejection::NotClaimant);
+    }
+    if settlement.verdict == Verdict::DidNotRun {
+        state.claims.remove(&settlement.key);
+        return Ok(());
+    }
+    let verdict = settlement.verdict;
+    claim.end = Some(ClaimEnd { verdict, answer: settlement.answer.clone() });
+    Ok(())
+}
+
+/// Advances the log's clock and forgets what is older than it keeps.
+fn apply_tick(state: &mut State, tick: u64) -> Result<(), Rejection> {
+    if tick != state.tick + 1 {
+        return Err(Rejection::Stale);
+    }
+    state.tick = tick;
+    while let Some(&(claimed, key)) = state.expiry.front() {
+        if claimed + CLAIM_TICKS > tick {
+            break;
+        }
+        state.expiry.pop_front();
+        // A released and newly claimed key has a younger entry of its own.
+        if state.claims.get(&key).is_some_and(|c| c.tick == claimed) {
+            state.claims.remove(&key);
+        }
+    }
+    state.writers.retain(|_, w| w.tick + WRITER_TICKS > tick);
+    Ok(())
+}
--- /dev/null
+++ b/lib/src/gateway.rs
@@ -0,0 +1,170 @@
+//! The HTTP side of a daemon: callers and operators.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use smol_str::SmolStr;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
+use tiny_http::Method;
+use tiny_http::Request;
+use tiny_http::Server;
+
+use crate::admin;
+use crate::chat;
+use crate::chat::Chat;
+use crate::job;
+use crate::job::Wishes;
+use crate::limits::Limit;
+use crate::node::Node;
+use crate::reply;
+use crate::reply::Refused;
+use crate::services;
+
+/// A caller that reads nothing for this long is gone.
+const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 4096;
+/// Stack of a request's thread: thousands of them stand beside each other.
+const STACK: usize = 256 * 1024;
+/// When to come back after a limit was reached.
+const LIMIT_RETRY: Duration = Duration::from_secs(1);
+
+/// Opens the socket that callers connect to.
+///
+/// # Errors
+///
+/// The address cannot be used.
+pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    // Accepted connections inherit these. Without the send timeout a caller that stops reading
+    // would hold a thread for ever; a receive timeout would hit `accept` itself.
+    socket.set_tcp_nodelay(true)?;
+    socket.set_keepalive(true)?;
+    SockRef::from(&socket).set_write_timeout(Some(SEND_TIMEOUT))?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Takes requests in until the server is unblocked for its stop.
+pub fn run(node: &Arc<Node>, server: &Server) {
+    while let Ok(request) = server.recv() {
+        let node = Arc::clone(node);
+        let spawned = thread::Builder::new()
+            .name("request".into())
+            .stack_size(STACK)
+            .spawn(move || serve(&node, request));
+        // Without a thread the request was dropped with the closure, which answers it with a 500
+        // before anything ran; the accept loop goes on.
+        if spawned.is_err() {
+            continue;
+        }
+    }
+}
+
+fn serve(node: &Node, request: Request) {
+    let url = request.url().to_owned();
+    let path = url.split('?').next().unwrap_or_default();
+    if let Some(rest) = url.strip_prefix("/admin/") {
+        admin::serve(node, request, rest);
+        return;
+    }
+    match (request.method(), path) {
+        (Method::Get, "/healthz") => reply::send_json(request, 200, &json!({"alive": true})),
+        (Method::Get, "/readyz") => ready(node, request),
+        (Method::Get, "/metrics") => {
+            node.metrics.load(node.waiting.len(), node.limits().total());
+            let text = node.metrics.text().into_bytes();
+            reply::send(request, reply::with_body(200, "text/plain; version=0.0.4", text));
+        }
+        (Method::Get, "/v1/models") => models(node, request),
+        (Method::Post, chat::PATH) => limited(node, request, serve_chat),
+        (_, path) if path.starts_with(services::PREFIX) => limited(node, request, serve_service),
+        _ => {
+            let refused = Refused::wrong(404, "no-such-path", format!("nothing is at {path}"));
+            reply::send_refused(request, "", &refused);
+        }
+    }
+}
+
+fn ready(node: &Node, request: Request) {
+    let view = node.view.load();
+    let ready = view.ready && !node.is_stopping();
+    let status = if ready { 200 } else { 503 };
+    reply::send_json(request, status, &json!({"ready": ready, "log_up": view.logged}));
+}
+
+fn models(node: &Node, request: Request) {
+    let view = node.view.load();
+    let data: Vec<_> = view
+        .table
+        .iter()
+        .filter(|v| v.row.is_loaded())
+        .map(|v| json!({"id": v.row.name, "object": "model", "created": 0, "owned_by": "comfreymux"}))
+        .collect();
+    reply::send_json(request, 200, &json!({"object": "list", "data": data}));
+}
+
+type Handler = fn(&Node, SmolStr, Request);
+
+/// Runs `handler` within the limits; a request past them is refused at once.
+fn limited(node: &Node, request: Request, handler: Handler) {
+    let id = node.next_request();
+    let caller = job::caller_of(&request);
+    if node.is_stopping() {
+        let message = "this daemon is stopping; another one will answer";
+        let refused = Refused::later(503, "stopping", message, LIMIT_RETRY);
+        node.metrics.refused(refused.code);
+        reply::send_refused(request, &id, &refused);
+        return;
+    }
+    let entered = node.limits().enter(&caller);
+    if let Err(limit) = entered {
+        let status = if limit == Limit::Caller { 429 } else { 503 };
+        let message = "too many requests are in progress";
+        let refused = Refused::later(status, limit.as_str(), message, LIMIT_RETRY);
+        node.metrics.refused(refused.code);
+        reply::send_refused(request, &id, &refused);
+        return;
+    }
+    handler(node, id, request);
+    node.limits().leave(&caller);
+}
+
+fn serve_chat(node: &Node, id: SmolStr, mut request: Request) {
+    let read = Wishes::read(node, &request, node.now()).and_then(|wishes| {
+        let body = job::read_body(node, &mut request)?;
+        Chat::read(node, id.clone(), &request, wishes, body)
+    });
+    match read {
+        Ok(chat) => chat.serve(node, request),
+        Err(refused) => refuse(node, &id, request, &refused),
+    }
+}
+
+fn serve_service(node: &Node, id: SmolStr, mut request: Request) {
+    let read = Wishes::read(node, &request, node.now()).and_then(|wishes| {
+        let body = job::read_body(node, &mut request)?;
+        services::read(node, id.clone(), &request, wishes, body)
+    });
+    match read {
+        Ok(job) => services::serve(node, &job, request),
+        Err(refused) => refuse(node, &id, request, &refused),
+    }
+}
+
+fn refuse(node: &Node, id: &SmolStr, request: Request, refused: &Refused) {
+    node.metrics.refused(refused.code);
+    node.note_request(id, "", "refuse", "", refused.message.clone());
+    reply::send_refused(request, id, refused);
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,63 @@
+//! comfreymux serves many rarely used models.
+//!
+//! Everything that decides is a state machine without clock, socket or thread ([`control`],
+//! [`fold`], [`router`], [`queue`]); the daemon around them is made of filters joined by channels.
+
+pub mod admin;
+pub mod append;
+pub mod chat;
+pub mod claims;
+pub mod control;
+pub mod daemon;
+pub mod demand;
+pub mod dispatch;
+pub mod duty;
+pub mod engine;
+pub mod event;
+pub mod exchange;
+pub mod fleet;
+pub mod fold;
+pub mod gateway;
+pub mod host;
+pub mod host_list;
+pub mod ids;
+pub mod job;
+pub mod journal;
+pub mod keepwarm;
+pub mod lease;
+pub mod limits;
+pub mod log_reader;
+pub mod log_service;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod once;
+pub mod outcomes;
+pub mod peer_call;
+pub mod peer_message;
+pub mod peers;
+pub mod placement;
+pub mod queue;
+pub mod rates;
+pub mod record;
+pub mod reply;
+pub mod retry;
+pub mod router;
+pub mod services;
+pub mod settings;
+pub mod shell;
+pub mod snapshot;
+pub mod sse;
+pub mod state;
+pub mod suspicion;
+pub mod table;
+pub mod table_file;
+pub mod timer;
+pub mod trace;
+pub mod upkeep;
+pub mod verdict;
+pub mod view;
+pub mod waiting;
+pub mod watch;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/lib/src/log_reader.rs
@@ -0,0 +1,166 @@
+//! The thread that reads the log, or what peers have read of it.
+
+use std::net::SocketAddr;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::event::Event;
+use crate::ids::Offset;
+use crate::log_service::LogService;
+use crate::log_service::ReadError;
+use crate::node::Input;
+use crate::node::Node;
+use crate::peer_call;
+use crate::record::Entry;
+use crate::record::Record;
+use crate::snapshot::Collector;
+use crate::state::State;
+use crate::wire;
+
+/// How long a read waits for the next entry.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Most entries that the control thread has still to apply before more are read.
+const MAX_BEHIND: Offset = 20_000;
+
+/// Reads the log until the daemon ends.
+pub fn run(node: &Node, log: &dyn LogService) {
+    let mut reader = Reader { node, log, next: 0 };
+    while !node.control.is_disconnected() {
+        reader.step();
+    }
+}
+
+struct Reader<'a> {
+    node: &'a Node,
+    log: &'a dyn LogService,
+    next: Offset,
+}
+
+impl Reader<'_> {
+    fn step(&mut self) {
+        let applied = self.node.applied.load(Ordering::Relaxed);
+        self.next = self.next.max(applied);
+        if self.next > applied + MAX_BEHIND {
+            thread::sleep(PAUSE);
+            return;
+        }
+        match self.log.read(self.next, READ_WAIT) {
+            Ok(entries) => {
+                self.node.tell(Input::Event(Event::LogRead));
+                for (offset, bytes) in entries {
+                    self.take(offset, &bytes);
+                }
+            }
+            Err(ReadError::Expired(oldest)) => self.recover(oldest),
+            Err(ReadError::Unavailable(_)) => {
+                self.node.tell(Input::Event(Event::LogFailed));
+                self.ask_peers();
+                thread::sleep(PAUSE);
+            }
+        }
+    }
+
+    fn take(&mut self, offset: Offset, bytes: &[u8]) {
+        if offset != self.next {
+            return;
+        }
+        self.next += 1;
+        self.node.tell(Input::Event(Event::Entry(offset, decode_entry(bytes))));
+    }
+
+    /// Starts from a snapshot, because what comes next in the log has expired.
+    fn recover(&mut self, oldest: Offset) {
+        let mut collector = Collector::default();
+        let mut at = oldest;
+        let mut newest: Option<State> = None;
+        loop {
+            let entries = match self.log.read(at, Duration::ZERO) {
+                Ok(entries) if !entries.is_empty() => entries,
+                _ => break,
+            };
+            for (offset, bytes) in entries {
+                at = offset + 1;
+                for record in decode_entry(&bytes).records {
+                    if let Record::Snapshot(part) = record
+                        && part.at >= oldest
+                        && let Some(state) = collector.add(&part)
+                    {
+                        newest = Some(state);
+                    }
+                }
+            }
+        }
+        match newest {
+            Some(state) => {
+                self.next = state.offset;
+                self.node.tell(Input::Install(Box::new(state)));
+                self.await_applied();
+            }
+            None => {
+                self.ask_peers();
+                thread::sleep(PAUSE);
+            }
+        }
+    }
+
+    /// Waits until the control thread has taken over a state, so that reading goes on from it.
+    fn await_applied(&self) {
+        while self.node.applied.load(Ordering::Relaxed) < self.next
+            && !self.node.control.is_disconnected()
+        {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Fetches from a peer that has read further, while the log does not answer.
+    ///
+    /// A data centre that is cut off from the platform but not from a neighbour still learns of
+    /// edits, and a daemon that starts during an outage takes over a peer's state.
+    fn ask_peers(&mut self) {
+        for addr in self.peers_ahead() {
+            if let Some(entries) = peer_call::entries(self.node, addr, self.next)
+                && entries.first().is_some_and(|(offset, _)| *offset == self.next)
+            {
+                for (offset, entry) in entries {
+                    self.next = offset + 1;
+                    self.node.tell(Input::Event(Event::Entry(offset, entry)));
+                }
+                return;
+            }
+            if let Some(state) = peer_call::state(self.node, addr)
+                && state.offset > self.next
+            {
+                self.next = state.offset;
+                self.node.tell(Input::Install(Box::new(state)));
+                self.await_applied();
+                return;
+            }
+        }
+    }
+
+    fn peers_ahead(&self) -> Vec<SocketAddr> {
+        let view = self.node.view.load();
+        let ahead = self.node.ahead.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut peers: Vec<(Offset, SocketAddr)> = ahead
+            .iter()
+            .filter(|(_, offset)| **offset > self.next)
+            .filter_map(|(peer, offset)| Some((*offset, *view.daemons.get(peer)?)))
+            .collect();
+        peers.sort_unstable_by(|a, b| b.cmp(a));
+        peers.into_iter().map(|(_, addr)| addr).collect()
+    }
+}
+
+/// Decodes an entry; one that nobody can read is taken as empty, the same everywhere.
+fn decode_entry(bytes: &[u8]) -> Entry {
+    wire::decode(bytes).unwrap_or_else(|_malformed| Entry {
+        writer: "".into(),
+        incarnation: 0,
+        sequence: 0,
+        records: Vec::new(),
+    })
+}
--- /dev/null
+++ b/lib/src/metrics.rs
@@ -0,0 +1,153 @@
+//! Metrics by `opentelemetry`, read at `/metrics`.
+
+use std::fmt;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder as _;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::verdict::Verdict;
+
+/// Bounds of the time histograms, in seconds.
+const BOUNDS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0];
+
+/// Instruments of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    verdicts: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    first: Histogram<f64>,
+    cold: Histogram<f64>,
+    tokens: Counter<u64>,
+    idle: Counter<f64>,
+    waiting: Gauge<u64>,
+    active: Gauge<u64>,
+    control: Counter<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Creates the instruments in a registry of their own.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the exporter refuses an empty registry, which it never does.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("an empty registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("comfreymux");
+        let seconds = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(text)
+                .with_boundaries(BOUNDS.to_vec())
+                .build()
+        };
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Self {
+            verdicts: counter("requests", "Requests by verdict"),
+            refusals: counter("refusals", "Refused requests by reason"),
+            retries: counter("retries", "Attempts after the first"),
+            first: seconds("first_token", "Time to the first byte of an answer"),
+            cold: seconds("cold_start", "Time that requests waited for a replica"),
+            tokens: counter("tokens", "Stream events relayed"),
+            idle: meter
+                .f64_counter("idle_accelerator")
+                .with_unit("s")
+                .with_description("Seconds that replicas were loaded without a request")
+                .build(),
+            waiting: gauge("waiting", "Requests that wait for a replica"),
+            active: gauge("active", "Requests in progress"),
+            control: counter("control_bytes", "Bytes exchanged with daemons and the log"),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts an answered request.
+    pub fn answered(&self, model: &str, verdict: Verdict) {
+        let model = KeyValue::new("model", model.to_owned());
+        self.verdicts.add(1, &[model, KeyValue::new("verdict", verdict.as_str())]);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts another attempt.
+    pub fn retried(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// Notes the time to the first byte of an answer.
+    pub fn first_byte(&self, time: Duration) {
+        self.first.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Notes how long a request waited for a replica.
+    pub fn waited(&self, model: &str, time: Duration) {
+        self.cold.record(time.as_secs_f64(), &[KeyValue::new("model", model.to_owned())]);
+    }
+
+    /// Counts relayed stream events.
+    pub fn relayed(&self, events: u64) {
+        self.tokens.add(events, &[]);
+    }
+
+    /// Adds time that a replica of `model` was loaded without a request.
+    pub fn idled(&self, model: &str, time: Duration) {
+        self.idle.add(time.as_secs_f64(), &[KeyValue::new("model", model.to_owned())]);
+    }
+
+    /// Notes the requests that wait and that are in progress.
+    pub fn load(&self, waiting: usize, active: u32) {
+        self.waiting.record(waiting as u64, &[]);
+        self.active.record(u64::from(active), &[]);
+    }
+
+    /// Counts bytes of control traffic.
+    pub fn exchanged(&self, kind: &'static str, bytes: usize) {
+        self.control.add(bytes as u64, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            Ok(()) => String::from_utf8_lossy(&out).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/node.rs
@@ -0,0 +1,252 @@
+//! What the threads of one daemon share.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use slog::Logger;
+use smol_str::SmolStr;
+
+use crate::event::Choice;
+use crate::event::ClaimAnswer;
+use crate::event::Decision;
+use crate::event::EditAnswer;
+use crate::event::Event;
+use crate::exchange::Exchange;
+use crate::ids::ClaimKey;
+use crate::ids::Incarnation;
+use crate::ids::Offset;
+use crate::journal::Journal;
+use crate::journal::Line;
+use crate::limits::Limits;
+use crate::metrics::Metrics;
+use crate::outcomes::Outcomes;
+use crate::rates::Rates;
+use crate::record::Entry;
+use crate::retry::RetryBudget;
+use crate::router::Router;
+use crate::settings::Settings;
+use crate::state::State;
+use crate::table::Edit;
+use crate::timer::Clock;
+use crate::view::View;
+use crate::waiting::WaitingRoom;
+
+/// What the control thread takes in.
+pub enum Input {
+    /// An event for the control state machine.
+    Event(Event),
+    /// A whole state, from a snapshot or a peer.
+    Install(Box<State>),
+    /// A request wants to run and may not be repeated.
+    Claim(ClaimKey, flume::Sender<ClaimAnswer>),
+    /// An operator's edit.
+    Edit(Edit, flume::Sender<EditAnswer>),
+    /// Somebody wants the state.
+    State(flume::Sender<State>),
+    /// A peer wants entries from this offset on.
+    Entries(Offset, flume::Sender<Option<Vec<(Offset, Entry)>>>),
+    /// A peer has read the log to this offset; its state's hash at a checkpoint.
+    PeerAt(SmolStr, Offset, (Offset, u64)),
+    /// The daemon ends.
+    End,
+}
+
+impl fmt::Debug for Input {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Input")
+    }
+}
+
+/// State that all threads of a daemon share.
+#[derive(Debug)]
+pub struct Node {
+    /// The settings.
+    pub settings: Settings,
+    /// This start's count.
+    pub incarnation: Incarnation,
+    /// Time since the start.
+    pub clock: Clock,
+    /// What routers see.
+    pub view: ArcSwap<View>,
+    /// Learned loading speeds.
+    pub rates: Mutex<Rates>,
+    /// Requests that wait for a replica.
+    pub waiting: WaitingRoom,
+    /// Outcomes of claimed requests.
+    pub outcomes: Outcomes,
+    /// To the control thread.
+    pub control: flume::Sender<Input>,
+    /// Requests to backend servers.
+    pub exchange: Arc<dyn Exchange>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Latest decisions.
+    pub journal: Journal,
+    /// Log lines.
+    pub log: Logger,
+    /// Whether the daemon takes no new work.
+    pub stopping: AtomicBool,
+    /// Offset up to which the log was read.
+    pub applied: AtomicU64,
+    /// Offsets up to which peers have read the log.
+    pub ahead: Mutex<BTreeMap<SmolStr, Offset>>,
+    router: Mutex<Router>,
+    limits: Mutex<Limits>,
+    budget: Mutex<RetryBudget>,
+    requests: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Node {
+    /// Creates the shared state of a daemon.
+    pub fn new(
+        settings: Settings,
+        incarnation: Incarnation,
+        control: flume::Sender<Input>,
+        exchange: Arc<dyn Exchange>,
+        log: Logger,
+    ) -> Self {
+        let centre = settings.centre.clone();
+        Self {
+            clock: Clock::start(),
+            view: ArcSwap::default(),
+            rates: Mutex::default(),
+            waiting: WaitingRoom::new(settings.queue),
+            outcomes: Outcomes::default(),
+            router: Mutex::new(Router::new(centre, incarnation)),
+            limits: Mutex::new(Limits::new(settings.requests, settings.share)),
+            budget: Mutex::default(),
+            metrics: Metrics::new(),
+            journal: Journal::default(),
+            stopping: AtomicBool::new(false),
+            applied: AtomicU64::new(0),
+            ahead: Mutex::default(),
+            requests: AtomicU64::new(0),
+            settings,
+            incarnation,
+            control,
+            exchange,
+            log,
+        }
+    }
+
+    /// Returns the time since the daemon's start.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Returns a new request id, unique in the whole system.
+    pub fn next_request(&self) -> SmolStr {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        SmolStr::new(format!("{}-{:x}-{number}", self.settings.id, self.incarnation))
+    }
+
+    /// Returns the router, locked.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        lock(&self.router)
+    }
+
+    /// Returns the limits, locked.
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        lock(&self.limits)
+    }
+
+    /// Returns the retry budget, locked.
+    pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.budget)
+    }
+
+    /// Returns the learned loading speeds.
+    pub fn loading_rates(&self) -> Rates {
+        *lock(&self.rates)
+    }
+
+    /// Publishes a new picture and wakes requests that it has room for.
+    pub fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+        self.pump();
+    }
+
+    /// Wakes waiting requests for which there is room.
+    pub fn pump(&self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let view = self.view.load();
+        self.waiting.pump(now, |model| self.router().room(now, &view, model));
+    }
+
+    /// Returns whether the daemon takes no new work.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Sends to the control thread; returns whether it is still there.
+    pub fn tell(&self, input: Input) -> bool {
+        self.control.send(input).is_ok()
+    }
+
+    /// Asks the control thread for the state.
+    pub fn state(&self) -> Option<State> {
+        let (sender, receiver) = flume::bounded(1);
+        self.tell(Input::State(sender));
+        receiver.recv_timeout(Duration::from_secs(5)).ok()
+    }
+
+    /// Logs a decision of control and keeps it for `explain`.
+    pub fn note_decision(&self, decision: &Decision) {
+        let Decision { action, model, place, reason } = decision;
+        let event = if is_placement(*action) { "placement" } else { "control" };
+        slog::info!(self.log, "{event}"; "reason" => reason, "place" => place.as_str(),
+            "model" => model.as_str(), "action" => action.as_str());
+        let line = Line {
+            at: 0.0,
+            request: SmolStr::default(),
+            model: model.clone(),
+            action: action.as_str(),
+            place: place.clone(),
+            reason: reason.clone(),
+        };
+        self.journal.add(self.now(), line);
+    }
+
+    /// Logs a decision about a request and keeps it for `explain`.
+    pub fn note_request(
+        &self,
+        request: &SmolStr,
+        model: &str,
+        action: &'static str,
+        place: &str,
+        reason: impl Into<String>,
+    ) {
+        let reason = reason.into();
+        slog::info!(self.log, "routing"; "reason" => &reason, "place" => place,
+            "model" => model, "action" => action, "request" => request.as_str());
+        let line = Line {
+            at: 0.0,
+            request: request.clone(),
+            model: model.into(),
+            action,
+            place: place.into(),
+            reason,
+        };
+        self.journal.add(self.now(), line);
+    }
+}
+
+fn is_placement(action: Choice) -> bool {
+    !matches!(action, Choice::Bid | Choice::Lead | Choice::Yield | Choice::Accept)
+}
--- /dev/null
+++ b/lib/src/rates.rs
@@ -0,0 +1,55 @@
+//! How fast checkpoints load, learned from loads that finished.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::Mebibytes;
+use crate::record::Source;
+
+/// Share of a new measurement in the average.
+const GAIN: f64 = 0.2;
+/// Time of a load beside reading the checkpoint.
+const FIXED: Duration = Duration::from_millis(500);
+
+/// Loading speed by source, in MiB/s.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Rates {
+    memory: f64,
+    disk: f64,
+    remote: f64,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self { memory: 8000.0, disk: 2000.0, remote: 500.0 }
+    }
+}
+
+impl Rates {
+    /// Returns the expected time to load `size` from `source`.
+    pub fn expected(&self, size: Mebibytes, source: Source) -> Duration {
+        FIXED + Duration::from_secs_f64(size as f64 / self.rate(source))
+    }
+
+    /// Notes a load that took `time`.
+    pub fn learn(&mut self, size: Mebibytes, source: Source, time: Duration) {
+        let reading = time.saturating_sub(FIXED).as_secs_f64().max(0.001);
+        let measured = (size as f64 / reading).max(1.0);
+        let rate = match source {
+            Source::Memory => &mut self.memory,
+            Source::Disk => &mut self.disk,
+            Source::Remote => &mut self.remote,
+        };
+        *rate += GAIN * (measured - *rate);
+    }
+
+    fn rate(&self, source: Source) -> f64 {
+        match source {
+            Source::Memory => self.memory,
+            Source::Disk => self.disk,
+            Source::Remote => self.remote,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/router.rs
@@ -0,0 +1,196 @@
+//! The choice of a replica for a request.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::CentreId;
+use crate::ids::ModelName;
+use crate::ids::ServerId;
+use crate::suspicion::Suspicion;
+use crate::view::Replica;
+use crate::view::View;
+
+/// An engine's own count of requests in progress is used for this long.
+const LOAD_FRESH: Duration = Duration::from_secs(2);
+/// How far above the mean load the server of a prompt prefix may be, in requests.
+const AFFINITY_SLACK: u32 = 2;
+/// A backend server that said it leaves is left alone this long, until the host list shows it.
+const LEAVING: Duration = Duration::from_secs(120);
+
+/// What a request asks of the router.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The model or plain service.
+    pub model: &'a str,
+    /// Hash of the prompt's beginning, by which an engine's prefix cache is reused.
+    pub prefix: Option<u64>,
+    /// Backend servers that were tried already.
+    pub tried: &'a [ServerId],
+}
+
+/// A chosen replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// The backend server.
+    pub server: ServerId,
+    /// Where it answers.
+    pub addr: SocketAddr,
+    /// Why it was chosen.
+    pub reason: &'static str,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    /// Requests of this daemon in progress.
+    own: u32,
+    /// The engine's last word on requests in progress, and when it came.
+    told: Option<(Duration, u32)>,
+}
+
+/// Loads of replicas, and backend servers that failed.
+#[derive(Debug)]
+pub struct Router {
+    centre: CentreId,
+    rng: ChaCha8Rng,
+    loads: BTreeMap<(ServerId, ModelName), Load>,
+    suspects: BTreeMap<ServerId, Suspicion>,
+    leaving: BTreeMap<ServerId, Duration>,
+}
+
+impl Router {
+    /// Creates a router of a daemon in `centre`.
+    pub fn new(centre: CentreId, seed: u64) -> Self {
+        Self {
+            centre,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            loads: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+        }
+    }
+
+    /// Chooses a replica with room, and counts the request there until [`Router::finished`].
+    pub fn choose(&mut self, now: Duration, view: &View, wish: Wish<'_>) -> Option<Route> {
+        let limit = view.table.row(wish.model)?.limit;
+        let usable: Vec<&Replica> = view
+            .places(wish.model)
+            .iter()
+            .filter(|r| !wish.tried.contains(&r.server) && self.is_usable(now, &r.server))
+            .filter(|r| self.load(now, &r.server, wish.model) < limit)
+            .collect();
+        let local: Vec<&Replica> =
+            usable.iter().copied().filter(|r| r.centre == self.centre).collect();
+        let near = if local.is_empty() { &usable } else { &local };
+        let (replica, reason) = self.pick(now, near, wish)?;
+        let key = (replica.server.clone(), ModelName::from(wish.model));
+        self.loads.entry(key).or_default().own += 1;
+        Some(Route { server: replica.server.clone(), addr: replica.addr, reason })
+    }
+
+    /// Returns how many more requests the replicas of `model` have room for.
+    pub fn room(&self, now: Duration, view: &View, model: &str) -> u32 {
+        let limit = view.table.row(model).map_or(0, |row| row.limit);
+        view.places(model)
+            .iter()
+            .filter(|r| self.is_usable(now, &r.server))
+            .map(|r| limit.saturating_sub(self.load(now, &r.server, model)))
+            .sum()
+    }
+
+    fn pick<'r>(
+        &mut self,
+        now: Duration,
+        places: &[&'r Replica],
+        wish: Wish<'_>,
+    ) -> Option<(&'r Replica, &'static str)> {
+        match places {
+            [] => return None,
+            [only] => return Some((*only, "only replica with room")),
+            _ => {}
+        }
+        let load = |r: &Replica| self.load(now, &r.server, wish.model);
+        if let Some(prefix) = wish.prefix {
+            let score = |r: &&&Replica| xxh3_64_with_seed(r.server.as_bytes(), prefix);
+            let home = places.iter().max_by_key(score)?;
+            let mean = places.iter().map(|r| load(r)).sum::<u32>() / places.len() as u32;
+            if load(home) <= mean + AFFINITY_SLACK {
+                return Some((*home, "prefix is cached there"));
+            }
+        }
+        // Two random choices: the lesser load, without all daemons running to the same server.
+        let a = self.rng.random_range(0..places.len());
+        let b = (a + self.rng.random_range(1..places.len())) % places.len();
+        let load = |i: usize| self.load(now, &places[i].server, wish.model);
+        let chosen = if load(a) <= load(b) { a } else { b };
+        Some((places[chosen], "less loaded of two"))
+    }
+
+    fn is_usable(&self, now: Duration, server: &str) -> bool {
+        let suspected = self.suspects.get(server).is_some_and(|s| s.holds(now));
+        let leaving = self.leaving.get(server).is_some_and(|at| now < *at + LEAVING);
+        !suspected && !leaving
+    }
+
+    fn load(&self, now: Duration, server: &str, model: &str) -> u32 {
+        let key = (ServerId::from(server), ModelName::from(model));
+        let Some(load) = self.loads.get(&key) else {
+            return 0;
+        };
+        let told = load.told.filter(|(at, _)| now < *at + LOAD_FRESH).map_or(0, |(_, n)| n);
+        load.own.max(told)
+    }
+
+    /// Notes the end of a request that [`Router::choose`] counted.
+    pub fn finished(&mut self, server: &ServerId, model: &ModelName) {
+        let key = (server.clone(), model.clone());
+        if let Some(load) = self.loads.get_mut(&key) {
+            load.own = load.own.saturating_sub(1);
+            if load.own == 0 && load.told.is_none() {
+                self.loads.remove(&key);
+            }
+        }
+    }
+
+    /// Notes an answer and what it said of the replica's load.
+    pub fn answered(
+        &mut self,
+        now: Duration,
+        server: &ServerId,
+        model: &ModelName,
+        active: Option<u32>,
+    ) {
+        self.suspects.remove(server);
+        if let (Some(active), Some(load)) =
+            (active, self.loads.get_mut(&(server.clone(), model.clone())))
+        {
+            load.told = Some((now, active));
+        }
+    }
+
+    /// Notes a failed connection.
+    pub fn failed(&mut self, now: Duration, server: &ServerId) {
+        self.suspects.entry(server.clone()).or_default().failed(now);
+    }
+
+    /// Notes that a backend server refused work because it leaves.
+    ///
+    /// The host list lags behind; without this the server would get new work until it shows it.
+    pub fn left(&mut self, now: Duration, server: &ServerId) {
+        self.leaving.insert(server.clone(), now);
+    }
+
+    /// Forgets what is out of date.
+    pub fn expire(&mut self, now: Duration) {
+        self.leaving.retain(|_, at| now < *at + LEAVING);
+        self.loads.retain(|_, load| {
+            load.told = load.told.filter(|(at, _)| now < *at + LOAD_FRESH);
+            load.own > 0 || load.told.is_some()
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/snapshot.rs
@@ -0,0 +1,71 @@
+//! Snapshots of the fold's state, kept on the log because the log expires and hosts have no disks.
+
+use std::collections::BTreeMap;
+
+use crate::ids::Offset;
+use crate::record::SnapshotPart;
+use crate::state::State;
+use crate::wire;
+
+/// Bytes of one part.
+const PART: usize = 16 * 1024;
+/// Most bytes of a snapshot that is read back.
+const MAX_SNAPSHOT: usize = 256 * 1024 * 1024;
+
+/// Splits a state into the parts of a snapshot.
+pub fn split(state: &State) -> Vec<SnapshotPart> {
+    let bytes = wire::encode(state);
+    let hash = xxhash_rust::xxh3::xxh3_64(&bytes);
+    let chunks = bytes.chunks(PART);
+    let parts = chunks.len() as u32;
+    chunks
+        .zip(0..)
+        .map(|(chunk, part)| SnapshotPart {
+            at: state.offset,
+            part,
+            parts,
+            hash,
+            bytes: chunk.to_vec(),
+        })
+        .collect()
+}
+
+#[derive(Debug)]
+struct Pending {
+    parts: BTreeMap<u32, Vec<u8>>,
+    size: usize,
+}
+
+/// Joins parts that several daemons may have written at once.
+#[derive(Debug, Default)]
+pub struct Collector {
+    pending: BTreeMap<(Offset, u64), Pending>,
+}
+
+impl Collector {
+    /// Takes a part; returns the state once all its parts are there and their hash agrees.
+    ///
+    /// Parts of different snapshots do not mix: they are joined by offset and hash. A duplicate is
+    /// harmless, and a damaged snapshot is dropped whole.
+    pub fn add(&mut self, part: &SnapshotPart) -> Option<State> {
+        let key = (part.at, part.hash);
+        let pending =
+            self.pending.entry(key).or_insert_with(|| Pending { parts: BTreeMap::new(), size: 0 });
+        if pending.parts.insert(part.part, part.bytes.clone()).is_none() {
+            pending.size += part.bytes.len();
+        }
+        if pending.size > MAX_SNAPSHOT {
+            self.pending.remove(&key);
+            return None;
+        }
+        if pending.parts.len() < part.parts as usize {
+            return None;
+        }
+        let bytes = self.pending.remove(&key)?.parts.into_values().collect::<Vec<_>>().concat();
+        if xxhash_rust::xxh3::xxh3_64(&bytes) != part.hash {
+            return None;
+        }
+        let state: State = wire::decode(&bytes).ok()?;
+        (state.offset == part.at).then_some(state)
+    }
+}
--- /dev/null
+++ b/lib/src/trace.rs
@@ -0,0 +1,278 @@
+//! Recorded traces: control events of one daemon, and the outcomes that a replay must show.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::BufWriter;
+use std::io::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::control::ControlSettings;
+use crate::control::Controller;
+use crate::event::Choice;
+use crate::event::ClaimAnswer;
+use crate::event::Effect;
+use crate::event::Event;
+use crate::event::Timed;
+use crate::host::Action;
+use crate::ids::ModelName;
+use crate::keepwarm::Policy;
+
+/// One line of a trace file, as JSON.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TraceLine {
+    /// The daemon that the events are of; the first line.
+    Daemon {
+        /// Its name.
+        id: String,
+        /// Its start count.
+        incarnation: u64,
+        /// Its data centre.
+        centre: String,
+    },
+    /// An event.
+    Event(Timed),
+    /// What must be true of the effects up to here.
+    Expect(Expect),
+}
+
+/// A stated outcome: how often something was done since the trace began.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Expect {
+    /// What is counted.
+    pub what: Counted,
+    /// The model that it concerns; empty counts all.
+    #[serde(default)]
+    pub model: ModelName,
+    /// The least count.
+    pub least: u64,
+    /// The greatest count.
+    pub most: u64,
+}
+
+/// What a replay counts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Counted {
+    /// Orders to load.
+    LoadOrder,
+    /// Orders to unload.
+    UnloadOrder,
+    /// Claims granted to a request.
+    ClaimGranted,
+    /// Claims refused because the log did not answer.
+    ClaimRefused,
+    /// Claims that another daemon has, or that ended.
+    ClaimTaken,
+    /// Entries given to the log, repeats included.
+    Append,
+    /// Edits accepted.
+    EditAccepted,
+    /// Edits that conflicted.
+    EditConflict,
+    /// Leases won.
+    Lead,
+    /// Leases lost.
+    Yield,
+    /// Slots given back.
+    Free,
+    /// Slots that began to drain.
+    Drain,
+}
+
+/// Writes events to a trace file.
+#[derive(Debug)]
+pub struct TraceWriter {
+    out: BufWriter<File>,
+}
+
+impl TraceWriter {
+    /// Creates the file and writes its first line.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written.
+    pub fn create(path: &Path, settings: &ControlSettings) -> io::Result<Self> {
+        let mut writer = Self { out: BufWriter::new(File::create(path)?) };
+        writer.line(&TraceLine::Daemon {
+            id: settings.id.to_string(),
+            incarnation: settings.incarnation,
+            centre: settings.centre.to_string(),
+        })?;
+        Ok(writer)
+    }
+
+    /// Writes an event. A full disk ends the trace, not the daemon.
+    pub fn write(&mut self, at: Duration, event: &Event) {
+        let line = TraceLine::Event(Timed { at, event: event.clone() });
+        let _full = self.line(&line);
+    }
+
+    fn line(&mut self, line: &TraceLine) -> io::Result<()> {
+        serde_json::to_writer(&mut self.out, line)?;
+        self.out.write_all(b"\n")?;
+        self.out.flush()
+    }
+}
+
+/// Why a trace could not be replayed or did not show its outcomes.
+#[derive(Debug, Error)]
+pub enum ReplayError {
+    /// The file cannot be read.
+    #[error("the trace cannot be read")]
+    Read(#[from] io::Error),
+    /// A line is not a trace line.
+    #[error("line {line}: {message}")]
+    Malformed {
+        /// Line of the file, from 1.
+        line: usize,
+        /// What is wrong.
+        message: String,
+    },
+    /// A stated outcome did not come.
+    #[error("line {line}: expected {least} to {most} of {what:?} {model}, found {found}")]
+    Unmet {
+        /// Line of the file, from 1.
+        line: usize,
+        /// What was counted.
+        what: Counted,
+        /// For which model.
+        model: ModelName,
+        /// The least count allowed.
+        least: u64,
+        /// The greatest count allowed.
+        most: u64,
+        /// The count.
+        found: u64,
+    },
+}
+
+/// What a replay showed.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Replayed {
+    /// Events that were replayed.
+    pub events: u64,
+    /// Outcomes that were stated and met.
+    pub met: u64,
+    /// Counts over all models.
+    pub counts: BTreeMap<Counted, u64>,
+}
+
+#[derive(Default)]
+struct Counts {
+    by: BTreeMap<(Counted, ModelName), u64>,
+}
+
+impl Counts {
+    fn add(&mut self, what: Counted, model: &str) {
+        *self.by.entry((what, model.into())).or_default() += 1;
+    }
+
+    fn get(&self, what: Counted, model: &str) -> u64 {
+        let wanted = |m: &str| model.is_empty() || m == model;
+        self.by.iter().filter(|((w, m), _)| *w == what && wanted(m)).map(|(_, n)| n).sum()
+    }
+
+    fn note(&mut self, effect: &Effect) {
+        match effect {
+            Effect::Order(order, _) if order.action == Action::Load => {
+                self.add(Counted::LoadOrder, &order.model);
+            }
+            Effect::Order(order, _) => self.add(Counted::UnloadOrder, &order.model),
+            Effect::Claimed(_, answer) => self.add(claim_counted(answer), ""),
+            Effect::Append(_) => self.add(Counted::Append, ""),
+            Effect::Edited(_, crate::event::EditAnswer::Accepted(_)) => {
+                self.add(Counted::EditAccepted, "");
+            }
+            Effect::Edited(..) => self.add(Counted::EditConflict, ""),
+            Effect::Decide(d) => {
+                let what = match d.action {
+                    Choice::Lead => Counted::Lead,
+                    Choice::Yield => Counted::Yield,
+                    Choice::Free => Counted::Free,
+                    Choice::Drain => Counted::Drain,
+                    _ => return,
+                };
+                self.add(what, &d.model);
+            }
+            Effect::Poll(_) | Effect::Publish => {}
+        }
+    }
+}
+
+fn claim_counted(answer: &ClaimAnswer) -> Counted {
+    match answer {
+        ClaimAnswer::Granted => Counted::ClaimGranted,
+        ClaimAnswer::LogDown => Counted::ClaimRefused,
+        ClaimAnswer::Taken(_) | ClaimAnswer::Ended(..) => Counted::ClaimTaken,
+    }
+}
+
+/// Replays a trace through the control state machine.
+///
+/// # Errors
+///
+/// The trace cannot be read, or an outcome that it states did not come.
+pub fn replay(path: &Path) -> Result<Replayed, ReplayError> {
+    let reader = BufReader::new(File::open(path)?);
+    let mut control: Option<Controller> = None;
+    let mut counts = Counts::default();
+    let mut replayed = Replayed::default();
+    for (index, text) in reader.lines().enumerate() {
+        let line = index + 1;
+        let text = text?;
+        if text.trim().is_empty() {
+            continue;
+        }
+        let malformed = |message: String| ReplayError::Malformed { line, message };
+        let parsed = serde_json::from_str(&text).map_err(|e| malformed(e.to_string()))?;
+        match (parsed, &mut control) {
+            (TraceLine::Daemon { id, incarnation, centre }, None) => {
+                control = Some(Controller::new(settings_of(&id, incarnation, &centre)));
+            }
+            (TraceLine::Event(Timed { at, event }), Some(control)) => {
+                replayed.events += 1;
+                for effect in control.handle(at, event) {
+                    counts.note(&effect);
+                }
+            }
+            (TraceLine::Expect(expect), Some(_)) => {
+                check(line, &expect, &counts)?;
+                replayed.met += 1;
+            }
+            _ => return Err(malformed("the first line, and no other, names the daemon".into())),
+        }
+    }
+    for ((what, _), count) in counts.by {
+        *replayed.counts.entry(what).or_default() += count;
+    }
+    Ok(replayed)
+}
+
+fn settings_of(id: &str, incarnation: u64, centre: &str) -> ControlSettings {
+    ControlSettings {
+        id: id.into(),
+        incarnation,
+        centre: centre.into(),
+        gap: Duration::from_millis(20),
+        policy: Policy::Learned,
+        poll: Duration::from_secs(1),
+    }
+}
+
+fn check(line: usize, expect: &Expect, counts: &Counts) -> Result<(), ReplayError> {
+    let found = counts.get(expect.what, &expect.model);
+    if (expect.least..=expect.most).contains(&found) {
+        return Ok(());
+    }
+    let Expect { what, model, least, most } = expect.clone();
+    Err(ReplayError::Unmet { line, what, model, least, most, found })
+}
--- /dev/null
+++ b/lib/src/upkeep.rs
@@ -0,0 +1,260 @@
+//! The next step of each slot: load, ready, drain, unload, free.
+//!
+//! A slot's count and memory are given back only after the engine answered an order to unload
+//! under the current fencing number. On an engine that fences, that answer also shuts out every
+//! older order; on one that does not, the fold keeps the slot until the daemon that gave the last
+//! order is known to be gone or the engine reports that very load.
+
+use std::time::Duration;
+
+use crate::host::Action;
+use crate::host::ModelReport;
+use crate::host::OrderAnswer;
+use crate::ids::DaemonId;
+use crate::ids::Incarnation;
+use crate::ids::SlotId;
+use crate::keepwarm::KeepWarm;
+use crate::placement::Scene;
+use crate::record::Phase;
+use crate::record::Source;
+use crate::state::Slot;
+use crate::table::Row;
+use crate::watch::OrderState;
+use crate::watch::Watch;
+
+/// Time from the record that starts draining to the order to unload: routers learn of it meanwhile.
+pub const DRAIN_GRACE: Duration = Duration::from_secs(2);
+/// Most that a load report lags behind the engine.
+pub const REPORT_LAG: Duration = Duration::from_secs(3);
+/// Pause before an order is given again.
+const ORDER_PAUSE: Duration = Duration::from_secs(1);
+
+/// What to do with a slot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Order the engine to load.
+    Load,
+    /// The load finished.
+    Ready,
+    /// Send no new requests.
+    Drain(String),
+    /// Send requests again.
+    Retain,
+    /// Order the engine to unload.
+    Unload(String),
+    /// Nothing is loaded any more; keep count and memory.
+    Sleep(String),
+    /// Give count and memory back.
+    Free(String),
+}
+
+/// Decides the steps of one data centre's slots.
+#[derive(Debug)]
+pub struct Upkeep<'a> {
+    /// Everything placement looks at.
+    pub scene: Scene<'a>,
+    /// Keep-warm times.
+    pub warm: &'a KeepWarm,
+    /// This daemon and its start.
+    pub me: (&'a DaemonId, Incarnation),
+    /// Whether orders may go to engines that ignore fencing numbers.
+    pub valid: bool,
+}
+
+impl Upkeep<'_> {
+    /// Returns the next step of `slot`, if any.
+    pub fn step(&self, id: SlotId, slot: &Slot, watch: &Watch) -> Option<Step> {
+        if !self.may_order(slot) {
+            return None;
+        }
+        match slot.phase {
+            Phase::Loading(_) => self.step_loading(slot, watch),
+            Phase::Reserved => self.step_reserved(id, slot, watch),
+            Phase::Loaded => self.step_loaded(id, slot, watch),
+            Phase::Draining => self.step_draining(id, slot, watch),
+        }
+    }
+
+    fn is_fencing(&self, slot: &Slot) -> bool {
+        self.scene.state.servers.get(&slot.server).is_some_and(|s| s.fencing)
+    }
+
+    fn may_order(&self, slot: &Slot) -> bool {
+        self.valid || self.is_fencing(slot)
+    }
+
+    fn step_loading(&self, slot: &Slot, watch: &Watch) -> Option<Step> {
+        if self.is_reported(slot) {
+            return Some(Step::Ready);
+        }
+        let own = slot.orderer.0 == *self.me.0 && slot.orderer.1 == self.me.1;
+        match watch.order {
+            Some(o) if o.action == Action::Unload => emptied(o, "load given up"),
+            Some(o) => self.step_ordered(slot, o),
+            None if own || self.is_fencing(slot) => Some(Step::Load),
+            None if self.is_gone(slot) => Some(Step::Unload("its orderer is gone".into())),
+            // Another daemon's order may still arrive at an engine that would not refuse it.
+            None => None,
+        }
+    }
+
+    /// Returns what follows an order to load that has shown no effect.
+    fn step_ordered(&self, slot: &Slot, order: OrderState) -> Option<Step> {
+        let waited = self.scene.now.saturating_sub(order.sent);
+        match order.answer {
+            Some(OrderAnswer::Refused) => Some(Step::Unload("the engine refused it".into())),
+            Some(OrderAnswer::Done) if self.is_absent(slot, order.sent) => Some(Step::Load),
+            // A lost answer on an engine that ignores fencing numbers: a second order could
+            // arrive after the slot was emptied, so only a report resolves it.
+            Some(OrderAnswer::Unknown) if self.is_fencing(slot) && waited >= ORDER_PAUSE => {
+                Some(Step::Load)
+            }
+            _ => None,
+        }
+    }
+
+    fn step_reserved(&self, id: SlotId, slot: &Slot, watch: &Watch) -> Option<Step> {
+        let giving = self.giving(id, slot, watch);
+        match watch.order {
+            Some(o) if o.action == Action::Unload => {
+                let reason = giving?;
+                match emptied(o, &reason) {
+                    Some(Step::Unload(_)) if !self.paused(o) => Some(Step::Unload(reason)),
+                    Some(Step::Free(_)) => Some(Step::Free(reason)),
+                    _ => None,
+                }
+            }
+            // Woken without a record, which only engines that fence allow.
+            Some(o) if giving.is_none() => {
+                if self.is_reported(slot) {
+                    return Some(Step::Ready);
+                }
+                self.step_ordered(slot, o)
+            }
+            _ => giving.map(Step::Unload),
+        }
+    }
+
+    fn step_loaded(&self, id: SlotId, slot: &Slot, watch: &Watch) -> Option<Step> {
+        if self.is_absent(slot, watch.used) {
+            return Some(Step::Sleep("the engine no longer reports it".into()));
+        }
+        if let Some(reason) = self.giving(id, slot, watch) {
+            return Some(Step::Drain(reason));
+        }
+        if watch.active > 0 || self.scene.demand.total(&slot.model).is_some() {
+            return None;
+        }
+        if self.scene.carries_adapter(slot) {
+            return None;
+        }
+        let keep = self.keep(self.scene.state.table.row(&slot.model)?);
+        let idle = self.scene.now.saturating_sub(watch.used);
+        (idle >= keep)
+            .then(|| Step::Drain(format!("idle {}s, kept {}s", idle.as_secs(), keep.as_secs())))
+    }
+
+    fn keep(&self, row: &Row) -> Duration {
+        // The next start reads what this unload leaves in the server's memory or on its disk.
+        let cold = self.scene.rates.expected(row.load_mib, Source::Disk);
+        self.warm.keep(&row.name, cold, row.idle_price)
+    }
+
+    fn step_draining(&self, id: SlotId, slot: &Slot, watch: &Watch) -> Option<Step> {
+        let giving = self.giving(id, slot, watch);
+        if let Some(o) = watch.order.filter(|o| o.action == Action::Unload) {
+            return match (o.answer, giving) {
+                (Some(OrderAnswer::Done), Some(reason)) => Some(Step::Free(reason)),
+                (Some(OrderAnswer::Done), None) => Some(Step::Sleep("unloaded".into())),
+                (Some(OrderAnswer::Busy), None) => Some(Step::Retain),
+                (Some(OrderAnswer::Stale) | None, _) => None,
+                (Some(_), _) if self.paused(o) => None,
+                (Some(_), _) => Some(Step::Unload("ordered again".into())),
+            };
+        }
+        let wanted = self.scene.demand.total(&slot.model).is_some();
+        if giving.is_none() && wanted {
+            return Some(Step::Retain);
+        }
+        let drained = watch.drained.is_some_and(|at| self.scene.now >= at + DRAIN_GRACE);
+        let idle = watch.active == 0;
+        (drained && idle).then(|| Step::Unload("drained".into()))
+    }
+
+    /// Returns whether the last order is too young to be given again.
+    fn paused(&self, order: OrderState) -> bool {
+        self.scene.now < order.sent + ORDER_PAUSE
+    }
+
+    /// Returns why the slot must be given back, if it must.
+    fn giving(&self, id: SlotId, slot: &Slot, watch: &Watch) -> Option<String> {
+        let Some(row) = self.scene.state.table.row(&slot.model).filter(|r| r.is_loaded()) else {
+            return Some("not in the table".into());
+        };
+        if self.rank(id, slot) >= row.replicas as usize {
+            return Some(format!("the table allows {}", row.replicas));
+        }
+        if slot.memory_mib != row.memory_mib && slot.phase != Phase::Loaded {
+            return Some("its memory changed".into());
+        }
+        if self.scene.fleet.member(&slot.server).is_some_and(|m| m.leaving) {
+            return Some("the server leaves".into());
+        }
+        watch.giving.then(|| "another model needs the memory".into())
+    }
+
+    /// Returns how many slots of the model come before this one when the table's count shrinks.
+    fn rank(&self, id: SlotId, slot: &Slot) -> usize {
+        let key = |id: SlotId, s: &Slot| (rank_of(s.phase), id);
+        let own = key(id, slot);
+        self.scene.state.slots_of(&slot.model).filter(|(i, s)| key(*i, s) < own).count()
+    }
+
+    fn reported(&self, slot: &Slot) -> Option<&ModelReport> {
+        let (_, report) = self.scene.fleet.member(&slot.server)?.report.as_ref()?;
+        report.model(&slot.model)
+    }
+
+    fn is_reported(&self, slot: &Slot) -> bool {
+        // Where a late order could still arrive, only the load that the slot's ticket allowed
+        // resolves it.
+        let is_this = |m: &&ModelReport| self.is_fencing(slot) || m.ticket == slot.ticket;
+        self.reported(slot).filter(is_this).is_some_and(|m| m.loaded)
+    }
+
+    /// Returns whether a report that is surely younger than `since` does not name the model.
+    fn is_absent(&self, slot: &Slot, since: Duration) -> bool {
+        let member = self.scene.fleet.member(&slot.server);
+        let report = member.and_then(|m| m.report.as_ref());
+        report.is_some_and(|(at, report)| {
+            *at > since + REPORT_LAG && report.model(&slot.model).is_none()
+        })
+    }
+
+    /// Returns whether the daemon that gave the slot's last order cannot have one under way.
+    pub fn is_gone(&self, slot: &Slot) -> bool {
+        let (daemon, incarnation) = &slot.orderer;
+        let writer = self.scene.state.writers.get(daemon);
+        let replaced = writer.is_some_and(|w| w.incarnation > *incarnation);
+        let listed = self.scene.fleet.member(daemon).is_some();
+        replaced || (self.scene.fleet.is_known() && !listed)
+    }
+}
+
+fn rank_of(phase: Phase) -> u8 {
+    match phase {
+        Phase::Loaded => 0,
+        Phase::Loading(_) => 1,
+        Phase::Draining => 2,
+        Phase::Reserved => 3,
+    }
+}
+
+/// Returns what follows an order to unload a slot that is given back.
+fn emptied(order: OrderState, reason: &str) -> Option<Step> {
+    match order.answer {
+        Some(OrderAnswer::Done) => Some(Step::Free(reason.into())),
+        Some(OrderAnswer::Unknown | OrderAnswer::Busy) => Some(Step::Unload(reason.into())),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/lib/src/view.rs
@@ -0,0 +1,94 @@
+//! What routers see: an immutable picture, replaced whole when something changes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::control::Controller;
+use crate::host::Role;
+use crate::ids::CentreId;
+use crate::ids::ModelName;
+use crate::ids::ServerId;
+use crate::record::Phase;
+use crate::table::Table;
+
+/// A place where a model or plain service can be called.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Replica {
+    /// The backend server.
+    pub server: ServerId,
+    /// Where it answers.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub centre: CentreId,
+}
+
+/// What one daemon's routers know at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The table in force.
+    pub table: Table,
+    /// Places by model or plain service. Invariant: no leaving and no suspected backend server.
+    pub replicas: BTreeMap<ModelName, Vec<Replica>>,
+    /// Models that are being loaded somewhere.
+    pub loading: Vec<ModelName>,
+    /// Addresses of the daemons, by name.
+    pub daemons: BTreeMap<ServerId, SocketAddr>,
+    /// Whether a table was read at all.
+    pub ready: bool,
+    /// Whether the log answers.
+    pub logged: bool,
+}
+
+impl View {
+    /// Takes the picture of what `control` knows.
+    pub fn of(control: &Controller, now: Duration) -> Self {
+        let mut view = Self {
+            table: control.state().table.clone(),
+            ready: control.state().offset > 0,
+            logged: control.is_log_up(now),
+            ..Self::default()
+        };
+        let slots = control.state().slots.values();
+        for slot in slots {
+            match slot.phase {
+                Phase::Loaded => view.add(control, now, &slot.model, &slot.server),
+                Phase::Loading(_) => view.loading.push(slot.model.clone()),
+                Phase::Reserved | Phase::Draining => {}
+            }
+        }
+        for hint in control.hints(now).into_iter().chain(control.own_hints()) {
+            view.add(control, now, &hint.model, &hint.server);
+        }
+        for member in control.fleet().with_role(Role::Service) {
+            for service in &member.host.services {
+                view.add(control, now, service, &member.host.id);
+            }
+        }
+        for member in control.fleet().with_role(Role::Entry) {
+            view.daemons.insert(member.host.id.clone(), member.host.addr);
+        }
+        view
+    }
+
+    fn add(&mut self, control: &Controller, now: Duration, model: &ModelName, server: &ServerId) {
+        let member = control.fleet().member(server);
+        let Some(member) = member.filter(|m| m.is_usable(now)) else {
+            return;
+        };
+        let replica = Replica {
+            server: server.clone(),
+            addr: member.host.addr,
+            centre: member.host.centre.clone(),
+        };
+        let places = self.replicas.entry(model.clone()).or_default();
+        if !places.contains(&replica) {
+            places.push(replica);
+        }
+    }
+
+    /// Returns the places of `model`.
+    pub fn places(&self, model: &str) -> &[Replica] {
+        self.replicas.get(model).map_or(&[], Vec::as_slice)
+    }
+}
--- /dev/null
+++ b/lib/src/watch.rs
@@ -0,0 +1,150 @@
+//! What the holder of a lease knows of its slots beyond the log.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::host::Action;
+use crate::host::Order;
+use crate::host::OrderAnswer;
+use crate::ids::ModelName;
+use crate::ids::Position;
+use crate::ids::SlotId;
+use crate::record::Phase;
+use crate::state::Slot;
+
+/// The last order for a slot and how it went.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderState {
+    /// What was ordered.
+    pub action: Action,
+    /// When it was sent.
+    pub sent: Duration,
+    /// The slot's ticket then.
+    pub ticket: Position,
+    /// The answer, once there is one.
+    pub answer: Option<OrderAnswer>,
+}
+
+/// Knowledge about one slot.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    /// When it last had a request, or became loaded.
+    pub used: Duration,
+    /// Requests begun, as last reported.
+    pub served: u64,
+    /// Requests in progress, as last reported.
+    pub active: u32,
+    /// When it began to drain.
+    pub drained: Option<Duration>,
+    /// When its load began.
+    pub began: Duration,
+    /// The last order.
+    pub order: Option<OrderState>,
+    /// Whether the engine reported it loaded after the last order to load.
+    pub loaded: bool,
+    /// Whether the slot is to be given back once it is empty.
+    pub giving: bool,
+    /// The slot's phase when it was last looked at.
+    pub phase: Phase,
+    /// The slot's ticket when it was last looked at.
+    pub ticket: Position,
+}
+
+impl Watch {
+    /// Follows what the log says of the slot.
+    pub fn follow(&mut self, now: Duration, slot: &Slot) {
+        if self.ticket != slot.ticket {
+            // A new load was allowed; orders and reports of the one before say nothing of it.
+            self.ticket = slot.ticket;
+            self.order = None;
+            self.loaded = false;
+            self.began = now;
+        }
+        if self.phase == slot.phase {
+            return;
+        }
+        self.phase = slot.phase;
+        self.drained = None;
+        match slot.phase {
+            Phase::Draining => {
+                self.drained = Some(now);
+                self.order = None;
+            }
+            Phase::Reserved => {
+                self.order = None;
+                self.loaded = false;
+            }
+            Phase::Loaded | Phase::Loading(_) => {}
+        }
+    }
+}
+
+/// Slots of the data centres that this daemon leads.
+#[derive(Debug, Default)]
+pub struct Watches {
+    slots: BTreeMap<SlotId, Watch>,
+    /// When each model was last used here, which outlasts its slots.
+    last: BTreeMap<ModelName, Duration>,
+}
+
+impl Watches {
+    /// Returns the watch of `slot`, which starts at `now` where there was none.
+    pub fn entry(&mut self, now: Duration, slot: SlotId) -> &mut Watch {
+        self.slots.entry(slot).or_insert_with(|| Watch {
+            used: now,
+            served: 0,
+            active: 0,
+            drained: None,
+            began: now,
+            order: None,
+            loaded: false,
+            giving: false,
+            phase: Phase::Reserved,
+            ticket: 0,
+        })
+    }
+
+    /// Returns the watch of `slot`.
+    pub fn get(&self, slot: SlotId) -> Option<&Watch> {
+        self.slots.get(&slot)
+    }
+
+    /// Forgets slots that `stays` does not name.
+    pub fn retain(&mut self, stays: impl Fn(SlotId) -> bool) {
+        self.slots.retain(|slot, _| stays(*slot));
+    }
+
+    /// Notes that an order is sent.
+    pub fn ordered(&mut self, now: Duration, slot: SlotId, action: Action, ticket: Position) {
+        let watch = self.entry(now, slot);
+        watch.order = Some(OrderState { action, sent: now, ticket, answer: None });
+        if action == Action::Load {
+            watch.began = now;
+            watch.loaded = false;
+        }
+    }
+
+    /// Notes the answer to the order that is under way; an answer to an older one is ignored.
+    pub fn answered(&mut self, order: &Order, answer: OrderAnswer) {
+        let Some(watch) = self.slots.get_mut(&order.slot) else {
+            return;
+        };
+        let this = |o: &OrderState| {
+            o.action == order.action && o.ticket == order.ticket && o.answer.is_none()
+        };
+        let Some(state) = watch.order.as_mut().filter(|o| this(o)) else {
+            return;
+        };
+        if answer == OrderAnswer::Unsent {
+            watch.order = None;
+        } else {
+            state.answer = Some(answer);
+        }
+    }
+
+    /// Notes a use of `model`; returns the time since the one before.
+    pub fn used(&mut self, now: Duration, model: &ModelName) -> Option<Duration> {
+        let last = self.last.insert(model.clone(), now);
+        last.map(|last| now.saturating_sub(last))
+    }
+}
--- /dev/null
+++ b/lib/tests/test_serving.rs
@@ -0,0 +1,89 @@
+//! The whole path: callers, daemons, engines and plain services over real sockets.
+
+use std::thread;
+
+use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::rig::Rig;
+use comfreymux_testutils::rig::complete;
+use comfreymux_testutils::rig::words;
+use comfreymux_testutils::rows;
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn rig() -> Rig {
+    let mut rig = Rig::default();
+    rig.add_engine("e1", "makati-a", EngineSettings::default());
+    rig.add_service("s1", "makati-a", "booking");
+    rig.add_daemon("d1", "makati-a", &[]);
+    rig.add_daemon("d2", "makati-a", &[]);
+    for daemon in ["d1", "d2"] {
+        rig.await_view(daemon, "both daemons listed", |v| v.daemons.len() == 2);
+    }
+    rig.apply("d1", "first", &[rows::model("hem"), rows::service("booking")]);
+    for daemon in ["d1", "d2"] {
+        rig.await_view(daemon, "the table", |v| v.table.row("hem").is_some());
+    }
+    rig
+}
+
+#[test]
+fn cold_burst() {
+    // A burst of first requests for one cold model comes at two daemons at once. Every caller gets
+    // its whole answer, and the model is loaded once.
+    let rig = rig();
+    let urls = [rig.url("d1", CHAT), rig.url("d2", CHAT)];
+    let send = |i: usize| {
+        let url = urls[i % 2].clone();
+        thread::spawn(move || complete(&url, "hem", i % 3 != 0, 5))
+    };
+    let callers: Vec<_> = (0..8).map(send).collect();
+    for caller in callers {
+        let (status, body) = caller.join().unwrap().unwrap();
+        assert_eq!(status, 200, "{body}");
+        assert!(body.contains("t4"), "{body}");
+    }
+    assert_eq!(rig.engines["e1"].audit().loads, 1);
+}
+
+#[test]
+fn whole_stream() {
+    let rig = rig();
+    let (status, body) = complete(&rig.url("d1", CHAT), "hem", true, 6).unwrap();
+    assert_eq!(status, 200);
+    let (words, done) = words(&body);
+    assert_eq!(words, ["t0", "t1", "t2", "t3", "t4", "t5"]);
+    assert!(done);
+}
+
+#[test]
+fn booking_twice() {
+    // The balancer brings a caller's repeat of a booking to another daemon while the first is in
+    // progress. Both callers get the answer, and the booking ran once.
+    let rig = rig();
+    rig.await_view("d1", "the service", |v| !v.places("booking").is_empty());
+    rig.await_view("d2", "the service", |v| !v.places("booking").is_empty());
+    rig.services["s1"].set_faults(comfreymux_testutils::service_standin::ServiceFaults {
+        slow_ms: 300,
+        ..Default::default()
+    });
+    let book = |daemon: &str| {
+        let url = rig.url(daemon, "/services/booking/confirm");
+        thread::spawn(move || {
+            minreq::post(url)
+                .with_header("Idempotency-Key", "fitting-7")
+                .with_header("X-Caller", "tahi")
+                .with_body("fitting 7")
+                .with_timeout(20)
+                .send()
+                .unwrap()
+        })
+    };
+    let callers = [book("d1"), book("d2")];
+    let answers = callers.map(|c| c.join().unwrap());
+    for answer in &answers {
+        assert_eq!(answer.status_code, 200, "{:?}", answer.as_str());
+        assert_eq!(answer.header("x-request-verdict"), Some("ran"));
+    }
+    assert_eq!(answers[0].as_bytes(), answers[1].as_bytes());
+    assert_eq!(rig.services["s1"].runs()["fitting 7"], 1);
+}
--- /dev/null
+++ b/lib/testutils/src/engine_standin.rs
@@ -0,0 +1,458 @@
+//! Stand-in of a model engine: loads, unloads, streams; its memory can really be overcommitted.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use comfreymux_lib::exchange::ACTIVE_HEADER;
+use comfreymux_lib::exchange::ATTEMPT_HEADER;
+use comfreymux_lib::exchange::LEAVING;
+use comfreymux_lib::exchange::REFUSED_HEADER;
+use comfreymux_lib::exchange::RESUME_HEADER;
+use comfreymux_lib::host::Action;
+use comfreymux_lib::host::Cached;
+use comfreymux_lib::host::ModelReport;
+use comfreymux_lib::host::Order;
+use comfreymux_lib::host::OrderAnswer;
+use comfreymux_lib::host::Report;
+use comfreymux_lib::ids::Fence;
+use comfreymux_lib::ids::Incarnation;
+use comfreymux_lib::ids::Mebibytes;
+use comfreymux_lib::ids::ModelName;
+use comfreymux_lib::ids::Position;
+use comfreymux_lib::record::Source;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::http_server::Handler;
+use crate::http_server::HttpRequest;
+use crate::http_server::respond;
+use crate::http_server::respond_json;
+use crate::http_server::stay_silent;
+
+/// What an engine is and how fast.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Start count.
+    pub incarnation: Incarnation,
+    /// Accelerator memory.
+    pub memory_mib: Mebibytes,
+    /// Whether orders with an old fencing number are refused.
+    pub fencing: bool,
+    /// MiB/s of a load from memory.
+    pub memory_rate: f64,
+    /// MiB/s of a load from disk.
+    pub disk_rate: f64,
+    /// The weight store; without one remote loads take the disk's rate.
+    pub store: Option<SocketAddr>,
+    /// Time to the first token.
+    pub first: Duration,
+    /// Time between tokens.
+    pub gap: Duration,
+    /// Tokens of an answer that asks for no number.
+    pub tokens: u64,
+    /// Requests that run at once.
+    pub slots: u32,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            incarnation: 1,
+            memory_mib: 80_000,
+            fencing: true,
+            memory_rate: 40_000.0,
+            disk_rate: 10_000.0,
+            store: None,
+            first: Duration::from_millis(20),
+            gap: Duration::from_millis(5),
+            tokens: 16,
+            slots: 64,
+        }
+    }
+}
+
+/// Faults of an engine; set by `POST /fault`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// New work is refused and reports say that the host leaves.
+    pub leaving: bool,
+    /// Next streams that go silent after `after` tokens.
+    pub stall: u32,
+    /// Next streams that are cut after `after` tokens.
+    pub cut: u32,
+    /// Next streams that end with an error object after `after` tokens.
+    pub error: u32,
+    /// Next answers that belong to another attempt.
+    pub crossed: u32,
+    /// Next connections that are never answered.
+    pub silent: u32,
+    /// Tokens before a stream's fault.
+    pub after: u64,
+    /// Lag of load reports.
+    pub lag_ms: u64,
+    /// Next orders that take effect and whose answer is lost.
+    pub lose: u32,
+}
+
+/// What an engine saw.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct EngineAudit {
+    /// Most memory that was in use at once.
+    pub peak_mib: Mebibytes,
+    /// Loads begun.
+    pub loads: u64,
+    /// Orders refused for an old fencing number.
+    pub stale: u64,
+    /// Models that are loaded or loading.
+    pub models: Vec<ModelName>,
+    /// Requests that began to run.
+    pub served: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    loaded: bool,
+    ticket: Position,
+    memory_mib: Mebibytes,
+    active: u32,
+    served: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    fence: Fence,
+    places: BTreeMap<ModelName, Place>,
+    cached: BTreeMap<ModelName, Source>,
+    faults: EngineFaults,
+    audit: EngineAudit,
+    reports: Vec<(Instant, Report)>,
+}
+
+/// A model engine.
+#[derive(Clone, Debug)]
+pub struct EngineStandin {
+    settings: Arc<EngineSettings>,
+    inner: Arc<Mutex<Inner>>,
+}
+
+fn take(count: &mut u32) -> bool {
+    let any = *count > 0;
+    *count = count.saturating_sub(1);
+    any
+}
+
+/// A fault in the middle of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Break {
+    Stall,
+    Cut,
+    Error,
+}
+
+impl EngineStandin {
+    /// Creates an engine with nothing loaded.
+    pub fn new(settings: EngineSettings) -> Self {
+        Self { settings: Arc::new(settings), inner: Arc::default() }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.inner().faults = faults;
+    }
+
+    /// Puts a checkpoint where loads of `model` read it.
+    pub fn cache(&self, model: &str, source: Source) {
+        self.inner().cached.insert(model.into(), source);
+    }
+
+    /// Returns what the engine saw.
+    pub fn audit(&self) -> EngineAudit {
+        let inner = self.inner();
+        EngineAudit { models: inner.places.keys().cloned().collect(), ..inner.audit.clone() }
+    }
+
+    /// Carries an order out.
+    pub fn order(&self, order: &Order) -> OrderAnswer {
+        let mut inner = self.inner();
+        let old = order.fence < inner.fence || order.incarnation != self.settings.incarnation;
+        if self.settings.fencing && old {
+            inner.audit.stale += 1;
+            return OrderAnswer::Stale;
+        }
+        inner.fence = inner.fence.max(order.fence);
+        match order.action {
+            Action::Load => {
+                if !inner.places.contains_key(&order.model) {
+                    self.begin(&mut inner, order);
+                }
+                OrderAnswer::Done
+            }
+            Action::Unload => match inner.places.get(&order.model) {
+                Some(place) if place.active > 0 => OrderAnswer::Busy,
+                _ => {
+                    inner.places.remove(&order.model);
+                    OrderAnswer::Done
+                }
+            },
+        }
+    }
+
+    fn begin(&self, inner: &mut Inner, order: &Order) {
+        let place = Place {
+            loaded: false,
+            ticket: order.ticket,
+            memory_mib: order.memory_mib,
+            active: 0,
+            served: 0,
+        };
+        inner.places.insert(order.model.clone(), place);
+        inner.audit.loads += 1;
+        let used = inner.places.values().map(|p| p.memory_mib).sum();
+        inner.audit.peak_mib = inner.audit.peak_mib.max(used);
+        let source = inner.cached.get(&order.model).copied().unwrap_or(Source::Remote);
+        let (engine, order) = (self.clone(), order.clone());
+        thread::spawn(move || {
+            engine.read(source, order.load_mib);
+            engine.ready(&order);
+        });
+    }
+
+    fn read(&self, source: Source, size: Mebibytes) {
+        let rate = match (source, self.settings.store) {
+            (Source::Memory, _) => self.settings.memory_rate,
+            (Source::Remote, Some(store)) => {
+                // A store that fails still ends the load: this stand-in knows no failed loads.
+                let _failed = minreq::get(format!("http://{store}/fetch?mib={size}")).send();
+                return;
+            }
+            (Source::Disk | Source::Remote, _) => self.settings.disk_rate,
+        };
+        thread::sleep(Duration::from_secs_f64(size as f64 / rate));
+    }
+
+    fn ready(&self, order: &Order) {
+        let mut inner = self.inner();
+        let place = inner.places.get_mut(&order.model).filter(|p| p.ticket == order.ticket);
+        if let Some(place) = place {
+            place.loaded = true;
+            inner.cached.insert(order.model.clone(), Source::Memory);
+        }
+    }
+
+    /// Returns the load report, as old as its lag.
+    pub fn report(&self) -> Report {
+        let mut inner = self.inner();
+        let fresh = Report {
+            incarnation: self.settings.incarnation,
+            fence: inner.fence,
+            leaving: inner.faults.leaving,
+            models: inner.places.iter().map(|(model, p)| p.report(model)).collect(),
+            cached: inner
+                .cached
+                .iter()
+                .map(|(model, source)| Cached { model: model.clone(), source: *source })
+                .collect(),
+        };
+        let lag = Duration::from_millis(inner.faults.lag_ms);
+        inner.reports.push((Instant::now(), fresh.clone()));
+        let keep = inner.reports.iter().rposition(|(at, _)| at.elapsed() >= lag);
+        if let Some(keep) = keep {
+            inner.reports.drain(..keep);
+            return inner.reports[0].1.clone();
+        }
+        Report { incarnation: self.settings.incarnation, ..Report::default() }
+    }
+
+    fn complete(&self, request: &HttpRequest, out: &mut TcpStream) -> io::Result<()> {
+        let body: serde_json::Value = serde_json::from_slice(&request.body)?;
+        let model = body["model"].as_str().unwrap_or_default().to_owned();
+        let attempt = {
+            let mut inner = self.inner();
+            if take(&mut inner.faults.silent) {
+                drop(inner);
+                return stay_silent(out);
+            }
+            let crossed = take(&mut inner.faults.crossed);
+            if crossed {
+                "another-attempt".into()
+            } else {
+                request.header(ATTEMPT_HEADER).to_owned()
+            }
+        };
+        let active = match self.enter(&model) {
+            Ok(active) => active,
+            Err(word) => return respond(out, 503, &[(REFUSED_HEADER, word.into())], b""),
+        };
+        let headers = [(ATTEMPT_HEADER, attempt), (ACTIVE_HEADER, active.to_string())];
+        let result = if body["stream"] == true {
+            self.stream(request, &body, &headers, out)
+        } else {
+            self.whole(&body, &headers, out)
+        };
+        if let Some(place) = self.inner().places.get_mut(model.as_str()) {
+            place.active = place.active.saturating_sub(1);
+        }
+        result
+    }
+
+    fn enter(&self, model: &str) -> Result<u32, &'static str> {
+        let mut inner = self.inner();
+        if inner.faults.leaving {
+            return Err(LEAVING);
+        }
+        let place = inner.places.get_mut(model).filter(|p| p.loaded).ok_or("not-loaded")?;
+        if place.active >= self.settings.slots {
+            return Err("busy");
+        }
+        place.active += 1;
+        place.served += 1;
+        let active = place.active;
+        inner.audit.served += 1;
+        Ok(active)
+    }
+
+    fn tokens(&self, body: &serde_json::Value) -> u64 {
+        body["max_tokens"].as_u64().unwrap_or(self.settings.tokens)
+    }
+
+    fn whole(
+        &self,
+        body: &serde_json::Value,
+        headers: &[(&str, String)],
+        out: &mut TcpStream,
+    ) -> io::Result<()> {
+        let tokens = self.tokens(body);
+        thread::sleep(self.settings.first + self.settings.gap * tokens as u32);
+        let text: String = (0..tokens).map(|i| format!("t{i} ")).collect();
+        let answer = json!({
+            "id": "chatcmpl-1", "object": "chat.completion", "created": 0, "model": body["model"],
+            "choices": [{"index": 0, "finish_reason": "stop",
+                "message": {"role": "assistant", "content": text}}],
+            "usage": {"prompt_tokens": 1, "completion_tokens": tokens, "total_tokens": tokens + 1},
+        });
+        let mut headers = headers.to_vec();
+        headers.push(("Content-Type", "application/json".into()));
+        respond(out, 200, &headers, answer.to_string().as_bytes())
+    }
+
+    fn stream(
+        &self,
+        request: &HttpRequest,
+        body: &serde_json::Value,
+        headers: &[(&str, String)],
+        out: &mut TcpStream,
+    ) -> io::Result<()> {
+        let (fault, after) = self.take_break();
+        let tokens = self.tokens(body);
+        let resume = request.header(RESUME_HEADER).parse::<u64>().unwrap_or(0);
+        let mut head = String::from(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+        );
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("Connection: close\r\n\r\n");
+        out.write_all(head.as_bytes())?;
+        thread::sleep(self.settings.first);
+        for i in resume..tokens {
+            if fault.is_some() && i >= after.max(resume) {
+                break;
+            }
+            let finish = if i + 1 == tokens { json!("stop") } else { json!(null) };
+            let chunk = json!({
+                "id": "chatcmpl-1", "object": "chat.completion.chunk", "created": 0,
+                "model": body["model"],
+                "choices": [{"index": 0, "delta": {"content": format!("t{i} ")},
+                    "finish_reason": finish}],
+            });
+            write_event(out, &chunk.to_string())?;
+            thread::sleep(self.settings.gap);
+        }
+        match fault {
+            Some(Break::Stall) => return stay_silent(out),
+            Some(Break::Cut) => return Ok(()),
+            Some(Break::Error) => {
+                write_event(out, r#"{"error":{"code":429,"message":"engine overloaded"}}"#)?;
+            }
+            None => write_event(out, "[DONE]")?,
+        }
+        out.write_all(b"0\r\n\r\n")
+    }
+
+    fn take_break(&self) -> (Option<Break>, u64) {
+        let faults = &mut self.inner().faults;
+        let fault = if take(&mut faults.stall) {
+            Some(Break::Stall)
+        } else if take(&mut faults.cut) {
+            Some(Break::Cut)
+        } else if take(&mut faults.error) {
+            Some(Break::Error)
+        } else {
+            None
+        };
+        (fault, faults.after)
+    }
+}
+
+impl Place {
+    fn report(&self, model: &ModelName) -> ModelReport {
+        ModelReport {
+            model: model.clone(),
+            loaded: self.loaded,
+            active: self.active,
+            served: self.served,
+            ticket: self.ticket,
+        }
+    }
+}
+
+fn write_event(out: &mut TcpStream, data: &str) -> io::Result<()> {
+    let event = format!("data: {data}\n\n");
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    out.write_all(chunk.as_bytes())
+}
+
+impl Handler for EngineStandin {
+    fn handle(&self, request: &HttpRequest, out: &mut TcpStream) -> io::Result<()> {
+        match request.path.as_str() {
+            "/report" => respond_json(out, &self.report()),
+            "/order" => {
+                let answer = self.order(&serde_json::from_slice(&request.body)?);
+                if take(&mut self.inner().faults.lose) {
+                    return Ok(());
+                }
+                respond_json(out, &answer)
+            }
+            "/fault" => {
+                self.set_faults(serde_json::from_slice(&request.body)?);
+                respond_json(out, &"ok")
+            }
+            "/cache" => {
+                let model = request.query.get("model").map_or("", String::as_str);
+                let source = request.query.get("source").map_or("", String::as_str);
+                let source = if source == "memory" { Source::Memory } else { Source::Disk };
+                self.cache(model, source);
+                respond_json(out, &"ok")
+            }
+            "/audit" => respond_json(out, &self.audit()),
+            "/v1/chat/completions" => self.complete(request, out),
+            _ => respond(out, 404, &[], b"report, order, audit, cache, fault or completions"),
+        }
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins of the platform and the backend servers, for tests, the demo and trials by hand.
+
+pub mod engine_standin;
+pub mod hosts_standin;
+pub mod http_server;
+pub mod log_standin;
+pub mod rig;
+pub mod rows;
+pub mod service_standin;
+pub mod store_standin;
--- /dev/null
+++ b/lib/testutils/src/rig.rs
@@ -0,0 +1,284 @@
+//! Daemons and stand-ins in one process, over real sockets on the loopback address.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use comfreymux_lib::daemon::Daemon;
+use comfreymux_lib::daemon::Sockets;
+use comfreymux_lib::engine::HttpEngine;
+use comfreymux_lib::exchange::HttpExchange;
+use comfreymux_lib::host::Host;
+use comfreymux_lib::host::Role;
+use comfreymux_lib::host_list::HttpHostList;
+use comfreymux_lib::log_service::HttpLog;
+use comfreymux_lib::logging;
+use comfreymux_lib::settings::Settings;
+use comfreymux_lib::settings::Source as TextSource;
+use comfreymux_lib::table::Edit;
+use comfreymux_lib::table::Row;
+use comfreymux_lib::workers::Borders;
+use serde_json::Value;
+use slog::Logger;
+use smol_str::SmolStr;
+
+use crate::engine_standin::EngineSettings;
+use crate::engine_standin::EngineStandin;
+use crate::hosts_standin::HostsStandin;
+use crate::http_server::HttpServer;
+use crate::log_standin::LogStandin;
+use crate::service_standin::ServiceStandin;
+use crate::store_standin::StoreStandin;
+
+/// Any free port of the loopback address.
+pub const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Longest wait for something that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A platform of stand-ins, with daemons before it.
+#[derive(Debug)]
+pub struct Rig {
+    /// The log.
+    pub log: Arc<LogStandin>,
+    /// The host list.
+    pub hosts: Arc<HostsStandin>,
+    /// The weight store.
+    pub store: Arc<StoreStandin>,
+    /// Engines by name.
+    pub engines: BTreeMap<SmolStr, EngineStandin>,
+    /// Plain services by name.
+    pub services: BTreeMap<SmolStr, Arc<ServiceStandin>>,
+    /// Daemons by name.
+    pub daemons: BTreeMap<SmolStr, Daemon>,
+    logger: Logger,
+    servers: Vec<HttpServer>,
+    log_addr: SocketAddr,
+    hosts_addr: SocketAddr,
+    store_addr: SocketAddr,
+    starts: u64,
+}
+
+/// Settings texts, of which the rest keep their defaults.
+#[derive(Clone, Debug, Default)]
+pub struct Texts(pub BTreeMap<String, String>);
+
+impl TextSource for Texts {
+    fn text(&self, flag: &str) -> Option<String> {
+        self.0.get(flag).cloned()
+    }
+}
+
+impl Default for Rig {
+    fn default() -> Self {
+        Self::new(logging::to_nowhere())
+    }
+}
+
+impl Rig {
+    /// Starts the platform, without hosts.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no loopback socket can be had, here and below: a rig is for tests and the demo.
+    pub fn new(logger: Logger) -> Self {
+        let (log, hosts) = (Arc::new(LogStandin::default()), Arc::new(HostsStandin::default()));
+        let store = Arc::new(StoreStandin::default());
+        let start = |handler| HttpServer::start(ANY, handler).expect("a loopback socket");
+        let servers = vec![
+            start(Arc::clone(&log) as _),
+            start(Arc::clone(&hosts) as _),
+            start(Arc::clone(&store) as _),
+        ];
+        Self {
+            log_addr: servers[0].addr,
+            hosts_addr: servers[1].addr,
+            store_addr: servers[2].addr,
+            log,
+            hosts,
+            store,
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            daemons: BTreeMap::new(),
+            logger,
+            servers,
+            starts: 0,
+        }
+    }
+
+    /// Adds an engine; its remote loads go through the weight store.
+    ///
+    /// # Panics
+    ///
+    /// Panics without a loopback socket.
+    pub fn add_engine(&mut self, id: &str, centre: &str, settings: EngineSettings) {
+        let settings = EngineSettings { store: Some(self.store_addr), ..settings };
+        let (memory_mib, fencing) = (settings.memory_mib, settings.fencing);
+        let incarnation = settings.incarnation;
+        let engine = EngineStandin::new(settings);
+        let server = HttpServer::start(ANY, Arc::new(engine.clone())).expect("a loopback socket");
+        let host = Host {
+            incarnation,
+            memory_mib,
+            fencing,
+            ..host(id, Role::Engine, centre, server.addr)
+        };
+        self.hosts.put(host);
+        self.servers.push(server);
+        self.engines.insert(id.into(), engine);
+    }
+
+    /// Adds a plain service that answers for a table row.
+    ///
+    /// # Panics
+    ///
+    /// Panics without a loopback socket.
+    pub fn add_service(&mut self, id: &str, centre: &str, row: &str) {
+        let service = Arc::new(ServiceStandin::default());
+        let handler = Arc::clone(&service);
+        let server = HttpServer::start(ANY, handler).expect("a loopback socket");
+        let host =
+            Host { services: vec![row.into()], ..host(id, Role::Service, centre, server.addr) };
+        self.hosts.put(host);
+        self.servers.push(server);
+        self.services.insert(id.into(), service);
+    }
+
+    /// Starts a daemon; `texts` are settings beside those that the rig gives.
+    ///
+    /// # Panics
+    ///
+    /// Panics without sockets or with wrong settings.
+    pub fn add_daemon(&mut self, id: &str, centre: &str, texts: &[(&str, &str)]) {
+        let sockets = Sockets::open(ANY, ANY).expect("loopback sockets");
+        let mut all = Texts::default();
+        let (log, hosts) = (self.log_addr, self.hosts_addr);
+        let given = [
+            ("id", id.to_owned()),
+            ("centre", centre.to_owned()),
+            ("listen", sockets.addr.to_string()),
+            ("peer", sockets.peer.to_string()),
+            ("log", format!("http://{log}")),
+            ("hosts", format!("http://{hosts}")),
+        ];
+        all.0.extend(given.map(|(k, v)| (k.to_owned(), v)));
+        all.0.extend(texts.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())));
+        let settings = Settings::read(&all).expect("good settings");
+        self.starts += 1;
+        let host = Host { incarnation: self.starts, ..host(id, Role::Entry, centre, sockets.peer) };
+        self.hosts.put(host);
+        let borders = Borders {
+            log: Arc::new(HttpLog::new(settings.log.clone())),
+            hosts: Arc::new(HttpHostList::new(settings.hosts.clone())),
+            engine: Arc::new(HttpEngine),
+        };
+        let exchange = Arc::new(HttpExchange::new(settings.idle));
+        let logger = self.logger.clone();
+        let daemon = Daemon::start(settings, self.starts, sockets, &borders, exchange, logger);
+        self.daemons.insert(id.into(), daemon.expect("a daemon"));
+    }
+
+    /// Returns the URL of a path at a daemon.
+    pub fn url(&self, daemon: &str, path: &str) -> String {
+        format!("http://{}{path}", self.daemons[daemon].addr)
+    }
+
+    /// Applies rows through a daemon, as one edit.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the edit is not accepted.
+    pub fn apply(&self, daemon: &str, id: &str, rows: &[Row]) {
+        let node = self.daemons[daemon].node();
+        let changes = node.view.load().table.diff(rows);
+        let edit = Edit { id: id.into(), author: "rig".into(), changes };
+        let body = serde_json::to_vec(&edit).expect("edits serialize");
+        let sent = minreq::post(self.url(daemon, "/admin/edits")).with_body(body).send();
+        let status = sent.map(|r| (r.status_code, r.as_str().unwrap_or_default().to_owned()));
+        assert!(matches!(status, Ok((200, _))), "edit {id}: {status:?}");
+    }
+
+    /// Waits until a daemon's picture satisfies `done`.
+    ///
+    /// # Panics
+    ///
+    /// Panics after [`PATIENCE`].
+    pub fn await_view(
+        &self,
+        daemon: &str,
+        what: &str,
+        done: impl Fn(&comfreymux_lib::view::View) -> bool,
+    ) {
+        let node = self.daemons[daemon].node();
+        wait_for(what, || done(&node.view.load()));
+    }
+}
+
+/// Waits until `done` is true.
+///
+/// # Panics
+///
+/// Panics after [`PATIENCE`].
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn host(id: &str, role: Role, centre: &str, addr: SocketAddr) -> Host {
+    Host {
+        id: id.into(),
+        role,
+        addr,
+        centre: centre.into(),
+        incarnation: 1,
+        leaving: false,
+        memory_mib: 0,
+        fencing: false,
+        services: Vec::new(),
+    }
+}
+
+/// Sends a completion request; returns the status and the body.
+///
+/// # Errors
+///
+/// The daemon did not answer.
+pub fn complete(
+    url: &str,
+    model: &str,
+    stream: bool,
+    tokens: u64,
+) -> Result<(u16, String), minreq::Error> {
+    let body = serde_json::json!({
+        "model": model, "stream": stream, "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "hem the barong"}],
+    });
+    let response =
+        minreq::post(url).with_body(body.to_string()).with_timeout(PATIENCE.as_secs()).send()?;
+    Ok((response.status_code, response.as_str()?.to_owned()))
+}
+
+/// Returns the words of a stream, and whether it ended with its end marker.
+pub fn words(body: &str) -> (Vec<String>, bool) {
+    let mut words = Vec::new();
+    let mut done = false;
+    for data in body.lines().filter_map(|l| l.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let value: Value = serde_json::from_str(data).unwrap_or_default();
+        if let Some(word) = value.pointer("/choices/0/delta/content").and_then(Value::as_str) {
+            words.push(word.trim().to_owned());
+        }
+    }
+    (words, done)
+}
--- /dev/null
+++ b/lib/testutils/src/rows.rs
@@ -0,0 +1,34 @@
+//! Table rows for tests and the demo.
+
+use comfreymux_lib::table::Kind;
+use comfreymux_lib::table::Row;
+
+/// A model of 10 GB with one replica.
+pub fn model(name: &str) -> Row {
+    Row {
+        name: name.into(),
+        kind: Kind::Model,
+        base: "".into(),
+        weight: 1,
+        limit: 8,
+        replicas: 1,
+        memory_mib: 10_000,
+        load_mib: 1_000,
+        priority: 5,
+        idle_price: 60.0,
+        repeat: true,
+    }
+}
+
+/// A plain service whose calls may not be repeated.
+pub fn service(name: &str) -> Row {
+    Row {
+        kind: Kind::Service,
+        replicas: 0,
+        memory_mib: 0,
+        load_mib: 0,
+        limit: 64,
+        repeat: false,
+        ..model(name)
+    }
+}
