cli: operate and demonstrate the system

Cause: the library could only be reached from tests. Change: comfreymuxd, comfreymux (table, status, explain, drain, replay, demo) and comfreymux-standin; settings are checked together. Conclusion: the path can be walked by hand.

--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -1,1 +1,97 @@
-fn main() {}
+//! `comfreymuxd`: the daemon of an entry host.
+
+mod daemon_flags;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use comfreymux_lib::daemon::Daemon;
+use comfreymux_lib::daemon::Sockets;
+use comfreymux_lib::daemon::incarnation_now;
+use comfreymux_lib::engine::HttpEngine;
+use comfreymux_lib::exchange::HttpExchange;
+use comfreymux_lib::host_list::HttpHostList;
+use comfreymux_lib::log_service::HttpLog;
+use comfreymux_lib::logging;
+use comfreymux_lib::settings::ENV_PREFIX;
+use comfreymux_lib::settings::Settings;
+use comfreymux_lib::settings::Source;
+use comfreymux_lib::settings::env_name;
+use comfreymux_lib::workers::Borders;
+use daemon_flags::Comfreymuxd;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+/// Exit code of wrong settings.
+const EXIT_USAGE: u8 = 2;
+/// Exit code of a stop that had to cut requests.
+const EXIT_CUT: u8 = 3;
+/// Time between looks at the operators' order to drain.
+const LOOK: Duration = Duration::from_millis(100);
+
+impl Source for Comfreymuxd {
+    fn text(&self, flag: &str) -> Option<String> {
+        let given = match flag {
+            "id" => &self.id,
+            "centre" => &self.centre,
+            "listen" => &self.listen,
+            "peer" => &self.peer,
+            "log" => &self.log,
+            "hosts" => &self.hosts,
+            "idle-timeout" => &self.idle_timeout,
+            "deadline" => &self.deadline,
+            "queue" => &self.queue,
+            "requests" => &self.requests,
+            "caller-requests" => &self.caller_requests,
+            "body-kib" => &self.body_kib,
+            "append-gap" => &self.append_gap,
+            "keep-warm" => &self.keep_warm,
+            "poll" => &self.poll,
+            "drain" => &self.drain,
+            "trace" => &self.trace,
+            _ => &None,
+        };
+        let variable = || std::env::var(format!("{ENV_PREFIX}{}", env_name(flag))).ok();
+        given.clone().or_else(variable)
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = Comfreymuxd::from_env_or_exit();
+    let settings = match Settings::read(&flags) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(settings) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_CUT),
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs until a signal or an operator's order; returns whether no request was cut.
+fn run(settings: Settings) -> miette::Result<bool> {
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT]).map_err(|e| miette::miette!("no signals: {e}"))?;
+    let sockets = Sockets::open(settings.listen, settings.peer)?;
+    let borders = Borders {
+        log: Arc::new(HttpLog::new(settings.log.clone())),
+        hosts: Arc::new(HttpHostList::new(settings.hosts.clone())),
+        engine: Arc::new(HttpEngine),
+    };
+    let exchange = Arc::new(HttpExchange::new(settings.idle));
+    let log = logging::to_stderr();
+    let daemon = Daemon::start(settings, incarnation_now(), sockets, &borders, exchange, log)?;
+    while signals.pending().next().is_none() && !daemon.node().is_stopping() {
+        std::thread::sleep(LOOK);
+    }
+    Ok(daemon.stop())
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,1 +1,152 @@
-fn main() {}
+//! `comfreymux`: the operators' command line.
+
+mod flags;
+mod show;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use comfreymux_lib::client::Applied;
+use comfreymux_lib::client::AskError;
+use comfreymux_lib::client::Client;
+use comfreymux_lib::client::new_edit_id;
+use comfreymux_lib::table::Row;
+use comfreymux_lib::table_file::read_csv;
+use comfreymux_lib::table_file::write_csv;
+use comfreymux_lib::trace;
+use comfreymux_testutils::demo;
+use flags::Comfreymux;
+use flags::ComfreymuxCmd;
+use flags::Table;
+use flags::TableCmd;
+use miette::IntoDiagnostic;
+use miette::WrapErr;
+use serde_json::json;
+
+/// Exit code of a conflict, a refusal or a broken promise.
+const EXIT_REFUSED: u8 = 1;
+/// Exit code of a daemon that does not answer.
+const EXIT_UNREACHABLE: u8 = 3;
+/// Daemon that is asked where no other is named.
+const DEFAULT_DAEMON: &str = "http://127.0.0.1:8080";
+
+fn main() -> ExitCode {
+    let flags = Comfreymux::from_env_or_exit();
+    match run(&flags) {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("{report:?}");
+            let unreachable =
+                matches!(report.downcast_ref::<AskError>(), Some(AskError::Unreachable { .. }));
+            ExitCode::from(if unreachable { EXIT_UNREACHABLE } else { EXIT_REFUSED })
+        }
+    }
+}
+
+fn client(flags: &Comfreymux) -> Client {
+    let named = flags.daemon.clone().or_else(|| std::env::var("COMFREYMUX_DAEMON").ok());
+    let base = named.unwrap_or_else(|| DEFAULT_DAEMON.to_owned());
+    let base = if base.starts_with("http://") { base } else { format!("http://{base}") };
+    Client::new(base.trim_end_matches('/'))
+}
+
+fn run(flags: &Comfreymux) -> miette::Result<ExitCode> {
+    let client = client(flags);
+    match &flags.subcommand {
+        ComfreymuxCmd::Table(table) => run_table(&client, flags.json, table),
+        ComfreymuxCmd::Status(_) => {
+            let value = client.get("status")?;
+            show::value(flags.json, &value, show::status);
+            Ok(ExitCode::SUCCESS)
+        }
+        ComfreymuxCmd::Explain(explain) => {
+            let value = client.get(&format!("explain?id={}", explain.id))?;
+            show::value(flags.json, &value, show::lines);
+            let found = value["lines"].as_array().is_some_and(|l| !l.is_empty());
+            Ok(if found { ExitCode::SUCCESS } else { ExitCode::from(EXIT_REFUSED) })
+        }
+        ComfreymuxCmd::Drain(_) => {
+            let value = client.drain()?;
+            show::value(flags.json, &value, |v| {
+                println!("draining; {} requests in progress", v["active"]);
+            });
+            Ok(ExitCode::SUCCESS)
+        }
+        ComfreymuxCmd::Replay(replay) => run_replay(flags.json, &replay.trace),
+        ComfreymuxCmd::Demo(_) => run_demo(),
+    }
+}
+
+fn read_rows(path: &Path) -> miette::Result<Vec<Row>> {
+    let text = std::fs::read_to_string(path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    Ok(read_csv(&text)?)
+}
+
+fn run_table(client: &Client, json: bool, table: &Table) -> miette::Result<ExitCode> {
+    match &table.subcommand {
+        TableCmd::Get(_) => {
+            let table = client.table()?;
+            if json {
+                let rows: Vec<_> = table.iter().collect();
+                println!("{}", json!({"rows": rows}));
+            } else {
+                print!("{}", write_csv(table.iter().map(|v| &v.row)));
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        TableCmd::Diff(diff) => {
+            let changes = client.diff(&read_rows(&diff.file)?)?;
+            show::value(json, &json!({"changes": changes}), |_| show::changes(&changes));
+            Ok(ExitCode::SUCCESS)
+        }
+        TableCmd::Apply(apply) => {
+            let author = apply.author.clone().unwrap_or_else(|| "operator".to_owned());
+            let id = apply.id.clone().unwrap_or_else(|| new_edit_id(&author));
+            let applied = client.apply(&read_rows(&apply.file)?, &author, &id)?;
+            Ok(show_applied(json, &applied, &id))
+        }
+        TableCmd::History(_) => {
+            let value = client.get("history")?;
+            show::value(json, &value, show::history);
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn show_applied(json: bool, applied: &Applied, id: &str) -> ExitCode {
+    let (text, value) = match applied {
+        Applied::Unchanged => ("nothing to change".to_owned(), json!({"applied": "unchanged"})),
+        Applied::Accepted(position) => (
+            format!("accepted: edit {id} is in force from log position {position} on"),
+            json!({"applied": "accepted", "id": id, "position": position}),
+        ),
+        Applied::Conflict(row) => (
+            format!("conflict: `{row}` changed meanwhile; get the table and apply again"),
+            json!({"applied": "conflict", "id": id, "row": row}),
+        ),
+    };
+    show::value(json, &value, |_| println!("{text}"));
+    let conflict = matches!(applied, Applied::Conflict(_));
+    if conflict { ExitCode::from(EXIT_REFUSED) } else { ExitCode::SUCCESS }
+}
+
+fn run_replay(json: bool, path: &Path) -> miette::Result<ExitCode> {
+    let replayed = trace::replay(path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("{} does not show its stated outcomes", path.display()))?;
+    let value = serde_json::to_value(&replayed).into_diagnostic()?;
+    show::value(json, &value, |_| {
+        println!("{} events, {} stated outcomes met", replayed.events, replayed.met);
+        for (what, count) in &replayed.counts {
+            println!("{count:>8} {what:?}");
+        }
+    });
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_demo() -> miette::Result<ExitCode> {
+    let broken = demo::run(&mut std::io::stdout()).into_diagnostic()?;
+    Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_REFUSED) })
+}
--- a/lib/src/admin.rs
+++ b/lib/src/admin.rs
@@ -29,7 +29,7 @@
         (Method::Get, "status") => status(node),
         (Method::Get, "explain") => explain(node, query),
         (Method::Post, "edits") => edit(node, &mut request),
-        (Method::Post, "drain") => drain(node),
+        (Method::Post, "drain") => Ok(drain(node)),
         _ => Err(Refused::wrong(
             404,
             "no-such-path",
@@ -130,7 +130,7 @@
     })
 }
 
-fn drain(node: &Node) -> Answer {
+fn drain(node: &Node) -> (u16, Value) {
     node.stopping.store(true, Ordering::Relaxed);
-    Ok((200, json!({"draining": true, "active": node.limits().total()})))
+    (200, json!({"draining": true, "active": node.limits().total()}))
 }
--- a/lib/src/chat.rs
+++ b/lib/src/chat.rs
@@ -152,12 +152,11 @@
     }
 
     fn relay(&mut self, data: &str) -> Result<(), Stop> {
-        let writer = match &mut self.writer {
-            Some(writer) => writer,
-            None => {
-                let writer = self.start()?;
-                self.writer.insert(writer)
-            }
+        let writer = if let Some(writer) = &mut self.writer {
+            writer
+        } else {
+            let writer = self.start()?;
+            self.writer.insert(writer)
         };
         writer.event(data).map_err(|_gone| Stop::CallerGone)?;
         self.sent += 1;
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -46,6 +46,17 @@
     Wait,
 }
 
+/// What follows from the log's decision about a claim.
+#[derive(Debug, PartialEq)]
+pub enum Decided {
+    /// Tell the request.
+    Answer(ClaimAnswer),
+    /// Nobody waits for the claim; release it.
+    Release(Settlement),
+    /// Nothing.
+    Nothing,
+}
+
 impl ClaimDesk {
     /// Creates a desk for one start of a daemon.
     pub fn new(daemon: DaemonId, incarnation: Incarnation) -> Self {
@@ -75,22 +86,20 @@
 
     /// Takes what the log decided about a claim of this daemon.
     ///
-    /// Returns the answer for the waiting request, or the settlement that releases a claim nobody
-    /// waits for.
-    pub fn decided(
-        &mut self,
-        key: ClaimKey,
-        outcome: Outcome,
-        state: &State,
-    ) -> Result<Option<ClaimAnswer>, Settlement> {
+    /// A claim that was granted after its request had given up is released.
+    pub fn decided(&mut self, key: ClaimKey, outcome: Outcome, state: &State) -> Decided {
         let Some(wanted) = self.wanted.remove(&key) else {
-            return Ok(None);
+            return Decided::Nothing;
         };
         if outcome.is_err() {
-            let answer = state.claim(key).map(standing).unwrap_or(ClaimAnswer::LogDown);
-            return Ok((!wanted.cancelled).then_some(answer));
+            let answer = state.claim(key).map_or(ClaimAnswer::LogDown, standing);
+            return if wanted.cancelled { Decided::Nothing } else { Decided::Answer(answer) };
+        }
+        if wanted.cancelled {
+            Decided::Release(release(key))
+        } else {
+            Decided::Answer(ClaimAnswer::Granted)
         }
-        if wanted.cancelled { Err(release(key)) } else { Ok(Some(ClaimAnswer::Granted)) }
     }
 
     /// Withdraws a request that sent nothing; returns the settlement where it was granted already.
@@ -135,9 +144,9 @@
             let own = claim.daemon == self.daemon && claim.incarnation == self.incarnation;
             let outcome = if own { Ok(0) } else { Err(crate::fold::Rejection::Claimed) };
             match self.decided(key, outcome, state) {
-                Ok(Some(answer)) => answers.push((key, answer)),
-                Ok(None) => {}
-                Err(settlement) => records.push(Record::Settle(settlement)),
+                Decided::Answer(answer) => answers.push((key, answer)),
+                Decided::Nothing => {}
+                Decided::Release(settlement) => records.push(Record::Settle(settlement)),
             }
         }
         (answers, records)
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -10,6 +10,7 @@
 use crate::append::Appender;
 use crate::claims::ClaimDesk;
 use crate::claims::ClaimStep;
+use crate::claims::Decided;
 use crate::demand::Demand;
 use crate::event::Choice;
 use crate::event::ClaimAnswer;
@@ -346,9 +347,9 @@
             return;
         }
         match self.desk.decided(key, outcome, &self.state) {
-            Ok(Some(answer)) => self.effects.push(Effect::Claimed(key, answer)),
-            Ok(None) => {}
-            Err(settlement) => {
+            Decided::Answer(answer) => self.effects.push(Effect::Claimed(key, answer)),
+            Decided::Nothing => {}
+            Decided::Release(settlement) => {
                 self.appender.push(Record::Settle(settlement));
             }
         }
@@ -409,10 +410,11 @@
     }
 
     fn take_hints(&mut self, now: Duration, daemon: DaemonId, hints: Vec<Hint>) {
-        let had = self.hints.insert(daemon, (now, hints.clone()));
-        if had.is_none_or(|(_, old)| old != hints) {
+        let had = self.hints.get(&daemon);
+        if had.is_none_or(|(_, old)| *old != hints) {
             self.effects.push(Effect::Publish);
         }
+        self.hints.insert(daemon, (now, hints));
     }
 
     fn take_report(&mut self, now: Duration, server: &str, report: Option<Report>) {
--- a/lib/src/engine.rs
+++ b/lib/src/engine.rs
@@ -56,12 +56,11 @@
             Ok(response) if response.status_code == 200 => {
                 serde_json::from_slice(response.as_bytes()).unwrap_or(OrderAnswer::Unknown)
             }
-            Ok(_) => OrderAnswer::Unknown,
             // Nothing was written on a connection that was refused.
             Err(minreq::Error::IoError(e)) if e.kind() == ErrorKind::ConnectionRefused => {
                 OrderAnswer::Unsent
             }
-            Err(_) => OrderAnswer::Unknown,
+            Ok(_) | Err(_) => OrderAnswer::Unknown,
         }
     }
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -59,15 +59,15 @@
 /// Takes requests in until the server is unblocked for its stop.
 pub fn run(node: &Arc<Node>, server: &Server) {
     while let Ok(request) = server.recv() {
-        let node = Arc::clone(node);
+        let serving = Arc::clone(node);
         let spawned = thread::Builder::new()
             .name("request".into())
             .stack_size(STACK)
-            .spawn(move || serve(&node, request));
+            .spawn(move || serve(&serving, request));
         // Without a thread the request was dropped with the closure, which answers it with a 500
         // before anything ran; the accept loop goes on.
-        if spawned.is_err() {
-            continue;
+        if let Err(error) = spawned {
+            slog::error!(node.log, "no-thread"; "error" => error.to_string());
         }
     }
 }
@@ -115,7 +115,7 @@
     reply::send_json(request, 200, &json!({"object": "list", "data": data}));
 }
 
-type Handler = fn(&Node, SmolStr, Request);
+type Handler = fn(&Node, &SmolStr, Request);
 
 /// Runs `handler` within the limits; a request past them is refused at once.
 fn limited(node: &Node, request: Request, handler: Handler) {
@@ -137,29 +137,29 @@
         reply::send_refused(request, &id, &refused);
         return;
     }
-    handler(node, id, request);
+    handler(node, &id, request);
     node.limits().leave(&caller);
 }
 
-fn serve_chat(node: &Node, id: SmolStr, mut request: Request) {
+fn serve_chat(node: &Node, id: &SmolStr, mut request: Request) {
     let read = Wishes::read(node, &request, node.now()).and_then(|wishes| {
         let body = job::read_body(node, &mut request)?;
         Chat::read(node, id.clone(), &request, wishes, body)
     });
     match read {
         Ok(chat) => chat.serve(node, request),
-        Err(refused) => refuse(node, &id, request, &refused),
+        Err(refused) => refuse(node, id, request, &refused),
     }
 }
 
-fn serve_service(node: &Node, id: SmolStr, mut request: Request) {
+fn serve_service(node: &Node, id: &SmolStr, mut request: Request) {
     let read = Wishes::read(node, &request, node.now()).and_then(|wishes| {
         let body = job::read_body(node, &mut request)?;
         services::read(node, id.clone(), &request, wishes, body)
     });
     match read {
         Ok(job) => services::serve(node, &job, request),
-        Err(refused) => refuse(node, &id, request, &refused),
+        Err(refused) => refuse(node, id, request, &refused),
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod append;
 pub mod chat;
 pub mod claims;
+pub mod client;
 pub mod control;
 pub mod daemon;
 pub mod demand;
--- a/lib/src/log_reader.rs
+++ b/lib/src/log_reader.rs
@@ -94,16 +94,13 @@
                 }
             }
         }
-        match newest {
-            Some(state) => {
-                self.next = state.offset;
-                self.node.tell(Input::Install(Box::new(state)));
-                self.await_applied();
-            }
-            None => {
-                self.ask_peers();
-                thread::sleep(PAUSE);
-            }
+        if let Some(state) = newest {
+            self.next = state.offset;
+            self.node.tell(Input::Install(Box::new(state)));
+            self.await_applied();
+        } else {
+            self.ask_peers();
+            thread::sleep(PAUSE);
         }
     }
 
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -24,8 +24,8 @@
 }
 
 impl Serializer for Pairs {
-    fn emit_arguments(&mut self, key: Key, value: &fmt::Arguments<'_>) -> slog::Result {
-        push_pair(&mut self.line, key, &value.to_string());
+    fn emit_arguments(&mut self, key: Key, val: &fmt::Arguments<'_>) -> slog::Result {
+        push_pair(&mut self.line, key, &val.to_string());
         Ok(())
     }
 }
--- a/lib/src/outcomes.rs
+++ b/lib/src/outcomes.rs
@@ -11,7 +11,7 @@
 use crate::verdict::Verdict;
 
 /// How long an outcome is kept here; small ones stay in the log for longer.
-const KEPT: Duration = Duration::from_secs(600);
+const KEPT: Duration = Duration::from_mins(10);
 
 /// What is known of a claimed request.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/lib/src/peers.rs
+++ b/lib/src/peers.rs
@@ -28,7 +28,7 @@
 /// Most questions that are answered at once.
 const MAX_ASKING: usize = 128;
 /// Longest wait for the outcome of a claimed request.
-const MAX_WAIT: Duration = Duration::from_secs(120);
+const MAX_WAIT: Duration = Duration::from_mins(2);
 /// Longest silence of a daemon in the middle of a question.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -21,7 +21,7 @@
 /// How far above the mean load the server of a prompt prefix may be, in requests.
 const AFFINITY_SLACK: u32 = 2;
 /// A backend server that said it leaves is left alone this long, until the host list shows it.
-const LEAVING: Duration = Duration::from_secs(120);
+const LEAVING: Duration = Duration::from_mins(2);
 
 /// What a request asks of the router.
 #[derive(Clone, Copy, Debug)]
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -177,7 +177,7 @@
 }
 
 const MS: Duration = Duration::from_millis(1);
-const HOUR: Duration = Duration::from_secs(3600);
+const HOUR: Duration = Duration::from_hours(1);
 
 impl Settings {
     /// Reads and checks all settings.
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -97,6 +97,11 @@
 }
 
 impl Table {
+    /// Creates a table of rows with their versions.
+    pub fn from_rows(rows: impl IntoIterator<Item = Versioned>) -> Self {
+        Self { rows: rows.into_iter().map(|v| (v.row.name.clone(), v)).collect() }
+    }
+
     /// Returns the row named `name`.
     pub fn row(&self, name: &str) -> Option<&Row> {
         self.rows.get(name).map(|v| &v.row)
--- a/lib/src/table_file.rs
+++ b/lib/src/table_file.rs
@@ -172,15 +172,15 @@
         };
         let line = record.position().map_or(0, csv::Position::line);
         let mut fields = Fields { record: &record, line, faults: Vec::new() };
-        if record.len() != COLUMNS.len() {
-            let message = format!("{} fields, {} are needed", record.len(), COLUMNS.len());
-            fields.fault(0, message);
-        } else {
+        if record.len() == COLUMNS.len() {
             let row = fields.row();
             if !names.insert(row.name.clone()) {
                 fields.fault(0, format!("`{}` stands twice", row.name));
             }
             rows.push(row);
+        } else {
+            let message = format!("{} fields, {} are needed", record.len(), COLUMNS.len());
+            fields.fault(0, message);
         }
         faults.append(&mut fields.faults);
     }
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -12,7 +12,7 @@
 
 fn rig() -> Rig {
     let mut rig = Rig::default();
-    rig.add_engine("e1", "makati-a", EngineSettings::default());
+    rig.add_engine("e1", "makati-a", &EngineSettings::default());
     rig.add_service("s1", "makati-a", "booking");
     rig.add_daemon("d1", "makati-a", &[]);
     rig.add_daemon("d2", "makati-a", &[]);
@@ -34,7 +34,7 @@
     let urls = [rig.url("d1", CHAT), rig.url("d2", CHAT)];
     let send = |i: usize| {
         let url = urls[i % 2].clone();
-        thread::spawn(move || complete(&url, "hem", i % 3 != 0, 5))
+        thread::spawn(move || complete(&url, "hem", !i.is_multiple_of(3), 5))
     };
     let callers: Vec<_> = (0..8).map(send).collect();
     for caller in callers {
--- a/lib/testutils/src/engine_standin.rs
+++ b/lib/testutils/src/engine_standin.rs
@@ -36,6 +36,7 @@
 
 use crate::http_server::Handler;
 use crate::http_server::HttpRequest;
+use crate::http_server::header_lines;
 use crate::http_server::respond;
 use crate::http_server::respond_json;
 use crate::http_server::stay_silent;
@@ -339,7 +340,8 @@
     ) -> io::Result<()> {
         let tokens = self.tokens(body);
         thread::sleep(self.settings.first + self.settings.gap * tokens as u32);
-        let text: String = (0..tokens).map(|i| format!("t{i} ")).collect();
+        let words: Vec<String> = (0..tokens).map(|i| format!("t{i}")).collect();
+        let text = words.join(" ");
         let answer = json!({
             "id": "chatcmpl-1", "object": "chat.completion", "created": 0, "model": body["model"],
             "choices": [{"index": 0, "finish_reason": "stop",
@@ -364,10 +366,7 @@
         let mut head = String::from(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
         );
-        for (name, value) in headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str("Connection: close\r\n\r\n");
+        head.push_str(&header_lines(headers));
         out.write_all(head.as_bytes())?;
         thread::sleep(self.settings.first);
         for i in resume..tokens {
--- a/lib/testutils/src/http_server.rs
+++ b/lib/testutils/src/http_server.rs
@@ -84,10 +84,8 @@
                     // A client that breaks off is its own affair.
                     let _broken = serve(stream, handler.as_ref());
                 };
-                let spawned = thread::Builder::new().stack_size(256 * 1024).spawn(serve);
-                if spawned.is_err() {
-                    continue;
-                }
+                // Without a thread the connection closes unanswered.
+                let _refused = thread::Builder::new().stack_size(256 * 1024).spawn(serve);
             }
         })?;
         Ok(Self { addr, ended })
@@ -156,15 +154,19 @@
     body: &[u8],
 ) -> io::Result<()> {
     let mut head = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
-    for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    head.push_str("Connection: close\r\n\r\n");
+    head.push_str(&header_lines(headers));
     out.write_all(head.as_bytes())?;
     out.write_all(body)?;
     out.flush()
 }
 
+/// Returns header lines, the last of which closes the connection, and the empty line after them.
+pub fn header_lines(headers: &[(&str, String)]) -> String {
+    let lines: Vec<String> =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    lines.concat() + "Connection: close\r\n\r\n"
+}
+
 /// Writes a value as JSON.
 ///
 /// # Errors
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the platform and the backend servers, for tests, the demo and trials by hand.
 
+pub mod demo;
 pub mod engine_standin;
 pub mod hosts_standin;
 pub mod http_server;
--- a/lib/testutils/src/main.rs
+++ b/lib/testutils/src/main.rs
@@ -1,1 +1,113 @@
-fn main() {}
+//! `comfreymux-standin`: one stand-in of the platform or a backend server, as a process.
+
+mod flags;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use comfreymux_lib::host::Host;
+use comfreymux_lib::host::Role;
+use comfreymux_lib::table_file::write_csv;
+use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::engine_standin::EngineStandin;
+use comfreymux_testutils::hosts_standin::HostsStandin;
+use comfreymux_testutils::http_server::Handler;
+use comfreymux_testutils::http_server::HttpServer;
+use comfreymux_testutils::log_standin::LogStandin;
+use comfreymux_testutils::rows;
+use comfreymux_testutils::service_standin::ServiceStandin;
+use comfreymux_testutils::store_standin::StoreStandin;
+use flags::ComfreymuxStandin;
+use flags::ComfreymuxStandinCmd;
+
+fn main() -> ExitCode {
+    let flags = ComfreymuxStandin::from_env_or_exit();
+    match run(&flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: &ComfreymuxStandin) -> Result<(), String> {
+    let listen = flags.listen.unwrap_or(comfreymux_testutils::rig::ANY);
+    match &flags.subcommand {
+        ComfreymuxStandinCmd::Log(_) => serve(listen, Arc::new(LogStandin::default()), None),
+        ComfreymuxStandinCmd::Store(_) => serve(listen, Arc::new(StoreStandin::default()), None),
+        ComfreymuxStandinCmd::Hosts(hosts) => {
+            let list = HostsStandin::default();
+            for entry in &hosts.entry {
+                list.put(read_entry(entry)?);
+            }
+            serve(listen, Arc::new(list), None)
+        }
+        ComfreymuxStandinCmd::Engine(engine) => {
+            let defaults = EngineSettings::default();
+            let settings = EngineSettings {
+                incarnation: engine.incarnation.unwrap_or(defaults.incarnation),
+                memory_mib: engine.memory_mib.unwrap_or(defaults.memory_mib),
+                fencing: !engine.no_fencing,
+                store: engine.store,
+                gap: engine.gap_ms.map_or(defaults.gap, Duration::from_millis),
+                ..defaults
+            };
+            let host = Host {
+                incarnation: settings.incarnation,
+                memory_mib: settings.memory_mib,
+                fencing: settings.fencing,
+                ..host(&engine.id, Role::Engine, &engine.centre, listen)
+            };
+            serve(listen, Arc::new(EngineStandin::new(settings)), Some((engine.hosts, host)))
+        }
+        ComfreymuxStandinCmd::Service(service) => {
+            let host = Host {
+                services: vec![service.row.as_str().into()],
+                ..host(&service.id, Role::Service, &service.centre, listen)
+            };
+            serve(listen, Arc::new(ServiceStandin::default()), Some((service.hosts, host)))
+        }
+        ComfreymuxStandinCmd::Table(_) => {
+            let rows = [rows::model("hem"), rows::model("resize"), rows::service("booking")];
+            print!("{}", write_csv(&rows));
+            Ok(())
+        }
+    }
+}
+
+/// Serves until the process is ended, after entering a host in the host list.
+fn serve(
+    listen: SocketAddr,
+    handler: Arc<dyn Handler>,
+    enter: Option<(SocketAddr, Host)>,
+) -> Result<(), String> {
+    let server = HttpServer::start(listen, handler)
+        .map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    println!("listening on {}", server.addr);
+    if let Some((list, host)) = enter {
+        let host = Host { addr: server.addr, ..host };
+        let body = serde_json::to_vec(&host).map_err(|e| e.to_string())?;
+        let sent = minreq::post(format!("http://{list}/put")).with_body(body).send();
+        sent.map_err(|e| format!("cannot enter the host list at {list}: {e}"))?;
+    }
+    loop {
+        std::thread::park();
+    }
+}
+
+fn read_entry(text: &str) -> Result<Host, String> {
+    let wrong = || format!("`{text}` is not id=data-centre=address");
+    let mut words = text.split('=');
+    let (Some(id), Some(centre), Some(addr)) = (words.next(), words.next(), words.next()) else {
+        return Err(wrong());
+    };
+    let addr = addr.parse().map_err(|_unparsed| wrong())?;
+    Ok(host(id, Role::Entry, centre, addr))
+}
+
+fn host(id: &str, role: Role, centre: &str, addr: SocketAddr) -> Host {
+    Host { id: id.into(), ..comfreymux_testutils::rig::host(role, centre, addr) }
+}
--- a/lib/testutils/src/rig.rs
+++ b/lib/testutils/src/rig.rs
@@ -116,8 +116,8 @@
     /// # Panics
     ///
     /// Panics without a loopback socket.
-    pub fn add_engine(&mut self, id: &str, centre: &str, settings: EngineSettings) {
-        let settings = EngineSettings { store: Some(self.store_addr), ..settings };
+    pub fn add_engine(&mut self, id: &str, centre: &str, settings: &EngineSettings) {
+        let settings = EngineSettings { store: Some(self.store_addr), ..settings.clone() };
         let (memory_mib, fencing) = (settings.memory_mib, settings.fencing);
         let incarnation = settings.incarnation;
         let engine = EngineStandin::new(settings);
@@ -126,7 +126,8 @@
             incarnation,
             memory_mib,
             fencing,
-            ..host(id, Role::Engine, centre, server.addr)
+            id: id.into(),
+            ..host(Role::Engine, centre, server.addr)
         };
         self.hosts.put(host);
         self.servers.push(server);
@@ -142,8 +143,11 @@
         let service = Arc::new(ServiceStandin::default());
         let handler = Arc::clone(&service);
         let server = HttpServer::start(ANY, handler).expect("a loopback socket");
-        let host =
-            Host { services: vec![row.into()], ..host(id, Role::Service, centre, server.addr) };
+        let host = Host {
+            services: vec![row.into()],
+            id: id.into(),
+            ..host(Role::Service, centre, server.addr)
+        };
         self.hosts.put(host);
         self.servers.push(server);
         self.services.insert(id.into(), service);
@@ -170,7 +174,11 @@
         all.0.extend(texts.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())));
         let settings = Settings::read(&all).expect("good settings");
         self.starts += 1;
-        let host = Host { incarnation: self.starts, ..host(id, Role::Entry, centre, sockets.peer) };
+        let host = Host {
+            incarnation: self.starts,
+            id: id.into(),
+            ..host(Role::Entry, centre, sockets.peer)
+        };
         self.hosts.put(host);
         let borders = Borders {
             log: Arc::new(HttpLog::new(settings.log.clone())),
@@ -232,9 +240,10 @@
     }
 }
 
-fn host(id: &str, role: Role, centre: &str, addr: SocketAddr) -> Host {
+/// Returns a host without a name, memory or services.
+pub fn host(role: Role, centre: &str, addr: SocketAddr) -> Host {
     Host {
-        id: id.into(),
+        id: "".into(),
         role,
         addr,
         centre: centre.into(),
--- a/lib/testutils/src/store_standin.rs
+++ b/lib/testutils/src/store_standin.rs
@@ -91,7 +91,7 @@
             inner.active += 1;
             inner.loads += 1;
             inner.peak = inner.peak.max(inner.active);
-        }
+        };
         let mut left = size;
         while left > 0.0 {
             thread::sleep(STEP);
