tests: put control under failure in virtual time

Cause: the promises on counts, memory, claims and edits had no proof under failure. A small fake log and fake engines drive the same state machine as the daemon; proptest mixes pauses, crashes, a log that is down, lost, late and repeated appends, lost and late orders, replaced and leaving hosts, edits and drifting clocks. What engines really hold is checked each step.

--- /dev/null
+++ b/lib/tests/test_failures.rs
@@ -0,0 +1,374 @@
+//! Replica counts, memory and leases under failure, in virtual time.
+
+use std::time::Duration;
+
+use comfreymux_lib::demand::Waiting;
+use comfreymux_lib::event::Choice;
+use comfreymux_lib::event::Event;
+use comfreymux_lib::record::Phase;
+use comfreymux_lib::table::Edit;
+use comfreymux_lib::table::Row;
+use comfreymux_lib::table::RowChange;
+use comfreymux_testutils::fake_engine::FakeEngine;
+use comfreymux_testutils::rows;
+use comfreymux_testutils::world::World;
+use proptest::prelude::*;
+
+const STEP: Duration = Duration::from_millis(50);
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn edit(world: &World, id: &str, row: Row) -> Event {
+    let base = world.head.table.versioned(&row.name).map_or(0, |v| v.version);
+    let changes = vec![RowChange { name: row.name.clone(), base, row: Some(row) }];
+    Event::Edit(Edit { id: id.into(), author: "test".into(), changes })
+}
+
+/// Two daemons of one data centre before one engine, and a third daemon in another with its own.
+fn world(fencing: bool) -> World {
+    let mut world = World::default();
+    world.add_engine("e1", "a", FakeEngine::new(25_000, fencing));
+    world.add_engine("e2", "b", FakeEngine::new(25_000, fencing));
+    world.add_daemon("d1", "a");
+    world.add_daemon("d2", "a");
+    world.add_daemon("d3", "b");
+    world.run(seconds(4), STEP).unwrap();
+    for (i, name) in ["m1", "m2", "m3", "m4"].into_iter().enumerate() {
+        let event = edit(&world, &format!("t{i}"), rows::model(name));
+        world.give("d1", event);
+        world.run(seconds(1), STEP).unwrap();
+    }
+    world
+}
+
+fn want(world: &mut World, daemon: &str, models: &[&str]) {
+    let line = |m: &&str| Waiting { model: (*m).into(), count: 1, weight: 5 };
+    world.daemons.get_mut(daemon).unwrap().waiting = models.iter().map(line).collect();
+}
+
+fn holder(world: &World, centre: &str) -> String {
+    world.head.leases[centre].daemon.to_string()
+}
+
+fn phase_of(world: &World, model: &str) -> Option<Phase> {
+    world.head.slots_of(model).next().map(|(_, s)| s.phase)
+}
+
+#[test]
+fn cold_load() {
+    let mut world = world(true);
+    want(&mut world, "d2", &["m1"]);
+    world.run(seconds(8), STEP).unwrap();
+    assert_eq!(phase_of(&world, "m1"), Some(Phase::Loaded));
+    let loads: u64 = world.engines.values().map(|(_, e)| e.loads).sum();
+    assert_eq!(loads, 1);
+}
+
+#[test]
+fn death_midload() {
+    // The daemon that ordered a load dies before it is complete. Callers still wait for the model.
+    // Its successor takes the lease and finishes: one replica, loaded once.
+    let mut world = world(true);
+    let first = holder(&world, "a");
+    world
+        .engines
+        .get_mut("e1")
+        .unwrap()
+        .1
+        .cached
+        .insert("m1".into(), comfreymux_lib::record::Source::Memory);
+    world.run(seconds(12), STEP).unwrap();
+    want(&mut world, "d3", &["m1"]);
+    while world.engines["e1"].1.held.is_empty() && world.engines["e2"].1.held.is_empty() {
+        world.step(STEP).unwrap();
+    }
+    world.kill(&first);
+    world.run(seconds(30), STEP).unwrap();
+    assert_ne!(holder(&world, "a"), first);
+    assert_eq!(phase_of(&world, "m1"), Some(Phase::Loaded));
+}
+
+#[test]
+fn pause_unfenced() {
+    // A lease holder is paused with a load order in hand, on an engine that ignores fencing numbers.
+    // Its successor must not give the slot's memory away: when the holder wakes, the order arrives
+    // and the model is loaded after all.
+    let mut world = world(false);
+    world.weather.late_order = Some(seconds(40));
+    want(&mut world, "d1", &["m1"]);
+    while world.head.slots.is_empty() {
+        world.step(STEP).unwrap();
+    }
+    world.run(seconds(1), STEP).unwrap();
+    let (slot, orderer) = {
+        let (id, slot) = world.head.slots_of("m1").next().unwrap();
+        (id, slot.orderer.0.clone())
+    };
+    world.daemons.get_mut(&orderer).unwrap().paused = world.now + seconds(45);
+    for daemon in DAEMONS {
+        want(&mut world, daemon, &["m2", "m3", "m4"]);
+    }
+    let mut arrived = false;
+    for _ in 0..1200 {
+        world.step(STEP).unwrap();
+        arrived |= world.engines.values().any(|(_, e)| e.held.contains_key("m1"));
+        assert!(arrived || world.head.slots.contains_key(&slot), "the slot was given away");
+    }
+    assert!(arrived);
+}
+
+#[test]
+fn log_outage() {
+    // The log is down for five minutes. A model that slept before wakes all the same, because its
+    // slot is reserved on an engine that heeds fencing numbers; no slot is given to another.
+    let mut world = world(true);
+    want(&mut world, "d3", &["m1"]);
+    world.run(seconds(8), STEP).unwrap();
+    want(&mut world, "d3", &[]);
+    while phase_of(&world, "m1") != Some(Phase::Reserved) {
+        world.step(STEP).unwrap();
+        assert!(world.now < seconds(4000), "never unloaded");
+    }
+    world.log_down = true;
+    world.run(seconds(120), STEP).unwrap();
+    want(&mut world, "d2", &["m1", "m2"]);
+    world.run(seconds(180), STEP).unwrap();
+    let held: Vec<_> = world.engines.values().flat_map(|(_, e)| e.held.keys()).collect();
+    assert_eq!(held, ["m1"]);
+    world.log_down = false;
+    world.run(seconds(40), STEP).unwrap();
+    assert_eq!(phase_of(&world, "m1"), Some(Phase::Loaded));
+    assert_eq!(phase_of(&world, "m2"), Some(Phase::Loaded));
+}
+
+#[test]
+fn count_lowered() {
+    // The table's count of a loaded model goes to zero: the replica drains, is unloaded, and its
+    // memory is free for others.
+    let mut world = world(true);
+    want(&mut world, "d1", &["m1"]);
+    world.run(seconds(8), STEP).unwrap();
+    want(&mut world, "d1", &[]);
+    let event = edit(&world, "zero", Row { replicas: 0, ..rows::model("m1") });
+    world.give("d2", event);
+    world.run(seconds(12), STEP).unwrap();
+    assert_eq!(world.head.slots.len(), 0);
+    assert!(world.engines.values().all(|(_, e)| e.held.is_empty()));
+}
+
+#[test]
+fn racing_edits() {
+    // Two operators edit one row at the same moment through two daemons. One is told that it is in
+    // force, the other that the row changed; every daemon has the same table.
+    let mut world = world(true);
+    let first = edit(&world, "x", Row { limit: 3, ..rows::model("m1") });
+    let second = edit(&world, "y", Row { limit: 4, ..rows::model("m1") });
+    world.give("d1", first);
+    world.give("d3", second);
+    world.run(seconds(2), STEP).unwrap();
+    let accepted = world.edited.iter().filter(|(e, a)| {
+        ["x", "y"].contains(&e.id.as_str())
+            && matches!(a, comfreymux_lib::event::EditAnswer::Accepted(_))
+    });
+    assert_eq!(accepted.count(), 1);
+    let tables = world.daemons.values().map(|d| d.control.as_ref().unwrap().state().table.clone());
+    for table in tables {
+        assert_eq!(table, world.head.table);
+    }
+}
+
+#[test]
+fn leaving_server() {
+    // A host is about to be taken away. Its replica drains and the model is loaded elsewhere, though
+    // the table allows only one at a time.
+    let mut world = world(true);
+    want(&mut world, "d1", &["m1"]);
+    world.run(seconds(8), STEP).unwrap();
+    let server = world.head.slots_of("m1").next().unwrap().1.server.clone();
+    world.engines.get_mut(&server).unwrap().1.leaving = true;
+    world.run(seconds(30), STEP).unwrap();
+    let slot = world.head.slots_of("m1").next().unwrap().1;
+    assert_ne!(slot.server, server);
+    assert_eq!(slot.phase, Phase::Loaded);
+}
+
+#[test]
+fn memory_shared() {
+    // Four models want two engines that hold two each of them; a fifth evicts an idle one.
+    let mut world = world(true);
+    for models in [["m1", "m2"], ["m3", "m4"]] {
+        want(&mut world, "d1", &models);
+        world.run(seconds(20), STEP).unwrap();
+    }
+    want(&mut world, "d1", &["m5"]);
+    let event = edit(&world, "five", rows::model("m5"));
+    world.give("d1", event);
+    world.run(seconds(30), STEP).unwrap();
+    assert_eq!(phase_of(&world, "m5"), Some(Phase::Loaded));
+    assert!(world.decisions.iter().any(|(_, _, d)| d.action == Choice::Free));
+}
+
+/// One thing that happens.
+#[derive(Clone, Debug)]
+enum Trouble {
+    Want(u8, u8),
+    Claim(u8, u8),
+    Unclaim(u8, u8),
+    Pause(u8, u8),
+    Kill(u8),
+    Start(u8),
+    LogDown(bool),
+    Cut(u8, bool),
+    LoseAppends(u8),
+    AppendTwice(u8),
+    LoseOrders(u8),
+    LateOrder(u8),
+    ReplaceEngine(u8),
+    Leave(u8),
+    Edit(u8, u8),
+    Drift(u8, u8),
+    Lag(u8),
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    let n = || any::<u8>();
+    prop_oneof![
+        6 => (n(), n()).prop_map(|(d, m)| Trouble::Want(d, m)),
+        3 => (n(), n()).prop_map(|(d, k)| Trouble::Claim(d, k)),
+        1 => (n(), n()).prop_map(|(d, k)| Trouble::Unclaim(d, k)),
+        2 => (n(), n()).prop_map(|(d, t)| Trouble::Pause(d, t)),
+        1 => n().prop_map(Trouble::Kill),
+        2 => n().prop_map(Trouble::Start),
+        1 => any::<bool>().prop_map(Trouble::LogDown),
+        1 => (n(), any::<bool>()).prop_map(|(d, c)| Trouble::Cut(d, c)),
+        1 => n().prop_map(Trouble::LoseAppends),
+        1 => n().prop_map(Trouble::AppendTwice),
+        1 => n().prop_map(Trouble::LoseOrders),
+        2 => n().prop_map(Trouble::LateOrder),
+        1 => n().prop_map(Trouble::ReplaceEngine),
+        1 => n().prop_map(Trouble::Leave),
+        2 => (n(), n()).prop_map(|(m, c)| Trouble::Edit(m, c)),
+        1 => (n(), n()).prop_map(|(d, r)| Trouble::Drift(d, r)),
+        1 => n().prop_map(Trouble::Lag),
+    ]
+}
+
+const DAEMONS: [&str; 3] = ["d1", "d2", "d3"];
+const MODELS: [&str; 4] = ["m1", "m2", "m3", "m4"];
+const ENGINES: [&str; 2] = ["e1", "e2"];
+
+fn pick<'a>(names: &[&'a str], n: u8) -> &'a str {
+    names[n as usize % names.len()]
+}
+
+fn cause(world: &mut World, trouble: &Trouble) {
+    let now = world.now;
+    match trouble {
+        Trouble::Want(d, m) => {
+            let wanted: Vec<&str> = MODELS
+                .iter()
+                .enumerate()
+                .filter(|(i, _)| m >> i & 1 == 1)
+                .map(|(_, m)| *m)
+                .collect();
+            want(world, pick(&DAEMONS, *d), &wanted);
+        }
+        Trouble::Claim(d, k) => world.give(pick(&DAEMONS, *d), Event::Claim(u128::from(k % 4))),
+        Trouble::Unclaim(d, k) => {
+            world.give(pick(&DAEMONS, *d), Event::Unclaim(u128::from(k % 4 + 10)))
+        }
+        Trouble::Pause(d, t) => {
+            let daemon = world.daemons.get_mut(pick(&DAEMONS, *d)).unwrap();
+            daemon.paused = now + Duration::from_millis(u64::from(*t) * 150);
+        }
+        Trouble::Kill(d) => world.kill(pick(&DAEMONS, *d)),
+        Trouble::Start(d) => {
+            world.start(pick(&DAEMONS, *d));
+            world.list_hosts();
+        }
+        Trouble::LogDown(down) => world.log_down = *down,
+        Trouble::Cut(d, cut) => world.daemons.get_mut(pick(&DAEMONS, *d)).unwrap().cut = *cut,
+        Trouble::LoseAppends(n) => world.weather.lose_appends = u32::from(n % 4),
+        Trouble::AppendTwice(t) => {
+            world.weather.twice = Some(Duration::from_millis(u64::from(*t) * 100))
+        }
+        Trouble::LoseOrders(n) => world.weather.lose_orders = u32::from(n % 4),
+        Trouble::LateOrder(t) => {
+            world.weather.late_order = Some(Duration::from_millis(u64::from(*t) * 200))
+        }
+        Trouble::ReplaceEngine(e) => world.replace_engine(pick(&ENGINES, *e)),
+        Trouble::Leave(e) => {
+            let engine = &mut world.engines.get_mut(pick(&ENGINES, *e)).unwrap().1;
+            engine.leaving = !engine.leaving;
+        }
+        Trouble::Edit(m, c) => {
+            let row = Row { replicas: u32::from(c % 3), ..rows::model(pick(&MODELS, *m)) };
+            let event = edit(world, &format!("e{}", now.as_millis()), row);
+            world.give("d1", event);
+        }
+        Trouble::Drift(d, r) => {
+            // Only a start sets a clock; a running one that jumped would be another failure.
+            let daemon = world.daemons.get_mut(pick(&DAEMONS, *d)).unwrap();
+            if daemon.control.is_none() {
+                daemon.rate = 0.99 + f64::from(*r) / 255.0 * 0.02;
+            }
+        }
+        Trouble::Lag(t) => world.weather.lag = Duration::from_millis(u64::from(*t) * 10),
+    }
+}
+
+/// Runs troubles and checks, at each step, that what is loaded has its slot and its memory; at the
+/// end, that each claim was granted once and that all daemons agree.
+fn survive(fencing: bool, troubles: &[(Trouble, u8)]) -> Result<(), TestCaseError> {
+    let mut world = world(fencing);
+    let fail = |b: comfreymux_testutils::world::Breach| TestCaseError::fail(b.0);
+    for (trouble, wait) in troubles {
+        cause(&mut world, trouble);
+        world.run(Duration::from_millis(u64::from(*wait) * 40), STEP).map_err(fail)?;
+    }
+    world.log_down = false;
+    world.weather = Default::default();
+    for id in DAEMONS {
+        world.daemons.get_mut(id).unwrap().cut = false;
+        world.start(id);
+    }
+    world.list_hosts();
+    world.run(seconds(60), STEP).map_err(fail)?;
+    let mut keys: Vec<_> = world.granted.iter().map(|(k, _)| *k).collect();
+    let granted = keys.len();
+    keys.sort_unstable();
+    keys.dedup();
+    prop_assert_eq!(granted, keys.len(), "a claim was granted twice: {:?}", world.granted);
+    for daemon in world.daemons.values() {
+        let state = daemon.control.as_ref().unwrap().state();
+        prop_assert_eq!(state.hash(), world.head.hash());
+    }
+    Ok(())
+}
+
+fn cases() -> ProptestConfig {
+    // The same cases every run; more by the environment variable PROPTEST_CASES.
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|t| t.parse().ok()).unwrap_or(48);
+    ProptestConfig {
+        cases,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Default::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn fencing_engines(troubles in prop::collection::vec((trouble(), any::<u8>()), 1..30)) {
+        survive(true, &troubles)?;
+    }
+
+    #[test]
+    fn unfenced_engines(troubles in prop::collection::vec((trouble(), any::<u8>()), 1..30)) {
+        survive(false, &troubles)?;
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/fake_engine.rs
@@ -0,0 +1,149 @@
+//! A model engine in virtual time: what it really holds, and orders as they arrive.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use comfreymux_lib::host::Action;
+use comfreymux_lib::host::Cached;
+use comfreymux_lib::host::ModelReport;
+use comfreymux_lib::host::Order;
+use comfreymux_lib::host::OrderAnswer;
+use comfreymux_lib::host::Report;
+use comfreymux_lib::ids::Fence;
+use comfreymux_lib::ids::Incarnation;
+use comfreymux_lib::ids::Mebibytes;
+use comfreymux_lib::ids::ModelName;
+use comfreymux_lib::ids::Position;
+use comfreymux_lib::record::Source;
+
+/// What an engine holds of one model.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// When its load is complete.
+    pub ready: Duration,
+    /// Ticket of the order that loaded it.
+    pub ticket: Position,
+    /// Memory in use.
+    pub memory_mib: Mebibytes,
+    /// Requests in progress.
+    pub active: u32,
+    /// Requests begun.
+    pub served: u64,
+}
+
+/// A model engine.
+#[derive(Clone, Debug)]
+pub struct FakeEngine {
+    /// Accelerator memory. Loads past it are taken all the same, so that a fault shows.
+    pub memory_mib: Mebibytes,
+    /// Whether orders with an old fencing number or incarnation are refused.
+    pub fencing: bool,
+    /// Start count.
+    pub incarnation: Incarnation,
+    /// Whether the host is being taken away.
+    pub leaving: bool,
+    /// What it holds.
+    pub held: BTreeMap<ModelName, Held>,
+    /// Checkpoints that need no weight store.
+    pub cached: BTreeMap<ModelName, Source>,
+    /// Loads begun.
+    pub loads: u64,
+    fence: Fence,
+}
+
+impl FakeEngine {
+    /// Creates an empty engine.
+    pub fn new(memory_mib: Mebibytes, fencing: bool) -> Self {
+        Self {
+            memory_mib,
+            fencing,
+            incarnation: 1,
+            leaving: false,
+            held: BTreeMap::new(),
+            cached: BTreeMap::new(),
+            loads: 0,
+            fence: 0,
+        }
+    }
+
+    /// Replaces the host: nothing is loaded, no fencing number known, and only the disk is gone.
+    pub fn replace(&mut self) {
+        let cached = std::mem::take(&mut self.cached);
+        *self = Self {
+            incarnation: self.incarnation + 1,
+            loads: self.loads,
+            ..Self::new(self.memory_mib, self.fencing)
+        };
+        self.cached = cached;
+    }
+
+    /// Returns where a load of `model` reads.
+    pub fn source(&self, model: &str) -> Source {
+        self.cached.get(model).copied().unwrap_or(Source::Remote)
+    }
+
+    /// Carries an order out; `time` is how long a load takes.
+    pub fn order(&mut self, now: Duration, order: &Order, time: Duration) -> OrderAnswer {
+        let old = order.fence < self.fence || order.incarnation != self.incarnation;
+        if self.fencing && old {
+            return OrderAnswer::Stale;
+        }
+        self.fence = self.fence.max(order.fence);
+        match order.action {
+            Action::Load => {
+                if !self.held.contains_key(&order.model) {
+                    self.loads += 1;
+                    let held = Held {
+                        ready: now + time,
+                        ticket: order.ticket,
+                        memory_mib: order.memory_mib,
+                        active: 0,
+                        served: 0,
+                    };
+                    self.held.insert(order.model.clone(), held);
+                    self.cached.insert(order.model.clone(), Source::Disk);
+                }
+                OrderAnswer::Done
+            }
+            Action::Unload => {
+                if self.held.get(&order.model).is_some_and(|h| h.active > 0) {
+                    return OrderAnswer::Busy;
+                }
+                self.held.remove(&order.model);
+                OrderAnswer::Done
+            }
+        }
+    }
+
+    /// Returns memory in use.
+    pub fn used_mib(&self) -> Mebibytes {
+        self.held.values().map(|h| h.memory_mib).sum()
+    }
+
+    /// Returns whether `model` can serve.
+    pub fn is_ready(&self, now: Duration, model: &str) -> bool {
+        self.held.get(model).is_some_and(|h| h.ready <= now)
+    }
+
+    /// Returns the load report.
+    pub fn report(&self, now: Duration) -> Report {
+        let line = |(model, held): (&ModelName, &Held)| ModelReport {
+            model: model.clone(),
+            loaded: held.ready <= now,
+            active: held.active,
+            served: held.served,
+            ticket: held.ticket,
+        };
+        let cached = |(model, source): (&ModelName, &Source)| Cached {
+            model: model.clone(),
+            source: *source,
+        };
+        Report {
+            incarnation: self.incarnation,
+            fence: self.fence,
+            leaving: self.leaving,
+            models: self.held.iter().map(line).collect(),
+            cached: self.cached.iter().map(cached).collect(),
+        }
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod demo;
 pub mod engine_standin;
+pub mod fake_engine;
 pub mod hosts_standin;
 pub mod http_server;
 pub mod log_standin;
@@ -9,3 +10,4 @@
 pub mod rows;
 pub mod service_standin;
 pub mod store_standin;
+pub mod world;
--- /dev/null
+++ b/lib/testutils/src/world.rs
@@ -0,0 +1,475 @@
+//! Control state machines on a fake log and fake engines, in virtual time.
+//!
+//! Everything that may go wrong between them is in the caller's hands: lost and late answers,
+//! pauses, crashes, a log that is down, replaced hosts, clocks that drift.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use comfreymux_lib::control::ControlSettings;
+use comfreymux_lib::control::Controller;
+use comfreymux_lib::demand::Waiting;
+use comfreymux_lib::event::ClaimAnswer;
+use comfreymux_lib::event::Decision;
+use comfreymux_lib::event::EditAnswer;
+use comfreymux_lib::event::Effect;
+use comfreymux_lib::event::Event;
+use comfreymux_lib::fold;
+use comfreymux_lib::host::Action;
+use comfreymux_lib::host::Host;
+use comfreymux_lib::host::Order;
+use comfreymux_lib::host::OrderAnswer;
+use comfreymux_lib::host::Report;
+use comfreymux_lib::host::Role;
+use comfreymux_lib::ids::CentreId;
+use comfreymux_lib::ids::ClaimKey;
+use comfreymux_lib::ids::DaemonId;
+use comfreymux_lib::ids::Incarnation;
+use comfreymux_lib::ids::ModelName;
+use comfreymux_lib::ids::ServerId;
+use comfreymux_lib::keepwarm::Policy;
+use comfreymux_lib::rates::Rates;
+use comfreymux_lib::record::Entry;
+use comfreymux_lib::record::Source;
+use comfreymux_lib::state::State;
+use comfreymux_lib::table::Edit;
+
+use crate::fake_engine::FakeEngine;
+use crate::rig::ANY;
+
+/// One daemon's control.
+#[derive(Debug)]
+pub struct FakeDaemon {
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Its start count.
+    pub incarnation: Incarnation,
+    /// Its state machine; none while it is dead.
+    pub control: Option<Controller>,
+    /// Until when it is paused.
+    pub paused: Duration,
+    /// Whether it is cut off from the platform.
+    pub cut: bool,
+    /// Rate of its clock; 1 is true.
+    pub rate: f64,
+    /// Requests that wait at it.
+    pub waiting: Vec<Waiting>,
+    started: Duration,
+    saw_hosts: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Append(DaemonId, Incarnation, Entry, bool),
+    Appended(DaemonId, Incarnation, u64, bool),
+    Order(DaemonId, Incarnation, Order, bool),
+    Ordered(DaemonId, Incarnation, Order, OrderAnswer),
+    Report(DaemonId, Incarnation, ServerId, Option<Report>),
+}
+
+/// How messages go wrong until told otherwise.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    /// Delay of everything.
+    pub delay: Duration,
+    /// Next appends that take effect and whose answer is lost.
+    pub lose_appends: u32,
+    /// Next appends that the log takes twice, the second time after this delay.
+    pub twice: Option<Duration>,
+    /// Next orders whose answer is lost.
+    pub lose_orders: u32,
+    /// Next orders that arrive this late: their sender was paused with the order in hand.
+    pub late_order: Option<Duration>,
+    /// Lag of load reports.
+    pub lag: Duration,
+}
+
+/// A breach of a promise.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Breach(pub String);
+
+/// The world.
+#[derive(Debug)]
+pub struct World {
+    /// Now, on the true clock.
+    pub now: Duration,
+    /// Whether the log is down.
+    pub log_down: bool,
+    /// How messages go wrong.
+    pub weather: Weather,
+    /// Daemons by name.
+    pub daemons: BTreeMap<DaemonId, FakeDaemon>,
+    /// Engines by name, with their data centres.
+    pub engines: BTreeMap<ServerId, (CentreId, FakeEngine)>,
+    /// The fold of the whole log.
+    pub head: State,
+    /// Claims granted, with the daemon.
+    pub granted: Vec<(ClaimKey, DaemonId)>,
+    /// Answers to claims that were not granted.
+    pub refused: Vec<(ClaimKey, ClaimAnswer)>,
+    /// Answers to edits.
+    pub edited: Vec<(Edit, EditAnswer)>,
+    /// Decisions, newest last.
+    pub decisions: Vec<(Duration, DaemonId, Decision)>,
+    /// Loading speeds of the engines.
+    pub rates: Rates,
+    counts: BTreeMap<ModelName, usize>,
+    policy: Policy,
+    log: Vec<Entry>,
+    hosts: Vec<Host>,
+    version: u64,
+    messages: BTreeMap<(Duration, u64), Message>,
+    numbers: u64,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        Self::new(Policy::Learned)
+    }
+}
+
+impl World {
+    /// Creates a world with nothing in it.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            now: Duration::ZERO,
+            log_down: false,
+            weather: Weather::default(),
+            daemons: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            head: State::default(),
+            granted: Vec::new(),
+            refused: Vec::new(),
+            edited: Vec::new(),
+            decisions: Vec::new(),
+            rates: Rates::default(),
+            counts: BTreeMap::new(),
+            policy,
+            log: Vec::new(),
+            hosts: Vec::new(),
+            version: 0,
+            messages: BTreeMap::new(),
+            numbers: 0,
+        }
+    }
+
+    /// Adds an engine.
+    pub fn add_engine(&mut self, id: &str, centre: &str, engine: FakeEngine) {
+        self.engines.insert(id.into(), (centre.into(), engine));
+        self.list_hosts();
+    }
+
+    /// Adds a daemon and starts it.
+    pub fn add_daemon(&mut self, id: &str, centre: &str) {
+        let daemon = FakeDaemon {
+            centre: centre.into(),
+            incarnation: 0,
+            control: None,
+            paused: Duration::ZERO,
+            cut: false,
+            rate: 1.0,
+            waiting: Vec::new(),
+            started: Duration::ZERO,
+            saw_hosts: 0,
+        };
+        self.daemons.insert(id.into(), daemon);
+        self.start(id);
+        self.list_hosts();
+    }
+
+    /// Kills a daemon: what it knew is gone, what it sent is under way.
+    pub fn kill(&mut self, id: &str) {
+        if let Some(daemon) = self.daemons.get_mut(id) {
+            daemon.control = None;
+        }
+    }
+
+    /// Starts a daemon anew, if it is dead.
+    pub fn start(&mut self, id: &str) {
+        let Some(daemon) = self.daemons.get_mut(id).filter(|d| d.control.is_none()) else {
+            return;
+        };
+        daemon.incarnation += 1;
+        daemon.started = self.now;
+        daemon.saw_hosts = 0;
+        daemon.paused = self.now;
+        daemon.control = Some(Controller::new(ControlSettings {
+            id: id.into(),
+            incarnation: daemon.incarnation,
+            centre: daemon.centre.clone(),
+            gap: Duration::from_millis(20),
+            policy: self.policy,
+            poll: Duration::from_secs(1),
+        }));
+    }
+
+    /// Replaces an engine's host: what it held is gone.
+    pub fn replace_engine(&mut self, id: &str) {
+        if let Some((_, engine)) = self.engines.get_mut(id) {
+            engine.replace();
+            self.list_hosts();
+        }
+    }
+
+    /// Makes the host list show the hosts as they are now.
+    pub fn list_hosts(&mut self) {
+        self.version += 1;
+        let host = |id: &str, role, centre: &CentreId| Host {
+            id: id.into(),
+            ..crate::rig::host(role, centre, ANY)
+        };
+        let daemons = self
+            .daemons
+            .iter()
+            .map(|(id, d)| Host { incarnation: d.incarnation, ..host(id, Role::Entry, &d.centre) });
+        let engines = self.engines.iter().map(|(id, (centre, e))| Host {
+            incarnation: e.incarnation,
+            leaving: e.leaving,
+            memory_mib: e.memory_mib,
+            fencing: e.fencing,
+            ..host(id, Role::Engine, centre)
+        });
+        self.hosts = daemons.chain(engines).collect();
+    }
+
+    /// Takes a host out of the host list, whatever it does.
+    pub fn unlist(&mut self, id: &str) {
+        self.version += 1;
+        self.hosts.retain(|h| h.id != id);
+    }
+
+    /// Gives a daemon an event.
+    pub fn give(&mut self, id: &str, event: Event) {
+        let Some((now, control)) = self.awake(id) else {
+            return;
+        };
+        let effects = control.handle(now, event);
+        self.carry_out(id, effects);
+    }
+
+    /// Returns a daemon's clock and state machine, if it runs.
+    fn awake(&mut self, id: &str) -> Option<(Duration, &mut Controller)> {
+        let now = self.now;
+        let daemon = self.daemons.get_mut(id).filter(|d| d.paused <= now)?;
+        let local = now.saturating_sub(daemon.started).mul_f64(daemon.rate);
+        daemon.control.as_mut().map(|control| (local, control))
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration, step: Duration) -> Result<(), Breach> {
+        let end = self.now + time;
+        while self.now < end {
+            self.step(step)?;
+        }
+        Ok(())
+    }
+
+    /// Lets one step of time pass, and checks what the engines really hold.
+    pub fn step(&mut self, step: Duration) -> Result<(), Breach> {
+        self.now += step;
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let message = entry.remove();
+            self.deliver(message);
+            self.check()?;
+        }
+        let ids: Vec<DaemonId> = self.daemons.keys().cloned().collect();
+        for id in &ids {
+            self.read_log(id);
+            self.tell_hosts(id);
+            self.tell_demand(id);
+            self.give(id, Event::Tick);
+        }
+        self.check()
+    }
+
+    fn tell_hosts(&mut self, id: &str) {
+        let version = self.version;
+        let is_due = |d: &FakeDaemon| !d.cut && d.saw_hosts != version;
+        if self.daemons.get(id).is_some_and(is_due) && self.awake(id).is_some() {
+            self.give(id, Event::Hosts(self.hosts.clone()));
+            if let Some(daemon) = self.daemons.get_mut(id) {
+                daemon.saw_hosts = version;
+            }
+        }
+    }
+
+    fn tell_demand(&mut self, id: &str) {
+        let reports: Vec<(DaemonId, Vec<Waiting>)> =
+            self.daemons.iter().map(|(from, d)| (from.clone(), d.waiting.clone())).collect();
+        for (from, waiting) in reports {
+            self.give(id, Event::Demand(from, waiting));
+        }
+    }
+
+    fn read_log(&mut self, id: &str) {
+        let down = self.log_down || self.daemons.get(id).is_some_and(|d| d.cut);
+        let Some((_, control)) = self.awake(id) else {
+            return;
+        };
+        if down {
+            self.give(id, Event::LogFailed);
+            return;
+        }
+        let from = control.state().offset as usize;
+        let entries: Vec<Entry> = self.log[from.min(self.log.len())..].to_vec();
+        self.give(id, Event::LogRead);
+        for (offset, entry) in (from..).zip(entries) {
+            self.give(id, Event::Entry(offset as u64, entry));
+        }
+    }
+
+    fn send(&mut self, delay: Duration, message: Message) {
+        self.numbers += 1;
+        let at = self.now + self.weather.delay + delay;
+        self.messages.insert((at, self.numbers), message);
+    }
+
+    fn carry_out(&mut self, id: &str, effects: Vec<Effect>) {
+        let Some(daemon) = self.daemons.get(id) else {
+            return;
+        };
+        let incarnation = daemon.incarnation;
+        let local = self.now.saturating_sub(daemon.started).mul_f64(daemon.rate);
+        for effect in effects {
+            match effect {
+                Effect::Append(entry) => self.send_append(id, incarnation, entry),
+                Effect::Order(order, until) => {
+                    if until.is_some_and(|until| local >= until) {
+                        let unsent =
+                            Message::Ordered(id.into(), incarnation, order, OrderAnswer::Unsent);
+                        self.send(Duration::ZERO, unsent);
+                        continue;
+                    }
+                    let late = self.weather.late_order.take().unwrap_or_default();
+                    let lost = take(&mut self.weather.lose_orders);
+                    self.send(late, Message::Order(id.into(), incarnation, order, lost));
+                }
+                Effect::Poll(server) => {
+                    let now = self.now;
+                    let report = self.engines.get(&server).map(|(_, e)| e.report(now));
+                    let message = Message::Report(id.into(), incarnation, server, report);
+                    self.send(self.weather.lag, message);
+                }
+                Effect::Claimed(key, ClaimAnswer::Granted) => {
+                    self.granted.push((key, id.into()));
+                }
+                Effect::Claimed(key, answer) => self.refused.push((key, answer)),
+                Effect::Edited(edit, answer) => self.edited.push((edit, answer)),
+                Effect::Decide(decision) => {
+                    self.decisions.push((self.now, id.into(), decision));
+                }
+                Effect::Publish => {}
+            }
+        }
+    }
+
+    fn send_append(&mut self, id: &str, incarnation: Incarnation, entry: Entry) {
+        let cut = self.daemons.get(id).is_some_and(|d| d.cut);
+        if self.log_down || cut {
+            let sequence = entry.sequence;
+            self.send(Duration::ZERO, Message::Appended(id.into(), incarnation, sequence, false));
+            return;
+        }
+        if let Some(later) = self.weather.twice.take() {
+            self.send(later, Message::Append(id.into(), incarnation, entry.clone(), true));
+        }
+        let lost = take(&mut self.weather.lose_appends);
+        self.send(Duration::ZERO, Message::Append(id.into(), incarnation, entry, lost));
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Append(id, incarnation, entry, lost) => {
+                let sequence = entry.sequence;
+                fold::apply(&mut self.head, self.log.len() as u64, &entry);
+                self.log.push(entry);
+                if !lost {
+                    self.send(Duration::ZERO, Message::Appended(id, incarnation, sequence, true));
+                }
+            }
+            Message::Appended(id, incarnation, sequence, done) => {
+                self.answer(&id, incarnation, Event::Appended { sequence, done });
+            }
+            Message::Order(id, incarnation, order, lost) => {
+                let now = self.now;
+                let time = self.load_time(&order);
+                let engine = self.engines.get_mut(&order.server);
+                let answer =
+                    engine.map_or(OrderAnswer::Unknown, |(_, e)| e.order(now, &order, time));
+                let answer = if lost { OrderAnswer::Unknown } else { answer };
+                self.send(Duration::ZERO, Message::Ordered(id, incarnation, order, answer));
+            }
+            Message::Ordered(id, incarnation, order, answer) => {
+                self.answer(&id, incarnation, Event::Ordered(order, answer));
+            }
+            Message::Report(id, incarnation, server, report) => {
+                self.answer(&id, incarnation, Event::Report(server, report));
+            }
+        }
+    }
+
+    /// Gives an answer to the start of the daemon that asked; a paused one gets it later.
+    fn answer(&mut self, id: &str, incarnation: Incarnation, event: Event) {
+        let now = self.now;
+        let Some(daemon) = self.daemons.get(id).filter(|d| d.incarnation == incarnation) else {
+            return;
+        };
+        if daemon.paused <= now {
+            self.give(id, event);
+        }
+    }
+
+    fn load_time(&self, order: &Order) -> Duration {
+        if order.action != Action::Load {
+            return Duration::ZERO;
+        }
+        let source =
+            self.engines.get(&order.server).map_or(Source::Remote, |(_, e)| e.source(&order.model));
+        self.rates.expected(order.load_mib, source)
+    }
+
+    /// Checks the promises against what the engines really hold.
+    ///
+    /// Everything that is loaded must have its slot in the log, memory must suffice, and a model's
+    /// slots may not grow past the table's count. A count that was lowered may stay exceeded, but
+    /// not grow.
+    fn check(&mut self) -> Result<(), Breach> {
+        let mut counts = BTreeMap::new();
+        for slot in self.head.slots.values() {
+            *counts.entry(slot.model.clone()).or_default() += 1;
+        }
+        for (model, count) in &counts {
+            let allowed = self.head.table.row(model).map_or(0, |r| r.replicas as usize);
+            let before = self.counts.get(model).copied().unwrap_or(0);
+            if *count > allowed.max(before) {
+                return Err(Breach(format!("{:?}: {model} has {count} of {allowed}", self.now)));
+            }
+        }
+        self.counts = counts;
+        for (id, (_, engine)) in &self.engines {
+            if engine.used_mib() > engine.memory_mib {
+                let held: Vec<_> = engine.held.keys().collect();
+                return Err(Breach(format!("{:?}: {id} holds {held:?}", self.now)));
+            }
+            for model in engine.held.keys() {
+                let covers = |s: &comfreymux_lib::state::Slot| s.server == *id && s.model == *model;
+                if !self.head.slots.values().any(covers) {
+                    return Err(Breach(format!(
+                        "{:?}: {id} holds {model} without a slot",
+                        self.now
+                    )));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn take(count: &mut u32) -> bool {
+    let any = *count > 0;
+    *count = count.saturating_sub(1);
+    any
+}
