ids: number orders, and no record zero

Cause, two faults that the new tests showed before the change: - late_order_fenced: an order to load whose sender gave up was repeated under the same fencing number. When the first copy arrived after the slot had been freed, the engine took it: 'e1 holds m1 without a slot'. Ruled out: a second holder; there was one daemon and one lease. - edit_conflict: the log's first record had position 0, which also means 'never', so a second edit based on 0 was accepted: Ok(1024) instead of Err(Conflict). Change: an order's number is its lease's place and a count, one order a server is under way at a time; positions begin above 0. Conclusion: a fencing number for each lease is not enough where one holder repeats orders.

--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -35,6 +35,7 @@
 use crate::ids::ModelName;
 use crate::ids::Offset;
 use crate::ids::SlotId;
+use crate::ids::order_fence;
 use crate::keepwarm::KeepWarm;
 use crate::keepwarm::Policy;
 use crate::lease::Authority;
@@ -92,6 +93,8 @@
     desk: ClaimDesk,
     edits: VecDeque<Edit>,
     hints: BTreeMap<DaemonId, (Duration, Vec<Hint>)>,
+    /// Orders given since the start.
+    orders: u64,
     heard: Option<Duration>,
     checkpoint: (Offset, u64),
     /// Why models wait for a load, as last logged.
@@ -121,6 +124,7 @@
             desk: ClaimDesk::new(id, incarnation),
             edits: VecDeque::new(),
             hints: BTreeMap::new(),
+            orders: 0,
             heard: None,
             checkpoint: (0, 0),
             held: BTreeMap::new(),
@@ -474,13 +478,22 @@
         }
     }
 
-    pub(crate) fn order(&mut self, now: Duration, id: SlotId, action: Action) {
-        let (Some(fence), Some(slot)) = (self.fence(), self.state.slots.get(&id)) else {
-            return;
+    /// Gives an order, unless one to the same backend server is unanswered.
+    ///
+    /// Two orders under way at once could arrive in either order, and the engine would refuse the
+    /// one with the lesser number.
+    pub(crate) fn order(&mut self, now: Duration, id: SlotId, action: Action) -> bool {
+        let (Some(lease), Some(slot)) = (self.fence(), self.state.slots.get(&id)) else {
+            return false;
         };
+        if self.watches.is_busy(now, &slot.server) {
+            return false;
+        }
         let Some(server) = self.state.servers.get(&slot.server) else {
-            return;
+            return false;
         };
+        self.orders += 1;
+        let fence = order_fence(lease, self.orders);
         let row = self.state.table.row(&slot.model);
         let order = Order {
             action,
@@ -496,7 +509,8 @@
         // An engine that ignores fencing numbers must get no order after the lease's end; one that
         // heeds them refuses it itself.
         let until = if server.fencing { None } else { self.authority.until() };
-        self.watches.ordered(now, id, action, slot.ticket);
+        self.watches.ordered(now, &order);
         self.effects.push(Effect::Order(order, until));
+        true
     }
 }
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -237,7 +237,9 @@
     fn take_step(&mut self, now: Duration, id: SlotId, slot: &Slot, step: Step) {
         let (model, server) = (slot.model.as_str(), slot.server.as_str());
         match step {
-            Step::Load => self.order(now, id, Action::Load),
+            Step::Load => {
+                self.order(now, id, Action::Load);
+            }
             Step::Ready => self.note_ready(now, id, slot),
             Step::Drain(reason) => {
                 if self.change_phase(id, Phase::Draining) {
@@ -250,8 +252,9 @@
                 }
             }
             Step::Unload(reason) => {
-                self.order(now, id, Action::Unload);
-                self.decide(Choice::Unload, model, server, reason);
+                if self.order(now, id, Action::Unload) {
+                    self.decide(Choice::Unload, model, server, reason);
+                }
             }
             Step::Sleep(_) => {
                 self.change_phase(id, Phase::Reserved);
@@ -363,8 +366,8 @@
         }
         let fencing = self.state.servers.get(&slot.server).is_some_and(|s| s.fencing);
         let ordered = self.watches.get(id).and_then(|w| w.order);
-        if fencing && ordered.is_none_or(|o| o.action != Action::Load) {
-            self.order(now, id, Action::Load);
+        let again = ordered.is_none_or(|o| o.action != Action::Load);
+        if fencing && again && self.order(now, id, Action::Load) {
             self.decide(Choice::Wake, &slot.model, &slot.server, "reserved; the log is down");
         }
     }
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -122,7 +122,7 @@
     pub slot: SlotId,
     /// Ticket of the slot; see [`crate::state::Slot::ticket`].
     pub ticket: Position,
-    /// Fencing number of the lease under which it is given.
+    /// Fencing number; see [`crate::ids::order_fence`].
     pub fence: Fence,
     /// Memory that the model will take.
     pub memory_mib: Mebibytes,
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -35,14 +35,28 @@
 /// Most records one entry may hold.
 pub const MAX_BATCH: usize = 1 << INDEX_BITS;
 
+/// Bits of a fencing number that count the orders under one lease.
+pub const ORDER_BITS: u32 = 24;
+
+/// Returns the fencing number of an order: the lease's place in the log, then the order's count.
+///
+/// A later lease has a greater number than every order of an earlier one. Under one lease, too,
+/// each order has a greater number than those before: an order that arrives after a later one was
+/// carried out is refused. With offsets below 2^40 this lasts for 70 years of 500 appends a second.
+pub fn order_fence(lease: Fence, count: u64) -> Fence {
+    (offset_of(lease) << ORDER_BITS) | (count & ((1 << ORDER_BITS) - 1))
+}
+
 /// Joins an entry's offset and a record's index to a position.
+///
+/// No position is 0, which stands for "never": the log's first record must not look like none.
 pub fn position(offset: Offset, index: usize) -> Position {
-    (offset << INDEX_BITS) | (index as u64 & ((1 << INDEX_BITS) - 1))
+    ((offset + 1) << INDEX_BITS) | (index as u64 & ((1 << INDEX_BITS) - 1))
 }
 
 /// Returns the offset of the entry that holds `position`.
 pub fn offset_of(position: Position) -> Offset {
-    position >> INDEX_BITS
+    (position >> INDEX_BITS).saturating_sub(1)
 }
 
 /// Identity of a request that may not be repeated: a hash of its caller, path and key.
--- a/lib/src/upkeep.rs
+++ b/lib/src/upkeep.rs
@@ -89,7 +89,8 @@
         }
         let own = slot.orderer.0 == *self.me.0 && slot.orderer.1 == self.me.1;
         match watch.order {
-            Some(o) if o.action == Action::Unload => emptied(o, "load given up"),
+            Some(o) if o.action == Action::Unload => emptied(o, "load given up")
+                .filter(|s| !self.paused(o) || matches!(s, Step::Free(_))),
             Some(o) => self.step_ordered(slot, o),
             None if own || self.is_fencing(slot) => Some(Step::Load),
             None if self.is_gone(slot) => Some(Step::Unload("its orderer is gone".into())),
@@ -109,6 +110,8 @@
             Some(OrderAnswer::Unknown) if self.is_fencing(slot) && waited >= ORDER_PAUSE => {
                 Some(Step::Load)
             }
+            // A later order overtook it, or the lease went to another daemon, who will say so.
+            Some(OrderAnswer::Stale) if waited >= ORDER_PAUSE => Some(Step::Load),
             _ => None,
         }
     }
@@ -167,7 +170,7 @@
                 (Some(OrderAnswer::Done), Some(reason)) => Some(Step::Free(reason)),
                 (Some(OrderAnswer::Done), None) => Some(Step::Sleep("unloaded".into())),
                 (Some(OrderAnswer::Busy), None) => Some(Step::Retain),
-                (Some(OrderAnswer::Stale) | None, _) => None,
+                (None, _) => None,
                 (Some(_), _) if self.paused(o) => None,
                 (Some(_), _) => Some(Step::Unload("ordered again".into())),
             };
@@ -254,7 +257,9 @@
 fn emptied(order: OrderState, reason: &str) -> Option<Step> {
     match order.answer {
         Some(OrderAnswer::Done) => Some(Step::Free(reason.into())),
-        Some(OrderAnswer::Unknown | OrderAnswer::Busy) => Some(Step::Unload(reason.into())),
+        Some(OrderAnswer::Unknown | OrderAnswer::Busy | OrderAnswer::Stale) => {
+            Some(Step::Unload(reason.into()))
+        }
         _ => None,
     }
 }
--- a/lib/src/watch.rs
+++ b/lib/src/watch.rs
@@ -6,12 +6,17 @@
 use crate::host::Action;
 use crate::host::Order;
 use crate::host::OrderAnswer;
+use crate::ids::Fence;
 use crate::ids::ModelName;
 use crate::ids::Position;
+use crate::ids::ServerId;
 use crate::ids::SlotId;
 use crate::record::Phase;
 use crate::state::Slot;
 
+/// An order counts as unanswered for this long; its sender gives up much earlier.
+const ANSWER_BOUND: Duration = Duration::from_secs(10);
+
 /// The last order for a slot and how it went.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct OrderState {
@@ -21,6 +26,8 @@
     pub sent: Duration,
     /// The slot's ticket then.
     pub ticket: Position,
+    /// The order's fencing number.
+    pub fence: Fence,
     /// The answer, once there is one.
     pub answer: Option<OrderAnswer>,
 }
@@ -83,6 +90,8 @@
 #[derive(Debug, Default)]
 pub struct Watches {
     slots: BTreeMap<SlotId, Watch>,
+    /// Backend servers with an unanswered order, and when it was sent.
+    busy: BTreeMap<ServerId, Duration>,
     /// When each model was last used here, which outlasts its slots.
     last: BTreeMap<ModelName, Duration>,
 }
@@ -114,10 +123,17 @@
         self.slots.retain(|slot, _| stays(*slot));
     }
 
+    /// Returns whether an order to `server` is unanswered.
+    pub fn is_busy(&self, now: Duration, server: &str) -> bool {
+        self.busy.get(server).is_some_and(|sent| now < *sent + ANSWER_BOUND)
+    }
+
     /// Notes that an order is sent.
-    pub fn ordered(&mut self, now: Duration, slot: SlotId, action: Action, ticket: Position) {
+    pub fn ordered(&mut self, now: Duration, order: &Order) {
+        self.busy.insert(order.server.clone(), now);
+        let Order { action, slot, ticket, fence, .. } = *order;
         let watch = self.entry(now, slot);
-        watch.order = Some(OrderState { action, sent: now, ticket, answer: None });
+        watch.order = Some(OrderState { action, sent: now, ticket, fence, answer: None });
         if action == Action::Load {
             watch.began = now;
             watch.loaded = false;
@@ -126,12 +142,11 @@
 
     /// Notes the answer to the order that is under way; an answer to an older one is ignored.
     pub fn answered(&mut self, order: &Order, answer: OrderAnswer) {
+        self.busy.remove(&order.server);
         let Some(watch) = self.slots.get_mut(&order.slot) else {
             return;
         };
-        let this = |o: &OrderState| {
-            o.action == order.action && o.ticket == order.ticket && o.answer.is_none()
-        };
+        let this = |o: &OrderState| o.fence == order.fence && o.ticket == order.ticket;
         let Some(state) = watch.order.as_mut().filter(|o| this(o)) else {
             return;
         };
--- a/lib/tests/test_failures.rs
+++ b/lib/tests/test_failures.rs
@@ -11,6 +11,7 @@
 use comfreymux_lib::table::RowChange;
 use comfreymux_testutils::fake_engine::FakeEngine;
 use comfreymux_testutils::rows;
+use comfreymux_testutils::world::Weather;
 use comfreymux_testutils::world::World;
 use proptest::prelude::*;
 
@@ -210,11 +211,99 @@
     assert!(world.decisions.iter().any(|(_, _, d)| d.action == Choice::Free));
 }
 
+/// One daemon, one engine with room for two models, and three models that want it in turn while the
+/// first order to load arrives late.
+fn late_then_evicted(fencing: bool, lag: Duration) {
+    let mut world = World::default();
+    world.add_engine("e1", "a", FakeEngine::new(25_000, fencing));
+    world.add_daemon("d1", "a");
+    world.run(seconds(4), STEP).unwrap();
+    for name in ["m1", "m2", "m3"] {
+        let event = edit(&world, name, rows::model(name));
+        world.give("d1", event);
+        world.run(seconds(1), STEP).unwrap();
+    }
+    world.weather.lag = lag;
+    for late in [60, 100, 200] {
+        want(&mut world, "d1", &["m1"]);
+        world.weather.late_order = Some(seconds(late));
+        world.run(seconds(15), STEP).unwrap();
+        want(&mut world, "d1", &["m2", "m3"]);
+        world.run(seconds(40), STEP).unwrap();
+        want(&mut world, "d1", &[]);
+        world.run(seconds(300), STEP).unwrap();
+    }
+}
+
+#[test]
+fn late_order_fenced() {
+    // An order to load is given up by its sender, repeated, and carried out. The model is unloaded
+    // later and its memory given to others. Then the first order arrives after all; the engine
+    // must refuse it, though the same holder gave it under the same lease.
+    late_then_evicted(true, Duration::ZERO);
+}
+
+#[test]
+fn late_order_unfenced() {
+    // As above, but the engine ignores fencing numbers: the order must not have been repeated, and
+    // the slot stays taken until the order arrived.
+    late_then_evicted(false, Duration::ZERO);
+}
+
+#[test]
+fn lagging_report() {
+    // A model is unloaded and loaded again; the second order is under way for a minute. A lagging
+    // report still shows the first load and must not be taken for the end of the second.
+    late_then_evicted(false, seconds(3));
+}
+
+#[test]
+fn cut_holder() {
+    // A lease holder is cut off from the log and wakes a reserved model all the same, on an engine
+    // that heeds fencing numbers. Its successor needs the memory: it must not take the slot for
+    // empty because nobody recorded a load.
+    let mut world = World::default();
+    world.add_engine("e1", "a", FakeEngine::new(25_000, true));
+    world.add_daemon("d1", "a");
+    world.add_daemon("d2", "a");
+    world.run(seconds(4), STEP).unwrap();
+    for name in ["m1", "m2", "m3"] {
+        let event = edit(&world, name, rows::model(name));
+        world.give("d1", event);
+        world.run(seconds(1), STEP).unwrap();
+    }
+    want(&mut world, "d1", &["m1"]);
+    world.run(seconds(8), STEP).unwrap();
+    want(&mut world, "d1", &[]);
+    while phase_of(&world, "m1") != Some(Phase::Reserved) {
+        world.step(STEP).unwrap();
+        assert!(world.now < seconds(4000), "never unloaded");
+    }
+    let first: comfreymux_lib::ids::DaemonId = holder(&world, "a").into();
+    world.daemons.get_mut(&first).unwrap().cut = true;
+    world.run(seconds(5), STEP).unwrap();
+    want(&mut world, &first, &["m1"]);
+    world.run(seconds(3), STEP).unwrap();
+    assert!(world.engines["e1"].1.held.contains_key("m1"), "woken without the log");
+    world.daemons.get_mut(&first).unwrap().paused = world.now + seconds(10);
+    want(&mut world, &first, &[]);
+    while holder(&world, "a") == first.as_str() {
+        world.step(STEP).unwrap();
+    }
+    want(&mut world, "d1", &["m2", "m3"]);
+    want(&mut world, "d2", &["m2", "m3"]);
+    world.run(seconds(30), STEP).unwrap();
+    assert_eq!(phase_of(&world, "m2"), Some(Phase::Loaded));
+    assert_eq!(phase_of(&world, "m3"), Some(Phase::Loaded));
+}
+
 /// One thing that happens.
 #[derive(Clone, Debug)]
 enum Trouble {
     Want(u8, u8),
     Claim(u8, u8),
+    ClaimAll(u8),
+    Slow(u8),
     Unclaim(u8, u8),
     Pause(u8, u8),
     Kill(u8),
@@ -237,7 +326,9 @@
     prop_oneof![
         6 => (n(), n()).prop_map(|(d, m)| Trouble::Want(d, m)),
         3 => (n(), n()).prop_map(|(d, k)| Trouble::Claim(d, k)),
+        2 => n().prop_map(Trouble::ClaimAll),
         1 => (n(), n()).prop_map(|(d, k)| Trouble::Unclaim(d, k)),
+        1 => n().prop_map(Trouble::Slow),
         2 => (n(), n()).prop_map(|(d, t)| Trouble::Pause(d, t)),
         1 => n().prop_map(Trouble::Kill),
         2 => n().prop_map(Trouble::Start),
@@ -275,9 +366,19 @@
                 .collect();
             want(world, pick(&DAEMONS, *d), &wanted);
         }
-        Trouble::Claim(d, k) => world.give(pick(&DAEMONS, *d), Event::Claim(u128::from(k % 4))),
+        Trouble::Claim(d, k) => world.give(pick(&DAEMONS, *d), Event::Claim(u128::from(k % 16))),
+        Trouble::ClaimAll(k) => {
+            for daemon in DAEMONS {
+                world.give(daemon, Event::Claim(u128::from(k % 16)));
+            }
+        }
+        Trouble::Slow(t) => world.weather.delay = Duration::from_millis(u64::from(*t % 32) * 20),
         Trouble::Unclaim(d, k) => {
-            world.give(pick(&DAEMONS, *d), Event::Unclaim(u128::from(k % 4 + 10)))
+            // Only what was not sent may be withdrawn.
+            let key = u128::from(k % 16);
+            if world.granted.iter().all(|(granted, _)| *granted != key) {
+                world.give(pick(&DAEMONS, *d), Event::Unclaim(key));
+            }
         }
         Trouble::Pause(d, t) => {
             let daemon = world.daemons.get_mut(pick(&DAEMONS, *d)).unwrap();
@@ -292,11 +393,11 @@
         Trouble::Cut(d, cut) => world.daemons.get_mut(pick(&DAEMONS, *d)).unwrap().cut = *cut,
         Trouble::LoseAppends(n) => world.weather.lose_appends = u32::from(n % 4),
         Trouble::AppendTwice(t) => {
-            world.weather.twice = Some(Duration::from_millis(u64::from(*t) * 100))
+            world.weather.twice = Some(Duration::from_millis(u64::from(*t) * 100));
         }
         Trouble::LoseOrders(n) => world.weather.lose_orders = u32::from(n % 4),
         Trouble::LateOrder(t) => {
-            world.weather.late_order = Some(Duration::from_millis(u64::from(*t) * 200))
+            world.weather.late_order = Some(Duration::from_millis(u64::from(*t) * 200));
         }
         Trouble::ReplaceEngine(e) => world.replace_engine(pick(&ENGINES, *e)),
         Trouble::Leave(e) => {
@@ -329,7 +430,7 @@
         world.run(Duration::from_millis(u64::from(*wait) * 40), STEP).map_err(fail)?;
     }
     world.log_down = false;
-    world.weather = Default::default();
+    world.weather = Weather::default();
     for id in DAEMONS {
         world.daemons.get_mut(id).unwrap().cut = false;
         world.start(id);
--- a/lib/testutils/src/world.rs
+++ b/lib/testutils/src/world.rs
@@ -62,11 +62,19 @@
 enum Message {
     Append(DaemonId, Incarnation, Entry, bool),
     Appended(DaemonId, Incarnation, u64, bool),
-    Order(DaemonId, Incarnation, Order, bool),
+    /// An order, and whether its answer is lost; none where the sender has given up.
+    Order(DaemonId, Incarnation, Order, Option<bool>),
     Ordered(DaemonId, Incarnation, Order, OrderAnswer),
     Report(DaemonId, Incarnation, ServerId, Option<Report>),
+    /// An answer that waited for the end of a pause.
+    Answer(DaemonId, Incarnation, Event),
 }
 
+/// When the sender of an order gives up waiting for its answer.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Delay of every message where the weather says nothing else.
+const DELAY: Duration = Duration::from_millis(20);
+
 /// How messages go wrong until told otherwise.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Weather {
@@ -256,6 +264,10 @@
     }
 
     /// Lets time pass.
+    ///
+    /// # Errors
+    ///
+    /// A promise was broken.
     pub fn run(&mut self, time: Duration, step: Duration) -> Result<(), Breach> {
         let end = self.now + time;
         while self.now < end {
@@ -265,6 +277,10 @@
     }
 
     /// Lets one step of time pass, and checks what the engines really hold.
+    ///
+    /// # Errors
+    ///
+    /// A promise was broken.
     pub fn step(&mut self, step: Duration) -> Result<(), Breach> {
         self.now += step;
         while let Some(entry) = self.messages.first_entry() {
@@ -323,7 +339,7 @@
 
     fn send(&mut self, delay: Duration, message: Message) {
         self.numbers += 1;
-        let at = self.now + self.weather.delay + delay;
+        let at = self.now + DELAY + self.weather.delay + delay;
         self.messages.insert((at, self.numbers), message);
     }
 
@@ -343,9 +359,7 @@
                         self.send(Duration::ZERO, unsent);
                         continue;
                     }
-                    let late = self.weather.late_order.take().unwrap_or_default();
-                    let lost = take(&mut self.weather.lose_orders);
-                    self.send(late, Message::Order(id.into(), incarnation, order, lost));
+                    self.send_order(id, incarnation, order);
                 }
                 Effect::Poll(server) => {
                     let now = self.now;
@@ -366,6 +380,21 @@
         }
     }
 
+    fn send_order(&mut self, id: &str, incarnation: Incarnation, order: Order) {
+        let mut lost = take(&mut self.weather.lose_orders);
+        let late = self.weather.late_order.take();
+        if late.is_some() {
+            // The sender gives up long before the order arrives.
+            lost = true;
+            let unknown =
+                Message::Ordered(id.into(), incarnation, order.clone(), OrderAnswer::Unknown);
+            self.send(ORDER_TIMEOUT, unknown);
+        }
+        let silent = late.is_some();
+        let message = Message::Order(id.into(), incarnation, order, Some(lost).filter(|_| !silent));
+        self.send(late.unwrap_or_default(), message);
+    }
+
     fn send_append(&mut self, id: &str, incarnation: Incarnation, entry: Entry) {
         let cut = self.daemons.get(id).is_some_and(|d| d.cut);
         if self.log_down || cut {
@@ -399,8 +428,10 @@
                 let engine = self.engines.get_mut(&order.server);
                 let answer =
                     engine.map_or(OrderAnswer::Unknown, |(_, e)| e.order(now, &order, time));
-                let answer = if lost { OrderAnswer::Unknown } else { answer };
-                self.send(Duration::ZERO, Message::Ordered(id, incarnation, order, answer));
+                if let Some(lost) = lost {
+                    let answer = if lost { OrderAnswer::Unknown } else { answer };
+                    self.send(Duration::ZERO, Message::Ordered(id, incarnation, order, answer));
+                }
             }
             Message::Ordered(id, incarnation, order, answer) => {
                 self.answer(&id, incarnation, Event::Ordered(order, answer));
@@ -408,6 +439,7 @@
             Message::Report(id, incarnation, server, report) => {
                 self.answer(&id, incarnation, Event::Report(server, report));
             }
+            Message::Answer(id, incarnation, event) => self.answer(&id, incarnation, event),
         }
     }
 
@@ -417,8 +449,11 @@
         let Some(daemon) = self.daemons.get(id).filter(|d| d.incarnation == incarnation) else {
             return;
         };
-        if daemon.paused <= now {
+        let wait = daemon.paused.saturating_sub(now);
+        if wait.is_zero() {
             self.give(id, event);
+        } else {
+            self.send(wait, Message::Answer(id.into(), incarnation, event));
         }
     }
 
