--- /dev/null
+++ b/lib/tests/test_streams.rs
@@ -0,0 +1,124 @@
+//! Streams that end badly, over real sockets.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
+use comfreymux_testutils::engine_standin::EngineFaults;
+use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::rig::Rig;
+use comfreymux_testutils::rig::complete;
+use comfreymux_testutils::rig::wait_for;
+use comfreymux_testutils::rig::words;
+use comfreymux_testutils::rows;
+use rstest::rstest;
+
+const CHAT: &str = "/v1/chat/completions";
+const TOKENS: u64 = 12;
+
+/// One daemon before one engine with a loaded model.
+fn rig(repeat: bool) -> Rig {
+    let mut rig = Rig::default();
+    rig.add_engine("e1", "hala-a", &EngineSettings::default());
+    rig.add_daemon("d1", "hala-a", &[("idle-timeout", "1s")]);
+    rig.await_view("d1", "the daemon", |v| v.daemons.len() == 1);
+    rig.apply("d1", "first", &[comfreymux_lib::table::Row { repeat, ..rows::model("grant") }]);
+    rig.await_view("d1", "the table", |v| v.table.row("grant").is_some());
+    let (status, _) = complete(&rig.url("d1", CHAT), "grant", true, 1).unwrap();
+    assert_eq!(status, 200);
+    rig
+}
+
+fn fault(kind: &str, after: u64) -> EngineFaults {
+    let mut faults = EngineFaults { after, ..EngineFaults::default() };
+    match kind {
+        "stall" => faults.stall = 1,
+        "cut" => faults.cut = 1,
+        "error" => faults.error = 1,
+        "crossed" => faults.crossed = 1,
+        "silent" => faults.silent = 1,
+        _ => unreachable!("a kind of fault"),
+    }
+    faults
+}
+
+#[rstest]
+#[case::stalled_first("stall", 0)]
+#[case::stalled_midway("stall", 5)]
+#[case::cut_first("cut", 0)]
+#[case::cut_midway("cut", 5)]
+#[case::cut_unmarked("cut", TOKENS)]
+#[case::error_first("error", 0)]
+#[case::error_midway("error", 5)]
+#[case::crossed("crossed", 0)]
+#[case::silent("silent", 0)]
+fn stream_resumed(#[case] kind: &str, #[case] after: u64) {
+    // A family waits for a draft. The engine's stream breaks off, before the first token, after some
+    // or before the end marker. The daemon takes it up again on a new connection, and the caller
+    // gets every token once.
+    let rig = rig(true);
+    rig.engines["e1"].set_faults(fault(kind, after));
+    let (status, body) = complete(&rig.url("d1", CHAT), "grant", true, TOKENS).unwrap();
+    assert_eq!(status, 200, "{body}");
+    let (words, done) = words(&body);
+    let expected: Vec<String> = (0..TOKENS).map(|i| format!("t{i}")).collect();
+    assert_eq!(words, expected);
+    assert!(done);
+}
+
+#[rstest]
+#[case::stalled("stall", "may-have-run")]
+#[case::cut("cut", "may-have-run")]
+#[case::error("error", "engine overloaded")]
+fn stream_named(#[case] kind: &str, #[case] named: &str) {
+    // A stream that may not be repeated breaks off after five tokens. The caller keeps the five, is
+    // told what happened, and sees no end marker.
+    let rig = rig(false);
+    rig.engines["e1"].set_faults(fault(kind, 5));
+    let (status, body) = complete(&rig.url("d1", CHAT), "grant", true, TOKENS).unwrap();
+    assert_eq!(status, 200);
+    let (words, done) = words(&body);
+    assert_eq!(words.len(), 5);
+    assert!(!done);
+    assert!(body.contains("\"error\"") && body.contains(named), "{body}");
+}
+
+#[test]
+fn error_unstarted() {
+    // The engine accepts a request and streams a lone error object. Without a token sent, the caller
+    // gets a status that says so, not an empty answer.
+    let rig = rig(false);
+    rig.engines["e1"].set_faults(fault("error", 0));
+    let (status, body) = complete(&rig.url("d1", CHAT), "grant", true, TOKENS).unwrap();
+    assert_eq!(status, 502);
+    assert!(body.contains("may-have-run") && body.contains("engine overloaded"), "{body}");
+}
+
+#[test]
+fn caller_gone() {
+    // A caller vanishes in the middle of a long stream; the daemon and the engine let go of it.
+    let rig = rig(true);
+    let body = r#"{"model":"grant","stream":true,"max_tokens":100000,"messages":[]}"#;
+    let mut caller = TcpStream::connect(rig.daemons["d1"].addr).unwrap();
+    let head =
+        format!("POST {CHAT} HTTP/1.1\r\nHost: d\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    caller.write_all(head.as_bytes()).unwrap();
+    let mut some = [0; 200];
+    caller.read_exact(&mut some).unwrap();
+    drop(caller);
+    let node = rig.daemons["d1"].node();
+    wait_for("the request's end", || node.limits().total() == 0);
+    wait_for("the engine's end", || rig.engines["e1"].report().models[0].active == 0);
+}
+
+#[test]
+fn silent_once() {
+    // One connection to an engine goes silent for good while new ones work. The engine is not given
+    // up for it: the next requests are served there.
+    let rig = rig(true);
+    rig.engines["e1"].set_faults(fault("silent", 0));
+    for _ in 0..3 {
+        let (status, _) = complete(&rig.url("d1", CHAT), "grant", true, 2).unwrap();
+        assert_eq!(status, 200);
+    }
+}
