upkeep: take only this load's report for its end

Cause: on engines that heed fencing numbers a lagging report of an earlier load was taken for the end of the next one, so callers were sent to an engine that was still loading. lagging_report, rewritten because the first form could not fail (it survived the check's removal), showed it: case_1_fencing failed before the change, both cases pass after it. Ruled out: the engine's cache; the fake engine had nothing loaded. Change: a report counts only with the slot's ticket, on every engine; an engine takes over the ticket of an order for what it already holds.

--- a/lib/src/upkeep.rs
+++ b/lib/src/upkeep.rs
@@ -219,10 +219,10 @@
     }
 
     fn is_reported(&self, slot: &Slot) -> bool {
-        // Where a late order could still arrive, only the load that the slot's ticket allowed
-        // resolves it.
-        let is_this = |m: &&ModelReport| self.is_fencing(slot) || m.ticket == slot.ticket;
-        self.reported(slot).filter(is_this).is_some_and(|m| m.loaded)
+        // A lagging report may show the load before this one. Taking it for this one's end would send
+        // requests to an engine that is still loading, and on one that ignores fencing numbers it
+        // would pass an order that is still under way for one that was carried out.
+        self.reported(slot).is_some_and(|m| m.loaded && m.ticket == slot.ticket)
     }
 
     /// Returns whether a report that is surely younger than `since` does not name the model.
--- a/lib/tests/test_failures.rs
+++ b/lib/tests/test_failures.rs
@@ -14,6 +14,7 @@
 use comfreymux_testutils::world::Weather;
 use comfreymux_testutils::world::World;
 use proptest::prelude::*;
+use rstest::rstest;
 
 const STEP: Duration = Duration::from_millis(50);
 
@@ -211,9 +212,8 @@
     assert!(world.decisions.iter().any(|(_, _, d)| d.action == Choice::Free));
 }
 
-/// One daemon, one engine with room for two models, and three models that want it in turn while the
-/// first order to load arrives late.
-fn late_then_evicted(fencing: bool, lag: Duration) {
+/// One daemon, one engine with room for two models, and three models in the table.
+fn small_world(fencing: bool) -> World {
     let mut world = World::default();
     world.add_engine("e1", "a", FakeEngine::new(25_000, fencing));
     world.add_daemon("d1", "a");
@@ -223,7 +223,12 @@
         world.give("d1", event);
         world.run(seconds(1), STEP).unwrap();
     }
-    world.weather.lag = lag;
+    world
+}
+
+/// Three models want the engine in turn while the first order to load arrives late.
+fn late_then_evicted(fencing: bool) {
+    let mut world = small_world(fencing);
     for late in [60, 100, 200] {
         want(&mut world, "d1", &["m1"]);
         world.weather.late_order = Some(seconds(late));
@@ -240,21 +245,37 @@
     // An order to load is given up by its sender, repeated, and carried out. The model is unloaded
     // later and its memory given to others. Then the first order arrives after all; the engine
     // must refuse it, though the same holder gave it under the same lease.
-    late_then_evicted(true, Duration::ZERO);
+    late_then_evicted(true);
 }
 
 #[test]
 fn late_order_unfenced() {
     // As above, but the engine ignores fencing numbers: the order must not have been repeated, and
     // the slot stays taken until the order arrived.
-    late_then_evicted(false, Duration::ZERO);
+    late_then_evicted(false);
 }
 
-#[test]
-fn lagging_report() {
-    // A model is unloaded and loaded again; the second order is under way for a minute. A lagging
-    // report still shows the first load and must not be taken for the end of the second.
-    late_then_evicted(false, seconds(3));
+#[rstest]
+#[case::fencing(true)]
+#[case::unfenced(false)]
+fn lagging_report(#[case] fencing: bool) {
+    // A model is unloaded and soon wanted again. A lagging report still shows the first load; it
+    // must not be taken for the end of the second, or callers are sent to an engine that loads.
+    let mut world = small_world(fencing);
+    want(&mut world, "d1", &["m1"]);
+    world.run(seconds(8), STEP).unwrap();
+    world.weather.lag = seconds(3);
+    want(&mut world, "d1", &[]);
+    while phase_of(&world, "m1") != Some(Phase::Reserved) {
+        world.step(STEP).unwrap();
+        assert!(world.now < seconds(4000), "never unloaded");
+    }
+    want(&mut world, "d1", &["m1"]);
+    while phase_of(&world, "m1") != Some(Phase::Loaded) {
+        world.step(STEP).unwrap();
+        assert!(world.now < seconds(4000), "never loaded");
+    }
+    assert!(world.engines["e1"].1.is_ready(world.now, "m1"));
 }
 
 #[test]
@@ -262,16 +283,9 @@
     // A lease holder is cut off from the log and wakes a reserved model all the same, on an engine
     // that heeds fencing numbers. Its successor needs the memory: it must not take the slot for
     // empty because nobody recorded a load.
-    let mut world = World::default();
-    world.add_engine("e1", "a", FakeEngine::new(25_000, true));
-    world.add_daemon("d1", "a");
+    let mut world = small_world(true);
     world.add_daemon("d2", "a");
-    world.run(seconds(4), STEP).unwrap();
-    for name in ["m1", "m2", "m3"] {
-        let event = edit(&world, name, rows::model(name));
-        world.give("d1", event);
-        world.run(seconds(1), STEP).unwrap();
-    }
+    world.run(seconds(1), STEP).unwrap();
     want(&mut world, "d1", &["m1"]);
     world.run(seconds(8), STEP).unwrap();
     want(&mut world, "d1", &[]);
--- /dev/null
+++ b/lib/tests/test_outages.rs
@@ -0,0 +1,189 @@
+//! Log outages, cut-off data centres and late starts, over real sockets.
+
+use comfreymux_lib::host_list::HostBook;
+use comfreymux_lib::host_list::HostChange;
+use comfreymux_lib::peer_message::Digest;
+use comfreymux_lib::peers::read_digest;
+use comfreymux_lib::wire;
+use comfreymux_testutils::engine_standin::EngineFaults;
+use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::log_standin::LogFaults;
+use comfreymux_testutils::rig::ANY;
+use comfreymux_testutils::rig::Rig;
+use comfreymux_testutils::rig::complete;
+use comfreymux_testutils::rig::wait_for;
+use comfreymux_testutils::rows;
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn down() -> LogFaults {
+    LogFaults { down: true, ..LogFaults::default() }
+}
+
+/// Two daemons of one data centre before one engine, with a loaded model.
+fn rig() -> Rig {
+    let mut rig = Rig::default();
+    rig.add_engine("e1", "qc-c", &EngineSettings::default());
+    rig.add_daemon("d1", "qc-c", &[]);
+    rig.add_daemon("d2", "qc-c", &[]);
+    for daemon in ["d1", "d2"] {
+        rig.await_view(daemon, "both daemons", |v| v.daemons.len() == 2);
+    }
+    rig.apply("d1", "first", &[rows::model("hem"), rows::model("resize")]);
+    rig.await_view("d2", "the table", |v| v.table.row("hem").is_some());
+    assert_eq!(complete(&rig.url("d1", CHAT), "hem", false, 1).unwrap().0, 200);
+    rig.await_view("d2", "the replica", |v| !v.places("hem").is_empty());
+    rig
+}
+
+#[test]
+fn serving_continues() {
+    // The log is down for longer than a lease. Loaded models are served by every daemon.
+    let rig = rig();
+    rig.log.set_faults(down());
+    rig.await_view("d1", "the outage", |v| !v.logged);
+    for daemon in ["d1", "d2"] {
+        assert_eq!(complete(&rig.url(daemon, CHAT), "hem", false, 1).unwrap().0, 200);
+    }
+}
+
+#[test]
+fn started_late() {
+    // A daemon starts while the log is down. It takes the state over from a peer and serves.
+    let mut rig = rig();
+    rig.log.set_faults(down());
+    rig.add_daemon("d3", "qc-c", &[]);
+    rig.await_view("d3", "the table", |v| !v.places("hem").is_empty());
+    assert_eq!(complete(&rig.url("d3", CHAT), "hem", false, 1).unwrap().0, 200);
+    let daemons = ["d1", "d3"].map(|d| rig.daemons[d].node().state().unwrap());
+    assert_eq!(daemons[0].hash(), daemons[1].hash());
+}
+
+#[test]
+fn records_expired() {
+    // The log keeps little, and a daemon starts after the first edits expired. It starts from a
+    // snapshot in the log and has the same state as the others.
+    let mut rig = rig();
+    let node = std::sync::Arc::clone(rig.daemons["d1"].node());
+    let state = node.state().unwrap();
+    let entry = comfreymux_lib::record::Entry {
+        writer: "x".into(),
+        incarnation: 1,
+        sequence: 1,
+        records: comfreymux_lib::snapshot::split(&state)
+            .into_iter()
+            .map(comfreymux_lib::record::Record::Snapshot)
+            .collect(),
+    };
+    let body = wire::encode(&entry);
+    comfreymux_lib::log_service::LogService::append(&rig.log_client(), &body).unwrap();
+    let keep = (node.state().unwrap().offset - state.offset) as usize + 2;
+    rig.log.set_faults(LogFaults { keep, ..LogFaults::default() });
+    rig.apply("d1", "second", &[rows::model("hem"), rows::model("quote")]);
+    rig.add_daemon("d3", "qc-c", &[]);
+    rig.await_view("d3", "the table", |v| v.table.row("quote").is_some());
+    wait_for("equal states", || {
+        let states = ["d1", "d3"].map(|d| rig.daemons[d].node().state().unwrap());
+        states[0].offset == states[1].offset && states[0].hash() == states[1].hash()
+    });
+}
+
+#[test]
+fn edit_relayed() {
+    // A daemon cannot reach the log, but its neighbour can. An edit made through the neighbour is
+    // in force at both.
+    let mut rig = rig();
+    let cut = comfreymux_testutils::http_server::HttpServer::start(
+        ANY,
+        std::sync::Arc::new(comfreymux_testutils::log_standin::LogStandin::default()),
+    )
+    .unwrap();
+    let nowhere = format!("http://{}", cut.addr);
+    cut.stop();
+    rig.add_daemon("d3", "qc-c", &[("log", &nowhere)]);
+    rig.await_view("d3", "the table", |v| v.table.row("hem").is_some());
+    rig.apply("d1", "second", &[rows::model("hem"), rows::model("quote")]);
+    rig.await_view("d3", "the edit", |v| v.table.row("quote").is_some());
+    assert!(!rig.daemons["d3"].node().view.load().logged);
+}
+
+#[test]
+fn holder_killed() {
+    // The daemon that leads the data centre dies without a word. Another one takes the lease over
+    // and loads a cold model for its callers.
+    let mut rig = rig();
+    let state = rig.daemons["d1"].node().state().unwrap();
+    let holder = state.leases["qc-c"].daemon.clone();
+    let other = if holder == "d1" { "d2" } else { "d1" };
+    rig.daemons.remove(&holder).unwrap().end();
+    let (status, body) = complete(&rig.url(other, CHAT), "resize", false, 1).unwrap();
+    assert_eq!(status, 200, "{body}");
+    let state = rig.daemons[other].node().state().unwrap();
+    assert_eq!(state.leases["qc-c"].daemon, other);
+}
+
+#[test]
+fn holder_stops() {
+    // The leading daemon is stopped as planned. It gives its lease up, and nobody waits for it to
+    // lapse.
+    let mut rig = rig();
+    let state = rig.daemons["d1"].node().state().unwrap();
+    let holder = state.leases["qc-c"].daemon.clone();
+    let other = if holder == "d1" { "d2" } else { "d1" };
+    assert!(rig.daemons.remove(&holder).unwrap().stop());
+    let node = std::sync::Arc::clone(rig.daemons[other].node());
+    wait_for("the new lease", || {
+        node.state().is_some_and(|s| s.leases.get("qc-c").is_some_and(|l| l.daemon == other))
+    });
+}
+
+#[test]
+fn engine_leaves() {
+    // An engine's host is being taken away, and only the engine itself says so yet. New requests go
+    // to another engine, where the model is loaded anew.
+    let mut rig = rig();
+    rig.add_engine("e2", "qc-c", &EngineSettings::default());
+    rig.engines["e1"].set_faults(EngineFaults { leaving: true, ..EngineFaults::default() });
+    let (status, body) = complete(&rig.url("d1", CHAT), "hem", false, 1).unwrap();
+    assert_eq!(status, 200, "{body}");
+    assert_eq!(rig.engines["e2"].audit().served, 1);
+}
+
+#[test]
+fn foreign_datagram() {
+    // Somebody on the network sends a daemon datagrams: malformed, from an unknown address, or in
+    // another daemon's name. None is heeded.
+    let rig = rig();
+    let node = rig.daemons["d1"].node();
+    let addr = node.view.load().daemons["d2"];
+    let digest = Digest {
+        daemon: "d2".into(),
+        offset: 1,
+        hash: (0, 0),
+        demand: Vec::new(),
+        hints: Vec::new(),
+    };
+    let good = wire::encode(&digest);
+    assert!(read_digest(node, &good, addr).is_some());
+    assert!(read_digest(node, &good, ANY).is_none());
+    assert!(read_digest(node, &good[..good.len() - 1], addr).is_none());
+    let named = wire::encode(&Digest { daemon: "d1".into(), ..digest });
+    assert!(read_digest(node, &named, addr).is_none());
+}
+
+#[test]
+fn list_changes() {
+    let mut book = HostBook::default();
+    let host = |id: &str| comfreymux_lib::host::Host {
+        id: id.into(),
+        ..comfreymux_testutils::rig::host(comfreymux_lib::host::Role::Entry, "a", ANY)
+    };
+    let whole =
+        HostChange { version: 1, whole: true, hosts: vec![host("a"), host("b")], removed: vec![] };
+    assert_eq!(book.apply(whole).unwrap().len(), 2);
+    let change =
+        HostChange { version: 2, whole: false, hosts: vec![host("c")], removed: vec!["a".into()] };
+    let names: Vec<_> = book.apply(change.clone()).unwrap().into_iter().map(|h| h.id).collect();
+    assert_eq!(names, ["b", "c"]);
+    assert!(book.apply(change).is_none());
+}
--- /dev/null
+++ b/lib/tests/test_queue.rs
@@ -0,0 +1,153 @@
+//! Requests that wait: order, bound, refusals.
+
+use std::time::Duration;
+
+use comfreymux_lib::demand::Demand;
+use comfreymux_lib::demand::Waiting;
+use comfreymux_lib::queue::Entered;
+use comfreymux_lib::queue::Queue;
+use comfreymux_lib::queue::Refusal;
+use comfreymux_lib::queue::Waiter;
+use comfreymux_lib::queue::WaiterKey;
+use comfreymux_lib::waiting::WaitingRoom;
+use proptest::prelude::*;
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn waiter(priority: u8, deadline: u64) -> Waiter {
+    Waiter { model: "m".into(), priority, deadline: seconds(deadline) }
+}
+
+fn enter(queue: &mut Queue, priority: u8, deadline: u64) -> WaiterKey {
+    match queue.enter(seconds(0), waiter(priority, deadline), Duration::ZERO) {
+        Entered::Waits(key, None) => key,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn urgent_first() {
+    let mut queue = Queue::new(9);
+    let late = enter(&mut queue, 5, 30);
+    let soon = enter(&mut queue, 5, 10);
+    let valuable = enter(&mut queue, 9, 60);
+    for expected in [valuable, soon, late] {
+        assert_eq!(queue.first("m"), Some(expected));
+        assert!(queue.leave(expected));
+    }
+    assert_eq!(queue.first("m"), None);
+}
+
+#[test]
+fn valuable_displaces() {
+    // The queue is full of small requests when a full dossier draft comes. It takes the place of the
+    // one with the latest deadline; another small one is refused.
+    let mut queue = Queue::new(2);
+    enter(&mut queue, 1, 10);
+    let least = enter(&mut queue, 1, 20);
+    let entered = queue.enter(seconds(0), waiter(1, 5), Duration::ZERO);
+    assert!(matches!(entered, Entered::Refused(Refusal::Full)));
+    let entered = queue.enter(seconds(0), waiter(9, 60), Duration::ZERO);
+    assert!(matches!(entered, Entered::Waits(_, Some(key)) if key == least));
+}
+
+#[test]
+fn hopeless_refused() {
+    let mut queue = Queue::new(2);
+    let entered = queue.enter(seconds(1), waiter(5, 3), seconds(4));
+    assert!(matches!(entered, Entered::Refused(Refusal::TooLate)));
+}
+
+#[test]
+fn deadline_refused() {
+    let mut queue = Queue::new(4);
+    let soon = enter(&mut queue, 5, 10);
+    let later = enter(&mut queue, 5, 20);
+    assert_eq!(queue.expire(seconds(10)), [soon]);
+    assert_eq!(queue.first("m"), Some(later));
+}
+
+#[test]
+fn stop_refuses() {
+    // A daemon stops while requests wait. All are refused at once, and so is whoever comes later.
+    let room = std::sync::Arc::new(WaitingRoom::new(9));
+    let waiting = std::sync::Arc::clone(&room);
+    let thread =
+        std::thread::spawn(move || waiting.wait(seconds(0), waiter(5, 30), Duration::ZERO));
+    while room.is_empty() {
+        std::thread::yield_now();
+    }
+    room.close();
+    assert_eq!(thread.join().unwrap(), Err(Refusal::Stopping));
+    assert_eq!(room.wait(seconds(0), waiter(5, 30), Duration::ZERO), Err(Refusal::Stopping));
+}
+
+#[test]
+fn demand_kept() {
+    // Reports of waiting requests are lost now and then: one that was not repeated counts for a
+    // while and is then forgotten; the first mention dates the demand.
+    let mut demand = Demand::default();
+    let waiting = [Waiting { model: "m".into(), count: 2, weight: 10 }];
+    demand.report(seconds(1), &"d1".into(), &waiting);
+    demand.report(seconds(2), &"d1".into(), &waiting);
+    demand.report(seconds(2), &"d2".into(), &waiting);
+    let total = demand.total("m").unwrap();
+    assert_eq!((total.count, total.weight, total.since), (4, 20, seconds(1)));
+    demand.report(seconds(3), &"d2".into(), &[]);
+    assert_eq!(demand.total("m").unwrap().count, 2);
+    demand.expire(seconds(6));
+    assert!(demand.total("m").is_none());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn nobody_lost(steps in prop::collection::vec((0_u8..4, 0_u8..5, 1_u64..50), 1..120)) {
+        // Whoever waits is served, refused or still waiting; the bound holds.
+        let mut queue = Queue::new(4);
+        let (mut now, mut waiting, mut out) = (seconds(0), Vec::new(), 0);
+        let mut came = 0;
+        for (step, priority, time) in steps {
+            match step {
+                0 | 1 => {
+                    came += 1;
+                    let deadline = now.as_secs() + time;
+                    match queue.enter(now, waiter(priority, deadline), Duration::ZERO) {
+                        Entered::Waits(key, displaced) => {
+                            waiting.push(key);
+                            if let Some(displaced) = displaced {
+                                waiting.retain(|k| *k != displaced);
+                                out += 1;
+                            }
+                        }
+                        Entered::Refused(_) => out += 1,
+                    }
+                }
+                2 => {
+                    if let Some(key) = queue.first("m") {
+                        prop_assert!(queue.leave(key));
+                        waiting.retain(|k| *k != key);
+                        out += 1;
+                    }
+                }
+                _ => {
+                    now += seconds(time);
+                    for key in queue.expire(now) {
+                        waiting.retain(|k| *k != key);
+                        out += 1;
+                    }
+                }
+            }
+            prop_assert!(queue.keys().len() <= 4);
+            prop_assert_eq!(queue.keys().len(), waiting.len());
+            prop_assert_eq!(came, waiting.len() + out);
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_router.rs
@@ -0,0 +1,190 @@
+//! The choice of replicas, retry budget, limits and suspicion.
+
+use std::time::Duration;
+
+use comfreymux_lib::limits::Limit;
+use comfreymux_lib::limits::Limits;
+use comfreymux_lib::retry::RetryBudget;
+use comfreymux_lib::router::Router;
+use comfreymux_lib::router::Wish;
+use comfreymux_lib::suspicion::Suspicion;
+use comfreymux_lib::table::Edit;
+use comfreymux_lib::table::Row;
+use comfreymux_lib::table::RowChange;
+use comfreymux_lib::table::Table;
+use comfreymux_lib::verdict::Verdict;
+use comfreymux_lib::view::Replica;
+use comfreymux_lib::view::View;
+use comfreymux_testutils::rig::ANY;
+use comfreymux_testutils::rows;
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn view(limit: u32, servers: &[(&str, &str)]) -> View {
+    let row = Row { limit, ..rows::model("m") };
+    let changes = vec![RowChange { name: "m".into(), base: 0, row: Some(row) }];
+    let edit = Edit { id: "e".into(), author: "a".into(), changes };
+    let place = |(server, centre): &(&str, &str)| Replica {
+        server: (*server).into(),
+        addr: ANY,
+        centre: (*centre).into(),
+    };
+    let mut view = View { table: Table::default().apply(&edit, 1), ..View::default() };
+    view.replicas.insert("m".into(), servers.iter().map(place).collect());
+    view
+}
+
+fn wish(prefix: Option<u64>) -> Wish<'static> {
+    Wish { model: "m", prefix, tried: &[] }
+}
+
+#[test]
+fn near_first() {
+    let view = view(2, &[("e1", "a"), ("e2", "b")]);
+    let mut router = Router::new("a".into(), 1);
+    let mut next = || router.choose(NOW, &view, wish(None)).map(|r| r.server);
+    let chosen: Vec<_> = (0..5).map(|_| next()).collect();
+    let expected = [Some("e1"), Some("e1"), Some("e2"), Some("e2"), None];
+    assert_eq!(chosen, expected.map(|s| s.map(Into::into)));
+}
+
+#[test]
+fn leaving_avoided() {
+    // A server refuses work because it leaves; the host list will show it only later.
+    let view = view(9, &[("e1", "a"), ("e2", "a")]);
+    let mut router = Router::new("a".into(), 1);
+    router.left(NOW, &"e1".into());
+    for _ in 0..8 {
+        assert_eq!(router.choose(NOW, &view, wish(None)).unwrap().server, "e2");
+    }
+}
+
+#[test]
+fn failing_avoided() {
+    // A server fails twice in a row and is left alone; one failure between answers is not held
+    // against it.
+    let view = view(9, &[("e1", "a"), ("e2", "a")]);
+    let mut router = Router::new("a".into(), 1);
+    router.failed(NOW, &"e1".into());
+    router.answered(NOW, &"e1".into(), &"m".into(), None);
+    router.failed(NOW, &"e1".into());
+    let mut chosen = |router: &mut Router| {
+        let servers = (0..8).map(|_| router.choose(NOW, &view, wish(None)).unwrap().server);
+        let found = servers.collect::<Vec<_>>().contains(&"e1".into());
+        for server in ["e1", "e2"] {
+            for _ in 0..8 {
+                router.finished(&server.into(), &"m".into());
+            }
+        }
+        found
+    };
+    assert!(chosen(&mut router));
+    router.failed(NOW, &"e1".into());
+    assert!(!chosen(&mut router));
+}
+
+#[test]
+fn prefix_kept() {
+    // Requests with one prompt beginning go to one server, until it has clearly more than others.
+    let view = view(100, &[("e1", "a"), ("e2", "a"), ("e3", "a")]);
+    let mut router = Router::new("a".into(), 1);
+    let home = router.choose(NOW, &view, wish(Some(5))).unwrap().server;
+    router.finished(&home, &"m".into());
+    let chosen: Vec<_> =
+        (0..30).map(|_| router.choose(NOW, &view, wish(Some(5))).unwrap().server).collect();
+    assert_eq!(chosen[..2], [home.clone(), home.clone()]);
+    let share = chosen.iter().filter(|s| **s == home).count();
+    assert!((10..=14).contains(&share), "{share} of 30 at home");
+}
+
+#[test]
+fn told_load() {
+    // An engine says that other daemons keep it busy; the router believes it over its own count.
+    let view = view(4, &[("e1", "a")]);
+    let mut router = Router::new("a".into(), 1);
+    let route = router.choose(NOW, &view, wish(None)).unwrap();
+    router.answered(NOW, &route.server, &"m".into(), Some(4));
+    assert!(router.choose(NOW, &view, wish(None)).is_none());
+    assert_eq!(router.room(NOW, &view, "m"), 0);
+    assert!(router.choose(NOW + Duration::from_secs(3), &view, wish(None)).is_some());
+}
+
+#[test]
+fn limits_kept() {
+    let mut limits = Limits::new(3, 2);
+    let (a, b) = ("a".into(), "b".into());
+    assert_eq!(limits.enter(&a), Ok(()));
+    assert_eq!(limits.enter(&a), Ok(()));
+    assert_eq!(limits.enter(&a), Err(Limit::Caller));
+    assert_eq!(limits.enter(&b), Ok(()));
+    assert_eq!(limits.enter(&b), Err(Limit::Daemon));
+    limits.leave(&a);
+    assert_eq!(limits.enter(&b), Ok(()));
+}
+
+#[test]
+fn budget_bounded() {
+    // Everything fails. Retries add a tenth to the load, after a burst that was saved up.
+    let mut budget = RetryBudget::default();
+    let retries = (0..1000)
+        .filter(|_| {
+            budget.attempted();
+            budget.take()
+        })
+        .count();
+    assert!((100..=160).contains(&retries), "{retries}");
+}
+
+#[test]
+fn suspicion_grows() {
+    let mut suspicion = Suspicion::default();
+    suspicion.failed(NOW);
+    assert!(!suspicion.holds(NOW));
+    suspicion.failed(NOW);
+    assert!(suspicion.holds(NOW) && !suspicion.holds(NOW + Duration::from_secs(1)));
+    suspicion.failed(NOW);
+    assert!(suspicion.holds(NOW + Duration::from_secs(1)));
+    suspicion.answered();
+    assert!(!suspicion.holds(NOW));
+}
+
+#[test]
+fn verdicts_joined() {
+    let all = [Verdict::DidNotRun, Verdict::MayHaveRun, Verdict::Ran];
+    for (i, a) in all.into_iter().enumerate() {
+        for (j, b) in all.into_iter().enumerate() {
+            assert_eq!(a.and(b), all[i.max(j)]);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn never_overfull(limit in 1_u32..5, steps in prop::collection::vec(any::<(bool, u8)>(), 1..200)) {
+        let view = view(limit, &[("e1", "a"), ("e2", "a"), ("e3", "b")]);
+        let mut router = Router::new("a".into(), 1);
+        let mut open: Vec<comfreymux_lib::ids::ServerId> = Vec::new();
+        for (begin, n) in steps {
+            if begin {
+                let room = router.room(NOW, &view, "m");
+                let route = router.choose(NOW, &view, wish(n.is_multiple_of(2).then_some(u64::from(n))));
+                prop_assert_eq!(room > 0, route.is_some());
+                open.extend(route.map(|r| r.server));
+            } else if !open.is_empty() {
+                let server = open.swap_remove(n as usize % open.len());
+                router.finished(&server, &"m".into());
+            }
+            for server in ["e1", "e2", "e3"] {
+                let count = open.iter().filter(|s| **s == server).count();
+                prop_assert!(count <= limit as usize);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_settings.rs
@@ -0,0 +1,76 @@
+//! Settings: defaults, and all faults told together.
+
+use std::time::Duration;
+
+use comfreymux_lib::keepwarm::KeepWarm;
+use comfreymux_lib::keepwarm::Policy;
+use comfreymux_lib::lease::Authority;
+use comfreymux_lib::lease::BID_AFTER;
+use comfreymux_lib::lease::DRIFT_PERCENT;
+use comfreymux_lib::lease::LEASE;
+use comfreymux_lib::settings::Settings;
+use comfreymux_testutils::rig::Texts;
+
+fn texts(pairs: &[(&str, &str)]) -> Texts {
+    Texts(pairs.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())).collect())
+}
+
+#[test]
+fn good_settings() {
+    let needed = [
+        ("id", "d1"),
+        ("centre", "makati-a"),
+        ("log", "http://127.0.0.1:7000"),
+        ("hosts", "http://127.0.0.1:7001"),
+        ("keep-warm", "90s"),
+    ];
+    let settings = Settings::read(&texts(&needed)).unwrap();
+    assert_eq!(settings.policy, Policy::Fixed(Duration::from_secs(90)));
+    assert_eq!(settings.idle, Duration::from_secs(10));
+}
+
+#[test]
+fn all_faults() {
+    // An operator's first start has seven faults; one look tells all of them.
+    let wrong = [
+        ("id", "two words"),
+        ("listen", "localhost"),
+        ("log", "7000"),
+        ("idle-timeout", "10"),
+        ("queue", "0"),
+    ];
+    let error = Settings::read(&texts(&wrong)).unwrap_err();
+    let flags: Vec<&str> = error.faults.iter().map(|f| f.flag).collect();
+    assert_eq!(flags, ["id", "centre", "listen", "log", "hosts", "idle-timeout", "queue"]);
+    assert!(error.faults[3].to_string().contains("COMFREYMUX_LOG"));
+}
+
+#[test]
+fn lease_margins() {
+    // The holder's clock may run slow and the bidder's fast, each by half the bound; the holder
+    // must still stop before the bidder may bid.
+    let drift = f64::from(DRIFT_PERCENT) / 100.0;
+    assert!(LEASE.mul_f64(1.0 + drift) < BID_AFTER.mul_f64(1.0 - drift));
+    let mut authority = Authority::default();
+    authority.renewed(Duration::from_secs(5));
+    authority.renewed(Duration::from_secs(4));
+    assert!(authority.is_valid(Duration::from_secs(5) + LEASE - Duration::from_millis(1)));
+    assert!(!authority.is_valid(Duration::from_secs(5) + LEASE));
+}
+
+#[test]
+fn keep_learned() {
+    // A model that returns every two minutes is kept for that long where idle time is cheap, and
+    // unloaded soon where it is dear or where it returns once a day.
+    let cold = Duration::from_secs(20);
+    let mut warm = KeepWarm::new(Policy::Learned);
+    for _ in 0..50 {
+        warm.returned(&"often".into(), Duration::from_secs(120));
+        warm.returned(&"daily".into(), Duration::from_secs(80_000));
+    }
+    assert_eq!(warm.keep("often", cold, 200.0), Duration::from_secs(150));
+    assert!(warm.keep("often", cold, 10_000.0) < Duration::from_secs(60));
+    assert!(warm.keep("daily", cold, 200.0) < Duration::from_secs(60));
+    let fixed = KeepWarm::new(Policy::Fixed(Duration::from_secs(600)));
+    assert_eq!(fixed.keep("daily", cold, 10.0), Duration::from_secs(600));
+}
--- a/lib/testutils/src/engine_standin.rs
+++ b/lib/testutils/src/engine_standin.rs
@@ -199,7 +199,9 @@
         inner.fence = inner.fence.max(order.fence);
         match order.action {
             Action::Load => {
-                if !inner.places.contains_key(&order.model) {
+                if let Some(place) = inner.places.get_mut(&order.model) {
+                    place.ticket = place.ticket.max(order.ticket);
+                } else {
                     self.begin(&mut inner, order);
                 }
                 OrderAnswer::Done
@@ -249,7 +251,7 @@
 
     fn ready(&self, order: &Order) {
         let mut inner = self.inner();
-        let place = inner.places.get_mut(&order.model).filter(|p| p.ticket == order.ticket);
+        let place = inner.places.get_mut(&order.model).filter(|p| p.ticket >= order.ticket);
         if let Some(place) = place {
             place.loaded = true;
             inner.cached.insert(order.model.clone(), Source::Memory);
--- a/lib/testutils/src/fake_engine.rs
+++ b/lib/testutils/src/fake_engine.rs
@@ -91,7 +91,9 @@
         self.fence = self.fence.max(order.fence);
         match order.action {
             Action::Load => {
-                if !self.held.contains_key(&order.model) {
+                if let Some(held) = self.held.get_mut(&order.model) {
+                    held.ticket = held.ticket.max(order.ticket);
+                } else {
                     self.loads += 1;
                     let held = Held {
                         ready: now + time,
--- a/lib/testutils/src/rig.rs
+++ b/lib/testutils/src/rig.rs
@@ -191,6 +191,11 @@
         self.daemons.insert(id.into(), daemon.expect("a daemon"));
     }
 
+    /// Returns a client of the log.
+    pub fn log_client(&self) -> HttpLog {
+        HttpLog::new(format!("http://{}", self.log_addr))
+    }
+
     /// Returns the URL of a path at a daemon.
     pub fn url(&self, daemon: &str, path: &str) -> String {
         format!("http://{}{path}", self.daemons[daemon].addr)
