fold: keep the slot of an order that may reach a restarted engine

Cause: 1500 random cases found 'e2 holds m1 without a slot' on engines that ignore fencing numbers: a daemon held an order to load while the engine restarted, the new start dropped all slots, and the order arrived there. Ruled out: a connection to the old start, which ends with it; the fake now drops those, and orders held by their sender are a failure of their own. Change: such a slot stays until the order is resolved; its sender resolves it when its answer is in and the engine's start is a later one. Measured: restarted_unfenced fails without the change ('e1 holds m1, m2, m3', past its memory) and passes with it; 33 tests pass. Also: the start of experiments with generated workloads.

--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -176,7 +176,8 @@
         if old.incarnation >= facts.incarnation {
             return Err(Rejection::Stale);
         }
-        drop_slots(state, &facts.id);
+        let fencing = old.fencing;
+        drop_slots(state, &facts.id, fencing);
     }
     state.servers.insert(facts.id.clone(), facts.clone());
     Ok(())
@@ -187,13 +188,19 @@
     if known.incarnation > incarnation {
         return Err(Rejection::Stale);
     }
-    drop_slots(state, server);
+    // The host list's word that a host is gone means that nothing reaches it any more.
+    drop_slots(state, server, true);
     state.servers.remove(server);
     Ok(())
 }
 
-fn drop_slots(state: &mut State, server: &ServerId) {
-    state.slots.retain(|_, slot| slot.server != *server);
+/// Frees the slots of a backend server that starts anew.
+///
+/// An order to load that its sender still holds reaches the new start as well. An engine that
+/// ignores fencing numbers would carry it out, so there the slot stays until the order is resolved.
+fn drop_slots(state: &mut State, server: &ServerId, fencing: bool) {
+    let stays = |slot: &Slot| !fencing && slot.phase.is_loading();
+    state.slots.retain(|_, slot| slot.server != *server || stays(slot));
 }
 
 fn apply_bid(state: &mut State, entry: &Entry, at: Position, bid: &Bid) -> Result<(), Rejection> {
--- a/lib/src/upkeep.rs
+++ b/lib/src/upkeep.rs
@@ -110,6 +110,10 @@
             Some(OrderAnswer::Unknown) if self.is_fencing(slot) && waited >= ORDER_PAUSE => {
                 Some(Step::Load)
             }
+            // The engine started anew since: a connection to its old start carries nothing more.
+            Some(OrderAnswer::Unknown) if self.is_restarted(slot, order) => {
+                Some(Step::Unload("the engine restarted".into()))
+            }
             // A later order overtook it, or the lease went to another daemon, who will say so.
             Some(OrderAnswer::Stale) if waited >= ORDER_PAUSE => Some(Step::Load),
             _ => None,
@@ -225,6 +229,11 @@
         self.reported(slot).is_some_and(|m| m.loaded && m.ticket == slot.ticket)
     }
 
+    fn is_restarted(&self, slot: &Slot, order: OrderState) -> bool {
+        let server = self.scene.state.servers.get(&slot.server);
+        server.is_some_and(|s| s.incarnation > order.incarnation)
+    }
+
     /// Returns whether a report that is surely younger than `since` does not name the model.
     fn is_absent(&self, slot: &Slot, since: Duration) -> bool {
         let member = self.scene.fleet.member(&slot.server);
--- a/lib/src/watch.rs
+++ b/lib/src/watch.rs
@@ -7,6 +7,7 @@
 use crate::host::Order;
 use crate::host::OrderAnswer;
 use crate::ids::Fence;
+use crate::ids::Incarnation;
 use crate::ids::ModelName;
 use crate::ids::Position;
 use crate::ids::ServerId;
@@ -28,6 +29,8 @@
     pub ticket: Position,
     /// The order's fencing number.
     pub fence: Fence,
+    /// Incarnation of the backend server that it was meant for.
+    pub incarnation: Incarnation,
     /// The answer, once there is one.
     pub answer: Option<OrderAnswer>,
 }
@@ -131,9 +134,10 @@
     /// Notes that an order is sent.
     pub fn ordered(&mut self, now: Duration, order: &Order) {
         self.busy.insert(order.server.clone(), now);
-        let Order { action, slot, ticket, fence, .. } = *order;
+        let Order { action, slot, ticket, fence, incarnation, .. } = *order;
         let watch = self.entry(now, slot);
-        watch.order = Some(OrderState { action, sent: now, ticket, fence, answer: None });
+        watch.order =
+            Some(OrderState { action, sent: now, ticket, fence, incarnation, answer: None });
         if action == Action::Load {
             watch.began = now;
             watch.loaded = false;
--- a/lib/tests/test_failures.rs
+++ b/lib/tests/test_failures.rs
@@ -255,6 +255,21 @@
     late_then_evicted(false);
 }
 
+#[test]
+fn restarted_unfenced() {
+    // A daemon is paused with an order to load in hand, the engine restarts, and then the order is
+    // sent to its new start, which ignores fencing numbers and incarnations. The slot must be kept
+    // for it, or the model is loaded without one.
+    let mut world = small_world(false);
+    want(&mut world, "d1", &["m1"]);
+    world.weather.held_order = Some(seconds(20));
+    world.run(seconds(5), STEP).unwrap();
+    world.replace_engine("e1");
+    want(&mut world, "d1", &["m2", "m3"]);
+    world.run(seconds(60), STEP).unwrap();
+    assert_eq!(phase_of(&world, "m2"), Some(Phase::Loaded));
+}
+
 #[rstest]
 #[case::fencing(true)]
 #[case::unfenced(false)]
@@ -328,6 +343,7 @@
     AppendTwice(u8),
     LoseOrders(u8),
     LateOrder(u8),
+    HeldOrder(u8),
     ReplaceEngine(u8),
     Leave(u8),
     Edit(u8, u8),
@@ -352,6 +368,7 @@
         1 => n().prop_map(Trouble::AppendTwice),
         1 => n().prop_map(Trouble::LoseOrders),
         2 => n().prop_map(Trouble::LateOrder),
+        2 => n().prop_map(Trouble::HeldOrder),
         1 => n().prop_map(Trouble::ReplaceEngine),
         1 => n().prop_map(Trouble::Leave),
         2 => (n(), n()).prop_map(|(m, c)| Trouble::Edit(m, c)),
@@ -413,6 +430,9 @@
         Trouble::LateOrder(t) => {
             world.weather.late_order = Some(Duration::from_millis(u64::from(*t) * 200));
         }
+        Trouble::HeldOrder(t) => {
+            world.weather.held_order = Some(Duration::from_millis(u64::from(*t) * 200));
+        }
         Trouble::ReplaceEngine(e) => world.replace_engine(pick(&ENGINES, *e)),
         Trouble::Leave(e) => {
             let engine = &mut world.engines.get_mut(pick(&ENGINES, *e)).unwrap().1;
--- /dev/null
+++ b/lib/testutils/src/report.rs
@@ -0,0 +1,167 @@
+//! The trade between idle accelerator hours and cold starts: a table and a plot.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use comfreymux_lib::keepwarm::Policy;
+use plotters::prelude::*;
+
+use crate::experiment;
+use crate::experiment::Outcome;
+use crate::workload::Arrival;
+use crate::workload::Deployment;
+use crate::world::Breach;
+
+/// Keep-warm times of the baselines, in seconds; the first stands for never unloading.
+const FIXED: [u64; 7] = [10_000_000, 7200, 3600, 1800, 600, 120, 0];
+
+/// Runs the baselines and the learned policy at several idle prices on one workload, on as many
+/// threads.
+///
+/// # Errors
+///
+/// A promise was broken.
+///
+/// # Panics
+///
+/// Panics if a run panics.
+pub fn compare(
+    deployment: &Deployment,
+    seed: u64,
+    arrivals: &[Arrival],
+    prices: &[f64],
+) -> Result<Vec<Outcome>, Breach> {
+    let fixed = FIXED.map(|s| {
+        let name = match s {
+            0 => "at once".to_owned(),
+            10_000_000 => "never unload".to_owned(),
+            _ => format!("fixed {s}s"),
+        };
+        (name, deployment.clone(), Policy::Fixed(Duration::from_secs(s)))
+    });
+    let learned = prices.iter().map(|price| {
+        let priced = Deployment { idle_price: *price, ..deployment.clone() };
+        (format!("learned, price {price}"), priced, Policy::Learned)
+    });
+    let runs: Vec<_> = fixed.into_iter().chain(learned).collect();
+    thread::scope(|scope| {
+        let start = |(name, deployment, policy): &(String, Deployment, Policy)| {
+            let (name, deployment, policy) = (name.clone(), deployment.clone(), *policy);
+            scope.spawn(move || experiment::run(&name, &deployment, policy, seed, arrivals))
+        };
+        let threads: Vec<_> = runs.iter().map(start).collect();
+        threads.into_iter().map(|t| t.join().expect("a run does not panic")).collect()
+    })
+}
+
+/// Returns the points that no keep-warm policy can beat: for each number of cold starts, the least
+/// idle hours, if the gaps between requests of each model were known in advance.
+///
+/// The shortest gaps are bridged first. Gaps are weighed by the model's share of an accelerator;
+/// requests that run delay nothing here, so the bound is a little too good.
+pub fn bound(deployment: &Deployment, arrivals: &[Arrival]) -> Vec<(f64, f64)> {
+    let table = deployment.table();
+    let mut gaps = Vec::new();
+    let mut firsts = 0;
+    for row in &table {
+        let share = row.memory_mib as f64 / crate::workload::ACCELERATOR_MIB as f64;
+        let mut free: Option<u64> = None;
+        for a in arrivals.iter().filter(|a| a.model == row.name) {
+            match free {
+                None => firsts += 1,
+                Some(free) if a.at_ms > free => {
+                    gaps.push((a.at_ms - free) as f64 / 3_600_000.0 * share);
+                }
+                Some(_) => {}
+            }
+            free = free.max(Some(a.at_ms + a.run_ms));
+        }
+    }
+    gaps.sort_by(f64::total_cmp);
+    let mut points = vec![(0.0, (gaps.len() + firsts) as f64)];
+    let mut idle = 0.0;
+    for (i, gap) in gaps.iter().enumerate() {
+        idle += gap;
+        points.push((idle, (gaps.len() - i - 1 + firsts) as f64));
+    }
+    points
+}
+
+/// Returns the outcomes as lines of a table.
+pub fn table(outcomes: &[Outcome]) -> String {
+    let mut out = format!(
+        "{:<22} {:>8} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8} {:>6} {:>7} {:>7}\n",
+        "policy",
+        "requests",
+        "cold",
+        "p50 s",
+        "p95 s",
+        "p99 s",
+        "worst",
+        "all p99",
+        "wait h",
+        "idle h",
+        "loads",
+        "refused",
+        "expired"
+    );
+    for o in outcomes {
+        out += &format!(
+            "{:<22} {:>8} {:>6} {:>7.1} {:>7.1} {:>7.1} {:>7.1} {:>7.1} {:>8.2} {:>8.1} {:>6} {:>7} {:>7}\n",
+            o.name,
+            o.requests,
+            o.cold,
+            o.cold_p50,
+            o.cold_p95,
+            o.cold_p99,
+            o.cold_worst,
+            o.all_p99,
+            o.wait_hours,
+            o.idle_hours,
+            o.loads,
+            o.refused,
+            o.expired
+        );
+    }
+    out
+}
+
+/// Draws the trade as an SVG file.
+///
+/// # Errors
+///
+/// The file cannot be written.
+pub fn plot(
+    path: &Path,
+    title: &str,
+    outcomes: &[Outcome],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let most = |f: fn(&Outcome) -> f64| outcomes.iter().map(f).fold(1.0, f64::max) * 1.1;
+    let (width, height) = (most(|o| o.idle_hours), most(|o| o.wait_hours));
+    let area = SVGBackend::new(path, (900, 600)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(15)
+        .caption(title, ("sans-serif", 20))
+        .x_label_area_size(45)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..width, 0.0..height)?;
+    chart
+        .configure_mesh()
+        .x_desc("idle accelerator hours")
+        .y_desc("hours that callers waited for a replica")
+        .draw()?;
+    for (learned, colour) in [(false, BLUE), (true, RED)] {
+        let chosen: Vec<&Outcome> =
+            outcomes.iter().filter(|o| o.name.starts_with("learned") == learned).collect();
+        let points = || chosen.iter().map(|o| (o.idle_hours, o.wait_hours));
+        chart.draw_series(LineSeries::new(points(), colour))?;
+        chart.draw_series(points().map(|p| Circle::new(p, 4, colour.filled())))?;
+        chart.draw_series(chosen.iter().map(|o| {
+            Text::new(o.name.clone(), (o.idle_hours, o.wait_hours), ("sans-serif", 12))
+        }))?;
+    }
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/lib/testutils/src/workload.rs
@@ -0,0 +1,217 @@
+//! Generated requests of a deployment: mostly idle models that wake in bursts.
+
+use std::time::Duration;
+
+use comfreymux_lib::ids::CentreId;
+use comfreymux_lib::ids::ModelName;
+use comfreymux_lib::record::Source;
+use comfreymux_lib::table::Kind;
+use comfreymux_lib::table::Row;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::rows;
+
+/// Memory of one accelerator.
+pub const ACCELERATOR_MIB: u64 = 80_000;
+
+/// What a deployment is.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name.
+    pub name: &'static str,
+    /// Its data centres.
+    pub centres: &'static [&'static str],
+    /// Model engines, spread over the data centres.
+    pub engines: usize,
+    /// Accelerators of each engine.
+    pub accelerators: u64,
+    /// Models.
+    pub models: usize,
+    /// Adapters.
+    pub adapters: usize,
+    /// Loads from the weight store that may begin in a second.
+    pub starts: f64,
+    /// Cold-start seconds that an idle accelerator hour is worth.
+    pub idle_price: f64,
+}
+
+/// Tahi Ayos Booking, where idle hours weigh most.
+pub const TAHI_AYOS: Deployment = Deployment {
+    name: "tahi-ayos",
+    centres: &["makati-a", "pasig-b", "qc-c", "taguig-d"],
+    engines: 9,
+    accelerators: 2,
+    models: 50,
+    adapters: 40,
+    starts: 2.0,
+    idle_price: 400.0,
+};
+
+/// Teplý Domov Franšíza, where the tail of cold starts weighs most.
+pub const TEPLY_DOMOV: Deployment = Deployment {
+    name: "teply-domov",
+    centres: &["hala-a", "hala-b", "hala-c"],
+    engines: 9,
+    accelerators: 2,
+    models: 50,
+    adapters: 40,
+    starts: 4.0,
+    idle_price: 40.0,
+};
+
+/// One request of a workload.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Arrival {
+    /// When it comes.
+    pub at_ms: u64,
+    /// Number of the daemon that the balancer brings it to.
+    pub daemon: usize,
+    /// The model.
+    pub model: ModelName,
+    /// Its priority.
+    pub priority: u8,
+    /// Time until an answer must begin.
+    pub deadline_ms: u64,
+    /// Time that it runs.
+    pub run_ms: u64,
+}
+
+/// A checkpoint that some engine has at the beginning.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Number of the engine.
+    pub engine: usize,
+    /// The model.
+    pub model: ModelName,
+    /// Where its checkpoint is.
+    pub source: Source,
+}
+
+/// Most adapters of the table are small next to their bases.
+const ADAPTER_MIB: u64 = 500;
+
+impl Deployment {
+    /// Returns the deployment named `name`.
+    pub fn named(name: &str) -> Option<Self> {
+        [TAHI_AYOS, TEPLY_DOMOV].into_iter().find(|d| d.name == name)
+    }
+
+    /// Returns the data centre of an engine or daemon by its number.
+    pub fn centre(&self, number: usize) -> CentreId {
+        self.centres[number % self.centres.len()].into()
+    }
+
+    /// Returns the number of daemons.
+    pub fn daemons(&self) -> usize {
+        self.centres.len() * 2
+    }
+
+    /// Returns the table; the same for every seed.
+    pub fn table(&self) -> Vec<Row> {
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let mut table = Vec::new();
+        for i in 0..self.models {
+            let size = rng.random_range(8_000..40_000);
+            table.push(Row {
+                memory_mib: size,
+                load_mib: size,
+                replicas: 2,
+                priority: if i % 10 == 0 { 9 } else { 5 },
+                idle_price: self.idle_price,
+                ..rows::model(&format!("model-{i:02}"))
+            });
+        }
+        for i in 0..self.adapters {
+            let base = format!("model-{:02}", i % (self.models / 4));
+            table.push(Row {
+                kind: Kind::Adapter,
+                base: base.into(),
+                memory_mib: ADAPTER_MIB,
+                load_mib: ADAPTER_MIB,
+                replicas: 2,
+                idle_price: self.idle_price,
+                ..rows::model(&format!("adapter-{i:02}"))
+            });
+        }
+        table
+    }
+
+    /// Returns which checkpoints are cached where, unevenly: a third on a disk, a tenth in memory.
+    pub fn cached(&self, seed: u64) -> Vec<Placed> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xCA);
+        let mut placed = Vec::new();
+        for row in self.table() {
+            let (engine, luck) = (rng.random_range(0..self.engines), rng.random_range(0.0..1.0));
+            let source = match luck {
+                x if x < 0.1 => Source::Memory,
+                x if x < 0.43 => Source::Disk,
+                _ => continue,
+            };
+            placed.push(Placed { engine, model: row.name, source });
+        }
+        placed
+    }
+
+    /// Generates the requests of `hours`, in the order of their times.
+    ///
+    /// Each model has sessions with heavy-tailed gaps between them, thinned by night; a session
+    /// begins with a burst at several daemons and goes on with single requests.
+    pub fn arrivals(&self, seed: u64, hours: u64) -> Vec<Arrival> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let end = hours as f64 * 3600.0;
+        let mut arrivals = Vec::new();
+        for row in self.table() {
+            // Popular models return within minutes, most others within hours.
+            let scale = 600.0 * 40_f64.powf(rng.random_range(0.0..1.0));
+            let mut at = rng.random_range(0.0..scale);
+            while at < end {
+                if rng.random_range(0.0..1.0) < day_share(at) {
+                    self.session(&mut rng, &row, at, &mut arrivals);
+                }
+                // Pareto gaps of shape 1.3.
+                let luck: f64 = rng.random_range(0.0..1.0);
+                at += scale * 0.5 * (1.0 - luck).powf(-1.0 / 1.3);
+            }
+        }
+        arrivals.retain(|a| a.at_ms < hours * 3_600_000);
+        arrivals.sort_by(|a, b| (a.at_ms, &a.model).cmp(&(b.at_ms, &b.model)));
+        arrivals
+    }
+
+    fn session(&self, rng: &mut ChaCha8Rng, row: &Row, begin: f64, out: &mut Vec<Arrival>) {
+        let mut push = |rng: &mut ChaCha8Rng, at: f64| {
+            out.push(Arrival {
+                at_ms: (at * 1000.0) as u64,
+                daemon: rng.random_range(0..self.daemons()),
+                model: row.name.clone(),
+                priority: row.priority,
+                deadline_ms: 120_000,
+                run_ms: rng.random_range(2_000..10_000),
+            });
+        };
+        for _ in 0..rng.random_range(1..5) {
+            let at = begin + rng.random_range(0.0..0.3);
+            push(rng, at);
+        }
+        let mut at = begin;
+        while rng.random_range(0.0..1.0) < 0.8 {
+            at += -30.0 * (1.0 - rng.random_range(0.0..1.0_f64)).ln();
+            push(rng, at);
+        }
+    }
+}
+
+/// Returns the share of sessions that take place at this time of day.
+fn day_share(at: f64) -> f64 {
+    let hour = (at / 3600.0) % 24.0;
+    0.55 + 0.45 * ((hour - 6.0) / 24.0 * std::f64::consts::TAU).sin()
+}
+
+/// Returns the deadline of an arrival.
+pub fn deadline(arrival: &Arrival) -> Duration {
+    Duration::from_millis(arrival.at_ms + arrival.deadline_ms)
+}
--- a/lib/testutils/src/world.rs
+++ b/lib/testutils/src/world.rs
@@ -28,6 +28,7 @@
 use comfreymux_lib::ids::ModelName;
 use comfreymux_lib::ids::ServerId;
 use comfreymux_lib::keepwarm::Policy;
+use comfreymux_lib::placement::STORE_PARALLEL;
 use comfreymux_lib::rates::Rates;
 use comfreymux_lib::record::Entry;
 use comfreymux_lib::record::Source;
@@ -86,12 +87,23 @@
     pub twice: Option<Duration>,
     /// Next orders whose answer is lost.
     pub lose_orders: u32,
-    /// Next orders that arrive this late: their sender was paused with the order in hand.
+    /// The next order arrives this late, after its sender has given up on the connection.
     pub late_order: Option<Duration>,
+    /// The next order is sent this late: its sender was paused with it in hand.
+    pub held_order: Option<Duration>,
     /// Lag of load reports.
     pub lag: Duration,
 }
 
+/// The weight store: loads that may begin in a second, and those under way.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    /// Time between the starts of two loads.
+    pub spacing: Duration,
+    next: Duration,
+    ends: Vec<Duration>,
+}
+
 /// A breach of a promise.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Breach(pub String);
@@ -121,6 +133,8 @@
     pub decisions: Vec<(Duration, DaemonId, Decision)>,
     /// Loading speeds of the engines.
     pub rates: Rates,
+    /// The weight store.
+    pub store: Store,
     counts: BTreeMap<ModelName, usize>,
     policy: Policy,
     log: Vec<Entry>,
@@ -151,6 +165,7 @@
             edited: Vec::new(),
             decisions: Vec::new(),
             rates: Rates::default(),
+            store: Store::default(),
             counts: BTreeMap::new(),
             policy,
             log: Vec::new(),
@@ -255,8 +270,13 @@
         self.carry_out(id, effects);
     }
 
+    /// Returns whether a message is under way.
+    pub fn is_busy(&self) -> bool {
+        !self.messages.is_empty()
+    }
+
     /// Returns a daemon's clock and state machine, if it runs.
-    fn awake(&mut self, id: &str) -> Option<(Duration, &mut Controller)> {
+    pub fn awake(&mut self, id: &str) -> Option<(Duration, &mut Controller)> {
         let now = self.now;
         let daemon = self.daemons.get_mut(id).filter(|d| d.paused <= now)?;
         let local = now.saturating_sub(daemon.started).mul_f64(daemon.rate);
@@ -390,9 +410,10 @@
                 Message::Ordered(id.into(), incarnation, order.clone(), OrderAnswer::Unknown);
             self.send(ORDER_TIMEOUT, unknown);
         }
-        let silent = late.is_some();
-        let message = Message::Order(id.into(), incarnation, order, Some(lost).filter(|_| !silent));
-        self.send(late.unwrap_or_default(), message);
+        let lost = Some(lost).filter(|_| late.is_none());
+        let held = self.weather.held_order.take();
+        let delay = late.or(held).unwrap_or_default();
+        self.send(delay, Message::Order(id.into(), incarnation, order, lost));
     }
 
     fn send_append(&mut self, id: &str, incarnation: Incarnation, entry: Entry) {
@@ -425,7 +446,12 @@
             Message::Order(id, incarnation, order, lost) => {
                 let now = self.now;
                 let time = self.load_time(&order);
-                let engine = self.engines.get_mut(&order.server);
+                // A connection ends with the engine that took it; what was under way on it never
+                // reaches a later start. Only an order still in its sender's hand does.
+                let engine = self
+                    .engines
+                    .get_mut(&order.server)
+                    .filter(|(_, e)| lost.is_some() || e.incarnation == order.incarnation);
                 let answer =
                     engine.map_or(OrderAnswer::Unknown, |(_, e)| e.order(now, &order, time));
                 if let Some(lost) = lost {
@@ -457,13 +483,27 @@
         }
     }
 
-    fn load_time(&self, order: &Order) -> Duration {
+    /// Returns how long a load takes that begins now.
+    ///
+    /// Loads from the weight store wait for their start, and share its speed past the fourth.
+    fn load_time(&mut self, order: &Order) -> Duration {
         if order.action != Action::Load {
             return Duration::ZERO;
         }
-        let source =
-            self.engines.get(&order.server).map_or(Source::Remote, |(_, e)| e.source(&order.model));
-        self.rates.expected(order.load_mib, source)
+        let engine = self.engines.get(&order.server);
+        let source = engine.map_or(Source::Remote, |(_, e)| e.source(&order.model));
+        let time = self.rates.expected(order.load_mib, source);
+        if source != Source::Remote {
+            return time;
+        }
+        let now = self.now;
+        let begin = self.store.next.max(now);
+        self.store.next = begin + self.store.spacing;
+        self.store.ends.retain(|end| *end > now);
+        let share = (self.store.ends.len() + 1).max(STORE_PARALLEL) as f64 / STORE_PARALLEL as f64;
+        let end = begin + time.mul_f64(share);
+        self.store.ends.push(end);
+        end.saturating_sub(now)
     }
 
     /// Checks the promises against what the engines really hold.
