upkeep: give an engine without fencing one order a record

Cause: 3000 random cases found 'e1 holds m1 without a slot' again. An order was held up by 14 s and carried out; a report from before it, but younger than the order's sending, did not show the load, so it was ordered once more, and that second order arrived after the slot was freed. Ruled out: a second holder; tickets, which were equal for both orders. Change: absence counts from the answer, and such an engine is ordered again only under a new record, so that what is under way is always known. Measured: reload_unfenced fails before ('30.25s: e1 holds m1 without a slot') and passes after; 17 tests of the file pass in 7.2 s.

--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -467,7 +467,7 @@
         if answer == OrderAnswer::Unknown {
             self.fleet.failed(now, &order.server);
         }
-        self.watches.answered(order, answer);
+        self.watches.answered(now, order, answer);
         if answer == OrderAnswer::Stale {
             self.decide(
                 Choice::Reject,
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -240,6 +240,9 @@
             Step::Load => {
                 self.order(now, id, Action::Load);
             }
+            Step::Reload => {
+                self.change_phase(id, slot.phase);
+            }
             Step::Ready => self.note_ready(now, id, slot),
             Step::Drain(reason) => {
                 if self.change_phase(id, Phase::Draining) {
--- a/lib/src/upkeep.rs
+++ b/lib/src/upkeep.rs
@@ -34,6 +34,9 @@
 pub enum Step {
     /// Order the engine to load.
     Load,
+    /// Record another load, then order it: an engine that ignores fencing numbers gets one order a
+    /// record, so that what is under way is always known.
+    Reload,
     /// The load finished.
     Ready,
     /// Send no new requests.
@@ -104,7 +107,10 @@
         let waited = self.scene.now.saturating_sub(order.sent);
         match order.answer {
             Some(OrderAnswer::Refused) => Some(Step::Unload("the engine refused it".into())),
-            Some(OrderAnswer::Done) if self.is_absent(slot, order.sent) => Some(Step::Load),
+            Some(OrderAnswer::Done) if self.is_absent(slot, order.known) => {
+                let again = if self.is_fencing(slot) { Step::Load } else { Step::Reload };
+                Some(again)
+            }
             // A lost answer on an engine that ignores fencing numbers: a second order could
             // arrive after the slot was emptied, so only a report resolves it.
             Some(OrderAnswer::Unknown) if self.is_fencing(slot) && waited >= ORDER_PAUSE => {
--- a/lib/src/watch.rs
+++ b/lib/src/watch.rs
@@ -33,6 +33,8 @@
     pub incarnation: Incarnation,
     /// The answer, once there is one.
     pub answer: Option<OrderAnswer>,
+    /// When the answer came; before, when the order was sent.
+    pub known: Duration,
 }
 
 /// Knowledge about one slot.
@@ -136,8 +138,15 @@
         self.busy.insert(order.server.clone(), now);
         let Order { action, slot, ticket, fence, incarnation, .. } = *order;
         let watch = self.entry(now, slot);
-        watch.order =
-            Some(OrderState { action, sent: now, ticket, fence, incarnation, answer: None });
+        watch.order = Some(OrderState {
+            action,
+            sent: now,
+            ticket,
+            fence,
+            incarnation,
+            answer: None,
+            known: now,
+        });
         if action == Action::Load {
             watch.began = now;
             watch.loaded = false;
@@ -145,7 +154,7 @@
     }
 
     /// Notes the answer to the order that is under way; an answer to an older one is ignored.
-    pub fn answered(&mut self, order: &Order, answer: OrderAnswer) {
+    pub fn answered(&mut self, now: Duration, order: &Order, answer: OrderAnswer) {
         self.busy.remove(&order.server);
         let Some(watch) = self.slots.get_mut(&order.slot) else {
             return;
@@ -158,6 +167,7 @@
             watch.order = None;
         } else {
             state.answer = Some(answer);
+            state.known = now;
         }
     }
 
--- a/lib/tests/test_failures.rs
+++ b/lib/tests/test_failures.rs
@@ -270,6 +270,23 @@
     assert_eq!(phase_of(&world, "m2"), Some(Phase::Loaded));
 }
 
+#[test]
+fn reload_unfenced() {
+    // An order to load is held up and carried out at last. Before a report shows the load, its
+    // sender must not order it again: the second order would be late in its turn and arrive when
+    // the slot was freed.
+    let mut world = small_world(false);
+    want(&mut world, "d1", &["m1"]);
+    world.weather.held_order = Some(seconds(14));
+    world.run(seconds(13), STEP).unwrap();
+    world.weather.late_order = Some(seconds(9));
+    world.run(seconds(4), STEP).unwrap();
+    world.weather.late_order = None;
+    want(&mut world, "d1", &["m2", "m3"]);
+    world.engines.get_mut("e1").unwrap().1.leaving = true;
+    world.run(seconds(60), STEP).unwrap();
+}
+
 #[rstest]
 #[case::fencing(true)]
 #[case::unfenced(false)]
