--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -40,10 +40,28 @@
         }
         /// Stop the daemon gracefully: no new work, nothing in progress cut.
         cmd drain {}
-        /// Replay a recorded trace and check its stated outcomes.
+        /// Replay a recorded trace and check its stated outcomes; with --report, replay a workload
+        /// under several policies and print what each costs.
         cmd replay {
-            /// The trace file.
+            /// The trace file, or with --report the workload file.
             required trace: PathBuf
+            /// Compare policies on a workload of this deployment: tahi-ayos or teply-domov.
+            optional --report deployment: String
+            /// Idle prices to try, separated by commas. [10,40,160,640]
+            optional --prices list: String
+            /// Where the checkpoints are at the beginning. [1]
+            optional --seed number: u64
+            /// SVG file to draw the trade in.
+            optional --plot file: PathBuf
+        }
+        /// Print a generated workload as CSV, for `replay --report`.
+        cmd workload {
+            /// The deployment: tahi-ayos or teply-domov.
+            required deployment: String
+            /// Seed of the generator. [1]
+            optional --seed number: u64
+            /// Hours. [24]
+            optional --hours number: u64
         }
         /// Run two daemons against embedded stand-ins and show what they do.
         cmd demo {}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -15,10 +15,15 @@
 use comfreymux_lib::table_file::write_csv;
 use comfreymux_lib::trace;
 use comfreymux_testutils::demo;
+use comfreymux_testutils::report;
+use comfreymux_testutils::workload;
+use comfreymux_testutils::workload::Deployment;
 use flags::Comfreymux;
 use flags::ComfreymuxCmd;
+use flags::Replay;
 use flags::Table;
 use flags::TableCmd;
+use flags::Workload;
 use miette::IntoDiagnostic;
 use miette::WrapErr;
 use serde_json::json;
@@ -27,6 +32,8 @@
 const EXIT_REFUSED: u8 = 1;
 /// Exit code of a daemon that does not answer.
 const EXIT_UNREACHABLE: u8 = 3;
+/// Idle prices that are tried where none are given.
+const DEFAULT_PRICES: &str = "10,40,160,640";
 /// Daemon that is asked where no other is named.
 const DEFAULT_DAEMON: &str = "http://127.0.0.1:8080";
 
@@ -72,7 +79,11 @@
             });
             Ok(ExitCode::SUCCESS)
         }
-        ComfreymuxCmd::Replay(replay) => run_replay(flags.json, &replay.trace),
+        ComfreymuxCmd::Replay(replay) => match &replay.report {
+            None => run_replay(flags.json, &replay.trace),
+            Some(deployment) => run_report(flags.json, replay, deployment),
+        },
+        ComfreymuxCmd::Workload(workload) => run_workload(workload),
         ComfreymuxCmd::Demo(_) => run_demo(),
     }
 }
@@ -146,6 +157,41 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn deployment_named(name: &str) -> miette::Result<Deployment> {
+    Deployment::named(name)
+        .ok_or_else(|| miette::miette!("`{name}` is not tahi-ayos or teply-domov"))
+}
+
+fn run_workload(flags: &Workload) -> miette::Result<ExitCode> {
+    let deployment = deployment_named(&flags.deployment)?;
+    let arrivals = deployment.arrivals(flags.seed.unwrap_or(1), flags.hours.unwrap_or(24));
+    print!("{}", workload::write_csv(&arrivals).into_diagnostic()?);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_report(json: bool, flags: &Replay, deployment: &str) -> miette::Result<ExitCode> {
+    let deployment = deployment_named(deployment)?;
+    let text = std::fs::read_to_string(&flags.trace)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot read {}", flags.trace.display()))?;
+    let arrivals = workload::read_csv(&text).into_diagnostic()?;
+    let list = flags.prices.as_deref().unwrap_or(DEFAULT_PRICES);
+    let prices: Result<Vec<f64>, _> = list.split(',').map(str::parse).collect();
+    let prices = prices.into_diagnostic().wrap_err("--prices takes numbers, as 10,40")?;
+    let outcomes = report::compare(&deployment, flags.seed.unwrap_or(1), &arrivals, &prices)
+        .map_err(|breach| miette::miette!("a promise was broken: {}", breach.0))?;
+    if let Some(path) = &flags.plot {
+        report::plot(path, deployment.name, &outcomes)
+            .map_err(|e| miette::miette!("cannot draw {}: {e}", path.display()))?;
+    }
+    let value = json!({"outcomes": outcomes});
+    show::value(json, &value, |_| {
+        print!("{}", report::table(&outcomes));
+        print!("{}", report::bound_table(&deployment, &arrivals, &outcomes));
+    });
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run_demo() -> miette::Result<ExitCode> {
     let broken = demo::run(&mut std::io::stdout()).into_diagnostic()?;
     Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_REFUSED) })
--- a/lib/testutils/src/experiment.rs
+++ b/lib/testutils/src/experiment.rs
@@ -59,7 +59,7 @@
     pub all_p99: f64,
     /// Sum of all waits, in hours.
     pub wait_hours: f64,
-    /// Accelerator hours in which something was loaded and served nothing.
+    /// Accelerator hours in which something was loaded or loading and served nothing.
     pub idle_hours: f64,
     /// Loads.
     pub loads: u64,
@@ -256,9 +256,8 @@
     }
 
     fn add_idle(&mut self, step: Duration) {
-        let now = self.world.now;
         for (_, engine) in self.world.engines.values() {
-            let idle = engine.held.values().filter(|h| h.active == 0 && h.ready <= now);
+            let idle = engine.held.values().filter(|h| h.active == 0);
             let share: u64 = idle.map(|h| h.memory_mib).sum();
             self.idle += share as f64 / ACCELERATOR_MIB as f64 * step.as_secs_f64();
         }
--- a/lib/testutils/src/report.rs
+++ b/lib/testutils/src/report.rs
@@ -41,8 +41,8 @@
         (name, deployment.clone(), Policy::Fixed(Duration::from_secs(s)))
     });
     let learned = prices.iter().map(|price| {
-        let priced = Deployment { idle_price: *price, ..deployment.clone() };
-        (format!("learned, price {price}"), priced, Policy::Learned)
+        let variant = Deployment { idle_price: *price, ..deployment.clone() };
+        (format!("learned, price {price}"), variant, Policy::Learned)
     });
     let runs: Vec<_> = fixed.into_iter().chain(learned).collect();
     thread::scope(|scope| {
@@ -88,6 +88,18 @@
     points
 }
 
+/// Returns, for each outcome, the least idle hours with as few cold starts.
+pub fn bound_table(deployment: &Deployment, arrivals: &[Arrival], outcomes: &[Outcome]) -> String {
+    let points = bound(deployment, arrivals);
+    let least = |colds: f64| points.iter().find(|p| p.1 <= colds).map_or(f64::NAN, |p| p.0);
+    let lines = outcomes.iter().map(|o| {
+        let least = least(o.loads as f64);
+        format!("{:<22} {:>8.1} {:>8.1}\n", o.name, o.idle_hours, least)
+    });
+    let head = format!("{:<22} {:>8} {:>8}\n", "with as many loads", "idle h", "bound h");
+    head + &lines.collect::<String>()
+}
+
 /// Returns the outcomes as lines of a table.
 pub fn table(outcomes: &[Outcome]) -> String {
     let mut out = format!(
@@ -106,27 +118,29 @@
         "refused",
         "expired"
     );
-    for o in outcomes {
-        out += &format!(
-            "{:<22} {:>8} {:>6} {:>7.1} {:>7.1} {:>7.1} {:>7.1} {:>7.1} {:>8.2} {:>8.1} {:>6} {:>7} {:>7}\n",
-            o.name,
-            o.requests,
-            o.cold,
-            o.cold_p50,
-            o.cold_p95,
-            o.cold_p99,
-            o.cold_worst,
-            o.all_p99,
-            o.wait_hours,
-            o.idle_hours,
-            o.loads,
-            o.refused,
-            o.expired
-        );
-    }
+    out += &outcomes.iter().map(line).collect::<String>();
     out
 }
 
+fn line(o: &Outcome) -> String {
+    format!(
+        "{:<22} {:>8} {:>6} {:>7.1} {:>7.1} {:>7.1} {:>7.1} {:>7.1} {:>8.2} {:>8.1} {:>6} {:>7} {:>7}\n",
+        o.name,
+        o.requests,
+        o.cold,
+        o.cold_p50,
+        o.cold_p95,
+        o.cold_p99,
+        o.cold_worst,
+        o.all_p99,
+        o.wait_hours,
+        o.idle_hours,
+        o.loads,
+        o.refused,
+        o.expired
+    )
+}
+
 /// Draws the trade as an SVG file.
 ///
 /// # Errors
--- a/lib/testutils/src/workload.rs
+++ b/lib/testutils/src/workload.rs
@@ -91,6 +91,9 @@
     pub source: Source,
 }
 
+/// Spread of the logarithm of the gaps between sessions; the longest are hundreds of times the
+/// shortest.
+const SPREAD: f64 = 1.2;
 /// Most adapters of the table are small next to their bases.
 const ADAPTER_MIB: u64 = 500;
 
@@ -172,9 +175,7 @@
                 if rng.random_range(0.0..1.0) < day_share(at) {
                     self.session(&mut rng, &row, at, &mut arrivals);
                 }
-                // Pareto gaps of shape 1.3.
-                let luck: f64 = rng.random_range(0.0..1.0);
-                at += scale * 0.5 * (1.0 - luck).powf(-1.0 / 1.3);
+                at += scale * (SPREAD * normal(&mut rng)).exp();
             }
         }
         arrivals.retain(|a| a.at_ms < hours * 3_600_000);
@@ -205,6 +206,12 @@
     }
 }
 
+/// Returns a draw of the standard normal distribution, by the Box-Muller transform.
+fn normal(rng: &mut ChaCha8Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random_range(0.0..1.0_f64)).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random_range(0.0..1.0)).cos()
+}
+
 /// Returns the share of sessions that take place at this time of day.
 fn day_share(at: f64) -> f64 {
     let hour = (at / 3600.0) % 24.0;
@@ -215,3 +222,31 @@
 pub fn deadline(arrival: &Arrival) -> Duration {
     Duration::from_millis(arrival.at_ms + arrival.deadline_ms)
 }
+
+/// Writes arrivals as CSV.
+///
+/// # Errors
+///
+/// Never fails in memory; the type is the library's.
+pub fn write_csv(arrivals: &[Arrival]) -> Result<String, csv::Error> {
+    let mut writer = csv::Writer::from_writer(Vec::new());
+    for arrival in arrivals {
+        writer.serialize(arrival)?;
+    }
+    writer.flush()?;
+    let bytes = writer.into_inner().map_err(csv::IntoInnerError::into_error)?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// Reads arrivals that [`write_csv`] wrote, in the order of their times.
+///
+/// # Errors
+///
+/// A line is not an arrival.
+pub fn read_csv(text: &str) -> Result<Vec<Arrival>, csv::Error> {
+    let mut arrivals = csv::Reader::from_reader(text.as_bytes())
+        .into_deserialize()
+        .collect::<Result<Vec<Arrival>, _>>()?;
+    arrivals.sort_by_key(|a| a.at_ms);
+    Ok(arrivals)
+}
