upkeep: price idle time by the memory it holds

Cause: idle_price was charged for each replica alike, so an adapter of 500 MiB was unloaded as soon as a model of 40 GB. Change: the price counts for the share of the server's memory.

--- a/lib/src/upkeep.rs
+++ b/lib/src/upkeep.rs
@@ -165,16 +165,19 @@
         }
         let row = self.scene.state.table.row(&slot.model)?;
         // A load that nobody used was for its checkpoint, or for callers who have gone.
-        let keep = if watch.served == 0 { UNUSED_KEEP } else { self.keep(row) };
+        let keep = if watch.served == 0 { UNUSED_KEEP } else { self.keep(row, slot) };
         let idle = self.scene.now.saturating_sub(watch.used);
         (idle >= keep)
             .then(|| Step::Drain(format!("idle {}s, kept {}s", idle.as_secs(), keep.as_secs())))
     }
 
-    fn keep(&self, row: &Row) -> Duration {
+    fn keep(&self, row: &Row, slot: &Slot) -> Duration {
         // The next start reads what this unload leaves in the server's memory or on its disk.
         let cold = self.scene.rates.expected(row.load_mib, Source::Disk);
-        self.warm.keep(&row.name, cold, row.idle_price)
+        let member = self.scene.fleet.member(&slot.server);
+        let whole = member.map_or(1, |m| m.host.memory_mib.max(1));
+        let share = slot.memory_mib as f64 / whole as f64;
+        self.warm.keep(&row.name, cold, row.idle_price * share)
     }
 
     fn step_draining(&self, id: SlotId, slot: &Slot, watch: &Watch) -> Option<Step> {
