--- a/lib/src/upkeep.rs
+++ b/lib/src/upkeep.rs
@@ -18,7 +18,6 @@
 use crate::record::Phase;
 use crate::record::Source;
 use crate::state::Slot;
-use crate::table::Kind;
 use crate::table::Row;
 use crate::watch::OrderState;
 use crate::watch::Watch;
@@ -167,33 +166,11 @@
         let row = self.scene.state.table.row(&slot.model)?;
         // A load that nobody used was for its checkpoint, or for callers who have gone.
         let keep = if watch.served == 0 { UNUSED_KEEP } else { self.keep(row, slot) };
-        if row.kind == Kind::Adapter && !self.is_base_due(slot) {
-            return None;
-        }
         let idle = self.scene.now.saturating_sub(watch.used);
         (idle >= keep)
             .then(|| Step::Drain(format!("idle {}s, kept {}s", idle.as_secs(), keep.as_secs())))
     }
 
-    /// Returns whether an adapter's base on the same server would be unloaded but for adapters.
-    ///
-    /// An adapter's own memory is small; it keeps its base loaded, and goes when that is idle.
-    fn is_base_due(&self, slot: &Slot) -> bool {
-        let Some(adapter) = self.scene.state.table.row(&slot.model) else {
-            return true;
-        };
-        let on_server = |s: &Slot| s.server == slot.server;
-        let mut bases = self.scene.state.slots_of(&adapter.base).filter(|(_, s)| on_server(s));
-        let Some((id, base)) = bases.next() else {
-            return true;
-        };
-        let Some(row) = self.scene.state.table.row(&base.model) else {
-            return true;
-        };
-        let used = self.scene.watches.get(id).map_or(self.scene.now, |w| w.used);
-        self.scene.now.saturating_sub(used) >= self.keep(row, base)
-    }
-
     fn keep(&self, row: &Row, slot: &Slot) -> Duration {
         // The next start reads what this unload leaves in the server's memory or on its disk.
         let cold = self.scene.rates.expected(row.load_mib, Source::Disk);
