standin: measure a daemon against a relay without decisions

Cause: the time that a daemon adds to the first token was not measured. Own demand is traced as an event, so that a recorded trace replays.

--- a/lib/src/shell.rs
+++ b/lib/src/shell.rs
@@ -297,8 +297,7 @@
         }
         self.digested = now;
         let me = self.node.settings.id.clone();
-        let effects = self.control.handle(now, Event::Demand(me.clone(), demand.clone()));
-        self.carry_out(now, effects);
+        self.handle(now, Event::Demand(me.clone(), demand.clone()));
         demand.truncate(MAX_LINES);
         let state = self.control.state();
         let mut digest = Digest {
--- a/lib/testutils/src/flags.rs
+++ b/lib/testutils/src/flags.rs
@@ -34,6 +34,8 @@
             optional --incarnation count: u64
             /// Time between tokens, in milliseconds. [5]
             optional --gap-ms time: u64
+            /// Requests that run at once. [64]
+            optional --slots count: u32
         }
         /// A plain service, which enters itself in the host list.
         cmd service {
@@ -47,6 +49,29 @@
             required --row name: String
         }
         /// Print a table to begin with.
-        cmd table {}
+        cmd table {
+            /// Most requests on a replica. [8]
+            optional --limit count: u32
+        }
+        /// A relay of streams without any decision: what a daemon is measured against.
+        cmd relay {
+            /// The engine.
+            required --to addr: SocketAddr
+        }
+        /// Open streams at a steady rate and print what their callers saw.
+        cmd load {
+            /// Where to send them.
+            required --to addr: SocketAddr
+            /// The model. [hem]
+            optional --model name: String
+            /// New streams a second. [77]
+            optional --rate count: f64
+            /// Seconds for which new streams come. [30]
+            optional --seconds time: u64
+            /// Tokens of each stream. [292]
+            optional --tokens count: u64
+            /// Process whose processor time and memory are printed as well.
+            optional --pid id: u32
+        }
     }
 }
--- a/lib/testutils/src/main.rs
+++ b/lib/testutils/src/main.rs
@@ -9,13 +9,17 @@
 
 use comfreymux_lib::host::Host;
 use comfreymux_lib::host::Role;
+use comfreymux_lib::table::Row;
 use comfreymux_lib::table_file::write_csv;
 use comfreymux_testutils::engine_standin::EngineSettings;
 use comfreymux_testutils::engine_standin::EngineStandin;
 use comfreymux_testutils::hosts_standin::HostsStandin;
 use comfreymux_testutils::http_server::Handler;
 use comfreymux_testutils::http_server::HttpServer;
+use comfreymux_testutils::load;
+use comfreymux_testutils::load::Load;
 use comfreymux_testutils::log_standin::LogStandin;
+use comfreymux_testutils::relay;
 use comfreymux_testutils::rows;
 use comfreymux_testutils::service_standin::ServiceStandin;
 use comfreymux_testutils::store_standin::StoreStandin;
@@ -53,6 +57,7 @@
                 fencing: !engine.no_fencing,
                 store: engine.store,
                 gap: engine.gap_ms.map_or(defaults.gap, Duration::from_millis),
+                slots: engine.slots.unwrap_or(defaults.slots),
                 ..defaults
             };
             let host = Host {
@@ -70,14 +75,52 @@
             };
             serve(listen, Arc::new(ServiceStandin::default()), Some((service.hosts, host)))
         }
-        ComfreymuxStandinCmd::Table(_) => {
-            let rows = [rows::model("hem"), rows::model("resize"), rows::service("booking")];
+        ComfreymuxStandinCmd::Relay(to) => {
+            relay::run(listen, to.to).map_err(|e| format!("cannot listen on {listen}: {e}"))
+        }
+        ComfreymuxStandinCmd::Load(load) => {
+            print!("{}", run_load(load));
+            Ok(())
+        }
+        ComfreymuxStandinCmd::Table(table) => {
+            let limit = table.limit.unwrap_or(rows::model("hem").limit);
+            let model = |name| Row { limit, ..rows::model(name) };
+            let rows = [model("hem"), model("resize"), rows::service("booking")];
             print!("{}", write_csv(&rows));
             Ok(())
         }
     }
 }
 
+fn run_load(flags: &flags::Load) -> String {
+    let load = Load {
+        rate: flags.rate.unwrap_or(77.0),
+        time: Duration::from_secs(flags.seconds.unwrap_or(30)),
+        tokens: flags.tokens.unwrap_or(292),
+    };
+    let model = flags.model.as_deref().unwrap_or("hem");
+    let before = flags.pid.map(load::usage);
+    let seen = load::run(flags.to, comfreymux_lib::chat::PATH, model, load);
+    let ms = |h: &hdrhistogram::Histogram<u64>, q| h.value_at_quantile(q) as f64 / 1000.0;
+    let streams = format!(
+        "streams whole={} of={} tokens/s={:.0} first_ms p50={:.2} p95={:.2} p99={:.2} between_ms p50={:.2} p95={:.2}\n",
+        seen.whole,
+        (load.rate * load.time.as_secs_f64()) as u64,
+        seen.tokens as f64 / seen.took.as_secs_f64(),
+        ms(&seen.first, 0.5),
+        ms(&seen.first, 0.95),
+        ms(&seen.first, 0.99),
+        ms(&seen.between, 0.5),
+        ms(&seen.between, 0.95),
+    );
+    let (Some(pid), Some(before)) = (flags.pid, before) else {
+        return streams;
+    };
+    let after = load::usage(pid);
+    let cores = (after.cpu_s - before.cpu_s) / seen.took.as_secs_f64();
+    streams + &format!("process cores={cores:.2} resident_mib={:.0}\n", after.resident_mib)
+}
+
 /// Serves until the process is ended, after entering a host in the host list.
 fn serve(
     listen: SocketAddr,
--- /dev/null
+++ b/lib/testutils/src/relay.rs
@@ -0,0 +1,59 @@
+//! A relay of streams without any decision, against which a daemon is measured.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use comfreymux_lib::chat;
+use comfreymux_lib::exchange::Call;
+use comfreymux_lib::exchange::Exchange;
+use comfreymux_lib::exchange::HttpExchange;
+use comfreymux_lib::gateway;
+use comfreymux_lib::sse::StreamEvent;
+use comfreymux_lib::sse::StreamReader;
+use comfreymux_lib::sse::StreamWriter;
+use tiny_http::Request;
+use tiny_http::Server;
+
+/// Relays every request to `to` until the process ends.
+///
+/// # Errors
+///
+/// The address cannot be used.
+pub fn run(listen: SocketAddr, to: SocketAddr) -> io::Result<()> {
+    let listener = gateway::listen(listen)?;
+    println!("listening on {}", listener.local_addr()?);
+    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+    let exchange = Arc::new(HttpExchange::new(Duration::from_secs(10)));
+    for request in server.incoming_requests() {
+        let exchange = Arc::clone(&exchange);
+        thread::Builder::new().stack_size(256 * 1024).spawn(move || {
+            // A stream that fails is missing at its caller.
+            let _failed = relay(exchange.as_ref(), to, request);
+        })?;
+    }
+    Ok(())
+}
+
+fn relay(exchange: &dyn Exchange, to: SocketAddr, mut request: Request) -> io::Result<()> {
+    let mut body = Vec::new();
+    request.as_reader().read_to_end(&mut body)?;
+    let call = Call {
+        method: "POST".into(),
+        path: chat::PATH.into(),
+        content_type: "application/json".into(),
+        body,
+        attempt: "1".into(),
+        resume: 0,
+        priority: 0,
+    };
+    let failed = |f: comfreymux_lib::exchange::Failure| io::Error::other(f.detail);
+    let mut reader = StreamReader::new(exchange.call(to, &call).map_err(failed)?.body);
+    let mut writer = StreamWriter::start(request.into_writer(), &[])?;
+    while let StreamEvent::Chunk(data) = reader.next_event().map_err(failed)? {
+        writer.event(&data)?;
+    }
+    writer.done()
+}
