queue: refuse at once what the queue's pace cannot serve

Cause: under twice the capacity half of the refused requests (462 of 913) learned it at their deadline. The queue let them in because it knew nothing of its own length in time. Tried: the mean gap between turns as a moving average, by priority: 85 of 931 late. Turns come in bursts, and the average follows the last burst. Change: turns and their time are both faded and divided, for each priority over its own and lesser turns, so that overtaking is in the pace; a margin of a tenth. Retry-After is the expected wait of now.

--- a/benches/relay.sh
+++ b/benches/relay.sh
@@ -42,13 +42,13 @@
   $bin/comfreymux table apply "$out/table.csv" > /dev/null 2>&1 && break
   sleep 0.1
 done
-load="$bin/comfreymux-standin load --rate $rate --seconds $seconds"
+load() { "$bin/comfreymux-standin" load --rate "$rate" --seconds "$seconds" "$@"; }
 echo "idle daemon: $(awk '/VmRSS/ {print $2 / 1024 " MiB"}' /proc/$daemon/status)"
 echo "one stream loads the model"
-$load --to 127.0.0.1:17080 --rate 1 --seconds 1 --tokens 1
+"$bin/comfreymux-standin" load --to 127.0.0.1:17080 --rate 1 --seconds 1 --tokens 1
 echo "engine alone"
-$load --to "$(addr engine)"
+load --to "$(addr engine)"
 echo "relay without decisions"
-$load --to "$(addr relay)" --pid "$relay"
+load --to "$(addr relay)" --pid "$relay"
 echo "daemon"
-$load --to 127.0.0.1:17080 --pid "$daemon"
+load --to 127.0.0.1:17080 --pid "$daemon"
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -150,6 +150,7 @@
         let route = if overtakes { None } else { node.router().choose(now, &view, wish) };
         if let Some(route) = route {
             if woken {
+                node.pace().turned(now, job.model(), job.priority);
                 node.metrics.waited(job.model(), now.saturating_sub(began));
             }
             return Ok(route);
@@ -159,7 +160,7 @@
             history.tried.clear();
             std::thread::sleep(PAUSE);
             if node.now() >= job.deadline {
-                return Err(refuse(node, job, history, Refusal::Expired));
+                return Err(refuse(node, job, history, Refusal::Expired, COME_BACK));
             }
             continue;
         }
@@ -172,28 +173,40 @@
         if !woken {
             node.note_request(&job.id, job.model(), "wait", "", "no replica has room");
         }
-        let least = least_wait(node, job);
-        node.waiting.wait(now, waiter, least).map_err(|r| refuse(node, job, history, r))?;
+        let expected = expected_wait(node, now, job, &waiter);
+        let waited = node.waiting.wait(now, waiter, expected);
+        waited.map_err(|r| refuse(node, job, history, r, expected))?;
         woken = true;
     }
 }
 
-/// Returns the least time until a replica can be ready: a request that cannot wait it is refused at
-/// once.
-fn least_wait(node: &Node, job: &Job) -> Duration {
+/// Returns the time until the request's turn: a request that cannot wait it is refused at once.
+///
+/// For a cold model it is the least that a load can take; for others it follows from the pace of the
+/// queue.
+fn expected_wait(node: &Node, now: Duration, job: &Job, waiter: &Waiter) -> Duration {
     let view = node.view.load();
     let cold = view.places(job.model()).is_empty() && !view.loading.contains(job.model());
     if cold && job.row.is_loaded() {
-        node.loading_rates().expected(job.row.load_mib, Source::Memory)
-    } else {
-        Duration::ZERO
+        return node.loading_rates().expected(job.row.load_mib, Source::Memory);
     }
+    let ahead = node.waiting.ahead(waiter);
+    node.pace().expected(now, job.model(), job.priority, ahead)
 }
 
-fn refuse(node: &Node, job: &Job, history: &History, refusal: Refusal) -> Refused {
+fn refuse(
+    node: &Node,
+    job: &Job,
+    history: &History,
+    refusal: Refusal,
+    expected: Duration,
+) -> Refused {
+    let cold = node.view.load().places(job.model()).is_empty();
     let retry = match refusal {
         Refusal::Stopping => Duration::ZERO,
-        _ => node.loading_rates().expected(job.row.load_mib, Source::Disk),
+        _ if cold => node.loading_rates().expected(job.row.load_mib, Source::Disk),
+        // By then the queue of now is through.
+        _ => expected.max(COME_BACK),
     };
     let message = match refusal {
         Refusal::Full => "too many requests wait for this model",
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod node;
 pub mod once;
 pub mod outcomes;
+pub mod pace;
 pub mod peer_call;
 pub mod peer_message;
 pub mod peers;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -29,6 +29,7 @@
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::outcomes::Outcomes;
+use crate::pace::Pace;
 use crate::rates::Rates;
 use crate::record::Entry;
 use crate::retry::RetryBudget;
@@ -102,6 +103,7 @@
     router: Mutex<Router>,
     limits: Mutex<Limits>,
     budget: Mutex<RetryBudget>,
+    pace: Mutex<Pace>,
     requests: AtomicU64,
 }
 
@@ -128,6 +130,7 @@
             router: Mutex::new(Router::new(centre, incarnation)),
             limits: Mutex::new(Limits::new(settings.requests, settings.share)),
             budget: Mutex::default(),
+            pace: Mutex::default(),
             metrics: Metrics::new(),
             journal: Journal::default(),
             stopping: AtomicBool::new(false),
@@ -168,6 +171,11 @@
         lock(&self.budget)
     }
 
+    /// Returns the pace of the queues, locked.
+    pub fn pace(&self) -> MutexGuard<'_, Pace> {
+        lock(&self.pace)
+    }
+
     /// Returns the learned loading speeds.
     pub fn loading_rates(&self) -> Rates {
         *lock(&self.rates)
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -103,6 +103,14 @@
         Entered::Waits(key, displaced)
     }
 
+    /// Returns how many requests would get their turn before `waiter`.
+    pub fn ahead(&self, waiter: &Waiter) -> usize {
+        let own = (Reverse(waiter.priority), waiter.deadline);
+        let keys = self.models.get(&waiter.model).map_or(&[][..], Vec::as_slice);
+        let key = |k: &WaiterKey| (Reverse(self.waiters[*k].priority), self.waiters[*k].deadline);
+        keys.iter().filter(|k| key(k) <= own).count()
+    }
+
     /// Removes a request; returns whether it was still waiting.
     pub fn leave(&mut self, key: WaiterKey) -> bool {
         let Some(waiter) = self.waiters.remove(key) else {
--- a/lib/src/waiting.rs
+++ b/lib/src/waiting.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns how many requests would get their turn before `waiter`.
+    pub fn ahead(&self, waiter: &Waiter) -> usize {
+        self.inner().queue.ahead(waiter)
+    }
+
     /// Returns whether requests wait for `model`; a newcomer must not overtake them.
     pub fn is_waited(&self, model: &str) -> bool {
         self.inner().queue.first(model).is_some()
