--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -4,7 +4,6 @@
 //! It has no clock, socket or thread: `handle` takes an event with its time and returns effects.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::append::Appender;
@@ -12,10 +11,10 @@
 use crate::claims::ClaimStep;
 use crate::claims::Decided;
 use crate::demand::Demand;
+use crate::edits::EditDesk;
 use crate::event::Choice;
 use crate::event::ClaimAnswer;
 use crate::event::Decision;
-use crate::event::EditAnswer;
 use crate::event::Effect;
 use crate::event::Event;
 use crate::event::Hint;
@@ -23,6 +22,7 @@
 use crate::fold;
 use crate::fold::Outcome;
 use crate::fold::Rejection;
+use crate::hints::HintBook;
 use crate::host::Action;
 use crate::host::Order;
 use crate::host::OrderAnswer;
@@ -51,8 +51,6 @@
 const LOG_SILENCE: Duration = Duration::from_secs(4);
 /// Entries between two checkpoints, at which daemons compare the hashes of their states.
 const CHECKPOINT_EVERY: Offset = 1024;
-/// Hints of a lease holder count for this long.
-const HINT_FRESH: Duration = Duration::from_secs(4);
 
 /// What a control state machine is told at its start.
 #[derive(Clone, Debug)]
@@ -88,11 +86,13 @@
     pub(crate) ticked: Duration,
     /// Offset of the last snapshot in the log.
     pub(crate) snapshot: Offset,
+    /// When the last full round over everything was.
+    pub(crate) rounded: Duration,
     /// Whether the daemon is stopping and takes no lease.
     pub(crate) stopping: bool,
     desk: ClaimDesk,
-    edits: VecDeque<Edit>,
-    hints: BTreeMap<DaemonId, (Duration, Vec<Hint>)>,
+    edits: EditDesk,
+    hints: HintBook,
     /// Orders given since the start.
     orders: u64,
     heard: Option<Duration>,
@@ -120,10 +120,11 @@
             effects: Vec::new(),
             ticked: Duration::ZERO,
             snapshot: 0,
+            rounded: Duration::ZERO,
             stopping: false,
             desk: ClaimDesk::new(id, incarnation),
-            edits: VecDeque::new(),
-            hints: BTreeMap::new(),
+            edits: EditDesk::default(),
+            hints: HintBook::default(),
             orders: 0,
             heard: None,
             checkpoint: (0, 0),
@@ -155,8 +156,7 @@
 
     /// Returns the fresh hints of all lease holders.
     pub fn hints(&self, now: Duration) -> Vec<Hint> {
-        let fresh = self.hints.values().filter(|(at, _)| now < *at + HINT_FRESH);
-        fresh.flat_map(|(_, hints)| hints.iter().cloned()).collect()
+        self.hints.fresh(now)
     }
 
     /// Returns replicas of this daemon's data centre that serve though the log does not show it.
@@ -167,7 +167,7 @@
         self.local_slots()
             .into_iter()
             .filter(|id| self.watches.get(*id).is_some_and(|w| w.loaded))
-            .filter_map(|id| self.state.slots.get(&id))
+            .filter_map(|id| self.state.slots.get(id))
             .filter(|s| s.phase != Phase::Loaded && s.phase != Phase::Draining)
             .map(|s| Hint { model: s.model.clone(), server: s.server.clone() })
             .collect()
@@ -258,10 +258,8 @@
     }
 
     pub(crate) fn local_slots(&self) -> Vec<SlotId> {
-        let local = |server: &str| {
-            self.state.servers.get(server).is_some_and(|s| s.centre == self.settings.centre)
-        };
-        self.state.slots.iter().filter(|(_, s)| local(&s.server)).map(|(id, _)| *id).collect()
+        let local = self.state.servers.values().filter(|s| s.centre == self.settings.centre);
+        local.flat_map(|s| self.state.slots.on_server(&s.id)).map(|(id, _)| id).collect()
     }
 
     fn send(&mut self, now: Duration) {
@@ -306,7 +304,7 @@
             entry.writer == self.settings.id && entry.incarnation == self.settings.incarnation;
         let mut changed = false;
         for (record, outcome) in entry.records.iter().zip(outcomes) {
-            changed |= outcome.is_ok() && !matches!(record, Record::Claim(_) | Record::Settle(_));
+            changed |= outcome.is_ok() && is_seen(record);
             self.note(record, outcome);
             if own {
                 self.note_own(record, outcome, back.map(|b| b.sent));
@@ -396,39 +394,24 @@
     }
 
     fn take_edit(&mut self, edit: Edit) {
-        self.edits.push_back(edit.clone());
-        if self.state.edit(&edit.id).is_some() {
-            self.answer_edits();
-            return;
-        }
-        let record = Record::Edit(edit);
-        if !self.appender.holds(&record) {
+        let record = Record::Edit(edit.clone());
+        if self.edits.take(edit, &self.state) && !self.appender.holds(&record) {
             self.appender.push(record);
         }
+        self.answer_edits();
     }
 
     /// Answers the edits that the log has decided.
     fn answer_edits(&mut self) {
-        let waiting = std::mem::take(&mut self.edits);
-        for edit in waiting {
-            let Some(line) = self.state.edit(&edit.id) else {
-                self.edits.push_back(edit);
-                continue;
-            };
-            let answer = match &line.conflict {
-                None => EditAnswer::Accepted(line.position),
-                Some(row) => EditAnswer::Conflict(row.clone()),
-            };
+        for (edit, answer) in self.edits.decided(&self.state) {
             self.effects.push(Effect::Edited(edit, answer));
         }
     }
 
     fn take_hints(&mut self, now: Duration, daemon: DaemonId, hints: Vec<Hint>) {
-        let had = self.hints.get(&daemon);
-        if had.is_none_or(|(_, old)| *old != hints) {
+        if self.hints.take(now, daemon, hints) {
             self.effects.push(Effect::Publish);
         }
-        self.hints.insert(daemon, (now, hints));
     }
 
     fn take_report(&mut self, now: Duration, server: &str, report: Option<Report>) {
@@ -452,14 +435,12 @@
     }
 
     fn note_use(&mut self, now: Duration, server: &str, report: &Report) {
-        for id in self.local_slots() {
-            let Some(slot) = self.state.slots.get(&id).filter(|s| s.server == server) else {
-                continue;
-            };
-            let Some(line) = report.model(&slot.model) else {
+        let slots: Vec<(SlotId, ModelName)> =
+            self.state.slots.on_server(server).map(|(id, s)| (id, s.model.clone())).collect();
+        for (id, model) in slots {
+            let Some(line) = report.model(&model) else {
                 continue;
             };
-            let model = slot.model.clone();
             let watch = self.watches.entry(now, id);
             let begun = line.served != watch.served;
             watch.served = line.served;
@@ -501,7 +482,7 @@
     /// Two orders under way at once could arrive in either order, and the engine would refuse the
     /// one with the lesser number.
     pub(crate) fn order(&mut self, now: Duration, id: SlotId, action: Action) -> bool {
-        let (Some(lease), Some(slot)) = (self.fence(), self.state.slots.get(&id)) else {
+        let (Some(lease), Some(slot)) = (self.fence(), self.state.slots.get(id)) else {
             return false;
         };
         if self.watches.is_busy(now, &slot.server) || self.is_freeing(id) {
@@ -532,3 +513,17 @@
         true
     }
 }
+
+/// Returns whether routers see what a record changes; the others are many.
+fn is_seen(record: &Record) -> bool {
+    !matches!(
+        record,
+        Record::Claim(_)
+            | Record::Settle(_)
+            | Record::Renew
+            | Record::Tick(_)
+            | Record::Snapshot(_)
+            | Record::Bid(_)
+            | Record::Release(..)
+    )
+}
--- a/lib/src/demand.rs
+++ b/lib/src/demand.rs
@@ -80,6 +80,11 @@
         self.models.retain(|_, d| !d.lines.is_empty());
     }
 
+    /// Returns whether no requests wait.
+    pub fn is_empty(&self) -> bool {
+        self.models.is_empty()
+    }
+
     /// Iterates over the models that requests wait for.
     pub fn iter(&self) -> impl Iterator<Item = (&ModelName, Total)> {
         self.models.iter().map(|(model, d)| (model, d.total()))
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -174,8 +174,8 @@
             node.note_request(&job.id, job.model(), "wait", "", "no replica has room");
         }
         let expected = expected_wait(node, now, job, &waiter);
-        let waited = node.waiting.wait(now, waiter, expected);
-        waited.map_err(|r| refuse(node, job, history, r, expected))?;
+        let turn = node.waiting.wait(now, waiter, expected);
+        turn.map_err(|r| refuse(node, job, history, r, expected))?;
         woken = true;
     }
 }
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -1,4 +1,4 @@
-//! What a daemon does as time passes: leases, reports, loads and unloads.
+//! What a daemon does as time passes: leases, hosts, reports, the log's clock and snapshots.
 
 use std::time::Duration;
 
@@ -13,29 +13,22 @@
 use crate::host::Role;
 use crate::ids::ModelName;
 use crate::ids::Offset;
-use crate::ids::ServerId;
 use crate::ids::SlotId;
 use crate::lease::BID_AFTER;
 use crate::lease::RENEW_EVERY;
-use crate::placement::Plan;
-use crate::placement::Scene;
 use crate::record::Bid;
-use crate::record::Freed;
-use crate::record::Intent;
 use crate::record::Phase;
-use crate::record::PhaseChange;
 use crate::record::Record;
 use crate::record::ServerFacts;
-use crate::record::Source;
+use crate::slots::Slot;
 use crate::snapshot;
-use crate::state::Slot;
 use crate::state::TICK_PERIOD_S;
-use crate::upkeep::Step;
-use crate::upkeep::Upkeep;
 use crate::watch::Watches;
 
 /// Time between reports of a server on which something loads: a finished load is seen soon.
 const LOADING_POLL: Duration = Duration::from_millis(100);
+/// Time between two full rounds over all hosts, slots and rows of the data centre.
+const ROUND: Duration = Duration::from_secs(1);
 /// How much rarer servers are asked on which nothing is loaded.
 const EMPTY_POLL_FACTOR: u32 = 10;
 /// Bids of one data centre's daemons are spread over this time.
@@ -53,11 +46,17 @@
         if self.fence().is_none() {
             return;
         }
-        self.state_hosts();
+        let full = now >= self.rounded + ROUND;
+        if full {
+            self.rounded = now;
+            self.state_hosts();
+            self.keep_log(now);
+        }
         self.poll_servers(now);
-        self.keep_slots(now);
-        self.place_models(now);
-        self.keep_log(now);
+        self.keep_slots(now, full);
+        if full || !self.demand.is_empty() {
+            self.place_models(now);
+        }
     }
 
     pub(crate) fn stop(&mut self) {
@@ -70,7 +69,7 @@
 
     pub(crate) fn take_hosts(&mut self, now: Duration, hosts: Vec<Host>) {
         self.fleet.replace(hosts);
-        self.watches.retain(|id| self.state.slots.contains_key(&id));
+        self.watches.retain(|id| self.state.slots.contains(id));
         self.observe_centres(now);
         self.effects.push(Effect::Publish);
     }
@@ -135,9 +134,11 @@
         }
         let mut records = Vec::new();
         for member in self.fleet.with_role(Role::Engine) {
+            if member.host.centre != self.settings.centre {
+                continue;
+            }
             let known = self.state.servers.get(&member.host.id);
-            let current = known.is_some_and(|s| s.incarnation >= member.host.incarnation);
-            if member.host.centre == self.settings.centre && !current {
+            if known.is_none_or(|s| s.incarnation < member.host.incarnation) {
                 records.push(Record::Server(facts(&member.host)));
             }
         }
@@ -179,8 +180,8 @@
     }
 
     fn poll_period(&self, member: &Member) -> Duration {
-        let slots = || self.state.slots.iter().filter(|(_, s)| s.server == member.host.id);
-        if slots().any(|(id, s)| self.is_loading(*id, s)) {
+        let slots = || self.state.slots.on_server(&member.host.id);
+        if slots().any(|(id, s)| self.is_loading(id, s)) {
             return LOADING_POLL;
         }
         let empty = slots().all(|(_, s)| s.phase == Phase::Reserved);
@@ -197,198 +198,6 @@
         slot.phase.is_loading() || (slot.phase == Phase::Reserved && woken())
     }
 
-    fn keep_slots(&mut self, now: Duration) {
-        for id in self.local_slots() {
-            let Some(slot) = self.state.slots.get(&id).cloned() else {
-                continue;
-            };
-            if self.is_freeing(id) {
-                continue;
-            }
-            self.watches.entry(now, id).follow(now, &slot);
-            let step = {
-                let upkeep = self.upkeep(now);
-                self.watches.get(id).and_then(|watch| upkeep.step(id, &slot, watch))
-            };
-            if let Some(step) = step {
-                self.take_step(now, id, &slot, step);
-            }
-        }
-    }
-
-    fn scene(&self, now: Duration) -> Scene<'_> {
-        Scene {
-            now,
-            centre: &self.settings.centre,
-            state: &self.state,
-            fleet: &self.fleet,
-            demand: &self.demand,
-            rates: &self.rates,
-            watches: &self.watches,
-        }
-    }
-
-    fn upkeep(&self, now: Duration) -> Upkeep<'_> {
-        Upkeep {
-            scene: self.scene(now),
-            warm: &self.warm,
-            me: (&self.settings.id, self.settings.incarnation),
-            valid: self.authority.is_valid(now),
-        }
-    }
-
-    fn take_step(&mut self, now: Duration, id: SlotId, slot: &Slot, step: Step) {
-        let (model, server) = (slot.model.as_str(), slot.server.as_str());
-        match step {
-            Step::Load => {
-                self.order(now, id, Action::Load);
-            }
-            Step::Reload => {
-                self.change_phase(id, slot.phase);
-            }
-            Step::Ready => self.note_ready(now, id, slot),
-            Step::Drain(reason) => {
-                if self.change_phase(id, Phase::Draining) {
-                    self.decide(Choice::Drain, model, server, reason);
-                }
-            }
-            Step::Retain => {
-                if self.change_phase(id, Phase::Loaded) {
-                    self.decide(Choice::Retain, model, server, "it is wanted again");
-                }
-            }
-            Step::Unload(reason) => {
-                if self.order(now, id, Action::Unload) {
-                    self.decide(Choice::Unload, model, server, reason);
-                }
-            }
-            Step::Sleep(_) => {
-                self.change_phase(id, Phase::Reserved);
-            }
-            Step::Free(reason) => self.free(now, id, slot, reason),
-        }
-    }
-
-    fn note_ready(&mut self, now: Duration, id: SlotId, slot: &Slot) {
-        let watch = self.watches.entry(now, id);
-        if !watch.loaded {
-            watch.loaded = true;
-            watch.used = now;
-            let took = now.saturating_sub(watch.began);
-            if let (Phase::Loading(source), Some(row)) =
-                (slot.phase, self.state.table.row(&slot.model))
-            {
-                self.rates.learn(row.load_mib, source, took);
-            }
-            let reason = format!("loaded in {:.2}s", took.as_secs_f64());
-            self.decide(Choice::Ready, &slot.model, &slot.server, reason);
-            self.effects.push(Effect::Publish);
-        }
-        self.change_phase(id, Phase::Loaded);
-    }
-
-    fn free(&mut self, now: Duration, id: SlotId, slot: &Slot, reason: String) {
-        let Some(fence) = self.fence() else {
-            return;
-        };
-        let orderer_gone = self.upkeep(now).is_gone(slot);
-        let record = Record::Freed(Freed { slot: id, fence, orderer_gone });
-        if !self.appender.holds(&record) {
-            self.appender.push(record);
-            self.decide(Choice::Free, &slot.model, &slot.server, reason);
-        }
-    }
-
-    /// Queues a change of phase; returns false where it is queued already.
-    fn change_phase(&mut self, slot: SlotId, phase: Phase) -> bool {
-        let Some(fence) = self.fence() else {
-            return false;
-        };
-        let record = Record::Phase(PhaseChange { slot, fence, phase });
-        let is_new = !self.appender.holds(&record);
-        if is_new {
-            self.appender.push(record);
-        }
-        is_new
-    }
-
-    fn place_models(&mut self, now: Duration) {
-        if self.stopping {
-            return;
-        }
-        for plan in self.scene(now).plan_loads() {
-            match plan {
-                Plan::Place { model, server, source, reason } => {
-                    self.place(now, model, server, source, reason);
-                }
-                Plan::Wake { slot, source, reason } => self.wake(now, slot, source, reason),
-                Plan::Evict { slot, reason } => self.evict(now, slot, reason),
-                Plan::Hold { model, reason } => {
-                    if self.held.insert(model.clone(), reason) != Some(reason) {
-                        self.decide(Choice::Hold, &model, "", reason);
-                    }
-                }
-            }
-        }
-        let demand = &self.demand;
-        self.held.retain(|model, _| demand.total(model).is_some());
-    }
-
-    fn place(
-        &mut self,
-        now: Duration,
-        model: ModelName,
-        server: ServerId,
-        source: Source,
-        reason: String,
-    ) {
-        let (Some(fence), Some(facts)) = (self.fence(), self.state.servers.get(&server)) else {
-            return;
-        };
-        let queued = self.appender.any(|r| matches!(r, Record::Intent(i) if i.model == model));
-        if queued || !self.is_log_up(now) {
-            return;
-        }
-        let incarnation = facts.incarnation;
-        self.decide(Choice::Place, &model, &server, reason);
-        let intent = Intent { model, server, incarnation, fence, source };
-        self.appender.push(Record::Intent(intent));
-    }
-
-    /// Loads into a reserved slot.
-    ///
-    /// The record comes first, so that others see the load. While the log is down an engine that
-    /// fences is ordered at once: the slot's count and memory are this lease's until the engine
-    /// has seen a newer fence, so a holder that lost the lease unknowingly is refused there.
-    fn wake(&mut self, now: Duration, id: SlotId, source: Source, reason: String) {
-        let Some(slot) = self.state.slots.get(&id).cloned() else {
-            return;
-        };
-        if self.is_log_up(now) {
-            if self.change_phase(id, Phase::Loading(source)) {
-                self.decide(Choice::Wake, &slot.model, &slot.server, reason);
-            }
-            return;
-        }
-        let fencing = self.state.servers.get(&slot.server).is_some_and(|s| s.fencing);
-        let ordered = self.watches.get(id).and_then(|w| w.order);
-        let again = ordered.is_none_or(|o| o.action != Action::Load);
-        if fencing && again && self.order(now, id, Action::Load) {
-            self.decide(Choice::Wake, &slot.model, &slot.server, "reserved; the log is down");
-        }
-    }
-
-    fn evict(&mut self, now: Duration, id: SlotId, reason: String) {
-        let Some(slot) = self.state.slots.get(&id).cloned() else {
-            return;
-        };
-        let watch = self.watches.entry(now, id);
-        if !watch.giving {
-            watch.giving = true;
-            self.decide(Choice::Drain, &slot.model, &slot.server, reason);
-        }
-    }
-
     /// Advances the log's clock and writes snapshots before older entries expire.
     fn keep_log(&mut self, now: Duration) {
         let period = Duration::from_secs(TICK_PERIOD_S);
@@ -412,7 +221,7 @@
         self.local_slots()
             .into_iter()
             .filter(|id| self.watches.get(*id).is_some_and(|w| w.active == 0))
-            .filter_map(|id| self.state.slots.get(&id))
+            .filter_map(|id| self.state.slots.get(id))
             .filter(|s| matches!(s.phase, Phase::Loaded | Phase::Draining))
             .map(|s| s.model.clone())
             .collect()
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -13,6 +13,7 @@
 use crate::ids::Offset;
 use crate::ids::Position;
 use crate::ids::ServerId;
+use crate::ids::SlotId;
 use crate::ids::position;
 use crate::record::Bid;
 use crate::record::Entry;
@@ -23,13 +24,13 @@
 use crate::record::Record;
 use crate::record::ServerFacts;
 use crate::record::Settlement;
+use crate::slots::Slot;
 use crate::state::CLAIM_TICKS;
 use crate::state::Claim;
 use crate::state::ClaimEnd;
 use crate::state::EditLine;
 use crate::state::Lease;
 use crate::state::MAX_HISTORY;
-use crate::state::Slot;
 use crate::state::State;
 use crate::state::WRITER_TICKS;
 use crate::state::Writer;
@@ -200,7 +201,11 @@
 /// ignores fencing numbers would carry it out, so there the slot stays until the order is resolved.
 fn drop_slots(state: &mut State, server: &ServerId, fencing: bool) {
     let stays = |slot: &Slot| !fencing && slot.phase.is_loading();
-    state.slots.retain(|_, slot| slot.server != *server || stays(slot));
+    let gone: Vec<SlotId> =
+        state.slots.on_server(server).filter(|(_, s)| !stays(s)).map(|(id, _)| id).collect();
+    for id in gone {
+        state.slots.remove(id);
+    }
 }
 
 fn apply_bid(state: &mut State, entry: &Entry, at: Position, bid: &Bid) -> Result<(), Rejection> {
@@ -284,7 +289,7 @@
     at: Position,
     change: &PhaseChange,
 ) -> Result<(), Rejection> {
-    let slot = state.slots.get(&change.slot).ok_or(Rejection::NoSlot)?;
+    let slot = state.slots.get(change.slot).ok_or(Rejection::NoSlot)?;
     let lease = state.lease_of(&slot.server).ok_or(Rejection::NotHolder)?;
     check_holder(entry, lease, change.fence)?;
     let fencing = state.servers.get(&slot.server).is_some_and(|s| s.fencing);
@@ -295,18 +300,19 @@
     if unresolved && change.phase != Phase::Loaded {
         return Err(Rejection::OrderUnresolved);
     }
-    let slot = state.slots.get_mut(&change.slot).ok_or(Rejection::NoSlot)?;
-    slot.phase = change.phase;
-    slot.fence = change.fence;
-    if change.phase.is_loading() {
-        slot.orderer = writer;
-        slot.ticket = at;
-    }
+    state.slots.change(change.slot, |slot| {
+        slot.phase = change.phase;
+        slot.fence = change.fence;
+        if change.phase.is_loading() {
+            slot.orderer = writer;
+            slot.ticket = at;
+        }
+    });
     Ok(())
 }
 
 fn apply_freed(state: &mut State, entry: &Entry, freed: &Freed) -> Result<(), Rejection> {
-    let slot = state.slots.get(&freed.slot).ok_or(Rejection::NoSlot)?;
+    let slot = state.slots.get(freed.slot).ok_or(Rejection::NoSlot)?;
     let server = state.servers.get(&slot.server).ok_or(Rejection::ServerReplaced)?;
     let lease = state.leases.get(&server.centre).ok_or(Rejection::NotHolder)?;
     check_holder(entry, lease, freed.fence)?;
@@ -315,7 +321,7 @@
     if unresolved && !freed.orderer_gone {
         return Err(Rejection::OrderUnresolved);
     }
-    state.slots.remove(&freed.slot);
+    state.slots.remove(freed.slot);
     Ok(())
 }
 
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -62,7 +62,7 @@
     pub active: u32,
     /// Requests begun since the engine's start.
     pub served: u64,
-    /// Ticket of the order that loaded it; see [`crate::state::Slot::ticket`].
+    /// Ticket of the order that loaded it; see [`crate::slots::Slot::ticket`].
     pub ticket: Position,
 }
 
@@ -120,7 +120,7 @@
     pub model: ModelName,
     /// The slot that it is about.
     pub slot: SlotId,
-    /// Ticket of the slot; see [`crate::state::Slot::ticket`].
+    /// Ticket of the slot; see [`crate::slots::Slot::ticket`].
     pub ticket: Position,
     /// Fencing number; see [`crate::ids::order_fence`].
     pub fence: Fence,
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -21,7 +21,7 @@
 use crate::rates::Rates;
 use crate::record::Phase;
 use crate::record::Source;
-use crate::state::Slot;
+use crate::slots::Slot;
 use crate::state::State;
 use crate::table::Kind;
 use crate::table::Row;
@@ -205,7 +205,7 @@
 
     fn remote_loads(&self) -> usize {
         let remote = Phase::Loading(Source::Remote);
-        self.state.slots.values().filter(|s| s.phase == remote).count()
+        self.state.slots.loading().filter(|(_, s)| s.phase == remote).count()
     }
 
     fn plan_model(&self, row: &Row, total: Total, remote: usize) -> Option<Plan> {
@@ -328,19 +328,19 @@
         let hold = |reason| Some(Plan::Hold { model: row.name.clone(), reason });
         for candidate in candidates {
             let server = &candidate.member.host.id;
-            let on_server = || self.state.slots.iter().filter(|(_, s)| s.server == *server);
+            let on_server = || self.state.slots.on_server(server);
             let freeing: u64 =
-                on_server().filter(|(id, _)| self.is_giving(**id)).map(|(_, s)| s.memory_mib).sum();
+                on_server().filter(|(id, _)| self.is_giving(*id)).map(|(_, s)| s.memory_mib).sum();
             if freeing + self.free_mib(candidate.member) >= row.memory_mib {
                 return hold("memory is being freed");
             }
-            let idle = on_server().filter(|(id, s)| self.is_idle(**id, s)).min_by_key(|(id, s)| {
-                let used = self.watches.get(**id).map(|w| w.used);
+            let idle = on_server().filter(|(id, s)| self.is_idle(*id, s)).min_by_key(|(id, s)| {
+                let used = self.watches.get(*id).map(|w| w.used);
                 (s.phase != Phase::Reserved, used)
             });
             if let Some((slot, _)) = idle {
                 let reason = format!("{} needs the memory", row.name);
-                return Some(Plan::Evict { slot: *slot, reason });
+                return Some(Plan::Evict { slot, reason });
             }
         }
         hold("no memory is free")
@@ -364,9 +364,9 @@
     pub fn carries_adapter(&self, slot: &Slot) -> bool {
         self.state
             .slots
-            .values()
-            .filter(|s| s.server == slot.server && s.phase != Phase::Reserved)
-            .filter_map(|s| self.state.table.row(&s.model))
+            .on_server(&slot.server)
+            .filter(|(_, s)| s.phase != Phase::Reserved)
+            .filter_map(|(_, s)| self.state.table.row(&s.model))
             .any(|row| row.kind == Kind::Adapter && row.base == slot.model)
     }
 }
--- /dev/null
+++ b/lib/src/slot_duty.rs
@@ -0,0 +1,231 @@
+//! What a lease holder does about its slots: steps, loads, evictions.
+
+use std::time::Duration;
+
+use crate::control::Controller;
+use crate::event::Choice;
+use crate::event::Effect;
+use crate::host::Action;
+use crate::ids::ModelName;
+use crate::ids::ServerId;
+use crate::ids::SlotId;
+use crate::placement::Plan;
+use crate::placement::Scene;
+use crate::record::Freed;
+use crate::record::Intent;
+use crate::record::Phase;
+use crate::record::PhaseChange;
+use crate::record::Record;
+use crate::record::Source;
+use crate::slots::Slot;
+use crate::upkeep::Step;
+use crate::upkeep::Upkeep;
+
+impl Controller {
+    /// Takes the next step of each slot; between two full rounds only of those that are not at rest.
+    pub(crate) fn keep_slots(&mut self, now: Duration, full: bool) {
+        let mut ids = self.local_slots();
+        if !full {
+            ids.retain(|id| self.is_moving(*id));
+        }
+        for id in ids {
+            let Some(slot) = self.state.slots.get(id).cloned() else {
+                continue;
+            };
+            if self.is_freeing(id) {
+                continue;
+            }
+            self.watches.entry(now, id).follow(now, &slot);
+            let step = {
+                let upkeep = self.upkeep(now);
+                self.watches.get(id).and_then(|watch| upkeep.step(id, &slot, watch))
+            };
+            if let Some(step) = step {
+                self.take_step(now, id, &slot, step);
+            }
+        }
+    }
+
+    fn is_moving(&self, id: SlotId) -> bool {
+        let phase = self.state.slots.get(id).map(|s| s.phase);
+        let ordered = self.watches.get(id).is_some_and(|w| w.order.is_some());
+        match phase {
+            Some(Phase::Loading(_) | Phase::Draining) => true,
+            Some(Phase::Reserved) => ordered,
+            Some(Phase::Loaded) | None => false,
+        }
+    }
+
+    fn scene(&self, now: Duration) -> Scene<'_> {
+        Scene {
+            now,
+            centre: &self.settings.centre,
+            state: &self.state,
+            fleet: &self.fleet,
+            demand: &self.demand,
+            rates: &self.rates,
+            watches: &self.watches,
+        }
+    }
+
+    fn upkeep(&self, now: Duration) -> Upkeep<'_> {
+        Upkeep {
+            scene: self.scene(now),
+            warm: &self.warm,
+            me: (&self.settings.id, self.settings.incarnation),
+            valid: self.authority.is_valid(now),
+        }
+    }
+
+    fn take_step(&mut self, now: Duration, id: SlotId, slot: &Slot, step: Step) {
+        let (model, server) = (slot.model.as_str(), slot.server.as_str());
+        match step {
+            Step::Load => {
+                self.order(now, id, Action::Load);
+            }
+            Step::Reload => {
+                self.change_phase(id, slot.phase);
+            }
+            Step::Ready => self.note_ready(now, id, slot),
+            Step::Drain(reason) => {
+                if self.change_phase(id, Phase::Draining) {
+                    self.decide(Choice::Drain, model, server, reason);
+                }
+            }
+            Step::Retain => {
+                if self.change_phase(id, Phase::Loaded) {
+                    self.decide(Choice::Retain, model, server, "it is wanted again");
+                }
+            }
+            Step::Unload(reason) => {
+                if self.order(now, id, Action::Unload) {
+                    self.decide(Choice::Unload, model, server, reason);
+                }
+            }
+            Step::Sleep(_) => {
+                self.change_phase(id, Phase::Reserved);
+            }
+            Step::Free(reason) => self.free(now, id, slot, reason),
+        }
+    }
+
+    fn note_ready(&mut self, now: Duration, id: SlotId, slot: &Slot) {
+        let watch = self.watches.entry(now, id);
+        if !watch.loaded {
+            watch.loaded = true;
+            watch.used = now;
+            let took = now.saturating_sub(watch.began);
+            if let (Phase::Loading(source), Some(row)) =
+                (slot.phase, self.state.table.row(&slot.model))
+            {
+                self.rates.learn(row.load_mib, source, took);
+            }
+            let reason = format!("loaded in {:.2}s", took.as_secs_f64());
+            self.decide(Choice::Ready, &slot.model, &slot.server, reason);
+            self.effects.push(Effect::Publish);
+        }
+        self.change_phase(id, Phase::Loaded);
+    }
+
+    fn free(&mut self, now: Duration, id: SlotId, slot: &Slot, reason: String) {
+        let Some(fence) = self.fence() else {
+            return;
+        };
+        let orderer_gone = self.upkeep(now).is_gone(slot);
+        let record = Record::Freed(Freed { slot: id, fence, orderer_gone });
+        if !self.appender.holds(&record) {
+            self.appender.push(record);
+            self.decide(Choice::Free, &slot.model, &slot.server, reason);
+        }
+    }
+
+    /// Queues a change of phase; returns false where it is queued already.
+    fn change_phase(&mut self, slot: SlotId, phase: Phase) -> bool {
+        let Some(fence) = self.fence() else {
+            return false;
+        };
+        let record = Record::Phase(PhaseChange { slot, fence, phase });
+        let is_new = !self.appender.holds(&record);
+        if is_new {
+            self.appender.push(record);
+        }
+        is_new
+    }
+
+    pub(crate) fn place_models(&mut self, now: Duration) {
+        if self.stopping {
+            return;
+        }
+        for plan in self.scene(now).plan_loads() {
+            match plan {
+                Plan::Place { model, server, source, reason } => {
+                    self.place(now, model, server, source, reason);
+                }
+                Plan::Wake { slot, source, reason } => self.wake(now, slot, source, reason),
+                Plan::Evict { slot, reason } => self.evict(now, slot, reason),
+                Plan::Hold { model, reason } => {
+                    if self.held.insert(model.clone(), reason) != Some(reason) {
+                        self.decide(Choice::Hold, &model, "", reason);
+                    }
+                }
+            }
+        }
+        let demand = &self.demand;
+        self.held.retain(|model, _| demand.total(model).is_some());
+    }
+
+    fn place(
+        &mut self,
+        now: Duration,
+        model: ModelName,
+        server: ServerId,
+        source: Source,
+        reason: String,
+    ) {
+        let (Some(fence), Some(facts)) = (self.fence(), self.state.servers.get(&server)) else {
+            return;
+        };
+        let queued = self.appender.any(|r| matches!(r, Record::Intent(i) if i.model == model));
+        if queued || !self.is_log_up(now) {
+            return;
+        }
+        let incarnation = facts.incarnation;
+        self.decide(Choice::Place, &model, &server, reason);
+        let intent = Intent { model, server, incarnation, fence, source };
+        self.appender.push(Record::Intent(intent));
+    }
+
+    /// Loads into a reserved slot.
+    ///
+    /// The record comes first, so that others see the load. While the log is down an engine that
+    /// fences is ordered at once: the slot's count and memory are this lease's until the engine
+    /// has seen a newer fence, so a holder that lost the lease unknowingly is refused there.
+    fn wake(&mut self, now: Duration, id: SlotId, source: Source, reason: String) {
+        let Some(slot) = self.state.slots.get(id).cloned() else {
+            return;
+        };
+        if self.is_log_up(now) {
+            if self.change_phase(id, Phase::Loading(source)) {
+                self.decide(Choice::Wake, &slot.model, &slot.server, reason);
+            }
+            return;
+        }
+        let fencing = self.state.servers.get(&slot.server).is_some_and(|s| s.fencing);
+        let ordered = self.watches.get(id).and_then(|w| w.order);
+        let again = ordered.is_none_or(|o| o.action != Action::Load);
+        if fencing && again && self.order(now, id, Action::Load) {
+            self.decide(Choice::Wake, &slot.model, &slot.server, "reserved; the log is down");
+        }
+    }
+
+    fn evict(&mut self, now: Duration, id: SlotId, reason: String) {
+        let Some(slot) = self.state.slots.get(id).cloned() else {
+            return;
+        };
+        let watch = self.watches.entry(now, id);
+        if !watch.giving {
+            watch.giving = true;
+            self.decide(Choice::Drain, &slot.model, &slot.server, reason);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/slots.rs
@@ -0,0 +1,161 @@
+//! Slots, found by identity, model or backend server.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::DaemonId;
+use crate::ids::Fence;
+use crate::ids::Incarnation;
+use crate::ids::Mebibytes;
+use crate::ids::ModelName;
+use crate::ids::Position;
+use crate::ids::ServerId;
+use crate::ids::SlotId;
+use crate::record::Phase;
+
+/// A replica's place: one count of its model and its memory on one backend server.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Slot {
+    /// The model.
+    pub model: ModelName,
+    /// The backend server.
+    pub server: ServerId,
+    /// Memory taken. Fixed at the intent, so that a later edit cannot shrink what is loaded.
+    pub memory_mib: Mebibytes,
+    /// What is known of it. Invariant: count and memory stay taken in every phase.
+    pub phase: Phase,
+    /// Daemon and start that may have an order for this slot under way.
+    pub orderer: (DaemonId, Incarnation),
+    /// Fencing number of the last decision about it.
+    pub fence: Fence,
+    /// Position of the record that allowed the last load. Engines report it with the model, by
+    /// which a lagging report of an earlier load is told apart.
+    pub ticket: Position,
+}
+
+/// All slots. Invariant: the indexes name exactly the slots that are there; only the slots go over
+/// the wire.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(from = "BTreeMap<SlotId, Slot>", into = "BTreeMap<SlotId, Slot>")]
+pub struct Slots {
+    all: BTreeMap<SlotId, Slot>,
+    models: BTreeMap<ModelName, BTreeSet<SlotId>>,
+    servers: BTreeMap<ServerId, BTreeSet<SlotId>>,
+    loading: BTreeSet<SlotId>,
+}
+
+impl From<BTreeMap<SlotId, Slot>> for Slots {
+    fn from(slots: BTreeMap<SlotId, Slot>) -> Self {
+        let mut taken = Self::default();
+        for (id, slot) in slots {
+            taken.insert(id, slot);
+        }
+        taken
+    }
+}
+
+impl From<Slots> for BTreeMap<SlotId, Slot> {
+    fn from(slots: Slots) -> Self {
+        slots.all
+    }
+}
+
+impl Slots {
+    /// Returns a slot.
+    pub fn get(&self, id: SlotId) -> Option<&Slot> {
+        self.all.get(&id)
+    }
+
+    /// Returns whether a slot is taken.
+    pub fn contains(&self, id: SlotId) -> bool {
+        self.all.contains_key(&id)
+    }
+
+    /// Returns how many there are.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Iterates over all slots in the order of their identities.
+    pub fn iter(&self) -> impl Iterator<Item = (SlotId, &Slot)> {
+        self.all.iter().map(|(id, slot)| (*id, slot))
+    }
+
+    /// Iterates over all slots without their identities.
+    pub fn values(&self) -> impl Iterator<Item = &Slot> {
+        self.all.values()
+    }
+
+    /// Iterates over the slots of a model.
+    pub fn of_model(&self, model: &str) -> impl Iterator<Item = (SlotId, &Slot)> {
+        self.pick(self.models.get(model))
+    }
+
+    /// Iterates over the slots on a backend server.
+    pub fn on_server(&self, server: &str) -> impl Iterator<Item = (SlotId, &Slot)> {
+        self.pick(self.servers.get(server))
+    }
+
+    /// Iterates over the slots that are being loaded.
+    pub fn loading(&self) -> impl Iterator<Item = (SlotId, &Slot)> {
+        self.pick(Some(&self.loading))
+    }
+
+    fn pick<'a>(
+        &'a self,
+        ids: Option<&'a BTreeSet<SlotId>>,
+    ) -> impl Iterator<Item = (SlotId, &'a Slot)> {
+        ids.into_iter().flatten().filter_map(|id| Some((*id, self.all.get(id)?)))
+    }
+
+    /// Takes a slot.
+    pub fn insert(&mut self, id: SlotId, slot: Slot) {
+        self.remove(id);
+        self.models.entry(slot.model.clone()).or_default().insert(id);
+        self.servers.entry(slot.server.clone()).or_default().insert(id);
+        if slot.phase.is_loading() {
+            self.loading.insert(id);
+        }
+        self.all.insert(id, slot);
+    }
+
+    /// Changes a slot; its model and backend server stay.
+    pub fn change(&mut self, id: SlotId, change: impl FnOnce(&mut Slot)) {
+        let Some(slot) = self.all.get_mut(&id) else {
+            return;
+        };
+        change(slot);
+        if slot.phase.is_loading() {
+            self.loading.insert(id);
+        } else {
+            self.loading.remove(&id);
+        }
+    }
+
+    /// Frees a slot.
+    pub fn remove(&mut self, id: SlotId) {
+        let Some(slot) = self.all.remove(&id) else {
+            return;
+        };
+        self.loading.remove(&id);
+        forget(&mut self.models, &slot.model, id);
+        forget(&mut self.servers, &slot.server, id);
+    }
+}
+
+fn forget(index: &mut BTreeMap<ModelName, BTreeSet<SlotId>>, key: &str, id: SlotId) {
+    if let Some(ids) = index.get_mut(key) {
+        ids.remove(&id);
+        if ids.is_empty() {
+            index.remove(key);
+        }
+    }
+}
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -20,8 +20,9 @@
 use crate::ids::ServerId;
 use crate::ids::SlotId;
 use crate::record::Answer;
-use crate::record::Phase;
 use crate::record::ServerFacts;
+use crate::slots::Slot;
+use crate::slots::Slots;
 use crate::table::Table;
 use crate::verdict::Verdict;
 
@@ -38,26 +39,6 @@
     pub renewed: Position,
 }
 
-/// A replica's place: one count of its model and its memory on one backend server.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Slot {
-    /// The model.
-    pub model: ModelName,
-    /// The backend server.
-    pub server: ServerId,
-    /// Memory taken. Fixed at the intent, so that a later edit cannot shrink what is loaded.
-    pub memory_mib: Mebibytes,
-    /// What is known of it. Invariant: count and memory stay taken in every phase.
-    pub phase: Phase,
-    /// Daemon and start that may have an order for this slot under way.
-    pub orderer: (DaemonId, Incarnation),
-    /// Fencing number of the last decision about it.
-    pub fence: Fence,
-    /// Position of the record that allowed the last load. Engines report it with the model, by
-    /// which a lagging report of an earlier load is told apart.
-    pub ticket: Position,
-}
-
 /// A claimed request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Claim {
@@ -113,7 +94,7 @@
     /// Leases by data centre.
     pub leases: BTreeMap<CentreId, Lease>,
     /// Slots that are taken.
-    pub slots: BTreeMap<SlotId, Slot>,
+    pub slots: Slots,
     /// Requests that may not be repeated.
     pub claims: BTreeMap<ClaimKey, Claim>,
     /// Claims in the order in which they expire.
@@ -145,12 +126,12 @@
 impl State {
     /// Returns the slots of `model`, with their identities.
     pub fn slots_of<'a>(&'a self, model: &'a str) -> impl Iterator<Item = (SlotId, &'a Slot)> + 'a {
-        self.slots.iter().filter(move |(_, s)| s.model == model).map(|(id, s)| (*id, s))
+        self.slots.of_model(model)
     }
 
     /// Returns the memory of `server` that slots have taken.
     pub fn taken_mib(&self, server: &str) -> Mebibytes {
-        self.slots.values().filter(|s| s.server == server).map(|s| s.memory_mib).sum()
+        self.slots.on_server(server).map(|(_, s)| s.memory_mib).sum()
     }
 
     /// Returns the lease that covers `server`.
--- a/lib/src/upkeep.rs
+++ b/lib/src/upkeep.rs
@@ -17,7 +17,7 @@
 use crate::placement::Scene;
 use crate::record::Phase;
 use crate::record::Source;
-use crate::state::Slot;
+use crate::slots::Slot;
 use crate::table::Row;
 use crate::watch::OrderState;
 use crate::watch::Watch;
--- a/lib/src/watch.rs
+++ b/lib/src/watch.rs
@@ -13,7 +13,7 @@
 use crate::ids::ServerId;
 use crate::ids::SlotId;
 use crate::record::Phase;
-use crate::state::Slot;
+use crate::slots::Slot;
 
 /// An order counts as unanswered for this long; its sender gives up much earlier.
 const ANSWER_BOUND: Duration = Duration::from_secs(10);
--- a/lib/tests/test_fold.rs
+++ b/lib/tests/test_fold.rs
@@ -168,7 +168,7 @@
     let (mut log, fence) = ready(true);
     let slot = log.intent("d1", "m1", "e1", fence).unwrap();
     log.server("e1", 2, true).unwrap();
-    assert!(!log.state.slots.contains_key(&slot));
+    assert!(!log.state.slots.contains(slot));
     assert_eq!(log.intent("d1", "m1", "e1", fence), Err(Rejection::ServerReplaced));
     assert_eq!(log.server("e1", 1, true), Err(Rejection::Stale));
 }
--- a/lib/testutils/src/demo.rs
+++ b/tools/src/demo.rs
@@ -11,13 +11,13 @@
 use comfreymux_lib::table::Edit;
 use comfreymux_lib::table::Row;
 
-use crate::engine_standin::EngineSettings;
-use crate::rig::Rig;
-use crate::rig::complete;
-use crate::rig::wait_for;
-use crate::rig::words;
-use crate::rows;
-use crate::service_standin::ServiceFaults;
+use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::rig::Rig;
+use comfreymux_testutils::rig::complete;
+use comfreymux_testutils::rig::wait_for;
+use comfreymux_testutils::rig::words;
+use comfreymux_testutils::rows;
+use comfreymux_testutils::service_standin::ServiceFaults;
 
 const CHAT: &str = "/v1/chat/completions";
 /// Callers of the burst.
--- /dev/null
+++ b/tools/src/lib.rs
@@ -0,0 +1,11 @@
+//! Tools around comfreymux: the demo, load, generated workloads, and experiments in virtual time.
+
+pub mod demo;
+pub mod experiment;
+pub mod fake_engine;
+pub mod load;
+pub mod relay;
+pub mod report;
+pub mod small;
+pub mod workload;
+pub mod world;
--- a/lib/testutils/src/main.rs
+++ b/tools/src/standin.rs
@@ -16,13 +16,13 @@
 use comfreymux_testutils::hosts_standin::HostsStandin;
 use comfreymux_testutils::http_server::Handler;
 use comfreymux_testutils::http_server::HttpServer;
-use comfreymux_testutils::load;
-use comfreymux_testutils::load::Load;
 use comfreymux_testutils::log_standin::LogStandin;
-use comfreymux_testutils::relay;
 use comfreymux_testutils::rows;
 use comfreymux_testutils::service_standin::ServiceStandin;
 use comfreymux_testutils::store_standin::StoreStandin;
+use comfreymux_tools::load;
+use comfreymux_tools::load::Load;
+use comfreymux_tools::relay;
 use flags::ComfreymuxStandin;
 use flags::ComfreymuxStandinCmd;
 
--- a/lib/testutils/src/workload.rs
+++ b/tools/src/workload.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::rows;
+use comfreymux_testutils::rows;
 
 /// Memory of one accelerator.
 pub const ACCELERATOR_MIB: u64 = 80_000;
--- a/lib/testutils/src/world.rs
+++ b/tools/src/world.rs
@@ -36,7 +36,7 @@
 use comfreymux_lib::table::Edit;
 
 use crate::fake_engine::FakeEngine;
-use crate::rig::ANY;
+use comfreymux_testutils::rig::ANY;
 
 /// One daemon's control.
 #[derive(Debug)]
@@ -239,7 +239,7 @@
         self.version += 1;
         let host = |id: &str, role, centre: &CentreId| Host {
             id: id.into(),
-            ..crate::rig::host(role, centre, ANY)
+            ..comfreymux_testutils::rig::host(role, centre, ANY)
         };
         let daemons = self
             .daemons
@@ -530,7 +530,7 @@
                 return Err(Breach(format!("{:?}: {id} holds {held:?}", self.now)));
             }
             for model in engine.held.keys() {
-                let covers = |s: &comfreymux_lib::state::Slot| s.server == *id && s.model == *model;
+                let covers = |s: &comfreymux_lib::slots::Slot| s.server == *id && s.model == *model;
                 if !self.head.slots.values().any(covers) {
                     return Err(Breach(format!(
                         "{:?}: {id} holds {model} without a slot",
