router: wait for a load where a replica is gone

A slot that went from loaded to reserved was published once more as serving: the holder's own hint came from a watch that had not followed yet, and no later picture corrected it. Requests went to an engine without the model, were refused, paused 100 ms and asked again until their deadline, and, not waiting, made no demand: an idle model never woke. Ruled out: the engine, whose report was right; the log, which said reserved. Change: a hint needs a load ordered on a reserved slot; a refusal as not loaded takes the replica out for a second, and the request waits in the queue; refusals before running no longer use up attempts. Measured: sleep_and_wake and stale_replica fail before (503) and pass.

--- a/benches/relay.sh
+++ b/benches/relay.sh
@@ -52,3 +52,5 @@
 load --to "$(addr relay)" --pid "$relay"
 echo "daemon"
 load --to 127.0.0.1:17080 --pid "$daemon"
+echo "daemon, refusals of a cold model whose deadline cannot be met"
+"$bin/comfreymux-standin" refusals --to 127.0.0.1:17080
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -46,6 +46,7 @@
 use crate::record::Record;
 use crate::state::State;
 use crate::table::Edit;
+use crate::watch::Watch;
 use crate::watch::Watches;
 
 /// The log counts as down after this time without an answer to a read.
@@ -173,7 +174,7 @@
         }
         self.local_slots()
             .into_iter()
-            .filter(|id| self.watches.get(*id).is_some_and(|w| w.loaded))
+            .filter(|id| self.watches.get(*id).is_some_and(Watch::is_woken))
             .filter_map(|id| self.state.slots.get(id))
             .filter(|s| s.phase != Phase::Loaded && s.phase != Phase::Draining)
             .map(|s| Hint { model: s.model.clone(), server: s.server.clone() })
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -16,8 +16,8 @@
 use crate::router::Wish;
 use crate::verdict::Verdict;
 
-/// Most attempts of one request.
-const MAX_ATTEMPTS: u32 = 8;
+/// Most attempts of one request that may have run.
+const MAX_FAILURES: u32 = 8;
 /// Pause after every replica was tried, before they are tried again.
 const PAUSE: Duration = Duration::from_millis(100);
 /// When to come back after a refusal that names no better time.
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct History {
     attempts: u32,
+    /// Attempts that may have run.
+    failures: u32,
     verdict: Verdict,
     tried: Vec<ServerId>,
 }
@@ -65,7 +67,8 @@
     job: &Job,
     mut attempt: impl FnMut(&Route, &Call) -> Result<T, Stop>,
 ) -> Result<T, Ended> {
-    let mut history = History { attempts: 0, verdict: Verdict::DidNotRun, tried: Vec::new() };
+    let mut history =
+        History { attempts: 0, failures: 0, verdict: Verdict::DidNotRun, tried: Vec::new() };
     node.budget().attempted();
     loop {
         let route = find_route(node, job, &mut history).map_err(Ended::Refused)?;
@@ -82,6 +85,7 @@
         };
         note_failure(node, job, &route, &failure);
         history.verdict = history.verdict.and(failure.verdict);
+        history.failures += u32::from(failure.verdict != Verdict::DidNotRun);
         history.tried.push(route.server);
         may_retry(node, job, &history, &failure).map_err(Ended::Refused)?;
         node.metrics.retried();
@@ -104,6 +108,7 @@
     let now = node.now();
     match failure.fault {
         Fault::Leaving => node.router().left(now, &route.server),
+        Fault::NotLoaded => node.router().missed(now, &route.server, job.model()),
         Fault::Unreachable | Fault::Stalled => node.router().failed(now, &route.server),
         Fault::Refused => node.router().answered(now, &route.server, job.model(), None),
         Fault::Truncated | Fault::Faulted | Fault::Crossed => {}
@@ -128,11 +133,14 @@
         let message = format!("the request may have run: {}", failure.detail);
         return Err(Refused { retry: None, ..refused("may-have-run", message) });
     }
-    if history.attempts >= MAX_ATTEMPTS {
+    // What was refused before running cost nothing; the deadline bounds it.
+    if matches!(failure.fault, Fault::Refused | Fault::Leaving | Fault::NotLoaded) {
+        return Ok(());
+    }
+    if history.failures >= MAX_FAILURES {
         return Err(refused("attempts-used-up", failure.detail.clone()));
     }
-    let free = matches!(failure.fault, Fault::Refused | Fault::Leaving);
-    if !free && !node.budget().take() {
+    if !node.budget().take() {
         return Err(refused("retry-budget-used-up", failure.detail.clone()));
     }
     Ok(())
@@ -155,8 +163,8 @@
             }
             return Ok(route);
         }
-        if !history.tried.is_empty() && !view.places(job.model()).is_empty() {
-            // Every replica was tried; what refused before may have room after a pause.
+        if !history.tried.is_empty() && node.router().room(now, &view, job.model()) > 0 {
+            // Every replica with room was tried; what refused before may not do so after a pause.
             history.tried.clear();
             std::thread::sleep(PAUSE);
             if node.now() >= job.deadline {
@@ -205,8 +213,11 @@
     let retry = match refusal {
         Refusal::Stopping => Duration::ZERO,
         _ if cold => node.loading_rates().expected(job.row.load_mib, Source::Disk),
-        // By then the queue of now is through.
-        _ => expected.max(COME_BACK),
+        _ => {
+            let now = node.now();
+            let back = node.pace().come_back(now, job.model(), job.priority, expected);
+            back.max(COME_BACK)
+        }
     };
     let message = match refusal {
         Refusal::Full => "too many requests wait for this model",
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -24,6 +24,9 @@
 /// Word of [`REFUSED_HEADER`] from a backend server that leaves.
 pub const LEAVING: &str = "leaving";
 
+/// Word of [`REFUSED_HEADER`] from an engine that does not hold the model.
+pub const NOT_LOADED: &str = "not-loaded";
+
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -74,6 +77,8 @@
     Refused,
     /// It refused because it leaves.
     Leaving,
+    /// It refused because it does not hold the model.
+    NotLoaded,
     /// Nothing came for longer than the idle timeout.
     Stalled,
     /// The connection ended before the answer was whole.
@@ -91,6 +96,7 @@
             Self::Unreachable => "unreachable",
             Self::Refused => "refused",
             Self::Leaving => "leaving",
+            Self::NotLoaded => "not-loaded",
             Self::Stalled => "stalled",
             Self::Truncated => "truncated",
             Self::Faulted => "faulted",
@@ -196,7 +202,11 @@
 
 fn read_head(response: ureq::Response, call: &Call) -> Result<Reply, Failure> {
     if let Some(word) = response.header(REFUSED_HEADER) {
-        let fault = if word == LEAVING { Fault::Leaving } else { Fault::Refused };
+        let fault = match word {
+            LEAVING => Fault::Leaving,
+            NOT_LOADED => Fault::NotLoaded,
+            _ => Fault::Refused,
+        };
         let verdict = Verdict::DidNotRun;
         return Err(Failure { verdict, fault, detail: word.to_owned() });
     }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -30,7 +30,7 @@
 use crate::services;
 
 /// A caller that reads nothing for this long is gone.
-const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 4096;
 /// Stack of a request's thread: thousands of them stand beside each other.
--- a/lib/src/pace.rs
+++ b/lib/src/pace.rs
@@ -11,12 +11,16 @@
 const MARGIN: f64 = 1.1;
 /// Turns further apart than this say nothing of a queue's pace.
 const MAX_GAP: Duration = Duration::from_secs(10);
+/// Turns further apart than this are not of one overload.
+const LULL: Duration = Duration::from_secs(1);
 /// A pace counts for this long after the last turn.
 const FRESH: Duration = Duration::from_secs(20);
 
 #[derive(Clone, Copy, Debug)]
 struct Turns {
     last: Duration,
+    /// Since when turns followed each other without a lull.
+    since: Duration,
     /// Seconds between turns, older ones faded. Turns come in bursts, so the mean is taken over all
     /// of them and not of the gaps one by one.
     time: f64,
@@ -39,6 +43,9 @@
     fn turned(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.last);
         self.last = now;
+        if gap > LULL {
+            self.since = now;
+        }
         if gap > MAX_GAP {
             (self.time, self.count) = (0.0, 0.0);
             return;
@@ -52,12 +59,22 @@
     /// Notes that a request that had waited gets its turn.
     pub fn turned(&mut self, now: Duration, model: &ModelName, priority: u8) {
         let classes = self.models.entry(model.clone()).or_default();
-        classes.entry(priority).or_insert(Turns { last: now, time: 0.0, count: 0.0 });
+        classes.entry(priority).or_insert(Turns { last: now, since: now, time: 0.0, count: 0.0 });
         for (_, turns) in classes.range_mut(priority..) {
             turns.turned(now);
         }
     }
 
+    /// Returns when a refused request should come back, given the wait that it would have had.
+    ///
+    /// When the queue of now is through, an overload may still go on. One that has lasted for some
+    /// time is best expected to last for as long again.
+    pub fn come_back(&self, now: Duration, model: &str, priority: u8, wait: Duration) -> Duration {
+        let turns = self.models.get(model).and_then(|classes| classes.get(&priority));
+        let lasted = turns.filter(|t| now < t.last + LULL).map(|t| now.saturating_sub(t.since));
+        wait + lasted.unwrap_or_default()
+    }
+
     /// Returns how long a request waits that has `ahead` others before it; zero where nothing is
     /// known.
     pub fn expected(&self, now: Duration, model: &str, priority: u8, ahead: usize) -> Duration {
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -20,6 +20,8 @@
 const LOAD_FRESH: Duration = Duration::from_secs(2);
 /// How far above the mean load the server of a prompt prefix may be, in requests.
 const AFFINITY_SLACK: u32 = 2;
+/// A replica that was not there is asked again after this time.
+const MISSING: Duration = Duration::from_secs(1);
 /// A backend server that said it leaves is left alone this long, until the host list shows it.
 const LEAVING: Duration = Duration::from_mins(2);
 
@@ -61,6 +63,8 @@
     loads: BTreeMap<(ServerId, ModelName), Load>,
     suspects: BTreeMap<ServerId, Suspicion>,
     leaving: BTreeMap<ServerId, Duration>,
+    /// Replicas that turned out not to be there, and when.
+    missing: BTreeMap<(ServerId, ModelName), Duration>,
 }
 
 impl Router {
@@ -72,6 +76,7 @@
             loads: BTreeMap::new(),
             suspects: BTreeMap::new(),
             leaving: BTreeMap::new(),
+            missing: BTreeMap::new(),
         }
     }
 
@@ -81,7 +86,8 @@
         let usable: Vec<&Replica> = view
             .places(wish.model)
             .iter()
-            .filter(|r| !wish.tried.contains(&r.server) && self.is_usable(now, &r.server))
+            .filter(|r| !wish.tried.contains(&r.server))
+            .filter(|r| self.is_usable(now, &r.server, wish.model))
             .filter(|r| self.load(now, &r.server, wish.model) < limit)
             .collect();
         let local: Vec<&Replica> =
@@ -98,7 +104,7 @@
         let limit = view.table.row(model).map_or(0, |row| row.limit);
         view.places(model)
             .iter()
-            .filter(|r| self.is_usable(now, &r.server))
+            .filter(|r| self.is_usable(now, &r.server, model))
             .map(|r| limit.saturating_sub(self.load(now, &r.server, model)))
             .sum()
     }
@@ -131,10 +137,12 @@
         Some((places[chosen], "less loaded of two"))
     }
 
-    fn is_usable(&self, now: Duration, server: &str) -> bool {
+    fn is_usable(&self, now: Duration, server: &str, model: &str) -> bool {
         let suspected = self.suspects.get(server).is_some_and(|s| s.holds(now));
         let leaving = self.leaving.get(server).is_some_and(|at| now < *at + LEAVING);
-        !suspected && !leaving
+        let key = (ServerId::from(server), ModelName::from(model));
+        let missing = self.missing.get(&key).is_some_and(|at| now < *at + MISSING);
+        !suspected && !leaving && !missing
     }
 
     fn load(&self, now: Duration, server: &str, model: &str) -> u32 {
@@ -185,8 +193,17 @@
         self.leaving.insert(server.clone(), now);
     }
 
+    /// Notes that an engine refused work because it does not hold the model.
+    ///
+    /// Requests wait for a load then; asking again would keep them from being counted as waiting,
+    /// and nobody would load the model.
+    pub fn missed(&mut self, now: Duration, server: &ServerId, model: &ModelName) {
+        self.missing.insert((server.clone(), model.clone()), now);
+    }
+
     /// Forgets what is out of date.
     pub fn expire(&mut self, now: Duration) {
+        self.missing.retain(|_, at| now < *at + MISSING);
         self.leaving.retain(|_, at| now < *at + LEAVING);
         self.loads.retain(|_, load| {
             load.told = load.told.filter(|(at, _)| now < *at + LOAD_FRESH);
--- a/lib/src/watch.rs
+++ b/lib/src/watch.rs
@@ -63,6 +63,15 @@
 }
 
 impl Watch {
+    /// Returns whether a reserved slot was loaded without a record, as is done while the log is down.
+    ///
+    /// A slot that the log has just moved from loaded to reserved is none: its watch may not have
+    /// followed yet, and what was loaded then is unloaded now.
+    pub fn is_woken(&self) -> bool {
+        let ordered = self.order.is_some_and(|o| o.action == Action::Load);
+        self.loaded && ordered && self.phase == Phase::Reserved
+    }
+
     /// Follows what the log says of the slot.
     pub fn follow(&mut self, now: Duration, slot: &Slot) {
         if self.ticket != slot.ticket {
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpStream;
+use std::time::Duration;
 
 use comfreymux_lib::client::Applied;
 use comfreymux_lib::client::Client;
@@ -205,3 +206,40 @@
     let found: Vec<(u64, &str)> = error.faults.iter().map(|f| (f.line, f.column)).collect();
     assert_eq!(found, [(2, "name"), (3, "weight"), (3, "base"), (4, "idle_price"), (4, "repeat")]);
 }
+
+#[test]
+fn headers_large() {
+    // A caller sends a header of a megabyte. It is refused or cut off, and the next caller is served.
+    let rig = rig(&[]);
+    let mut caller = TcpStream::connect(rig.daemons["d1"].addr).unwrap();
+    let head = format!("GET /healthz HTTP/1.1\r\nX-Long: {}\r\n\r\n", "x".repeat(1 << 20));
+    // The daemon may close before all is written.
+    let _cut = caller.write_all(head.as_bytes());
+    let mut answer = Vec::new();
+    let _reset = caller.shutdown(Shutdown::Write);
+    let _reset = caller.read_to_end(&mut answer);
+    assert_eq!(complete(&rig.url("d1", CHAT), "hem", false, 1).unwrap().0, 200);
+}
+
+#[test]
+fn reader_stopped() {
+    // A caller asks for an endless stream and reads nothing of it. When it has taken nothing for the
+    // send timeout its request ends, though it keeps its connection; others are served meanwhile.
+    let mut rig = Rig::default();
+    let fast = EngineSettings { gap: Duration::ZERO, ..EngineSettings::default() };
+    rig.add_engine("e1", "hala-a", &fast);
+    rig.add_daemon("d1", "hala-a", &[]);
+    rig.await_view("d1", "the daemon", |v| v.daemons.len() == 1);
+    rig.apply("d1", "first", &[rows::model("hem")]);
+    let body = r#"{"model":"hem","stream":true,"max_tokens":1000000000,"messages":[]}"#;
+    let mut caller = TcpStream::connect(rig.daemons["d1"].addr).unwrap();
+    let length = body.len();
+    let head = format!("POST {CHAT} HTTP/1.1\r\nHost: d\r\nContent-Length: {length}\r\n\r\n{body}");
+    caller.write_all(head.as_bytes()).unwrap();
+    let mut first = [0; 16];
+    caller.read_exact(&mut first).unwrap();
+    assert_eq!(complete(&rig.url("d1", CHAT), "hem", false, 1).unwrap().0, 200);
+    let node = rig.daemons["d1"].node();
+    wait_for("the stream's end", || node.limits().total() == 0);
+    drop(caller);
+}
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -5,6 +5,7 @@
 use comfreymux_testutils::engine_standin::EngineSettings;
 use comfreymux_testutils::rig::Rig;
 use comfreymux_testutils::rig::complete;
+use comfreymux_testutils::rig::wait_for;
 use comfreymux_testutils::rig::words;
 use comfreymux_testutils::rows;
 
@@ -87,3 +88,34 @@
     assert_eq!(answers[0].as_bytes(), answers[1].as_bytes());
     assert_eq!(rig.services["s1"].runs()["fitting 7"], 1);
 }
+
+#[test]
+fn sleep_and_wake() {
+    // A model is unloaded because nobody uses it, and its slot stays reserved. The next caller finds it
+    // asleep: nothing may send the request to the engine that no longer holds the model, and the
+    // model must be loaded again.
+    let mut rig = Rig::default();
+    rig.add_engine("e1", "makati-a", &EngineSettings::default());
+    rig.add_daemon("d1", "makati-a", &[("keep-warm", "1s"), ("poll", "100ms")]);
+    rig.await_view("d1", "the daemon", |v| v.daemons.len() == 1);
+    rig.apply("d1", "first", &[rows::model("hem")]);
+    let url = rig.url("d1", CHAT);
+    assert_eq!(complete(&url, "hem", true, 1).unwrap().0, 200);
+    let loads = rig.engines["e1"].audit().loads;
+    wait_for("the unload", || rig.engines["e1"].audit().models.is_empty());
+    rig.await_view("d1", "the replica's end", |v| v.places("hem").is_empty());
+    assert_eq!(complete(&url, "hem", true, 1).unwrap().0, 200);
+    assert_eq!(rig.engines["e1"].audit().loads, loads + 1);
+}
+
+#[test]
+fn stale_replica() {
+    // An engine lost a model without a word, and the log still shows it loaded. A request that is
+    // refused there waits for a load instead of asking again and again.
+    let rig = rig();
+    let url = rig.url("d1", CHAT);
+    assert_eq!(complete(&url, "hem", true, 1).unwrap().0, 200);
+    rig.engines["e1"].forget("hem");
+    let (status, body) = complete(&url, "hem", true, 1).unwrap();
+    assert_eq!(status, 200, "{body}");
+}
--- a/lib/testutils/src/engine_standin.rs
+++ b/lib/testutils/src/engine_standin.rs
@@ -16,6 +16,7 @@
 use comfreymux_lib::exchange::ACTIVE_HEADER;
 use comfreymux_lib::exchange::ATTEMPT_HEADER;
 use comfreymux_lib::exchange::LEAVING;
+use comfreymux_lib::exchange::NOT_LOADED;
 use comfreymux_lib::exchange::REFUSED_HEADER;
 use comfreymux_lib::exchange::RESUME_HEADER;
 use comfreymux_lib::host::Action;
@@ -182,6 +183,11 @@
         self.inner().cached.insert(model.into(), source);
     }
 
+    /// Loses a model, as an engine does whose worker crashed.
+    pub fn forget(&self, model: &str) {
+        self.inner().places.remove(model);
+    }
+
     /// Returns what the engine saw.
     pub fn audit(&self) -> EngineAudit {
         let inner = self.inner();
@@ -319,7 +325,7 @@
         if inner.faults.leaving {
             return Err(LEAVING);
         }
-        let place = inner.places.get_mut(model).filter(|p| p.loaded).ok_or("not-loaded")?;
+        let place = inner.places.get_mut(model).filter(|p| p.loaded).ok_or(NOT_LOADED)?;
         if place.active >= self.settings.slots {
             return Err("busy");
         }
--- a/tools/src/flags.rs
+++ b/tools/src/flags.rs
@@ -58,6 +58,17 @@
             /// The engine.
             required --to addr: SocketAddr
         }
+        /// Send requests whose deadline cannot be met, and print how long their refusals took.
+        cmd refusals {
+            /// Where to send them.
+            required --to addr: SocketAddr
+            /// A cold model. [resize]
+            optional --model name: String
+            /// Senders at once. [8]
+            optional --senders count: usize
+            /// Seconds. [5]
+            optional --seconds time: u64
+        }
         /// Open streams at a steady rate and print what their callers saw.
         cmd load {
             /// Where to send them.
--- a/tools/src/load.rs
+++ b/tools/src/load.rs
@@ -97,6 +97,47 @@
     }
 }
 
+/// Sends requests that cannot be met, each on a connection of its own, and returns how long their
+/// refusals took, in microseconds, and how many came that were something else.
+///
+/// # Panics
+///
+/// Panics if the system gives no thread.
+pub fn refusals(
+    addr: SocketAddr,
+    model: &str,
+    threads: usize,
+    time: Duration,
+) -> (Histogram<u64>, u64) {
+    let url = format!("http://{addr}{}", comfreymux_lib::chat::PATH);
+    let body = format!(r#"{{"model":"{model}","messages":[]}}"#);
+    let began = Instant::now();
+    let ask = || {
+        let (mut times, mut others) = (histogram(), 0);
+        while began.elapsed() < time {
+            let sent = Instant::now();
+            let answer = minreq::post(&url)
+                .with_header("X-Deadline-Ms", "1")
+                .with_body(body.as_str())
+                .with_timeout(10)
+                .send();
+            times.saturating_record(sent.elapsed().as_micros() as u64);
+            others += u64::from(!answer.is_ok_and(|a| a.status_code == 503));
+        }
+        (times, others)
+    };
+    thread::scope(|scope| {
+        let running: Vec<_> = (0..threads).map(|_| scope.spawn(ask)).collect();
+        let mut total = (histogram(), 0);
+        for thread in running {
+            let (times, others) = thread.join().expect("asking does not panic");
+            total.0 += times;
+            total.1 += others;
+        }
+        total
+    })
+}
+
 fn read_stream(addr: SocketAddr, path: &str, body: &str, shared: &Shared) -> std::io::Result<()> {
     let began = Instant::now();
     let mut stream = TcpStream::connect(addr)?;
--- a/tools/src/standin.rs
+++ b/tools/src/standin.rs
@@ -78,6 +78,10 @@
         ComfreymuxStandinCmd::Relay(to) => {
             relay::run(listen, to.to).map_err(|e| format!("cannot listen on {listen}: {e}"))
         }
+        ComfreymuxStandinCmd::Refusals(flags) => {
+            print!("{}", run_refusals(flags));
+            Ok(())
+        }
         ComfreymuxStandinCmd::Load(load) => {
             print!("{}", run_load(load));
             Ok(())
@@ -92,6 +96,19 @@
     }
 }
 
+fn run_refusals(flags: &flags::Refusals) -> String {
+    let time = Duration::from_secs(flags.seconds.unwrap_or(5));
+    let model = flags.model.as_deref().unwrap_or("resize");
+    let (times, others) = load::refusals(flags.to, model, flags.senders.unwrap_or(8), time);
+    format!(
+        "refusals/s={:.0} others={others} ms p50={:.2} p95={:.2} p99={:.2}\n",
+        times.len() as f64 / time.as_secs_f64(),
+        times.value_at_quantile(0.5) as f64 / 1000.0,
+        times.value_at_quantile(0.95) as f64 / 1000.0,
+        times.value_at_quantile(0.99) as f64 / 1000.0,
+    )
+}
+
 fn run_load(flags: &flags::Load) -> String {
     let load = Load {
         rate: flags.rate.unwrap_or(77.0),
