waiting: end a wait at its deadline, measure refusals

Cause: a waiting request whose deadline came learned it at the next 50 ms tick, and the benchmark measured refusals on a model that was warm.

--- a/benches/relay.sh
+++ b/benches/relay.sh
@@ -46,11 +46,11 @@
 echo "idle daemon: $(awk '/VmRSS/ {print $2 / 1024 " MiB"}' /proc/$daemon/status)"
 echo "one stream loads the model"
 "$bin/comfreymux-standin" load --to 127.0.0.1:17080 --rate 1 --seconds 1 --tokens 1
+echo "daemon, refusals of a cold model whose deadline cannot be met"
+"$bin/comfreymux-standin" refusals --to 127.0.0.1:17080
 echo "engine alone"
 load --to "$(addr engine)"
 echo "relay without decisions"
 load --to "$(addr relay)" --pid "$relay"
 echo "daemon"
 load --to 127.0.0.1:17080 --pid "$daemon"
-echo "daemon, refusals of a cold model whose deadline cannot be met"
-"$bin/comfreymux-standin" refusals --to 127.0.0.1:17080
--- a/lib/src/waiting.rs
+++ b/lib/src/waiting.rs
@@ -14,9 +14,6 @@
 use crate::queue::Waiter;
 use crate::queue::WaiterKey;
 
-/// Time past the deadline after which a waiter stops waiting by itself.
-const SLACK: Duration = Duration::from_secs(1);
-
 type Wake = Result<(), Refusal>;
 
 #[derive(Debug)]
@@ -59,7 +56,7 @@
     ///
     /// Says why the request must be refused instead.
     pub fn wait(&self, now: Duration, waiter: Waiter, expected: Duration) -> Result<(), Refusal> {
-        let bound = waiter.deadline.saturating_sub(now) + SLACK;
+        let bound = waiter.deadline.saturating_sub(now);
         let (sender, receiver) = flume::bounded(1);
         let key = {
             let mut inner = self.inner();
@@ -82,9 +79,12 @@
             return wake;
         }
         let mut inner = self.inner();
-        inner.queue.leave(key);
         inner.senders.remove(&key);
-        Err(Refusal::Expired)
+        if inner.queue.leave(key) {
+            return Err(Refusal::Expired);
+        }
+        // It got its turn at the very moment of its deadline.
+        receiver.try_recv().unwrap_or(Err(Refusal::Expired))
     }
 
     /// Wakes requests for which `room` gives places, and refuses those whose deadline has come.
--- a/tools/src/flags.rs
+++ b/tools/src/flags.rs
@@ -62,7 +62,7 @@
         cmd refusals {
             /// Where to send them.
             required --to addr: SocketAddr
-            /// A cold model. [resize]
+            /// A model that is not loaded. [retired]
             optional --model name: String
             /// Senders at once. [8]
             optional --senders count: usize
--- a/tools/src/standin.rs
+++ b/tools/src/standin.rs
@@ -89,7 +89,8 @@
         ComfreymuxStandinCmd::Table(table) => {
             let limit = table.limit.unwrap_or(rows::model("hem").limit);
             let model = |name| Row { limit, ..rows::model(name) };
-            let rows = [model("hem"), model("resize"), rows::service("booking")];
+            let retired = Row { replicas: 0, ..rows::model("retired") };
+            let rows = [model("hem"), model("resize"), retired, rows::service("booking")];
             print!("{}", write_csv(&rows));
             Ok(())
         }
@@ -98,7 +99,7 @@
 
 fn run_refusals(flags: &flags::Refusals) -> String {
     let time = Duration::from_secs(flags.seconds.unwrap_or(5));
-    let model = flags.model.as_deref().unwrap_or("resize");
+    let model = flags.model.as_deref().unwrap_or("retired");
     let (times, others) = load::refusals(flags.to, model, flags.senders.unwrap_or(8), time);
     format!(
         "refusals/s={:.0} others={others} ms p50={:.2} p95={:.2} p99={:.2}\n",
