--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -130,9 +130,7 @@
             None => self.decide(Choice::Yield, "", &centre, "the lease went to another daemon"),
         }
         self.led = fence;
-        // A new holder begins with a full round at once: callers may wait already.
         self.stated = None;
-        self.rounded = Duration::ZERO;
         self.watches = Watches::default();
     }
 
