--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -8,12 +8,9 @@
 
 use crate::append::Appender;
 use crate::claims::ClaimDesk;
-use crate::claims::ClaimStep;
-use crate::claims::Decided;
 use crate::demand::Demand;
 use crate::edits::EditDesk;
 use crate::event::Choice;
-use crate::event::ClaimAnswer;
 use crate::event::Decision;
 use crate::event::Effect;
 use crate::event::Event;
@@ -21,14 +18,11 @@
 use crate::fleet::Fleet;
 use crate::fold;
 use crate::fold::Outcome;
-use crate::fold::Rejection;
 use crate::hints::HintBook;
-use crate::host::Action;
 use crate::host::Order;
 use crate::host::OrderAnswer;
 use crate::host::Report;
 use crate::ids::CentreId;
-use crate::ids::ClaimKey;
 use crate::ids::DaemonId;
 use crate::ids::Fence;
 use crate::ids::Incarnation;
@@ -36,7 +30,6 @@
 use crate::ids::Offset;
 use crate::ids::ServerId;
 use crate::ids::SlotId;
-use crate::ids::order_fence;
 use crate::keepwarm::KeepWarm;
 use crate::keepwarm::Policy;
 use crate::lease::Authority;
@@ -96,11 +89,11 @@
     pub(crate) rounded: Duration,
     /// Whether the daemon is stopping and takes no lease.
     pub(crate) stopping: bool,
-    desk: ClaimDesk,
+    pub(crate) desk: ClaimDesk,
     edits: EditDesk,
     hints: HintBook,
     /// Orders given since the start.
-    orders: u64,
+    pub(crate) orders: u64,
     heard: Option<Duration>,
     checkpoint: (Offset, u64),
     /// Why models wait for a load, as last logged.
@@ -372,45 +365,6 @@
         }
     }
 
-    fn note_claim(&mut self, key: ClaimKey, outcome: Outcome) {
-        if outcome == Err(Rejection::Duplicate) {
-            return;
-        }
-        match self.desk.decided(key, outcome, &self.state) {
-            Decided::Answer(answer) => self.effects.push(Effect::Claimed(key, answer)),
-            Decided::Nothing => {}
-            Decided::Release(settlement) => {
-                self.appender.push(Record::Settle(settlement));
-            }
-        }
-    }
-
-    fn take_claim(&mut self, now: Duration, key: ClaimKey) {
-        let log_up = self.is_log_up(now);
-        match self.desk.want(now, key, &self.state, log_up) {
-            ClaimStep::Answer(answer) => self.effects.push(Effect::Claimed(key, answer)),
-            ClaimStep::Append(key) => {
-                if !self.appender.push(Record::Claim(key)) {
-                    self.withdraw(key);
-                    self.effects.push(Effect::Claimed(key, ClaimAnswer::LogDown));
-                }
-            }
-            ClaimStep::Wait => {}
-        }
-    }
-
-    fn withdraw(&mut self, key: ClaimKey) {
-        if let Some(settlement) = self.desk.unwant(key, &self.state) {
-            self.appender.push(Record::Settle(settlement));
-        }
-    }
-
-    pub(crate) fn refuse_overdue(&mut self, now: Duration) {
-        for key in self.desk.overdue(now) {
-            self.effects.push(Effect::Claimed(key, ClaimAnswer::LogDown));
-        }
-    }
-
     fn take_edit(&mut self, edit: Edit) {
         let record = Record::Edit(edit.clone());
         if self.edits.take(edit, &self.state) && !self.appender.holds(&record) {
@@ -486,50 +440,6 @@
             );
         }
     }
-
-    /// Returns whether the statement that a slot is free is under way.
-    ///
-    /// From its append on the slot may be free in the log, though this daemon has not read that,
-    /// and will not for long if it is cut off. A load ordered then would have no slot.
-    pub(crate) fn is_freeing(&self, id: SlotId) -> bool {
-        self.appender.any(|r| matches!(r, Record::Freed(f) if f.slot == id))
-    }
-
-    /// Gives an order, unless one to the same backend server is unanswered.
-    ///
-    /// Two orders under way at once could arrive in either order, and the engine would refuse the
-    /// one with the lesser number.
-    pub(crate) fn order(&mut self, now: Duration, id: SlotId, action: Action) -> bool {
-        let (Some(lease), Some(slot)) = (self.fence(), self.state.slots.get(id)) else {
-            return false;
-        };
-        if self.watches.is_busy(now, &slot.server) || self.is_freeing(id) {
-            return false;
-        }
-        let Some(server) = self.state.servers.get(&slot.server) else {
-            return false;
-        };
-        self.orders += 1;
-        let fence = order_fence(lease, self.orders);
-        let row = self.state.table.row(&slot.model);
-        let order = Order {
-            action,
-            server: slot.server.clone(),
-            incarnation: server.incarnation,
-            model: slot.model.clone(),
-            slot: id,
-            ticket: slot.ticket,
-            fence,
-            memory_mib: slot.memory_mib,
-            load_mib: row.map_or(0, |r| r.load_mib),
-        };
-        // An engine that ignores fencing numbers must get no order after the lease's end; one that
-        // heeds them refuses it itself.
-        let until = if server.fencing { None } else { self.authority.until() };
-        self.watches.ordered(now, &order);
-        self.effects.push(Effect::Order(order, until));
-        true
-    }
 }
 
 /// Returns whether routers see what a record changes; the others are many.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin;
 pub mod append;
 pub mod chat;
+pub mod claim_duty;
 pub mod claims;
 pub mod client;
 pub mod control;
--- a/lib/src/slot_duty.rs
+++ b/lib/src/slot_duty.rs
@@ -6,9 +6,11 @@
 use crate::event::Choice;
 use crate::event::Effect;
 use crate::host::Action;
+use crate::host::Order;
 use crate::ids::ModelName;
 use crate::ids::ServerId;
 use crate::ids::SlotId;
+use crate::ids::order_fence;
 use crate::placement::Plan;
 use crate::placement::Scene;
 use crate::record::Freed;
@@ -227,4 +229,48 @@
             self.decide(Choice::Drain, &slot.model, &slot.server, reason);
         }
     }
+
+    /// Returns whether the statement that a slot is free is under way.
+    ///
+    /// From its append on the slot may be free in the log, though this daemon has not read that,
+    /// and will not for long if it is cut off. A load ordered then would have no slot.
+    pub(crate) fn is_freeing(&self, id: SlotId) -> bool {
+        self.appender.any(|r| matches!(r, Record::Freed(f) if f.slot == id))
+    }
+
+    /// Gives an order, unless one to the same backend server is unanswered.
+    ///
+    /// Two orders under way at once could arrive in either order, and the engine would refuse the
+    /// one with the lesser number.
+    pub(crate) fn order(&mut self, now: Duration, id: SlotId, action: Action) -> bool {
+        let (Some(lease), Some(slot)) = (self.fence(), self.state.slots.get(id)) else {
+            return false;
+        };
+        if self.watches.is_busy(now, &slot.server) || self.is_freeing(id) {
+            return false;
+        }
+        let Some(server) = self.state.servers.get(&slot.server) else {
+            return false;
+        };
+        self.orders += 1;
+        let fence = order_fence(lease, self.orders);
+        let row = self.state.table.row(&slot.model);
+        let order = Order {
+            action,
+            server: slot.server.clone(),
+            incarnation: server.incarnation,
+            model: slot.model.clone(),
+            slot: id,
+            ticket: slot.ticket,
+            fence,
+            memory_mib: slot.memory_mib,
+            load_mib: row.map_or(0, |r| r.load_mib),
+        };
+        // An engine that ignores fencing numbers must get no order after the lease's end; one that
+        // heeds them refuses it itself.
+        let until = if server.fencing { None } else { self.authority.until() };
+        self.watches.ordered(now, &order);
+        self.effects.push(Effect::Order(order, until));
+        true
+    }
 }
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -11,7 +11,7 @@
 use comfreymux_lib::table::Row;
 use comfreymux_lib::table_file::read_csv;
 use comfreymux_lib::table_file::write_csv;
-use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::engine_settings::EngineSettings;
 use comfreymux_testutils::rig::Rig;
 use comfreymux_testutils::rig::complete;
 use comfreymux_testutils::rig::wait_for;
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -2,7 +2,7 @@
 
 use std::thread;
 
-use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::engine_settings::EngineSettings;
 use comfreymux_testutils::rig::Rig;
 use comfreymux_testutils::rig::complete;
 use comfreymux_testutils::rig::wait_for;
--- a/lib/tests/test_streams.rs
+++ b/lib/tests/test_streams.rs
@@ -4,8 +4,8 @@
 use std::io::Write;
 use std::net::TcpStream;
 
-use comfreymux_testutils::engine_standin::EngineFaults;
-use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::engine_settings::EngineFaults;
+use comfreymux_testutils::engine_settings::EngineSettings;
 use comfreymux_testutils::rig::Rig;
 use comfreymux_testutils::rig::complete;
 use comfreymux_testutils::rig::wait_for;
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the platform and the backend servers, for tests, the demo and trials by hand.
 
+pub mod engine_settings;
 pub mod engine_standin;
 pub mod hosts_standin;
 pub mod http_server;
--- a/lib/testutils/src/rig.rs
+++ b/lib/testutils/src/rig.rs
@@ -27,7 +27,7 @@
 use slog::Logger;
 use smol_str::SmolStr;
 
-use crate::engine_standin::EngineSettings;
+use crate::engine_settings::EngineSettings;
 use crate::engine_standin::EngineStandin;
 use crate::hosts_standin::HostsStandin;
 use crate::http_server::HttpServer;
--- a/tools/src/demo.rs
+++ b/tools/src/demo.rs
@@ -11,7 +11,7 @@
 use comfreymux_lib::table::Edit;
 use comfreymux_lib::table::Row;
 
-use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::engine_settings::EngineSettings;
 use comfreymux_testutils::rig::Rig;
 use comfreymux_testutils::rig::complete;
 use comfreymux_testutils::rig::wait_for;
--- a/tools/src/standin.rs
+++ b/tools/src/standin.rs
@@ -11,7 +11,7 @@
 use comfreymux_lib::host::Role;
 use comfreymux_lib::table::Row;
 use comfreymux_lib::table_file::write_csv;
-use comfreymux_testutils::engine_standin::EngineSettings;
+use comfreymux_testutils::engine_settings::EngineSettings;
 use comfreymux_testutils::engine_standin::EngineStandin;
 use comfreymux_testutils::hosts_standin::HostsStandin;
 use comfreymux_testutils::http_server::Handler;
