--- a/lib/tests/test_chaos.rs
+++ b/lib/tests/test_chaos.rs
@@ -109,19 +109,6 @@
             world.start(pick(&DAEMONS, *d));
             world.list_hosts();
         }
-        Trouble::LogDown(down) => world.log_down = *down,
-        Trouble::Cut(d, cut) => world.daemons.get_mut(pick(&DAEMONS, *d)).unwrap().cut = *cut,
-        Trouble::LoseAppends(n) => world.weather.lose_appends = u32::from(n % 4),
-        Trouble::AppendTwice(t) => {
-            world.weather.twice = Some(Duration::from_millis(u64::from(*t) * 100));
-        }
-        Trouble::LoseOrders(n) => world.weather.lose_orders = u32::from(n % 4),
-        Trouble::LateOrder(t) => {
-            world.weather.late_order = Some(Duration::from_millis(u64::from(*t) * 200));
-        }
-        Trouble::HeldOrder(t) => {
-            world.weather.held_order = Some(Duration::from_millis(u64::from(*t) * 200));
-        }
         Trouble::ReplaceEngine(e) => world.replace_engine(pick(&ENGINES, *e)),
         Trouble::Leave(e) => {
             let engine = &mut world.engines.get_mut(pick(&ENGINES, *e)).unwrap().1;
@@ -139,7 +126,28 @@
                 daemon.rate = 0.99 + f64::from(*r) / 255.0 * 0.02;
             }
         }
+        _ => turn_weather(world, trouble),
+    }
+}
+
+/// Changes how the log and the messages go wrong.
+fn turn_weather(world: &mut World, trouble: &Trouble) {
+    match trouble {
+        Trouble::LogDown(down) => world.log_down = *down,
+        Trouble::Cut(d, cut) => world.daemons.get_mut(pick(&DAEMONS, *d)).unwrap().cut = *cut,
+        Trouble::LoseAppends(n) => world.weather.lose_appends = u32::from(n % 4),
+        Trouble::AppendTwice(t) => {
+            world.weather.twice = Some(Duration::from_millis(u64::from(*t) * 100));
+        }
+        Trouble::LoseOrders(n) => world.weather.lose_orders = u32::from(n % 4),
+        Trouble::LateOrder(t) => {
+            world.weather.late_order = Some(Duration::from_millis(u64::from(*t) * 200));
+        }
+        Trouble::HeldOrder(t) => {
+            world.weather.held_order = Some(Duration::from_millis(u64::from(*t) * 200));
+        }
         Trouble::Lag(t) => world.weather.lag = Duration::from_millis(u64::from(*t) * 10),
+        _ => unreachable!("{trouble:?} is no weather"),
     }
 }
 
