--- a/lib/tests/test_chaos.rs
+++ b/lib/tests/test_chaos.rs
@@ -11,7 +11,7 @@
 use comfreymux_tools::small::seconds;
 use comfreymux_tools::small::want;
 use comfreymux_tools::small::world_of;
-use comfreymux_tools::world::Weather;
+use comfreymux_tools::weather::Weather;
 use comfreymux_tools::world::World;
 use proptest::prelude::*;
 
--- a/tools/src/lib.rs
+++ b/tools/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod demo;
 pub mod experiment;
+pub mod fake_daemon;
 pub mod fake_engine;
 pub mod load;
 pub mod relay;
 pub mod report;
 pub mod small;
+pub mod weather;
 pub mod workload;
 pub mod world;
--- a/tools/src/world.rs
+++ b/tools/src/world.rs
@@ -35,30 +35,12 @@
 use comfreymux_lib::state::State;
 use comfreymux_lib::table::Edit;
 
+use crate::fake_daemon::FakeDaemon;
 use crate::fake_engine::FakeEngine;
+use crate::weather::Store;
+use crate::weather::Weather;
 use comfreymux_testutils::rig::ANY;
 
-/// One daemon's control.
-#[derive(Debug)]
-pub struct FakeDaemon {
-    /// Its data centre.
-    pub centre: CentreId,
-    /// Its start count.
-    pub incarnation: Incarnation,
-    /// Its state machine; none while it is dead.
-    pub control: Option<Controller>,
-    /// Until when it is paused.
-    pub paused: Duration,
-    /// Whether it is cut off from the platform.
-    pub cut: bool,
-    /// Rate of its clock; 1 is true.
-    pub rate: f64,
-    /// Requests that wait at it.
-    pub waiting: Vec<Waiting>,
-    started: Duration,
-    saw_hosts: u64,
-}
-
 #[derive(Clone, Debug)]
 enum Message {
     Append(DaemonId, Incarnation, Entry, bool),
@@ -76,34 +58,6 @@
 /// Delay of every message where the weather says nothing else.
 const DELAY: Duration = Duration::from_millis(20);
 
-/// How messages go wrong until told otherwise.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Weather {
-    /// Delay of everything.
-    pub delay: Duration,
-    /// Next appends that take effect and whose answer is lost.
-    pub lose_appends: u32,
-    /// Next appends that the log takes twice, the second time after this delay.
-    pub twice: Option<Duration>,
-    /// Next orders whose answer is lost.
-    pub lose_orders: u32,
-    /// The next order arrives this late, after its sender has given up on the connection.
-    pub late_order: Option<Duration>,
-    /// The next order is sent this late: its sender was paused with it in hand.
-    pub held_order: Option<Duration>,
-    /// Lag of load reports.
-    pub lag: Duration,
-}
-
-/// The weight store: loads that may begin in a second, and those under way.
-#[derive(Clone, Debug, Default)]
-pub struct Store {
-    /// Time between the starts of two loads.
-    pub spacing: Duration,
-    next: Duration,
-    ends: Vec<Duration>,
-}
-
 /// A breach of a promise.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Breach(pub String);
