control: queue a record once in one place

Cause, from reading the whole change again: four places asked whether a record was queued and then queued it; the list of local servers was built anew for every server record of the fleet, also of other data centres, once for each record of an entry; three stand-ins counted faults alike; Fleet::left and Outcomes::knows had no caller. Change: Appender::push_once; the list is built once an entry, for records of the own data centre; faults::take; dead code removed. Behaviour stays, but for one log line: a drain or free that found the append queue full is no longer logged as decided, since nothing was queued.

--- a/lib/src/append.rs
+++ b/lib/src/append.rs
@@ -76,6 +76,11 @@
         fits
     }
 
+    /// Queues a record unless an equal one waits or is under way; returns whether it was queued.
+    pub fn push_once(&mut self, record: Record) -> bool {
+        !self.holds(&record) && self.push(record)
+    }
+
     /// Returns whether an equal record waits or is under way.
     pub fn holds(&self, record: &Record) -> bool {
         let flying = self.flight.as_ref().is_some_and(|f| f.entry.records.contains(record));
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -259,6 +259,17 @@
         }));
     }
 
+    /// Returns whether a record is about a backend server of this data centre.
+    fn is_local(&self, record: &Record) -> bool {
+        match record {
+            Record::Server(facts) => {
+                facts.centre == self.settings.centre || self.local.contains(&facts.id)
+            }
+            Record::Gone(server, _) => self.local.contains(server),
+            _ => false,
+        }
+    }
+
     /// Looks up the backend servers of this data centre anew; there are many of other ones.
     fn find_local(&mut self) {
         let local = self.state.servers.values().filter(|s| s.centre == self.settings.centre);
@@ -310,17 +321,18 @@
         let back = self.appender.read_back(entry);
         let own =
             entry.writer == self.settings.id && entry.incarnation == self.settings.incarnation;
-        let mut changed = false;
+        let (mut changed, mut moved) = (false, false);
         for (record, outcome) in entry.records.iter().zip(outcomes) {
             changed |= outcome.is_ok() && is_seen(record);
-            if matches!(record, Record::Server(_) | Record::Gone(..)) {
-                self.find_local();
-            }
+            moved |= self.is_local(record);
             self.note(record, outcome);
             if own {
                 self.note_own(record, outcome, back.map(|b| b.sent));
             }
         }
+        if moved {
+            self.find_local();
+        }
         self.observe(now);
         if changed {
             self.effects.push(Effect::Publish);
@@ -367,8 +379,8 @@
 
     fn take_edit(&mut self, edit: Edit) {
         let record = Record::Edit(edit.clone());
-        if self.edits.take(edit, &self.state) && !self.appender.holds(&record) {
-            self.appender.push(record);
+        if self.edits.take(edit, &self.state) {
+            self.appender.push_once(record);
         }
         self.answer_edits();
     }
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -155,9 +155,7 @@
             }
         }
         for record in records {
-            if !self.appender.holds(&record) {
-                self.appender.push(record);
-            }
+            self.appender.push_once(record);
         }
     }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -98,13 +98,6 @@
         }
     }
 
-    /// Notes that the host refused work because it leaves.
-    pub fn left(&mut self, id: &str) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.leaving = true;
-        }
-    }
-
     /// Notes that a connection or report failed.
     pub fn failed(&mut self, now: Duration, id: &str) {
         if let Some(member) = self.members.get_mut(id) {
--- a/lib/src/outcomes.rs
+++ b/lib/src/outcomes.rs
@@ -72,11 +72,6 @@
         receiver.recv_timeout(wait).ok()
     }
 
-    /// Returns whether the request of `key` is running or kept here.
-    pub fn knows(&self, key: ClaimKey) -> bool {
-        self.lines().contains_key(&key)
-    }
-
     /// Forgets old outcomes.
     pub fn expire(&self, now: Duration) {
         self.lines().retain(|_, l| l.end.as_ref().is_none_or(|(at, _)| now < *at + KEPT));
--- a/lib/src/slot_duty.rs
+++ b/lib/src/slot_duty.rs
@@ -134,8 +134,7 @@
         };
         let orderer_gone = self.upkeep(now).is_gone(slot);
         let record = Record::Freed(Freed { slot: id, fence, orderer_gone });
-        if !self.appender.holds(&record) {
-            self.appender.push(record);
+        if self.appender.push_once(record) {
             self.decide(Choice::Free, &slot.model, &slot.server, reason);
         }
     }
@@ -145,12 +144,7 @@
         let Some(fence) = self.fence() else {
             return false;
         };
-        let record = Record::Phase(PhaseChange { slot, fence, phase });
-        let is_new = !self.appender.holds(&record);
-        if is_new {
-            self.appender.push(record);
-        }
-        is_new
+        self.appender.push_once(Record::Phase(PhaseChange { slot, fence, phase }))
     }
 
     pub(crate) fn place_models(&mut self, now: Duration) {
--- a/lib/testutils/src/engine_standin.rs
+++ b/lib/testutils/src/engine_standin.rs
@@ -34,6 +34,7 @@
 use crate::engine_settings::EngineAudit;
 use crate::engine_settings::EngineFaults;
 use crate::engine_settings::EngineSettings;
+use crate::faults::take;
 use crate::http_server::Handler;
 use crate::http_server::HttpRequest;
 use crate::http_server::header_lines;
@@ -67,12 +68,6 @@
     inner: Arc<Mutex<Inner>>,
 }
 
-fn take(count: &mut u32) -> bool {
-    let any = *count > 0;
-    *count = count.saturating_sub(1);
-    any
-}
-
 /// A fault in the middle of a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Break {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine_settings;
 pub mod engine_standin;
+pub mod faults;
 pub mod hosts_standin;
 pub mod http_server;
 pub mod log_standin;
--- a/lib/testutils/src/service_standin.rs
+++ b/lib/testutils/src/service_standin.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 use serde_json::json;
 
+use crate::faults::take;
 use crate::http_server::Handler;
 use crate::http_server::HttpRequest;
 use crate::http_server::respond;
@@ -54,13 +55,6 @@
     inner: Mutex<Inner>,
 }
 
-/// Takes one of a count of faults.
-fn take(count: &mut u32) -> bool {
-    let any = *count > 0;
-    *count = count.saturating_sub(1);
-    any
-}
-
 impl ServiceStandin {
     fn inner(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
--- a/tools/src/world.rs
+++ b/tools/src/world.rs
@@ -34,6 +34,7 @@
 use comfreymux_lib::record::Source;
 use comfreymux_lib::state::State;
 use comfreymux_lib::table::Edit;
+use comfreymux_testutils::faults::take;
 
 use crate::fake_daemon::FakeDaemon;
 use crate::fake_engine::FakeEngine;
@@ -496,9 +497,3 @@
         Ok(())
     }
 }
-
-fn take(count: &mut u32) -> bool {
-    let any = *count > 0;
-    *count = count.saturating_sub(1);
-    any
-}
