serve: begin no stream late in a planned stop

Ruled out: the wait for a model, which already ends early; these requests never waited.

Change: a stream is refused unrun, with a time to come back, from a third of the grace on; answers already ask callers to close.

--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -37,8 +37,8 @@
 use crate::serve::waits::Waits;
 use crate::store::Store;
 
-/// Part of a stop's grace in which waiting requests may still begin; most streams end in the rest.
-const START_PART: f64 = 0.4;
+/// Part of a stop's grace in which streams may still begin; most of them end in the rest.
+const START_PART: f64 = 0.33;
 
 /// Checked settings of an entry daemon.
 #[derive(Clone, Debug, PartialEq)]
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -36,6 +36,9 @@
 /// When a caller should come back to a daemon that does not know enough yet.
 const LEARNING: Duration = Duration::from_millis(500);
 
+/// When a caller should try another daemon in place of one that stops.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// Counts a request in progress.
 struct Active(Rc<Entry>);
 
@@ -187,6 +190,10 @@
         entry.waits.arrived(&item, attempt.arrived);
     }
     entry.budget.borrow_mut().first(&attempt.service, attempt.arrived);
+    if attempt.route.kind == RouteKind::Streaming && entry.now() > entry.last_start() {
+        // On a connection that is still open it would be cut when this daemon ends.
+        return refuse(entry, &attempt, &Refusal::unrun("this daemon stops", ELSEWHERE));
+    }
     let result = if attempt.route.kind == RouteKind::Streaming {
         exchange_stream::run(entry, attempt).await
     } else {
@@ -195,18 +202,20 @@
     };
     match result {
         Ok(response) => response,
-        Err((refusal, attempt)) => {
-            log_answer(entry, &attempt, refusal.status, refusal.reason, None);
-            entry.metrics.refused(refusal.reason);
-            let mut response = refusal.response();
-            if let Some(id) = &attempt.terms.attempt {
-                entry.protocol.mark_answer(response.headers_mut(), id);
-            }
-            response
-        }
+        Err((refusal, attempt)) => refuse(entry, &attempt, &refusal),
     }
 }
 
+fn refuse(entry: &Entry, attempt: &Attempt, refusal: &Refusal) -> Response<ReplyBody> {
+    log_answer(entry, attempt, refusal.status, refusal.reason, None);
+    entry.metrics.refused(refusal.reason);
+    let mut response = refusal.response();
+    if let Some(id) = &attempt.terms.attempt {
+        entry.protocol.mark_answer(response.headers_mut(), id);
+    }
+    response
+}
+
 /// Writes the one line that tells how a request ended.
 pub fn log_answer(
     entry: &Entry,
