--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -49,6 +49,8 @@
     pub config: ConfigVersion,
     /// Place in the platform's feed of servers that it has read up to.
     pub servers: Offset,
+    /// Servers that it saw leave in the last seconds.
+    pub left: Vec<ServerId>,
     /// Whether it takes new callers.
     pub ready: bool,
     /// Its requests by server.
--- a/lib/src/picture/directory.rs
+++ b/lib/src/picture/directory.rs
@@ -20,7 +20,9 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
 /// Time without a read after which the store counts as away: some servers' entries may then have
 /// lapsed, which takes three heartbeats.
-const AWAY_AFTER: Duration = Duration::from_millis(2500);
+const AWAY_AFTER: Duration = Duration::from_secs(3);
+/// For this long peers are told which servers left: longer than any daemon goes without a read.
+const TELL_LEFT: Duration = Duration::from_secs(4);
 
 /// A model that a backend server holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -99,6 +101,8 @@
     read: Option<Moment>,
     /// When it was first read after the store had been away.
     back: Option<Moment>,
+    /// Servers that left lately, and when that was noticed.
+    left: Vec<(Moment, ServerId)>,
 }
 
 impl Directory {
@@ -121,7 +125,7 @@
     }
 
     /// Takes in a server's entry.
-    pub fn put(&mut self, server: Server, raw: Bytes) -> Change {
+    pub fn put(&mut self, server: Server, raw: Bytes, now: Moment) -> Change {
         let old = self.entries.get(&server.id);
         // Feeds may repeat old entries; a server that leaves never comes back under its id.
         if let Some(old) = old
@@ -139,6 +143,9 @@
             Some(old) if old.server.models != server.models => Change::Updated,
             Some(_) => Change::None,
         };
+        if change == Change::Leaving {
+            self.left.push((now, server.id.clone()));
+        }
         let entry = Entry { server: Rc::new(server), raw, lapsed: None };
         self.entries.insert(entry.server.id.clone(), entry);
         change
@@ -160,10 +167,29 @@
             entry.lapsed = Some(now);
             return Change::Lapsed;
         }
-        self.entries.remove(id);
+        if let Some(entry) = self.entries.remove(id) {
+            self.left.push((now, entry.server.id.clone()));
+        }
         Change::Removed
     }
 
+    /// Returns the servers that left lately, to be told to peers: each daemon reads at other moments.
+    pub fn left(&mut self, now: Moment) -> Vec<ServerId> {
+        self.left.retain(|(at, _)| now <= *at + TELL_LEFT);
+        self.left.iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Takes in a peer's word that a server left.
+    pub fn leave(&mut self, id: &str) -> Change {
+        match self.entries.get_mut(id) {
+            Some(entry) if !entry.server.leaving => {
+                Rc::make_mut(&mut entry.server).leaving = true;
+                Change::Leaving
+            }
+            _ => Change::None,
+        }
+    }
+
     /// Returns the entries that are not among `listed`.
     pub fn missing(&self, listed: &[ServerId]) -> Vec<ServerId> {
         self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect()
--- a/lib/src/picture/loads.rs
+++ b/lib/src/picture/loads.rs
@@ -10,8 +10,6 @@
 use crate::ids::ModelName;
 use crate::ids::ServerId;
 
-/// A peer's word on its requests counts for this long; later ones have replaced it three times.
-const PEER_FRESH: Duration = Duration::from_millis(1200);
 /// A server's own word counts for this long: some steps of its batch.
 const WORD_FRESH: Duration = Duration::from_millis(400);
 
@@ -49,6 +47,8 @@
     own: HashMap<Place, Work>,
     peers: HashMap<DaemonId, (Moment, Vec<(Place, Work)>)>,
     words: HashMap<ServerId, (Moment, ServerWord)>,
+    /// A peer's word on its requests counts for this long.
+    fresh: Duration,
 }
 
 /// Counts of requests in progress.
@@ -75,9 +75,11 @@
         InProgress { loads: self.clone(), place, prompt }
     }
 
-    /// Takes in a peer's requests in progress.
-    pub fn heard(&self, peer: &DaemonId, now: Moment, work: Vec<(Place, Work)>) {
-        self.tables.borrow_mut().peers.insert(peer.clone(), (now, work));
+    /// Takes in a peer's requests in progress, which count until it must be out of reach.
+    pub fn heard(&self, peer: &DaemonId, now: Moment, fresh: Duration, work: Vec<(Place, Work)>) {
+        let mut tables = self.tables.borrow_mut();
+        tables.fresh = fresh;
+        tables.peers.insert(peer.clone(), (now, work));
     }
 
     /// Takes in a server's own word.
@@ -111,7 +113,7 @@
 
     fn sum(&self, now: Moment, counts: impl Fn(&Place) -> bool) -> Work {
         let tables = self.tables.borrow();
-        let fresh = tables.peers.values().filter(|(heard, _)| now <= *heard + PEER_FRESH);
+        let fresh = tables.peers.values().filter(|(heard, _)| now <= *heard + tables.fresh);
         let peers = fresh.flat_map(|(_, list)| list.iter().map(|(place, work)| (place, work)));
         let mut sum = Work::default();
         for (_, work) in tables.own.iter().chain(peers).filter(|(place, _)| counts(place)) {
@@ -125,7 +127,8 @@
     pub fn retain(&self, now: Moment, known: impl Fn(&str) -> bool) {
         let mut tables = self.tables.borrow_mut();
         tables.words.retain(|id, _| known(id));
-        tables.peers.retain(|_, (heard, _)| now <= *heard + PEER_FRESH);
+        let fresh = tables.fresh;
+        tables.peers.retain(|_, (heard, _)| now <= *heard + fresh);
     }
 }
 
--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -13,9 +13,13 @@
 use crate::picture::digest::Digest;
 use crate::picture::digest::ProcessId;
 
-/// A peer that was silent for this long is taken as out of reach: several of its messages are
-/// missing, which loss alone does not explain.
-pub const SILENT_AFTER: Duration = Duration::from_millis(1500);
+/// Time between digests in a small fleet.
+const DIGEST_EVERY: Duration = Duration::from_millis(300);
+/// Daemons from which on digests come less often: each daemon sends and takes one for every other,
+/// and this many a third of a second cost about one percent of a tenth of a core.
+const FLEET: usize = 36;
+/// A peer that missed this many digests is out of reach: loss alone does not explain it.
+const MISSED: u32 = 5;
 /// A peer that was silent for this long is forgotten; a daemon that stays away was replaced.
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
@@ -94,8 +98,9 @@
         digest: &Digest,
         now: Moment,
     ) -> bool {
+        let silent = self.silent_after();
         let peer = self.entry(id, addr, process, now);
-        let was_silent = peer.heard.is_none_or(|h| now > h + SILENT_AFTER);
+        let was_silent = peer.heard.is_none_or(|h| now > h + silent);
         peer.addr = addr;
         peer.process = process;
         peer.heard = Some(now);
@@ -116,7 +121,8 @@
 
     /// Returns the peers heard lately.
     pub fn near(&self, now: Moment) -> impl Iterator<Item = (&DaemonId, &Peer)> {
-        self.peers.iter().filter(move |(_, p)| p.is_near(now))
+        let silent = self.silent_after();
+        self.peers.iter().filter(move |(_, p)| p.is_near(now, silent))
     }
 
     /// Returns how many daemons share what all may do together, this one included.
@@ -126,19 +132,30 @@
         self.peers.len() + 1
     }
 
+    /// Returns the time between the digests of a daemon.
+    pub fn digest_gap(&self) -> Duration {
+        DIGEST_EVERY.mul_f64((self.daemons() as f64 / FLEET as f64).max(1.0))
+    }
+
+    /// Returns after which silence a peer is out of reach.
+    pub fn silent_after(&self) -> Duration {
+        self.digest_gap() * MISSED
+    }
+
     /// Returns the holder of the placement lease with the highest fencing number heard of.
     pub fn holder(&self, now: Moment) -> Option<(&DaemonId, &Peer, HeardTenure)> {
-        let claims = self.near(now).filter_map(|(id, p)| Some((id, p, p.tenure?)));
-        claims.max_by_key(|(_, _, t)| t.fence)
+        let claims = self.peers.iter().filter_map(|(id, p)| Some((id, p, p.tenure?)));
+        claims.filter(|(_, _, t)| now <= t.until).max_by_key(|(_, _, t)| t.fence)
     }
 
     /// Returns whether every peer of another data centre that was heard before is silent now.
     pub fn cut_off(&self, centre: &str, now: Moment) -> bool {
         let mut others = self.peers.values().filter(|p| p.heard.is_some() && p.centre != centre);
+        let silent = self.silent_after();
         let mut count = 0;
         let all_silent = others.all(|p| {
             count += 1;
-            !p.is_near(now)
+            !p.is_near(now, silent)
         });
         all_silent && count > 1
     }
@@ -150,8 +167,8 @@
 }
 
 impl Peer {
-    /// Returns whether it was heard lately.
-    pub fn is_near(&self, now: Moment) -> bool {
-        self.heard.is_some_and(|h| now <= h + SILENT_AFTER)
+    /// Returns whether it was heard lately: less than `silent` ago.
+    pub fn is_near(&self, now: Moment, silent: Duration) -> bool {
+        self.heard.is_some_and(|h| now <= h + silent)
     }
 }
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -5,4 +5,5 @@
 pub mod entries;
 pub mod ledger;
 pub mod planner;
+pub mod survey;
 pub mod tenure;
--- a/lib/src/place/demand.rs
+++ b/lib/src/place/demand.rs
@@ -124,10 +124,16 @@
         all
     }
 
-    /// Returns arrivals a second of a model, its adapters included.
-    pub fn rate(&self, service: &str, model: &str, now: Moment) -> f64 {
-        let is_it = |item: &&Item| item.service == service && item.model == model;
-        self.rates.iter().filter(|(i, _)| is_it(i)).map(|(_, r)| r.get(now)).sum()
+    /// Returns arrivals a second of each item.
+    pub fn rates(&self, now: Moment) -> impl Iterator<Item = (&Item, f64)> {
+        self.rates.iter().map(move |(item, rate)| (item, rate.get(now)))
+    }
+
+    /// Returns the daemons with requests that wait for a model or an adapter of it.
+    pub fn waiting_daemons(&self, service: &str, models: &[&str]) -> Vec<&DaemonId> {
+        let is_it = |i: &Item| i.service == service && models.contains(&i.model.as_str());
+        let waits = |told: &Told| told.waits.keys().any(is_it);
+        self.told.iter().filter(|(_, told)| waits(told)).map(|(id, _)| id).collect()
     }
 
     /// Returns arrivals a second of an item.
@@ -135,12 +141,6 @@
         self.rates.get(item).map_or(0.0, |r| r.get(now))
     }
 
-    /// Returns when a model was last asked for.
-    pub fn last(&self, service: &str, model: &str) -> Option<Moment> {
-        let is_it = |item: &&Item| item.service == service && item.model == model;
-        self.rates.iter().filter(|(i, _)| is_it(i)).map(|(_, r)| r.at).max()
-    }
-
     /// Returns whether anything was ever asked for.
     pub fn is_empty(&self) -> bool {
         self.rates.is_empty()
--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -137,18 +137,16 @@
         self.models.iter().map(|m| m.adapters.len()).sum::<usize>() + self.adapters.len()
     }
 
+    /// Returns the memory that a model that it holds takes with its adapters.
+    pub fn weight(&self, spec: &EngineSpec, held: &HeldModel) -> Mebibytes {
+        size(spec, &held.name) + adapters_size(spec, &held.name, held.adapters.len())
+    }
+
     /// Returns the memory that models and adapters take, those under way included.
     pub fn taken(&self, spec: &EngineSpec) -> Mebibytes {
-        let adapters = |model: &str, count: usize| {
-            let size = spec.models.get(model).map_or(0, |m| m.adapter_size);
-            size * count as Mebibytes
-        };
-        let held: Mebibytes = self
-            .models
-            .iter()
-            .map(|m| size(spec, &m.name) + adapters(&m.name, m.adapters.len()))
-            .sum();
-        let coming: Mebibytes = self.adapters.iter().map(|a| adapters(&a.model, 1)).sum();
+        let held: Mebibytes = self.models.iter().map(|m| self.weight(spec, m)).sum();
+        let coming: Mebibytes =
+            self.adapters.iter().map(|a| adapters_size(spec, &a.model, 1)).sum();
         let loading = self.job.as_ref().filter(|j| !self.holds(&j.model));
         held + coming + loading.map_or(0, |j| size(spec, &j.model))
     }
@@ -201,6 +199,10 @@
     }
 }
 
+fn adapters_size(spec: &EngineSpec, model: &str, count: usize) -> Mebibytes {
+    spec.models.get(model).map_or(0, |m| m.adapter_size) * count as Mebibytes
+}
+
 fn size(spec: &EngineSpec, model: &str) -> Mebibytes {
     // A model that the configuration does not name may be of any size: nothing fits beside it.
     spec.models.get(model).map_or(spec.memory, |m| m.size)
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -6,12 +6,12 @@
 //! place of six and more, which is the difference between a punctual and a late first answer.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
 use crate::boot_clock::Moment;
-use crate::ids::CentreId;
 use crate::ids::Mebibytes;
 use crate::ids::ModelName;
 use crate::ids::ServerId;
@@ -25,6 +25,7 @@
 use crate::place::ledger::Engine;
 use crate::place::ledger::Ledger;
 use crate::place::ledger::Source;
+use crate::place::survey::Survey;
 
 /// Arrivals a second of a model from which it counts as busy: it is then asked for about as often
 /// as a load takes, so it must stay loaded.
@@ -38,6 +39,8 @@
 const LOSS_SECONDS: f64 = 8.0;
 /// Part of its rate that a model loses with one of several replicas.
 const SPARE_PART: f64 = 0.1;
+/// Part of its rate that a model loses with one of the replicas that its demand asks for.
+const NEEDED_PART: f64 = 0.5;
 /// Requests that run on a victim delay its unloading by about this long.
 const RUNNING_DELAY: Duration = Duration::from_secs(3);
 /// Time of an order and its confirmation.
@@ -99,10 +102,14 @@
     pub unreachable: Vec<ServerId>,
     /// Loads from the weight store at once that are still at full speed.
     pub parallel: usize,
-    /// Whether another load from the weight store may begin under its ceiling.
-    pub store_open: bool,
+    /// Loads from the weight store that may still begin under its ceiling.
+    pub store_room: usize,
 }
 
+/// Steps begun at once at most; the next plan follows within a tenth of a second.
+const MOST_ACTIONS: usize = 32;
+
+/// What it takes to load a model at an engine.
 struct Offer<'a> {
     engine: &'a Engine,
     victims: Vec<ModelName>,
@@ -112,80 +119,85 @@
     can_start: bool,
 }
 
+/// A plan in the making.
+struct Planner<'a> {
+    scene: &'a Scene<'a>,
+    survey: Survey<'a>,
+    waits: BTreeMap<Item, Wait>,
+    /// Models with waiting requests: they stay where they are.
+    waited: HashSet<(SmolStr, ModelName)>,
+    /// Engines that got a step in this plan.
+    taken: HashSet<ServerId>,
+    /// Models that got one.
+    placed: HashSet<(SmolStr, ModelName)>,
+    /// Loads from the weight store, those of this plan included.
+    fetching: usize,
+    store_room: usize,
+    actions: Vec<Action>,
+}
+
 impl Scene<'_> {
-    /// Returns the next step, or none where all is well.
-    pub fn next(&self) -> Option<Action> {
+    /// Returns the next steps; each engine gets one at most.
+    pub fn plan(&self) -> Vec<Action> {
         let waits = self.demand.waits(self.now);
-        self.serve_waits(&waits)
-            .or_else(|| self.serve_adapters(&waits))
-            .or_else(|| self.add_replica())
-            .or_else(|| self.add_adapter())
-            .or_else(|| self.fetch(&waits))
+        let survey = Survey::new(self.ledger, self.demand, self.loads, self.now);
+        let waited = waits.keys().map(|i| (i.service.clone(), i.model.clone())).collect();
+        let fetching = survey.fetching;
+        let mut planner = Planner {
+            scene: self,
+            survey,
+            waits,
+            waited,
+            taken: HashSet::new(),
+            placed: HashSet::new(),
+            fetching,
+            store_room: self.store_room,
+            actions: Vec::new(),
+        };
+        planner.serve_waits();
+        planner.serve_adapters();
+        planner.add_replicas();
+        planner.add_adapters();
+        planner.fetch();
+        planner.actions
     }
+}
 
-    fn spec(&self, service: &str) -> Option<&EngineSpec> {
-        self.config.services.get(service)?.engine.as_ref()
+impl<'a> Planner<'a> {
+    fn spec(&self, service: &str) -> Option<&'a EngineSpec> {
+        self.scene.config.services.get(service)?.engine.as_ref()
     }
 
-    fn engines<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Engine> {
-        let is_usable = move |e: &&Engine| {
+    fn engines<'b>(&'b self, service: &'b str) -> impl Iterator<Item = &'a Engine> + use<'a, 'b> {
+        let scene = self.scene;
+        scene.ledger.engines.values().filter(move |e| {
             e.server.service == service
                 && !e.server.leaving
-                && !self.unreachable.contains(&e.server.id)
-        };
-        self.ledger.engines.values().filter(is_usable)
-    }
-
-    fn running(&self, engine: &Engine) -> u32 {
-        self.loads.at(&engine.server.id, self.now).running
-    }
-
-    /// Whether requests for a model run at an engine: its unloading would wait for their end.
-    fn is_used(&self, engine: &Engine, model: &str) -> bool {
-        self.loads.running(&engine.server.id, model, self.now) > 0
+                && !scene.unreachable.contains(&e.server.id)
+        })
     }
 
-    /// Loads from the weight store that are under way.
-    fn fetching(&self) -> usize {
-        let is_fetch = |e: &&Engine| e.job.as_ref().is_some_and(|j| j.source == Source::Store);
-        self.ledger.engines.values().filter(is_fetch).count()
+    fn is_full(&self) -> bool {
+        self.actions.len() >= MOST_ACTIONS
     }
 
-    fn replicas(&self, service: &str, model: &str) -> usize {
-        let has = |e: &&Engine| {
-            e.holds(model) && !e.job.as_ref().is_some_and(|j| j.victims.iter().any(|v| v == model))
-                || e.job.as_ref().is_some_and(|j| j.model == model)
-        };
-        self.engines(service).filter(has).count()
-    }
-
-    /// Engines in a data centre that hold or load a model.
-    fn replicas_in(&self, service: &str, model: &str, centre: &CentreId) -> usize {
-        let has = |e: &&Engine| {
-            e.server.centre == *centre
-                && (e.holds(model) || e.job.as_ref().is_some_and(|j| j.model == model))
-        };
-        self.engines(service).filter(has).count()
+    fn rate(&self, service: &str, model: &str) -> f64 {
+        self.survey.rate(service, model).max(UNKNOWN_RATE)
     }
 
-    fn rate(&self, service: &str, model: &str) -> f64 {
-        self.demand.rate(service, model, self.now).max(UNKNOWN_RATE)
+    fn is_used(&self, engine: &Engine, model: &str) -> bool {
+        self.survey.running(&engine.server.id, model) > 0
     }
 
     /// Expected loss of evicting a model from one engine, in requests a second that meet no replica.
     fn loss(&self, engine: &Engine, model: &str) -> f64 {
         let service = &engine.server.service;
         let rate = self.rate(service, model);
-        let replicas = self.replicas(service, model);
-        let needed = self.needed(service, model);
-        if replicas > needed.max(1) {
+        let replicas = self.survey.replicas(service, model);
+        if replicas > self.needed(service, model).max(1) {
             return rate * SPARE_PART;
         }
-        if replicas > 1 {
-            return rate * 0.5;
-        }
-        // A copy on another engine's disk makes it quick to come back, one here as well.
-        rate
+        if replicas > 1 { rate * NEEDED_PART } else { rate }
     }
 
     /// A victim in use is the last choice: the load would wait for its requests.
@@ -193,25 +205,24 @@
         if self.is_used(engine, model) { RUNNING_DELAY.as_secs_f64() / LOSS_SECONDS } else { 0.0 }
     }
 
+    /// Replicas that a model's demand asks for.
     fn needed(&self, service: &str, model: &str) -> usize {
         let rate = self.rate(service, model);
         if rate < BUSY_RATE {
             return 1;
         }
-        let engines = self.engines(service).count();
-        let wanted = (rate / RATE_PER_REPLICA).ceil() as usize;
-        wanted.max(LEAST_BUSY).min(engines.max(1))
+        ((rate / RATE_PER_REPLICA).ceil() as usize).max(LEAST_BUSY)
     }
 
-    fn may_leave(&self, engine: &Engine, model: &str, waits: &BTreeMap<Item, Wait>) -> bool {
+    fn may_leave(&self, engine: &Engine, model: &ModelName) -> bool {
         let service = &engine.server.service;
         let is_busy = self.rate(service, model) >= BUSY_RATE;
-        if is_busy && self.replicas(service, model) <= self.needed(service, model).min(LEAST_BUSY) {
+        let least = self.needed(service, model).min(LEAST_BUSY);
+        if is_busy && self.survey.replicas(service, model) <= least {
             return false;
         }
-        let settles = engine.used.get(model).is_some_and(|t| self.now < *t + SETTLE);
-        let is_waited = |item: &Item| item.service == *service && item.model == model;
-        !settles && !waits.keys().any(is_waited)
+        let settles = engine.used.get(model).is_some_and(|t| self.scene.now < *t + SETTLE);
+        !settles && !self.waited.contains(&(service.clone(), model.clone()))
     }
 
     /// Victims that free room for `need`, the least loss first; none where it cannot be had.
@@ -220,51 +231,42 @@
         engine: &Engine,
         spec: &EngineSpec,
         need: Mebibytes,
-        waits: &BTreeMap<Item, Wait>,
     ) -> Option<(Vec<ModelName>, f64)> {
         let mut free = spec.memory.saturating_sub(engine.taken(spec));
         if free >= need {
             return Some((Vec::new(), 0.0));
         }
-        let weight = |name: &ModelName| {
-            let adapters =
-                engine.models.iter().find(|m| m.name == *name).map_or(0, |m| m.adapters.len());
-            spec.models.get(name).map_or(0, |m| m.size + m.adapter_size * adapters as Mebibytes)
-        };
-        let mut options: Vec<_> = engine
+        let mut options: Vec<(f64, Moment, Mebibytes, &ModelName)> = engine
             .models
             .iter()
-            .filter(|m| self.may_leave(engine, &m.name, waits))
+            .filter(|m| self.may_leave(engine, &m.name))
             .map(|m| {
-                (self.loss(engine, &m.name) + self.delay_loss(engine, &m.name), m.name.clone())
+                let loss = self.loss(engine, &m.name) + self.delay_loss(engine, &m.name);
+                let used = engine.used.get(&m.name).copied().unwrap_or_default();
+                (loss, used, engine.weight(spec, m), &m.name)
             })
             .collect();
-        options.sort_by(|a, b| {
-            let used = |name: &ModelName| engine.used.get(name).copied().unwrap_or_default();
-            a.0.total_cmp(&b.0).then_with(|| used(&a.1).cmp(&used(&b.1)))
-        });
-        let mut victims = Vec::new();
-        let mut loss = 0.0;
-        for (part, name) in options {
-            free += weight(&name);
-            loss += part;
-            victims.push(name);
+        options.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        let mut chosen = Vec::new();
+        for option in options {
             if free >= need {
                 break;
             }
+            free += option.2;
+            chosen.push(option);
         }
         if free < need {
             return None;
         }
         // An early victim may turn out needless beside a larger later one.
-        for i in (0..victims.len()).rev() {
-            let size = weight(&victims[i]);
-            if victims.len() > 1 && free - size >= need {
-                free -= size;
-                victims.remove(i);
+        for i in (0..chosen.len()).rev() {
+            if chosen.len() > 1 && free - chosen[i].2 >= need {
+                free -= chosen[i].2;
+                chosen.remove(i);
             }
         }
-        Some((victims, loss))
+        let loss = chosen.iter().map(|(loss, ..)| loss).sum();
+        Some((chosen.into_iter().map(|(_, _, _, name)| name.clone()).collect(), loss))
     }
 
     fn load_time(&self, spec: &ModelSpec, source: Source) -> Duration {
@@ -272,24 +274,18 @@
             Source::Memory => spec.warm,
             Source::Disk => spec.disk,
             Source::Store => {
-                let others = self.fetching() + 1;
-                spec.load.mul_f64((others as f64 / self.parallel.max(1) as f64).max(1.0))
+                let share = (self.fetching + 1) as f64 / self.scene.parallel.max(1) as f64;
+                spec.load.mul_f64(share.max(1.0))
             }
         }
     }
 
-    /// What it takes to load a model at an engine.
-    fn offer<'a>(
-        &self,
-        engine: &'a Engine,
-        spec: &EngineSpec,
-        model: &str,
-        waits: &BTreeMap<Item, Wait>,
-    ) -> Option<Offer<'a>> {
+    fn offer(&self, engine: &'a Engine, spec: &EngineSpec, model: &str) -> Option<Offer<'a>> {
         let model_spec = spec.models.get(model)?;
         if engine.holds(model) || model_spec.size > spec.memory {
             return None;
         }
+        let now = self.scene.now;
         let source = engine.source(model);
         let mut time = self.load_time(model_spec, source) + ORDER_TIME;
         if let Some(job) = &engine.job {
@@ -297,7 +293,7 @@
                 return None;
             }
             // Whatever makes way then, the job's own end comes first.
-            time += job.eta.saturating_sub(self.now) + ORDER_TIME;
+            time += job.eta.saturating_sub(now) + ORDER_TIME;
             let cost = time.as_secs_f64();
             return Some(Offer {
                 engine,
@@ -308,58 +304,100 @@
                 can_start: false,
             });
         }
-        let (victims, loss) = self.victims(engine, spec, model_spec.size, waits)?;
+        let (victims, loss) = self.victims(engine, spec, model_spec.size)?;
         if !victims.is_empty() {
             time += ORDER_TIME;
-            if victims.iter().any(|v| self.is_used(engine, v)) {
-                time += RUNNING_DELAY;
-            }
+        }
+        if victims.iter().any(|v| self.is_used(engine, v)) {
+            time += RUNNING_DELAY;
         }
         let cost = time.as_secs_f64() + loss * LOSS_SECONDS;
         let can_start = engine.confirmed
             && engine.adapters.is_empty()
-            && self.now >= engine.rest_until
-            && (source != Source::Store || self.store_open);
+            && now >= engine.rest_until
+            && !self.taken.contains(&engine.server.id)
+            && (source != Source::Store || self.store_room > 0);
         Some(Offer { engine, victims, source, time, cost, can_start })
     }
 
-    fn serve_waits(&self, waits: &BTreeMap<Item, Wait>) -> Option<Action> {
-        let mut models: Vec<(Moment, &Item, &Wait)> = Vec::new();
-        for (item, wait) in waits {
-            models.push((wait.since, item, wait));
+    fn begin(&mut self, offer: Offer<'a>, model: &ModelName, reason: &'static str) {
+        let server = offer.engine.server.id.clone();
+        self.taken.insert(server.clone());
+        self.placed.insert((offer.engine.server.service.clone(), model.clone()));
+        if offer.source == Source::Store {
+            self.fetching += 1;
+            self.store_room = self.store_room.saturating_sub(1);
         }
-        models.sort_by_key(|(since, _, _)| *since);
-        models.into_iter().find_map(|(_, item, wait)| self.serve_wait(item, wait, waits))
+        self.actions.push(Action::Load {
+            server,
+            model: model.clone(),
+            victims: offer.victims,
+            source: offer.source,
+            time: offer.time,
+            reason,
+        });
     }
 
-    fn serve_wait(&self, item: &Item, wait: &Wait, waits: &BTreeMap<Item, Wait>) -> Option<Action> {
-        let spec = self.spec(&item.service)?;
-        let is_open = |e: &&Engine| !wait.avoid.contains(&e.server.id);
+    /// Loads the models that requests wait for, the longest wait first.
+    fn serve_waits(&mut self) {
+        let mut items: Vec<(Moment, Item)> =
+            self.waits.iter().map(|(item, wait)| (wait.since, item.clone())).collect();
+        items.sort_by_key(|(since, _)| *since);
+        for (_, item) in items {
+            if self.is_full() {
+                return;
+            }
+            self.serve_wait(&item);
+        }
+    }
+
+    fn serve_wait(&mut self, item: &Item) {
+        let Some(spec) = self.spec(&item.service) else { return };
+        if self.placed.contains(&(item.service.clone(), item.model.clone())) {
+            return;
+        }
+        let avoid = self.waits.get(item).map(|w| w.avoid.clone()).unwrap_or_default();
+        let is_open = |e: &&Engine| !avoid.contains(&e.server.id);
         let serves = |e: &Engine| {
             let leaves = e.job.as_ref().is_some_and(|j| j.victims.contains(&item.model));
             e.holds(&item.model) && !leaves || e.job.as_ref().is_some_and(|j| j.model == item.model)
         };
         if self.engines(&item.service).filter(is_open).any(serves) {
-            return None;
+            return;
         }
-        let offers = self
-            .engines(&item.service)
-            .filter(is_open)
-            .filter_map(|e| self.offer(e, spec, &item.model, waits));
-        let best = offers.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        let engines = self.engines(&item.service).filter(is_open);
+        let offers = engines.filter_map(|e| self.offer(e, spec, &item.model));
+        let best = offers.min_by(|a, b| a.cost.total_cmp(&b.cost));
         // Where the best engine is at work on another load, the model waits for it.
-        best.can_start.then(|| best.action(&item.model, "requests wait"))
+        if let Some(best) = best.filter(|b| b.can_start) {
+            self.begin(best, &item.model, "requests wait");
+        }
     }
 
-    fn serve_adapters(&self, waits: &BTreeMap<Item, Wait>) -> Option<Action> {
-        waits.iter().find_map(|(item, wait)| {
-            let adapter = item.adapter.as_ref()?;
-            self.place_adapter(item, adapter, &wait.avoid)
-        })
+    fn serve_adapters(&mut self) {
+        let items: Vec<(Item, Vec<ServerId>)> = self
+            .waits
+            .iter()
+            .filter(|(item, _)| item.adapter.is_some())
+            .map(|(item, wait)| (item.clone(), wait.avoid.clone()))
+            .collect();
+        for (item, avoid) in items {
+            if let Some(action) = self.place_adapter(&item, &avoid) {
+                self.begin_adapter(action);
+            }
+        }
+    }
+
+    fn begin_adapter(&mut self, action: Action) {
+        if let Action::Adapter { server, .. } = &action {
+            self.taken.insert(server.clone());
+        }
+        self.actions.push(action);
     }
 
-    /// Puts an adapter on the least loaded engine that holds its model, where none has it yet.
-    fn place_adapter(&self, item: &Item, adapter: &SmolStr, avoid: &[ServerId]) -> Option<Action> {
+    /// Puts an adapter on an engine that holds its model, where none has it yet.
+    fn place_adapter(&self, item: &Item, avoid: &[ServerId]) -> Option<Action> {
+        let adapter = item.adapter.as_ref()?;
         let holders: Vec<&Engine> = self
             .engines(&item.service)
             .filter(|e| e.holds(&item.model) && !avoid.contains(&e.server.id))
@@ -370,9 +408,14 @@
         if holders.iter().any(has) {
             return None;
         }
-        let is_free = |e: &&&Engine| e.confirmed && e.job.is_none() && self.now >= e.rest_until;
-        let engine =
-            holders.iter().filter(is_free).min_by_key(|e| (e.adapter_count(), self.running(e)))?;
+        let is_free = |e: &&&Engine| {
+            e.confirmed
+                && e.job.is_none()
+                && self.scene.now >= e.rest_until
+                && !self.taken.contains(&e.server.id)
+        };
+        let work = |e: &Engine| self.scene.loads.at(&e.server.id, self.scene.now).running;
+        let engine = holders.iter().filter(is_free).min_by_key(|e| (e.adapter_count(), work(e)))?;
         self.adapter_action(engine, item, adapter)
     }
 
@@ -399,103 +442,82 @@
                 adapter: Some(a.clone()),
             })
         });
-        let rate = |item: &Item| self.demand.item_rate(item, self.now);
+        let rate = |item: &Item| self.scene.demand.item_rate(item, self.scene.now);
         let item = all.min_by(|a, b| rate(a).total_cmp(&rate(b)))?;
         Some((item.model, item.adapter?))
     }
 
-    /// Models of all services that are asked for, the busiest first.
-    fn busy(&self) -> Vec<(f64, &SmolStr, &ModelName)> {
-        let mut busy = Vec::new();
-        for service in self.config.services.values() {
-            let Some(spec) = &service.engine else { continue };
-            for model in spec.models.keys() {
-                let rate = self.demand.rate(&service.name, model, self.now);
-                if rate >= BUSY_RATE {
-                    busy.push((rate, &service.name, model));
-                }
+    /// Adds replicas of busy models, in data centres that have few of them.
+    fn add_replicas(&mut self) {
+        for (_, service, model) in self.survey.busy(BUSY_RATE) {
+            if self.is_full() {
+                return;
             }
-        }
-        busy.sort_by(|a, b| b.0.total_cmp(&a.0));
-        busy
-    }
-
-    fn add_replica(&self) -> Option<Action> {
-        let none = BTreeMap::new();
-        self.busy().into_iter().find_map(|(_, service, model)| {
-            let has = self.replicas(service, model);
-            if has >= self.needed(service, model) {
-                return None;
+            let key = (SmolStr::new(service), ModelName::new(model));
+            let engines = self.engines(service).count();
+            let needed = self.needed(service, model).min(engines);
+            if self.placed.contains(&key) || self.survey.replicas(service, model) >= needed {
+                continue;
             }
-            let spec = self.spec(service)?;
-            let fetches = self.fetching();
-            let offers = self
-                .engines(service)
-                .filter_map(|e| self.offer(e, spec, model, &none))
-                .filter(|o| o.can_start)
-                .filter(|o| o.source != Source::Store || fetches < self.parallel);
+            let Some(spec) = self.spec(service) else { continue };
+            let may_fetch = self.fetching < self.scene.parallel;
             let spread = |o: &Offer<'_>| {
-                self.replicas_in(service, model, &o.engine.server.centre) as f64 + o.cost
+                self.survey.replicas_in(service, model, &o.engine.server.centre) as f64 + o.cost
             };
-            let best = offers.min_by(|a, b| spread(a).total_cmp(&spread(b)))?;
-            Some(best.action(model, "busy model"))
-        })
+            let offers = self.engines(service).filter_map(|e| self.offer(e, spec, model));
+            let open = offers.filter(|o| o.can_start && (o.source != Source::Store || may_fetch));
+            let best = open.min_by(|a, b| spread(a).total_cmp(&spread(b)));
+            if let Some(best) = best {
+                self.begin(best, &key.1, "busy model");
+            }
+        }
     }
 
-    /// Adapters of busy models before they are asked for, while places are free.
-    fn add_adapter(&self) -> Option<Action> {
-        self.busy().into_iter().find_map(|(_, service, model)| {
-            let spec = self.spec(service)?;
-            spec.models.get(model)?.adapters.iter().find_map(|adapter| {
+    /// Loads adapters of busy models before they are asked for, while places are free.
+    fn add_adapters(&mut self) {
+        for (_, service, model) in self.survey.busy(BUSY_RATE) {
+            let spec = self.spec(service).and_then(|s| s.models.get(model));
+            for adapter in spec.map(|s| s.adapters.as_slice()).unwrap_or_default() {
+                if self.is_full() {
+                    return;
+                }
                 let item = Item {
-                    service: service.clone(),
-                    model: model.clone(),
+                    service: SmolStr::new(service),
+                    model: ModelName::new(model),
                     adapter: Some(adapter.clone()),
                 };
-                let action = self.place_adapter(&item, adapter, &[])?;
-                matches!(action, Action::Adapter { victim: None, .. }).then_some(action)
-            })
-        })
+                let action = self.place_adapter(&item, &[]);
+                if let Some(action @ Action::Adapter { victim: None, .. }) = action {
+                    self.begin_adapter(action);
+                }
+            }
+        }
     }
 
     /// Loads a model that has no copy on any engine, so that one lies on a disk.
-    fn fetch(&self, waits: &BTreeMap<Item, Wait>) -> Option<Action> {
-        let most = if self.demand.is_empty() { FETCHES } else { FETCHES_BUSY };
-        if self.fetching() >= most.min(self.parallel) || !self.store_open {
-            return None;
-        }
-        self.config.services.values().find_map(|service| {
-            let spec = service.engine.as_ref()?;
+    fn fetch(&mut self) {
+        let most = if self.scene.demand.is_empty() { FETCHES } else { FETCHES_BUSY };
+        for service in self.scene.config.services.values() {
+            let Some(spec) = &service.engine else { continue };
             let lacks = |model: &&ModelName| {
-                self.engines(&service.name).all(|e| {
-                    !e.holds(model)
-                        && e.source(model) == Source::Store
-                        && e.job.as_ref().is_none_or(|j| j.model != ***model)
-                })
+                !self.survey.has_copy(&service.name, model)
+                    && !self.placed.contains(&(service.name.clone(), (*model).clone()))
             };
+            let mut missing: Vec<&ModelName> = spec.models.keys().filter(lacks).collect();
             let rate = |model: &ModelName| self.rate(&service.name, model);
-            let missing = spec.models.keys().filter(lacks);
-            let model = missing.max_by(|a, b| rate(a).total_cmp(&rate(b)))?;
-            let offers = self
-                .engines(&service.name)
-                .filter(|e| e.models.iter().all(|m| e.source(&m.name) != Source::Store))
-                .filter_map(|e| self.offer(e, spec, model, waits))
-                .filter(|o| o.can_start);
-            let best = offers.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
-            Some(best.action(model, "no copy on any host"))
-        })
-    }
-}
-
-impl Offer<'_> {
-    fn action(self, model: &ModelName, reason: &'static str) -> Action {
-        Action::Load {
-            server: self.engine.server.id.clone(),
-            model: model.clone(),
-            victims: self.victims,
-            source: self.source,
-            time: self.time,
-            reason,
+            missing.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+            for model in missing {
+                if self.fetching >= most.min(self.scene.parallel) || self.store_room == 0 {
+                    return;
+                }
+                let offers = self
+                    .engines(&service.name)
+                    .filter(|e| e.models.iter().all(|m| e.source(&m.name) != Source::Store))
+                    .filter_map(|e| self.offer(e, spec, model));
+                let open = offers.filter(|o| o.can_start);
+                let Some(best) = open.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
+                self.begin(best, model, "no copy on any host");
+            }
         }
     }
 }
--- /dev/null
+++ b/lib/src/place/survey.rs
@@ -0,0 +1,116 @@
+//! What a plan looks up often, counted once for it.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use crate::boot_clock::Moment;
+use crate::ids::CentreId;
+use crate::picture::loads::Loads;
+use crate::place::demand::Demand;
+use crate::place::ledger::Ledger;
+use crate::place::ledger::Source;
+
+/// A service and a model.
+type ModelKey<'a> = (&'a str, &'a str);
+
+/// Replicas of a model.
+#[derive(Clone, Debug, Default)]
+pub struct Replicas<'a> {
+    /// Engines that hold it and keep it, or are loading it.
+    pub count: usize,
+    /// The same by data centre.
+    pub centres: HashMap<&'a str, usize>,
+}
+
+/// Counts over all engines and all demand at one moment.
+#[derive(Debug)]
+pub struct Survey<'a> {
+    rates: HashMap<ModelKey<'a>, f64>,
+    replicas: HashMap<ModelKey<'a>, Replicas<'a>>,
+    copies: HashSet<ModelKey<'a>>,
+    used: HashMap<(&'a str, &'a str), u32>,
+    /// Loads from the weight store that are under way.
+    pub fetching: usize,
+}
+
+impl<'a> Survey<'a> {
+    /// Counts.
+    pub fn new(ledger: &'a Ledger, demand: &'a Demand, loads: &'a Loads, now: Moment) -> Self {
+        let mut survey = Self {
+            rates: HashMap::new(),
+            replicas: HashMap::new(),
+            copies: HashSet::new(),
+            used: HashMap::new(),
+            fetching: 0,
+        };
+        for (item, rate) in demand.rates(now) {
+            *survey.rates.entry((&item.service, &item.model)).or_default() += rate;
+        }
+        for engine in ledger.engines.values().filter(|e| !e.server.leaving) {
+            survey.count_engine(engine);
+        }
+        for engine in ledger.engines.values() {
+            for held in &engine.models {
+                let running = loads.running(&engine.server.id, &held.name, now);
+                if running > 0 {
+                    survey.used.insert((&engine.server.id, &held.name), running);
+                }
+            }
+        }
+        survey
+    }
+
+    fn count_engine(&mut self, engine: &'a crate::place::ledger::Engine) {
+        let service = engine.server.service.as_str();
+        let centre = engine.server.centre.as_str();
+        let job = engine.job.as_ref();
+        self.fetching += usize::from(job.is_some_and(|j| j.source == Source::Store));
+        let kept = engine.models.iter().map(|m| &m.name);
+        let kept = kept.filter(|name| !job.is_some_and(|j| j.victims.contains(name)));
+        let coming = job.map(|j| &j.model).filter(|name| !engine.holds(name));
+        for model in kept.chain(coming) {
+            let replicas = self.replicas.entry((service, model)).or_default();
+            replicas.count += 1;
+            *replicas.centres.entry(centre).or_default() += 1;
+            self.copies.insert((service, model));
+        }
+        for model in engine.memory.iter().chain(&engine.disk) {
+            self.copies.insert((service, model));
+        }
+    }
+
+    /// Returns arrivals a second of a model.
+    pub fn rate(&self, service: &str, model: &str) -> f64 {
+        self.rates.get(&(service, model)).copied().unwrap_or(0.0)
+    }
+
+    /// Returns the models asked for at least `least` times a second, the busiest first.
+    pub fn busy(&self, least: f64) -> Vec<(f64, &'a str, &'a str)> {
+        let busy = self.rates.iter().filter(|(_, rate)| **rate >= least);
+        let mut list: Vec<_> = busy.map(|((s, m), rate)| (*rate, *s, *m)).collect();
+        // Equal rates are ordered by name, so that one state gives one plan.
+        list.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| (a.1, a.2).cmp(&(b.1, b.2))));
+        list
+    }
+
+    /// Returns how many engines hold or load a model.
+    pub fn replicas(&self, service: &str, model: &str) -> usize {
+        self.replicas.get(&(service, model)).map_or(0, |r| r.count)
+    }
+
+    /// Returns how many engines in a data centre hold or load a model.
+    pub fn replicas_in(&self, service: &str, model: &str, centre: &CentreId) -> usize {
+        let replicas = self.replicas.get(&(service, model));
+        replicas.and_then(|r| r.centres.get(centre.as_str())).copied().unwrap_or(0)
+    }
+
+    /// Returns whether some engine holds a model or has a copy of its weights.
+    pub fn has_copy(&self, service: &str, model: &str) -> bool {
+        self.copies.contains(&(service, model))
+    }
+
+    /// Returns how many requests for a model run at an engine.
+    pub fn running(&self, server: &str, model: &str) -> u32 {
+        self.used.get(&(server, model)).copied().unwrap_or(0)
+    }
+}
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -61,6 +61,8 @@
     pub budget: BudgetLimits,
     /// Time between SIGTERM and the kill that follows it.
     pub grace: Duration,
+    /// Time within which a server that leaves must get nothing more.
+    pub drain: Duration,
     /// Whether engines refuse orders with an old fencing number.
     pub fenced: bool,
     /// How long orders of two holders must lie apart where engines do not check.
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -35,8 +35,6 @@
 use crate::serve::observe;
 use crate::serve::socket;
 
-/// Time between digests.
-const DIGEST_EVERY: Duration = Duration::from_millis(300);
 /// Least time between two tellings of demand.
 const DEMAND_GAP: Duration = Duration::from_millis(10);
 /// Time between tellings of demand while it does not change.
@@ -93,6 +91,8 @@
         let entry = &self.entry;
         let now = entry.now();
         let claim = entry.tenure.borrow().claim(now);
+        let servers = entry.directory.borrow().end();
+        let left = entry.directory.borrow_mut().left(now);
         let note = |(place, work): (Place, Work)| LoadNote {
             server: place.server,
             model: place.model,
@@ -102,7 +102,8 @@
         Digest {
             centre: entry.settings().centre.clone(),
             config: entry.config().map_or(0, |c| c.version),
-            servers: entry.directory.borrow().end(),
+            servers,
+            left,
             ready: entry.is_ready(),
             loads: entry.loads.own().into_iter().map(note).collect(),
             tenure: claim
@@ -114,7 +115,8 @@
     pub async fn tell_digests(self: Rc<Self>) {
         loop {
             self.tell_digest();
-            sleep(DIGEST_EVERY).await;
+            let gap = self.entry.peers.borrow().digest_gap();
+            sleep(gap).await;
         }
     }
 
@@ -180,6 +182,15 @@
         }
     }
 
+    /// Tells some peers what an engine holds.
+    pub fn tell_holding(&self, fence: u64, holding: &Holding, daemons: &[DaemonId]) {
+        let bytes = self.encode(Content::Holdings(fence, vec![holding.clone()]));
+        let peers = self.entry.peers.borrow();
+        for (_, peer) in peers.all().filter(|(id, _)| daemons.contains(id)) {
+            self.send(peer.addr, &bytes, "holdings");
+        }
+    }
+
     /// Takes in datagrams.
     pub async fn listen(self: Rc<Self>) {
         let mut buffer = vec![0; DATAGRAM];
@@ -246,13 +257,25 @@
             // Demand that nobody heard is told to the new holder at once.
             entry.waits.begun.notify_one();
         }
+        let mut changed = false;
+        for id in &digest.left {
+            if entry.directory.borrow_mut().leave(id) != Change::None {
+                changed = true;
+                slog::info!(entry.log, "server"; "server" => %id, "change" => "Leaving",
+                    "from" => %from);
+            }
+        }
+        if changed {
+            observe::servers_changed(entry);
+        }
         let work = |note: LoadNote| {
             (
                 Place { server: note.server, model: note.model },
                 Work { running: note.running, prompt: note.prompt },
             )
         };
-        entry.loads.heard(from, now, digest.loads.into_iter().map(work).collect());
+        let fresh = entry.peers.borrow().silent_after();
+        entry.loads.heard(from, now, fresh, digest.loads.into_iter().map(work).collect());
     }
 
     /// Fetches from a peer what the store does not give, and notices when this daemon is cut off.
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -21,9 +21,9 @@
 const CONFIG_KEY: &str = "config";
 /// Longest wait for a change of the configuration in one call.
 const CONFIG_WAIT: Duration = Duration::from_secs(5);
-/// Time between reads of the servers' feed. A leaving server must get nothing two seconds later;
-/// peers read at other moments and pass changes on.
-const SERVERS_EVERY: Duration = Duration::from_millis(900);
+/// Part of the time within which a leaving server must get nothing more that lies between two reads
+/// of the servers' feed. Peers read at other moments and tell who left.
+const READ_PART: f64 = 0.55;
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Times of the looks at the list of daemons after the start; later ones hear of new daemons from
@@ -109,7 +109,7 @@
     let change = match value {
         None => entry.directory.borrow_mut().remove(key, now),
         Some(raw) => match entry.protocol.server(key, raw) {
-            Ok(server) => entry.directory.borrow_mut().put(server, raw.clone()),
+            Ok(server) => entry.directory.borrow_mut().put(server, raw.clone(), now),
             Err(error) => {
                 slog::error!(entry.log, "server-unreadable"; "server" => %key, "error" => %error);
                 Change::None
@@ -186,7 +186,8 @@
             Ok(batch) => {
                 take_servers(&entry, &batch, from.is_none());
                 from = Some(batch.end);
-                sleep(SERVERS_EVERY).await;
+                let drain = entry.settings().drain;
+                sleep(drain.mul_f64(READ_PART)).await;
             }
             Err(StoreError::Expired) => from = None,
             Err(_failed) => sleep(PAUSE).await,
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -14,6 +14,8 @@
 use crate::ids::Fence;
 use crate::ids::ModelName;
 use crate::ids::ServerId;
+use crate::picture::configuration::Configuration;
+use crate::picture::holdings::Holding;
 use crate::place::demand::Demand;
 use crate::place::entries;
 use crate::place::entries::LeaseEntry;
@@ -40,8 +42,6 @@
 
 /// Time between plans while nothing happens.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
-/// Steps begun in one plan.
-const STEPS: usize = 12;
 /// Time for an engine's answer to an order or a question: many times what it takes.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 /// Pause before an engine that is busy with another order is asked again.
@@ -60,6 +60,13 @@
 const ADAPTER_TIME: Duration = Duration::from_millis(30);
 /// What is told about an engine is repeated this often, for datagrams that are lost.
 const TELLINGS: u8 = 3;
+/// Daemons up to which every change is told to all at once. In a larger fleet those that wait are
+/// told at once and all others in batches: a change told to 70 daemons costs a small host 1.5 ms.
+const SMALL_FLEET: usize = 12;
+/// Time between batches, for each daemon.
+const BATCH_GAP: Duration = Duration::from_millis(8);
+/// Part of the time that plans may take.
+const PLAN_PART: u32 = 4;
 /// Loads from the weight store that run at full speed at once, until measured otherwise.
 const PARALLEL: usize = 4;
 /// A load that takes this much longer than it should alone shows that the store is shared.
@@ -87,6 +94,8 @@
     loads: VecDeque<Moment>,
     /// How often each engine's holding is still to be told.
     untold: BTreeMap<ServerId, u8>,
+    /// When holdings were last told to all.
+    told: Moment,
     /// Engines whose report is being read.
     reading: Vec<ServerId>,
     /// Loads at once at full speed, as measured.
@@ -109,6 +118,7 @@
             since: Moment::ZERO,
             loads: VecDeque::new(),
             untold: BTreeMap::new(),
+            told: Moment::ZERO,
             reading: Vec::new(),
             parallel: PARALLEL,
         };
@@ -206,7 +216,10 @@
     pub async fn place(self: Rc<Self>) {
         loop {
             let _woken = timeout(PLAN_EVERY, self.entry.plan.notified()).await;
+            let began = self.entry.now();
             self.turn();
+            // On a slow host plans must not crowd out requests.
+            sleep(self.entry.now().saturating_sub(began) * PLAN_PART).await;
         }
     }
 
@@ -226,29 +239,28 @@
         let Some(fence) = fence else { return };
         entry.ledger.borrow_mut().follow(&entry.directory.borrow(), &config);
         self.read_unconfirmed();
-        for _ in 0..STEPS {
-            let Some(action) = self.scene_next(&config) else { break };
+        for action in self.plan(&config) {
             self.begin(action, fence);
         }
         self.tell(fence);
     }
 
-    /// Whether another load from the weight store may begin.
+    /// Returns how many loads from the weight store may begin.
     ///
     /// The ceiling is kept with room to spare, as loads begin some time after their orders; and a new
     /// holder does not know what the old one ordered, so it begins with half of it.
-    fn store_open(&self, rate: f64, now: Moment) -> bool {
+    fn store_room(&self, rate: f64, now: Moment) -> usize {
         let window = self.entry.settings().load_window;
         let mut desk = self.desk.borrow_mut();
         while desk.loads.front().is_some_and(|t| now > *t + window) {
             desk.loads.pop_front();
         }
         let part = if now < desk.since + window { 0.5 } else { 1.0 };
-        let most = (rate * window.as_secs_f64() * part).floor().max(1.0);
-        (desk.loads.len() as f64) < most
+        let most = (rate * window.as_secs_f64() * part).floor().max(1.0) as usize;
+        most.saturating_sub(desk.loads.len())
     }
 
-    fn scene_next(&self, config: &crate::picture::configuration::Configuration) -> Option<Action> {
+    fn plan(&self, config: &Configuration) -> Vec<Action> {
         let entry = &self.entry;
         let now = entry.now();
         let ledger = entry.ledger.borrow();
@@ -258,7 +270,7 @@
         let rate = rates.fold(f64::INFINITY, f64::min);
         let avoided = ledger.engines.keys().filter(|id| health.is_avoided(id, now)).cloned();
         let parallel = self.desk.borrow().parallel;
-        let store_open = rate.is_finite() && self.store_open(rate, now);
+        let store_room = if rate.is_finite() { self.store_room(rate, now) } else { 0 };
         let scene = Scene {
             now,
             config,
@@ -267,9 +279,9 @@
             loads: &entry.loads,
             unreachable: avoided.collect(),
             parallel,
-            store_open,
+            store_room,
         };
-        scene.next()
+        scene.plan()
     }
 
     /// Reads the reports of engines whose state is in doubt, before any order to them.
@@ -395,7 +407,7 @@
                 }
             }
         });
-        self.publish(&server, fence);
+        self.publish(&server, &job.model, fence);
     }
 
     /// Unloads the victims, loads the model, and waits until it is there.
@@ -406,7 +418,7 @@
         fence: Fence,
     ) -> Result<(), OrderFailure> {
         // Peers hear that the victims leave before the engine does.
-        self.publish(server, fence);
+        self.publish(server, &job.model, fence);
         for victim in &job.victims {
             self.order(server, OrderKind::Unload, victim, None, fence).await?;
             self.with_engine(server, |engine| engine.unloaded(victim));
@@ -421,7 +433,7 @@
                 job.eta = eta;
             }
         });
-        self.publish(server, fence);
+        self.publish(server, &job.model, fence);
         sleep(time.saturating_sub(REPORT_LAG)).await;
         loop {
             if self.entry.fence() != Some(fence) {
@@ -522,7 +534,7 @@
                 }
             }
         });
-        self.publish(&server, fence);
+        self.publish(&server, &job.model, fence);
     }
 
     async fn carry_out_adapter(
@@ -652,39 +664,57 @@
         Err(OrderFailure::Mismatch)
     }
 
-    /// Tells everybody, this daemon included, what an engine holds.
-    fn publish(&self, server: &ServerId, fence: Fence) {
+    /// Tells this daemon and those that wait for `model` what an engine holds; the others follow.
+    fn publish(&self, server: &ServerId, model: &ModelName, fence: Fence) {
+        let entry = &self.entry;
+        let now = entry.now();
         self.desk.borrow_mut().untold.insert(server.clone(), TELLINGS);
-        self.tell(fence);
-        self.entry.plan.notify_one();
+        let told = self.with_engine(server, |e| (e.server.service.clone(), e.holding(now)));
+        if let Some((service, holding)) = told {
+            let demand = entry.demand.borrow();
+            let waiting = demand.waiting_daemons(&service, &[model.as_str()]);
+            let waiting: Vec<_> = waiting.into_iter().cloned().collect();
+            drop(demand);
+            self.gossip.tell_holding(fence, &holding, &waiting);
+            self.put(fence, vec![holding]);
+        }
+        entry.plan.notify_one();
     }
 
+    fn put(&self, fence: Fence, list: Vec<Holding>) {
+        let entry = &self.entry;
+        let now = entry.now();
+        let directory = entry.directory.borrow();
+        let mut holdings = entry.holdings.borrow_mut();
+        for holding in list {
+            let beat = directory.get(&holding.server).map_or(0, |s| s.beat);
+            holdings.put(fence, holding, beat, now);
+        }
+        drop(holdings);
+        entry.waits.changed.notify_waiters();
+    }
+
+    /// Tells all daemons what changed, in a large fleet in batches.
     fn tell(&self, fence: Fence) {
         let entry = &self.entry;
         let now = entry.now();
+        let daemons = entry.peers.borrow().daemons();
+        let gap = if daemons <= SMALL_FLEET { Duration::ZERO } else { BATCH_GAP * daemons as u32 };
         let mut desk = self.desk.borrow_mut();
+        if desk.untold.is_empty() || now < desk.told + gap {
+            return;
+        }
+        desk.told = now;
         let ledger = entry.ledger.borrow();
         let mut list = Vec::new();
         desk.untold.retain(|id, left| {
-            if let Some(engine) = ledger.engines.get(id) {
-                list.push(engine.holding(now));
-            }
+            list.extend(ledger.engines.get(id).map(|e| e.holding(now)));
             *left -= 1;
             *left > 0
         });
-        if list.is_empty() {
-            return;
-        }
         drop(ledger);
         drop(desk);
         self.gossip.tell_holdings(fence, &list);
-        let directory = entry.directory.borrow();
-        let mut holdings = entry.holdings.borrow_mut();
-        for holding in list {
-            let beat = directory.get(&holding.server).map_or(0, |s| s.beat);
-            holdings.put(fence, holding, beat, now);
-        }
-        drop(holdings);
-        entry.waits.changed.notify_waiters();
+        self.put(fence, list);
     }
 }
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -28,7 +28,7 @@
 }
 
 fn put(directory: &mut Directory, id: &str, beat: u64, leaving: bool) -> Change {
-    directory.put(server(id, beat, leaving), Bytes::new())
+    directory.put(server(id, beat, leaving), Bytes::new(), ms(0))
 }
 
 /// Callers get "no server" right after an outage of the store, though all servers are well: their
@@ -73,6 +73,22 @@
     assert_eq!(directory.remove("a", ms(2_400)), Change::Removed);
 }
 
+/// A daemon that read the list just before a server left would send there until its next read; a
+/// peer that read later tells it.
+#[test]
+fn left_told() {
+    let mut early = Directory::default();
+    let mut late = Directory::default();
+    put(&mut early, "a", 1, false);
+    put(&mut late, "a", 1, false);
+    assert_eq!(late.remove("a", ms(1_000)), Change::Removed);
+    for id in late.left(ms(1_100)) {
+        assert_eq!(early.leave(&id), Change::Leaving);
+    }
+    assert!(early.get("a").expect("listed").leaving);
+    assert!(late.left(ms(9_000)).is_empty());
+}
+
 /// A server that leaves gets requests again, since an old heartbeat comes after its notice.
 #[test]
 fn old_heartbeat() {
--- a/lib/tests/test_tenure.rs
+++ b/lib/tests/test_tenure.rs
@@ -265,7 +265,7 @@
                 if let Some((before, at, old)) = last_order {
                     assert!(fence >= old, "fence {fence} after {old}");
                     if before != who {
-                        assert!(now >= at + APART, "turns after {:?}", now - at);
+                        assert!(now >= at + APART, "turns at {at:?} and {now:?}");
                     }
                 }
                 last_order = Some((who, now, fence));
