planner: wait for a host's disk rather than fetch elsewhere

Cause: where every model of an engine had just been loaded or was waited for, the engine made no offer at all, so a model on its disk (1.6 s) was fetched from the weight store to another engine (7 s).

Ruled out: copies evicted from disks (entries list them all the while).

Change: such an engine offers the load after a short wait.

--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -214,15 +214,25 @@
         ((rate / RATE_PER_REPLICA).ceil() as usize).max(LEAST_BUSY)
     }
 
-    fn may_leave(&self, engine: &Engine, model: &ModelName) -> bool {
+    /// Whether a model must stay where it is for as long as its demand lasts.
+    fn must_stay(&self, engine: &Engine, model: &ModelName) -> bool {
         let service = &engine.server.service;
         let is_busy = self.rate(service, model) >= BUSY_RATE;
         let least = self.needed(service, model).min(LEAST_BUSY);
-        if is_busy && self.survey.replicas(service, model) <= least {
-            return false;
-        }
+        is_busy && self.survey.replicas(service, model) <= least
+    }
+
+    fn may_leave(&self, engine: &Engine, model: &ModelName) -> bool {
+        let key = (engine.server.service.clone(), model.clone());
         let settles = engine.used.get(model).is_some_and(|t| self.scene.now < *t + SETTLE);
-        !settles && !self.waited.contains(&(service.clone(), model.clone()))
+        !settles && !self.waited.contains(&key) && !self.must_stay(engine, model)
+    }
+
+    /// Whether models that may leave soon, though not now, make room for `need`.
+    fn has_room_soon(&self, engine: &Engine, spec: &EngineSpec, need: Mebibytes) -> bool {
+        let soon = engine.models.iter().filter(|m| !self.must_stay(engine, &m.name));
+        let room: Mebibytes = soon.map(|m| engine.weight(spec, m)).sum();
+        spec.memory.saturating_sub(engine.taken(spec)) + room >= need
     }
 
     /// Victims that free room for `need`, the least loss first; none where it cannot be had.
@@ -304,7 +314,23 @@
                 can_start: false,
             });
         }
-        let (victims, loss) = self.victims(engine, spec, model_spec.size)?;
+        let Some((victims, loss)) = self.victims(engine, spec, model_spec.size) else {
+            if !self.has_room_soon(engine, spec, model_spec.size) {
+                return None;
+            }
+            // A copy on this host's disk is worth a short wait: a load from the weight store at
+            // another engine takes longer.
+            time += SETTLE + ORDER_TIME;
+            let cost = time.as_secs_f64();
+            return Some(Offer {
+                engine,
+                victims: Vec::new(),
+                source,
+                time,
+                cost,
+                can_start: false,
+            });
+        };
         if !victims.is_empty() {
             time += ORDER_TIME;
         }
