--- a/cli/src/entry.rs
+++ b/cli/src/entry.rs
@@ -6,8 +6,8 @@
 use comfreymux_lib::logging;
 use comfreymux_lib::serve::entry::Entry;
 use comfreymux_lib::serve::entry::EntrySettings;
+use comfreymux_lib::serve::life;
 use comfreymux_lib::serve::pool::Pool;
-use comfreymux_lib::serve::stop;
 use comfreymux_platform::PlatformProtocol;
 use comfreymux_platform::PlatformStore;
 use comfreymux_platform::SettingsFile;
@@ -41,7 +41,7 @@
     let protocol = Rc::new(PlatformProtocol);
     let entry =
         Entry::new(settings, rand::random(), protocol, store, Pool::default(), log.logger());
-    let result = LocalSet::new().block_on(&runtime, stop::run(entry, Rc::new(file)));
+    let result = LocalSet::new().block_on(&runtime, life::run(entry, Rc::new(file)));
     log.flush();
     result
 }
--- a/lib/src/serve/stop.rs
+++ b/lib/src/serve/life.rs
@@ -40,42 +40,52 @@
     fn reload(&self) -> Result<Option<EntrySettings>, String>;
 }
 
-/// Runs a daemon until SIGTERM and the end of its requests.
+/// Opens the daemon's sockets and starts its tasks on the current event loop.
 ///
 /// # Errors
 ///
-/// An address cannot be used, or the system gives no signals.
-pub async fn run(entry: Rc<Entry>, source: Rc<dyn SettingsSource>) -> io::Result<()> {
+/// An address cannot be used.
+pub fn start(entry: &Rc<Entry>) -> io::Result<Rc<Orders>> {
     let settings = entry.settings();
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
     let front = socket::listen(settings.front)?;
     let ready = socket::listen(settings.ready)?;
     let peers = socket::listen(settings.peer)?;
-    let gossip = Gossip::new(Rc::clone(&entry), socket::datagrams(settings.peer)?);
-    let orders = Orders::new(Rc::clone(&entry), Rc::clone(&gossip));
+    let gossip = Gossip::new(Rc::clone(entry), socket::datagrams(settings.peer)?);
+    let orders = Orders::new(Rc::clone(entry), Rc::clone(&gossip));
     slog::info!(entry.log, "start"; "id" => settings.id.as_str(), "process" => entry.process,
         "centre" => settings.centre.as_str(), "front" => %settings.front,
         "peer" => %settings.peer, "version" => env!("CARGO_PKG_VERSION"));
-    spawn_local(observe::follow_config(Rc::clone(&entry)));
-    spawn_local(observe::follow_servers(Rc::clone(&entry)));
-    spawn_local(observe::follow_daemons(Rc::clone(&entry)));
-    spawn_local(gossip::serve_peers(Rc::clone(&entry), peers));
+    spawn_local(observe::follow_config(Rc::clone(entry)));
+    spawn_local(observe::follow_servers(Rc::clone(entry)));
+    spawn_local(observe::follow_daemons(Rc::clone(entry)));
+    spawn_local(gossip::serve_peers(Rc::clone(entry), peers));
     spawn_local(Rc::clone(&gossip).listen());
     spawn_local(Rc::clone(&gossip).tell_digests());
     spawn_local(Rc::clone(&gossip).tell_demand());
     spawn_local(Rc::clone(&gossip).keep_up());
     spawn_local(Rc::clone(&orders).keep_lease());
     spawn_local(Rc::clone(&orders).place());
-    spawn_local(accept::serve_callers(Rc::clone(&entry), front));
-    spawn_local(accept::serve_ready(Rc::clone(&entry), ready));
+    spawn_local(accept::serve_callers(Rc::clone(entry), front));
+    spawn_local(accept::serve_ready(Rc::clone(entry), ready));
     match socket::listen(settings.metrics) {
         Ok(listener) => {
-            spawn_local(accept::serve_metrics(Rc::clone(&entry), listener));
+            spawn_local(accept::serve_metrics(Rc::clone(entry), listener));
         }
         Err(error) => slog::warn!(entry.log, "metrics-unserved"; "error" => %error),
     }
-    spawn_local(sweep(Rc::clone(&entry)));
+    spawn_local(sweep(Rc::clone(entry)));
+    Ok(orders)
+}
+
+/// Runs a daemon until SIGTERM and the end of its requests.
+///
+/// # Errors
+///
+/// An address cannot be used, or the system gives no signals.
+pub async fn run(entry: Rc<Entry>, source: Rc<dyn SettingsSource>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let orders = start(&entry)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -114,7 +124,7 @@
 }
 
 /// Stops without cutting a request: new callers go elsewhere, those that are here are served.
-async fn stop(entry: &Rc<Entry>, orders: &Orders) {
+pub async fn stop(entry: &Rc<Entry>, orders: &Orders) {
     let began = entry.now();
     entry.stopping.set(Some(began));
     let grace = entry.settings().grace;
