soak: real daemons as processes under seeded troubles

Daemons as processes before stand-ins, a proxy on each connection to the store, the servers and from callers (delay, reset, one way, silence, refusal), signals, rewritten settings, a store that refuses, is silent, loses answers, is slow or forgets, servers that crash, leave, lie or break off; in series and overlapping, drawn from a seed. Checked meanwhile and at the end: answers, events, at most one run, true refusals, engines' memory, one holder a fence, service after recovery.

--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -47,6 +47,9 @@
 const ORDER_TIME: Duration = Duration::from_millis(150);
 /// A model that was loaded or used this recently stays: its waiting requests are on their way.
 const SETTLE: Duration = Duration::from_millis(1500);
+/// After this wait a model may take the place of a busier one's last replica, whose callers then
+/// wait in turn.
+const LONG_WAIT: Duration = Duration::from_secs(1);
 /// Loads from the weight store under way at once, those that nobody waits for.
 const FETCHES: usize = 4;
 /// The same once there is traffic: engines that fetch cannot serve other loads meanwhile.
@@ -119,6 +122,15 @@
     can_start: bool,
 }
 
+/// A model that requests wait for.
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    /// Its arrivals a second.
+    rate: f64,
+    /// How long its first request has waited.
+    waited: Duration,
+}
+
 /// A plan in the making.
 struct Planner<'a> {
     scene: &'a Scene<'a>,
@@ -214,23 +226,44 @@
         ((rate / RATE_PER_REPLICA).ceil() as usize).max(LEAST_BUSY)
     }
 
-    /// Whether a model must stay where it is for as long as its demand lasts.
-    fn must_stay(&self, engine: &Engine, model: &ModelName) -> bool {
+    /// Whether a busy model must stay where it is.
+    ///
+    /// A model that is wanted now and has no replica may take the place of another's second one,
+    /// and of a last one that is asked for less, or after a long wait. Otherwise models that were
+    /// loaded first would keep all places, and the others would never be served.
+    fn must_stay(&self, engine: &Engine, model: &ModelName, wanted: Option<Wanted>) -> bool {
         let service = &engine.server.service;
-        let is_busy = self.rate(service, model) >= BUSY_RATE;
-        let least = self.needed(service, model).min(LEAST_BUSY);
-        is_busy && self.survey.replicas(service, model) <= least
+        let rate = self.rate(service, model);
+        let replicas = self.survey.replicas(service, model);
+        if rate < BUSY_RATE {
+            return false;
+        }
+        match wanted {
+            None => replicas <= self.needed(service, model).min(LEAST_BUSY),
+            Some(wanted) => {
+                let yields = rate < wanted.rate || wanted.waited > LONG_WAIT;
+                replicas <= 1 && !yields
+            }
+        }
     }
 
-    fn may_leave(&self, engine: &Engine, model: &ModelName) -> bool {
+    fn may_leave(&self, engine: &Engine, model: &ModelName, wanted: Option<Wanted>) -> bool {
         let key = (engine.server.service.clone(), model.clone());
         let settles = engine.used.get(model).is_some_and(|t| self.scene.now < *t + SETTLE);
-        !settles && !self.waited.contains(&key) && !self.must_stay(engine, model)
+        let is_last = self.survey.replicas(&key.0, model) <= 1;
+        let is_waited = is_last && self.waited.contains(&key);
+        !settles && !is_waited && !self.must_stay(engine, model, wanted)
     }
 
     /// Whether models that may leave soon, though not now, make room for `need`.
-    fn has_room_soon(&self, engine: &Engine, spec: &EngineSpec, need: Mebibytes) -> bool {
-        let soon = engine.models.iter().filter(|m| !self.must_stay(engine, &m.name));
+    fn has_room_soon(
+        &self,
+        engine: &Engine,
+        spec: &EngineSpec,
+        need: Mebibytes,
+        wanted: Option<Wanted>,
+    ) -> bool {
+        let soon = engine.models.iter().filter(|m| !self.must_stay(engine, &m.name, wanted));
         let room: Mebibytes = soon.map(|m| engine.weight(spec, m)).sum();
         spec.memory.saturating_sub(engine.taken(spec)) + room >= need
     }
@@ -241,6 +274,7 @@
         engine: &Engine,
         spec: &EngineSpec,
         need: Mebibytes,
+        wanted: Option<Wanted>,
     ) -> Option<(Vec<ModelName>, f64)> {
         let mut free = spec.memory.saturating_sub(engine.taken(spec));
         if free >= need {
@@ -249,7 +283,7 @@
         let mut options: Vec<(f64, Moment, Mebibytes, &ModelName)> = engine
             .models
             .iter()
-            .filter(|m| self.may_leave(engine, &m.name))
+            .filter(|m| self.may_leave(engine, &m.name, wanted))
             .map(|m| {
                 let loss = self.loss(engine, &m.name) + self.delay_loss(engine, &m.name);
                 let used = engine.used.get(&m.name).copied().unwrap_or_default();
@@ -290,7 +324,13 @@
         }
     }
 
-    fn offer(&self, engine: &'a Engine, spec: &EngineSpec, model: &str) -> Option<Offer<'a>> {
+    fn offer(
+        &self,
+        engine: &'a Engine,
+        spec: &EngineSpec,
+        model: &str,
+        wanted: Option<Wanted>,
+    ) -> Option<Offer<'a>> {
         let model_spec = spec.models.get(model)?;
         if engine.holds(model) || model_spec.size > spec.memory {
             return None;
@@ -314,8 +354,8 @@
                 can_start: false,
             });
         }
-        let Some((victims, loss)) = self.victims(engine, spec, model_spec.size) else {
-            if !self.has_room_soon(engine, spec, model_spec.size) {
+        let Some((victims, loss)) = self.victims(engine, spec, model_spec.size, wanted) else {
+            if !self.has_room_soon(engine, spec, model_spec.size, wanted) {
                 return None;
             }
             // A copy on this host's disk is worth a short wait: a load from the weight store at
@@ -382,7 +422,12 @@
         if self.placed.contains(&(item.service.clone(), item.model.clone())) {
             return;
         }
-        let avoid = self.waits.get(item).map(|w| w.avoid.clone()).unwrap_or_default();
+        let wait = self.waits.get(item).cloned().unwrap_or_default();
+        let wanted = Some(Wanted {
+            rate: self.rate(&item.service, &item.model),
+            waited: self.scene.now.saturating_sub(wait.since),
+        });
+        let avoid = wait.avoid;
         let is_open = |e: &&Engine| !avoid.contains(&e.server.id);
         let serves = |e: &Engine| {
             let leaves = e.job.as_ref().is_some_and(|j| j.victims.contains(&item.model));
@@ -392,7 +437,7 @@
             return;
         }
         let engines = self.engines(&item.service).filter(is_open);
-        let offers = engines.filter_map(|e| self.offer(e, spec, &item.model));
+        let offers = engines.filter_map(|e| self.offer(e, spec, &item.model, wanted));
         let best = offers.min_by(|a, b| a.cost.total_cmp(&b.cost));
         // Where the best engine is at work on another load, the model waits for it.
         if let Some(best) = best.filter(|b| b.can_start) {
@@ -490,7 +535,7 @@
             let spread = |o: &Offer<'_>| {
                 self.survey.replicas_in(service, model, &o.engine.server.centre) as f64 + o.cost
             };
-            let offers = self.engines(service).filter_map(|e| self.offer(e, spec, model));
+            let offers = self.engines(service).filter_map(|e| self.offer(e, spec, model, None));
             let open = offers.filter(|o| o.can_start && (o.source != Source::Store || may_fetch));
             let best = open.min_by(|a, b| spread(a).total_cmp(&spread(b)));
             if let Some(best) = best {
@@ -539,7 +584,7 @@
                 let offers = self
                     .engines(&service.name)
                     .filter(|e| e.models.iter().all(|m| e.source(&m.name) != Source::Store))
-                    .filter_map(|e| self.offer(e, spec, model));
+                    .filter_map(|e| self.offer(e, spec, model, None));
                 let open = offers.filter(|o| o.can_start);
                 let Some(best) = open.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
                 self.begin(best, model, "no copy on any host");
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -29,6 +29,7 @@
 use proptest::prelude::proptest;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
+use smol_str::SmolStr;
 
 const NOW: Moment = Duration::from_secs(100);
 const SERVICE: &str = "draft";
@@ -143,7 +144,7 @@
 fn load_of<'a>(plan: &'a [Action], model: &str) -> Option<(&'a str, Vec<&'a str>, Source)> {
     plan.iter().find_map(|action| match action {
         Action::Load { server, model: m, victims, source, .. } if m == model => {
-            Some((server.as_str(), victims.iter().map(|v| v.as_str()).collect(), *source))
+            Some((server.as_str(), victims.iter().map(SmolStr::as_str).collect(), *source))
         }
         _ => None,
     })
@@ -227,6 +228,27 @@
     assert_eq!(load_of(&plan, "riser").expect("a second replica").0, "e22");
 }
 
+/// Four models fill all places twice over, and each is asked for often. Two further models are asked
+/// for as often and were never loaded: nothing was allowed to make way for them.
+#[test]
+fn second_yields() {
+    let names = ["a", "b", "c", "d"];
+    let all = ["a", "b", "c", "d", "late", "later"].map(|n| (n, 90_000, 0));
+    let mut site = Site::new(&all);
+    for (id, held) in
+        [("e1", ["a", "b"]), ("e2", ["a", "b"]), ("e3", ["c", "d"]), ("e4", ["c", "d"])]
+    {
+        site.engine(id, &held, &[]);
+    }
+    for name in names {
+        site.busy(name, 2);
+    }
+    site.busy("late", 2);
+    site.want("late", None);
+    let plan = site.plan();
+    assert_eq!(load_of(&plan, "late").expect("loaded").1.len(), 1);
+}
+
 #[test]
 fn adapter_placed() {
     let mut site = Site::new(&[("a", 70_000, 12)]);
@@ -247,8 +269,8 @@
     let names: Vec<String> = (0..20).map(|n| format!("m{n}")).collect();
     let models: Vec<_> = names.iter().map(|n| (n.as_str(), 60_000, 0)).collect();
     let mut site = Site::new(&models);
-    for n in 0..6 {
-        site.engine(&format!("e{n}"), &[&names[n]], &[]);
+    for (n, name) in names.iter().take(6).enumerate() {
+        site.engine(&format!("e{n}"), &[name], &[]);
     }
     assert_eq!(site.plan().len(), 4);
     site.room = 1;
--- /dev/null
+++ b/soak/src/flags.rs
@@ -0,0 +1,21 @@
+//! Flags of the soak.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Runs daemons as processes under random troubles and checks their promises.
+    cmd comfreymux-soak {
+        /// The daemon's program.
+        required --program path: PathBuf
+        /// The first seed; a random one if not given.
+        optional --seed seed: u64
+        /// Number of seeds, one after another.
+        optional --seeds count: u64
+        /// Seconds of troubles for each seed.
+        optional --seconds seconds: u64
+        /// Number of daemons.
+        optional --daemons count: usize
+        /// Folder for logs; those of failed seeds stay.
+        optional --folder path: PathBuf
+    }
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,172 @@
+//! `comfreymux-soak`: real daemons under random troubles, their promises checked from outside.
+
+mod callers;
+mod flags;
+mod plan;
+mod process;
+mod proxy;
+mod world;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use comfreymux_platform_testutils::rig;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::callers::Seen;
+use crate::flags::ComfreymuxSoak;
+use crate::world::Size;
+use crate::world::World;
+
+/// Callers for each daemon.
+const CALLERS: usize = 4;
+/// Time without troubles in which service must come back.
+const RECOVERY: Duration = Duration::from_secs(8);
+/// Part of the answers that must be good after the recovery.
+const GOOD_PART: f64 = 0.9;
+
+fn main() -> ExitCode {
+    let flags = ComfreymuxSoak::from_env_or_exit();
+    let folder = flags.folder.unwrap_or_else(|| std::env::temp_dir().join("comfreymux-soak"));
+    let first = flags.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let time = Duration::from_secs(flags.seconds.unwrap_or(15));
+    let daemons = flags.daemons.unwrap_or(4);
+    let mut failed = 0;
+    for seed in first..first + flags.seeds.unwrap_or(1) {
+        let folder = folder.join(format!("seed-{seed}"));
+        let size = Size { daemons, plain: 3, engines: 4.max(daemons) };
+        match rig::run(soak(size, seed, time, &flags.program, &folder)) {
+            Ok((faults, summary)) if faults.is_empty() => {
+                println!("seed {seed}: kept; {summary}");
+                // Logs of a good run are not needed.
+                let _removed = fs::remove_dir_all(&folder);
+            }
+            Ok((faults, summary)) => {
+                failed += 1;
+                println!("seed {seed}: BROKEN; {summary}; logs in {}", folder.display());
+                for fault in faults.iter().take(20) {
+                    println!("  {fault}");
+                }
+            }
+            Err(error) => {
+                failed += 1;
+                println!("seed {seed}: not run: {error}");
+            }
+        }
+    }
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn soak(
+    size: Size,
+    seed: u64,
+    time: Duration,
+    program: &Path,
+    folder: &Path,
+) -> io::Result<(Vec<String>, String)> {
+    fs::create_dir_all(folder)?;
+    let world = World::start(size, seed, program, folder).await?;
+    let outcome = Rc::new(Seen::default());
+    sleep(Duration::from_millis(1500)).await;
+    let fronts: Vec<_> = world.front_proxies.iter().map(|p| p.addr).collect();
+    for number in 0..size.daemons * CALLERS {
+        spawn_local(callers::ask_on(Rc::clone(&outcome), fronts.clone(), seed, number));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let began = Instant::now();
+    while began.elapsed() < time {
+        plan::strike(&world, &mut rng).await;
+        let pause = Duration::from_millis(rng.random_range(50..1200));
+        let next = Instant::now() + pause;
+        while Instant::now() < next {
+            world.tend()?;
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    recover(&world, &outcome).await?;
+    outcome.over.set(true);
+    sleep(Duration::from_millis(200)).await;
+    let faults = check(&world, &outcome);
+    let (good, all) = outcome.good.get();
+    let asked = outcome.asked.borrow().len();
+    Ok((faults, format!("{asked} requests, {good} of {all} good after recovery")))
+}
+
+/// Ends all troubles and waits for service to come back.
+async fn recover(world: &Rc<World>, seen: &Seen) -> io::Result<()> {
+    world.note("troubles end");
+    for daemon in 0..world.daemons.len() {
+        world.rewrite_settings(daemon, true);
+        world.signal(daemon, Signal::CONT);
+    }
+    for server in world.servers.borrow().iter() {
+        server.script.borrow_mut().clear();
+    }
+    let began = Instant::now();
+    while began.elapsed() < RECOVERY * 2 {
+        world.tend()?;
+        if began.elapsed() < RECOVERY {
+            seen.good.set((0, 0));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+/// Compares what callers and servers saw with what was promised.
+fn check(world: &World, seen: &Seen) -> Vec<String> {
+    let mut faults = seen.faults.borrow().clone();
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for run in world.runs.borrow().iter() {
+        *runs.entry(run.attempt.clone()).or_default() += 1;
+    }
+    let kinds: BTreeMap<String, callers::Kind> = seen.asked.borrow().iter().cloned().collect();
+    for (attempt, count) in &runs {
+        match kinds.get(attempt) {
+            None => faults.push(format!("{attempt} ran, but no caller sent it")),
+            Some(kind) if kind.is_single() && *count > 1 => {
+                faults.push(format!("{attempt} {kind:?} ran {count} times"));
+            }
+            Some(_) => {}
+        }
+    }
+    for attempt in seen.unrun.borrow().iter() {
+        let is_single = kinds.get(attempt).is_some_and(|k| k.is_single());
+        if is_single && runs.contains_key(attempt) {
+            faults.push(format!("{attempt} was told that it did not run, but it did"));
+        }
+    }
+    let mut holders: BTreeMap<u64, String> = BTreeMap::new();
+    let servers = world.servers.borrow();
+    let gone = world.gone.borrow();
+    for server in servers.iter().chain(gone.iter()) {
+        let Some(engine) = &server.engine else { continue };
+        let engine = engine.borrow();
+        faults.extend(engine.faults.iter().map(|f| format!("{}: {f}", server.id)));
+        for (holder, fence, _) in &engine.orders {
+            let first = holders.entry(*fence).or_insert_with(|| holder.clone());
+            if first != holder {
+                faults.push(format!("fence {fence} used by {first} and {holder}"));
+            }
+        }
+    }
+    for daemon in &world.daemons {
+        faults.extend(daemon.borrow().faults.iter().cloned());
+    }
+    let (good, all) = seen.good.get();
+    if (good as f64) < GOOD_PART * all as f64 || all == 0 {
+        faults.push(format!("after the recovery {good} of {all} answers are good"));
+    }
+    faults
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,108 @@
+//! A seeded course of troubles.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use comfreymux_platform_testutils::rig::configuration;
+use comfreymux_platform_testutils::server_standin::Behaviour;
+use comfreymux_platform_testutils::store_standin::Mood;
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::proxy::Harm;
+use crate::world::World;
+
+/// Kinds of trouble, each as likely.
+const KINDS: u32 = 14;
+
+const BROKEN: [Behaviour; 9] = [
+    Behaviour::RefuseUnrun,
+    Behaviour::Fail,
+    Behaviour::LoseAnswer,
+    Behaviour::WrongId,
+    Behaviour::Unsigned,
+    Behaviour::BreakOff,
+    Behaviour::Extra,
+    Behaviour::SkipEvent,
+    Behaviour::RepeatEvent,
+];
+
+fn later(time: Duration, action: impl FnOnce() + 'static) {
+    spawn_local(async move {
+        sleep(time).await;
+        action();
+    });
+}
+
+/// Begins one trouble; those that last end by themselves.
+pub async fn strike(world: &Rc<World>, rng: &mut ChaCha8Rng) {
+    let time = Duration::from_millis(rng.random_range(300..4000));
+    let daemon = rng.random_range(0..world.daemons.len());
+    let server = rng.random_range(0..world.servers.borrow().len());
+    let kind = rng.random_range(0..KINDS);
+    world.note(&format!("kind={kind} daemon={daemon} server={server} for={time:?}"));
+    match kind {
+        0 => world.signal(daemon, Signal::KILL),
+        1 => world.signal(daemon, Signal::TERM),
+        2 => {
+            world.signal(daemon, Signal::STOP);
+            let world = Rc::clone(world);
+            later(time, move || world.signal(daemon, Signal::CONT));
+        }
+        3 => {
+            let is_good = rng.random_bool(0.5);
+            world.rewrite_settings(daemon, is_good);
+            world.signal(daemon, Signal::HUP);
+        }
+        4 => {
+            let moods = [Mood::Refusing, Mood::Silent, Mood::Losing];
+            world.store.mood.set(moods[rng.random_range(0..moods.len())]);
+            let store = Rc::clone(&world.store);
+            later(time, move || store.mood.set(Mood::Well));
+        }
+        5 => {
+            world.store.delay.set(Duration::from_millis(rng.random_range(50..400)));
+            let store = Rc::clone(&world.store);
+            later(time, move || store.delay.set(Duration::ZERO));
+        }
+        6 => {
+            world.store.compact("keyed.op");
+            world.store.compact("keyed.servers");
+            world.store.wake();
+        }
+        7 | 8 => {
+            let proxies = if kind == 7 { &world.store_proxies } else { &world.front_proxies };
+            harm(&proxies[daemon], time, rng);
+        }
+        9 => {
+            let proxies = world.server_proxies.borrow();
+            harm(&proxies[server], time, rng);
+        }
+        10 => world.crash(server).await,
+        11 => world.leave(server).await,
+        12 => {
+            let behaviour = BROKEN[rng.random_range(0..BROKEN.len())];
+            let servers = world.servers.borrow();
+            servers[server].script.borrow_mut().extend([behaviour; 20]);
+        }
+        _ => {
+            let version = world.next_version();
+            world.store.put("keyed.op", "config", Some(&configuration(version)));
+        }
+    }
+}
+
+fn harm(proxy: &Rc<crate::proxy::Proxy>, time: Duration, rng: &mut ChaCha8Rng) {
+    let kinds = [Harm::Delay, Harm::OneWay, Harm::Silence, Harm::Refuse, Harm::None];
+    let harm = kinds[rng.random_range(0..kinds.len())];
+    if harm == Harm::None {
+        proxy.reset();
+        return;
+    }
+    proxy.harm.set(harm);
+    let proxy = Rc::clone(proxy);
+    later(time, move || proxy.harm.set(Harm::None));
+}
--- /dev/null
+++ b/soak/src/process.rs
@@ -0,0 +1,153 @@
+//! Daemons as separate processes, signalled and ended by their own ids only.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use tokio::time::Instant;
+
+/// Longest time from SIGTERM to the end of a daemon.
+const GRACE: Duration = Duration::from_secs(8);
+/// Added to the grace for a busy machine.
+const GRACE_MARGIN: Duration = Duration::from_secs(2);
+
+/// A daemon and its files.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Its name.
+    pub name: String,
+    program: PathBuf,
+    folder: PathBuf,
+    settings: String,
+    child: Option<Child>,
+    /// When SIGTERM was sent.
+    terminated: Option<Instant>,
+    paused: bool,
+    /// Ends that nobody asked for.
+    pub faults: Vec<String>,
+}
+
+impl Daemon {
+    /// Prepares a daemon whose store is at `store`.
+    pub fn new(
+        name: &str,
+        program: &Path,
+        folder: &Path,
+        front: SocketAddr,
+        store: SocketAddr,
+        seed: SocketAddr,
+    ) -> Self {
+        let ip = front.ip();
+        let settings = format!(
+            "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"north\"\ninternal_ports = [7380, 7395]\n\
+             seeds = [\"{seed}\"]\n[listen]\nfront = \"{front}\"\nready = \"{ip}:7300\"\n\
+             [bounds]\ngrace_s = 8\ndrain_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
+             budget_slack = 50\nfencing = true\nlease_ms = 3000\nceiling_window_s = 5\n\
+             [platform]\naddress = \"{store}\"\n"
+        );
+        Self {
+            name: name.to_owned(),
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            settings,
+            child: None,
+            terminated: None,
+            paused: false,
+            faults: Vec::new(),
+        }
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.folder.join(format!("{}.toml", self.name))
+    }
+
+    /// Writes the settings file, or nonsense in its place.
+    ///
+    /// # Errors
+    ///
+    /// The folder cannot be written to.
+    pub fn write_settings(&self, good: bool) -> io::Result<()> {
+        let text = if good { &self.settings } else { "node_name = [\n" };
+        fs::write(self.settings_path(), text)
+    }
+
+    /// Starts the process; its output is appended to its log.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn start(&mut self) -> io::Result<()> {
+        self.write_settings(true)?;
+        let log = self.folder.join(format!("{}.log", self.name));
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(&self.program)
+            .env("COMFREYMUX_CONFIG", self.settings_path())
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        self.terminated = None;
+        self.paused = false;
+        Ok(())
+    }
+
+    /// Sends a signal.
+    pub fn signal(&mut self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        let Some(pid) = pid else { return };
+        // The process may have ended just now; its end is found by the next look.
+        let _sent = kill_process(pid, signal);
+        match signal {
+            Signal::TERM | Signal::KILL => {
+                self.terminated.get_or_insert_with(Instant::now);
+            }
+            Signal::STOP => self.paused = true,
+            Signal::CONT => self.paused = false,
+            _ => {}
+        }
+    }
+
+    /// Looks whether it ended, and starts it again; notes an end that nobody asked for.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn tend(&mut self) -> io::Result<()> {
+        let Some(child) = &mut self.child else { return self.start() };
+        let late = self.terminated.is_some_and(|t| t.elapsed() > GRACE + GRACE_MARGIN);
+        if late && !self.paused {
+            self.faults.push(format!("{} did not end after SIGTERM", self.name));
+            self.signal(Signal::KILL);
+            return Ok(());
+        }
+        if let Some(status) = child.try_wait()? {
+            if self.terminated.is_none() {
+                self.faults.push(format!("{} ended by itself: {status}", self.name));
+            }
+            self.start()?;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // Nothing to do where it has ended already.
+            let _killed = child.kill();
+            let _reaped = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/world.rs
@@ -0,0 +1,226 @@
+//! Everything that one soak has: store, servers, proxies, daemons.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fs::File;
+use std::io;
+use std::io::Write as _;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use comfreymux_platform_testutils::engine_state::EngineState;
+use comfreymux_platform_testutils::rig::BEAT;
+use comfreymux_platform_testutils::rig::configuration;
+use comfreymux_platform_testutils::server_standin::Runs;
+use comfreymux_platform_testutils::server_standin::ServerStandin;
+use comfreymux_platform_testutils::store_standin::StoreStandin;
+use rustix::process::Signal;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::process::Daemon;
+use crate::proxy::Proxy;
+
+/// Time that a server goes on serving after its notice.
+const LEAVE_TIME: Duration = Duration::from_secs(4);
+/// Time of a load in the soak.
+const LOAD: Duration = Duration::from_millis(300);
+
+/// Sizes of a soak.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Daemons.
+    pub daemons: usize,
+    /// Servers of the plain service.
+    pub plain: usize,
+    /// Engines.
+    pub engines: usize,
+}
+
+/// One soak.
+#[derive(Debug)]
+pub struct World {
+    /// The store.
+    pub store: Rc<StoreStandin>,
+    /// Servers that are listed.
+    pub servers: RefCell<Vec<Rc<ServerStandin>>>,
+    /// The proxy before each of them.
+    pub server_proxies: RefCell<Vec<Rc<Proxy>>>,
+    /// A proxy between each daemon and the store.
+    pub store_proxies: Vec<Rc<Proxy>>,
+    /// A proxy between callers and each daemon.
+    pub front_proxies: Vec<Rc<Proxy>>,
+    /// The daemons.
+    pub daemons: Vec<RefCell<Daemon>>,
+    /// Runs of all servers.
+    pub runs: Runs,
+    /// Engines that are gone, for the checks at the end.
+    pub gone: RefCell<Vec<Rc<ServerStandin>>>,
+    version: Cell<u64>,
+    number: Cell<u64>,
+    began: Instant,
+    notes: RefCell<File>,
+}
+
+impl World {
+    /// Starts all parts; daemons take addresses of their own from `seed`.
+    ///
+    /// # Errors
+    ///
+    /// The system gives no ports, or a program cannot be started.
+    pub async fn start(
+        size: Size,
+        seed: u64,
+        program: &Path,
+        folder: &Path,
+    ) -> io::Result<Rc<Self>> {
+        let store = StoreStandin::start().await?;
+        store.put("keyed.op", "config", Some(&configuration(1)));
+        let mut daemons = Vec::new();
+        let mut store_proxies = Vec::new();
+        let mut front_proxies = Vec::new();
+        let process = std::process::id().to_be_bytes();
+        for n in 0..size.daemons {
+            let host = |n: usize| {
+                let [_, high, low] = [0, (n / 250) as u8, (n % 250 + 1) as u8];
+                Ipv4Addr::new(127, 101 + process[3] % 100, (seed % 40) as u8 * 6 + high, low)
+            };
+            let front = SocketAddr::from((host(n), 7200));
+            let to_store = Proxy::start(store.addr).await?;
+            front_proxies.push(Proxy::start(front).await?);
+            let other = SocketAddr::from((host((n + 1) % size.daemons), 7380));
+            let name = format!("d{n}");
+            let daemon = Daemon::new(&name, program, folder, front, to_store.addr, other);
+            daemons.push(RefCell::new(daemon));
+            store_proxies.push(to_store);
+        }
+        let world = Rc::new(Self {
+            store,
+            servers: RefCell::default(),
+            server_proxies: RefCell::default(),
+            store_proxies,
+            front_proxies,
+            daemons,
+            runs: Rc::new(RefCell::default()),
+            gone: RefCell::default(),
+            version: Cell::new(1),
+            number: Cell::new(0),
+            began: Instant::now(),
+            notes: RefCell::new(File::create(folder.join("course.log"))?),
+        });
+        for _ in 0..size.plain {
+            world.add_server(false).await?;
+        }
+        for _ in 0..size.engines {
+            world.add_server(true).await?;
+        }
+        for daemon in &world.daemons {
+            daemon.borrow_mut().start()?;
+        }
+        Ok(world)
+    }
+
+    /// Writes a line of the soak's course.
+    pub fn note(&self, text: &str) {
+        let at = self.began.elapsed().as_millis();
+        // The course is an aid; without it the soak still counts.
+        let _written = writeln!(self.notes.borrow_mut(), "{at} {text}");
+    }
+
+    async fn add_server(&self, is_engine: bool) -> io::Result<()> {
+        let number = self.number.get();
+        self.number.set(number + 1);
+        let engine = is_engine.then(|| {
+            let models = [["m0", "m1"], ["m0", "m2"], ["m3", "m4"]][number as usize % 3];
+            EngineState::new(&models, LOAD)
+        });
+        let service = if is_engine { "drafting" } else { "booking" };
+        let id = format!("s{number}");
+        let server = ServerStandin::start(&id, service, "north", engine, &self.runs).await?;
+        let proxy = Proxy::start(server.addr).await?;
+        server.listed.set(proxy.addr);
+        server.register(&self.store);
+        let (beating, store) = (Rc::clone(&server), Rc::clone(&self.store));
+        spawn_local(async move {
+            while !beating.is_crashed() {
+                sleep(BEAT).await;
+                if !beating.is_crashed() {
+                    beating.register(&store);
+                }
+            }
+        });
+        self.servers.borrow_mut().push(server);
+        self.server_proxies.borrow_mut().push(proxy);
+        Ok(())
+    }
+
+    fn take(&self, index: usize) -> Rc<ServerStandin> {
+        self.server_proxies.borrow_mut().remove(index);
+        let server = self.servers.borrow_mut().remove(index);
+        self.gone.borrow_mut().push(Rc::clone(&server));
+        server
+    }
+
+    async fn replace(&self, server: &ServerStandin) {
+        if let Err(error) = self.add_server(server.engine.is_some()).await {
+            self.note(&format!("no new server: {error}"));
+        }
+    }
+
+    /// Crashes a server; its entry goes three heartbeats later, and another takes its place.
+    pub async fn crash(self: &Rc<Self>, index: usize) {
+        let server = self.take(index);
+        server.crash();
+        self.replace(&server).await;
+        let store = Rc::clone(&self.store);
+        spawn_local(async move {
+            sleep(BEAT * 3).await;
+            store.put("keyed.servers", &server.id, None);
+        });
+    }
+
+    /// Replaces a server that gives notice and serves on for a while.
+    pub async fn leave(self: &Rc<Self>, index: usize) {
+        let server = self.take(index);
+        server.leaving.set(true);
+        server.register(&self.store);
+        self.replace(&server).await;
+        let store = Rc::clone(&self.store);
+        spawn_local(async move {
+            sleep(LEAVE_TIME).await;
+            server.crash();
+            store.put("keyed.servers", &server.id, None);
+        });
+    }
+
+    /// Sends a signal to a daemon.
+    pub fn signal(&self, daemon: usize, signal: Signal) {
+        self.daemons[daemon].borrow_mut().signal(signal);
+    }
+
+    /// Rewrites a daemon's settings.
+    pub fn rewrite_settings(&self, daemon: usize, good: bool) {
+        if let Err(error) = self.daemons[daemon].borrow().write_settings(good) {
+            self.note(&format!("settings not written: {error}"));
+        }
+    }
+
+    /// Returns the next version of the configuration.
+    pub fn next_version(&self) -> u64 {
+        self.version.set(self.version.get() + 3);
+        self.version.get()
+    }
+
+    /// Starts daemons again that ended.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn tend(&self) -> io::Result<()> {
+        self.daemons.iter().try_for_each(|d| d.borrow_mut().tend())
+    }
+}
