serve: let engines out of reach hold nothing, charge only repeats that arrive

Cause: a crashed engine stays listed for three heartbeats.

Change: an engine that could not be reached holds nothing until its pause ends, waits name such engines to the holder, and only sends that reached a server count as repeats. Busy models make way only where nothing else can.

--- a/lib/src/picture/health.rs
+++ b/lib/src/picture/health.rs
@@ -35,6 +35,8 @@
     rate: f64,
     pause: Duration,
     until: Moment,
+    /// Whether it is avoided since it could not be reached.
+    dark: bool,
 }
 
 /// Evidence about backend servers.
@@ -72,6 +74,7 @@
         }
         record.pause = (record.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
         record.until = now + record.pause;
+        record.dark = evidence == Evidence::Unreachable;
         // After the pause it begins between good and bad: one more failure is enough.
         record.rate = record.rate.min(others + EXCESS);
         Some(record.pause)
@@ -93,6 +96,11 @@
         self.records.get(server).is_some_and(|r| now < r.until)
     }
 
+    /// Returns whether a server could not be reached just now.
+    pub fn is_dark(&self, server: &str, now: Moment) -> bool {
+        self.records.get(server).is_some_and(|r| r.dark && now < r.until)
+    }
+
     /// Forgets servers other than `known`.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.records.retain(|id, _| known(id));
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -436,9 +436,13 @@
         if self.engines(&item.service).filter(is_open).any(serves) {
             return;
         }
-        let engines = self.engines(&item.service).filter(is_open);
-        let offers = engines.filter_map(|e| self.offer(e, spec, &item.model, wanted));
-        let best = offers.min_by(|a, b| a.cost.total_cmp(&b.cost));
+        let best_offer = |wanted| {
+            let engines = self.engines(&item.service).filter(is_open);
+            let offers = engines.filter_map(|e| self.offer(e, spec, &item.model, wanted));
+            offers.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        };
+        // Only where nothing else can make way do busy models have to.
+        let best = best_offer(None).or_else(|| best_offer(wanted));
         // Where the best engine is at work on another load, the model waits for it.
         if let Some(best) = best.filter(|b| b.can_start) {
             self.begin(best, &item.model, "requests wait");
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -56,6 +56,8 @@
     pub runs: u32,
     /// Sends so far.
     pub sends: u32,
+    /// Sends that reached a server; only further ones draw on the retry budget.
+    pub arrivals: u32,
     /// The server of the last send.
     pub last: Option<ServerId>,
     /// Why the last send failed.
@@ -126,6 +128,7 @@
     /// Takes in that a send failed.
     pub fn failed(&mut self, entry: &Entry, failure: &SendFailure) {
         self.reason = failure.reason;
+        self.arrivals += u32::from(failure.arrived);
         self.verdict = self.verdict.and(failure.verdict);
         if failure.verdict != Verdict::DidNotRun {
             self.runs += 1;
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -78,7 +78,12 @@
 
     /// Chooses an engine that holds what `item` names.
     pub fn engine(&self, item: &Item, tried: &[ServerId]) -> Choice {
-        let holds = |s: &Server| self.holdings.holds(s, &item.model, item.adapter.as_deref());
+        // An engine that cannot be reached serves nobody, though its entry may stand for seconds: the
+        // request waits, and the model is loaded elsewhere.
+        let holds = |s: &Server| {
+            !self.health.is_dark(&s.id, self.now)
+                && self.holdings.holds(s, &item.model, item.adapter.as_deref())
+        };
         let cost = |server: &Server, work: Work| {
             let over = (work.running + 1).saturating_sub(server.slots);
             f64::from(work.running) * PER_RUNNING
@@ -93,6 +98,13 @@
         }
     }
 
+    /// Returns the engines of a service that cannot be reached from here.
+    pub fn dark(&self, service: &str) -> Vec<ServerId> {
+        let is_dark =
+            |s: &&Rc<Server>| s.service == service && self.health.is_dark(&s.id, self.now);
+        self.directory.servers().filter(is_dark).map(|s| s.id.clone()).collect()
+    }
+
     fn distance(&self, server: &Server, cost: f64) -> f64 {
         if server.centre == *self.centre { 0.0 } else { cost }
     }
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -55,7 +55,7 @@
             attempt.tried.clear();
             continue;
         };
-        if attempt.sends > 0 && !entry.take_repeat(&attempt.service) {
+        if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", FULL));
         }
         match send_once(entry, attempt, &chosen).await {
@@ -104,6 +104,7 @@
         return false;
     }
     attempt.runs += 1;
+    attempt.arrivals += 1;
     attempt.verdict = Verdict::Ran;
     attempt.tried.push(server);
     let is_open = attempt.may_repeat(entry.now()) && choose(entry, attempt).is_some();
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
+use crate::ids::ServerId;
 use crate::picture::health::Evidence;
 use crate::picture::loads::InProgress;
 use crate::place::demand::Item;
@@ -44,7 +45,7 @@
 /// A stream that can go on elsewhere is silent for this many punctual pauses before it does.
 const SILENT_GAPS: u32 = 5;
 /// Pause before engines that all refused a request are asked again.
-const FULL_PAUSE: Duration = Duration::from_millis(40);
+const FULL_PAUSE: Duration = Duration::from_millis(80);
 
 /// A stream whose first events have come.
 struct Started {
@@ -144,7 +145,7 @@
     let resume = attempt.terms.last_event;
     loop {
         let chosen = find_server(entry, attempt).await?;
-        if attempt.sends > 0 && !entry.take_repeat(&attempt.service) {
+        if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", COME_BACK));
         }
         match send_first(entry, attempt, &chosen, resume).await {
@@ -204,16 +205,23 @@
                 "model" => item.model.as_str(), "adapter" => item.adapter.as_deref().unwrap_or("-"),
                 "ahead" => entry.waits.waiting(&item),
                 "give_up_ms" => give_up.saturating_sub(now).as_millis());
-            guard = Some(entry.waits.begin(item.clone(), give_up, attempt.tried.clone()));
+            guard = Some(entry.waits.begin(item.clone(), give_up, unusable(entry, attempt)));
         }
         // Engines that refused it may have room again.
-        let _notified = timeout(FULL_PAUSE * 5, changed).await;
+        let _notified = timeout(FULL_PAUSE * 2, changed).await;
         if entry.now() > began + FULL_PAUSE && attempt.verdict == Verdict::DidNotRun {
             attempt.tried.clear();
         }
     }
 }
 
+/// Engines that this request cannot use: those that failed it, and those out of reach.
+fn unusable(entry: &Entry, attempt: &Attempt) -> Vec<ServerId> {
+    let mut list = entry.choose(|c| c.dark(&attempt.service));
+    list.extend(attempt.tried.iter().cloned());
+    list
+}
+
 /// Refuses a wait that cannot end in time, as soon as that is known.
 fn hopeless(
     entry: &Entry,
@@ -457,7 +465,9 @@
         if left.is_zero() {
             return None;
         }
-        guard.get_or_insert_with(|| entry.waits.begin(item.clone(), until, attempt.tried.clone()));
-        let _notified = timeout(left.min(FULL_PAUSE * 5), changed).await;
+        guard.get_or_insert_with(|| {
+            entry.waits.begin(item.clone(), until, unusable(entry, attempt))
+        });
+        let _notified = timeout(left.min(FULL_PAUSE * 2), changed).await;
     }
 }
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -133,6 +133,7 @@
         tried: Vec::new(),
         runs: 0,
         sends: 0,
+        arrivals: 0,
         last: None,
         reason: "",
         waited: Duration::ZERO,
--- a/lib/tests/test_health.rs
+++ b/lib/tests/test_health.rs
@@ -76,3 +76,17 @@
     let pause = bench.note("a", Evidence::Unreachable).expect("avoided anew");
     assert!(pause <= Duration::from_millis(500));
 }
+
+/// A crashed engine is listed for seconds yet. It must not look like one that merely fails: the
+/// models that it held have to be loaded elsewhere.
+#[test]
+fn crashed_dark() {
+    let mut bench = Bench::new();
+    bench.note("a", Evidence::Unreachable);
+    assert!(bench.health.is_dark("a", bench.now));
+    for _ in 0..20 {
+        bench.note("b", Evidence::Failed);
+    }
+    assert!(bench.avoided("b"));
+    assert!(!bench.health.is_dark("b", bench.now));
+}
