tenure: keep the lease through a planned stop while the store is away

Ruled out: slow failover (others had no store to bid at).

Change: the lease counts as given up only when the release was acknowledged or may have been; until then the holder goes on to its end.

--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -155,13 +155,26 @@
         LeaseEntry { holder: self.me.clone(), process: self.process, fence, released: false }
     }
 
-    /// Returns the record that gives the lease up, where it is held.
-    pub fn release(&mut self, now: Moment) -> Option<(Offset, LeaseEntry)> {
-        let held = self.held.take().filter(|h| now < h.sent + VALID)?;
+    /// Returns the record that gives the lease up, where it is held and the store answers.
+    ///
+    /// While the store is away nobody could take over: the holder keeps the lease for as long as its
+    /// process lives.
+    pub fn release(&self, now: Moment) -> Option<(Offset, LeaseEntry)> {
+        let held = self.held.filter(|h| now < h.sent + VALID)?;
         let entry = LeaseEntry { released: true, ..self.record(Some(held.fence)) };
         Some((self.end?, entry))
     }
 
+    /// Takes in that the lease was given up.
+    pub fn released(&mut self) {
+        self.lost();
+    }
+
+    /// Returns whether it holds the lease or has an append that may have taken it.
+    pub fn is_involved(&self) -> bool {
+        self.held.is_some() || self.unsettled.is_some()
+    }
+
     /// Takes in that an append, sent at `sent`, was acknowledged.
     pub fn appended(&mut self, sent: Moment, now: Moment, offset: Offset) {
         self.outage = None;
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -25,6 +25,8 @@
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// Time between looks at what is in progress.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Time between tries to give the lease up, while the store is away.
+const RELEASE_EVERY: Duration = Duration::from_millis(500);
 /// Time between looks at the settings' file, which may change without a signal.
 const RELOAD_EVERY: Duration = Duration::from_secs(2);
 /// Time between clearings of what is no longer needed.
@@ -129,8 +131,12 @@
     entry.stopping.set(Some(began));
     let grace = entry.settings().grace;
     slog::info!(entry.log, "stop"; "phase" => "begun", "active" => entry.active.get());
-    orders.release().await;
+    let mut next_release = began;
     loop {
+        if entry.now() >= next_release {
+            orders.release().await;
+            next_release = entry.now() + RELEASE_EVERY;
+        }
         let waited = entry.now().saturating_sub(began);
         let is_done = waited >= LEAVE_TIME && entry.active.get() == 0;
         if is_done || waited + END_MARGIN >= grace {
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -129,7 +129,8 @@
     pub async fn keep_lease(self: Rc<Self>) {
         let entry = &self.entry;
         loop {
-            if entry.stopping.get().is_some() {
+            // A daemon that stops takes no new lease; one that it could not give up it keeps.
+            if entry.stopping.get().is_some() && !entry.tenure.borrow().is_involved() {
                 return;
             }
             if entry.config().is_none() || entry.isolated.get() {
@@ -200,15 +201,19 @@
         }
     }
 
-    /// Gives the lease up, so that another daemon can take it at once.
+    /// Gives the lease up, so that another daemon can take it at once; does nothing where it is not
+    /// held or the store does not answer.
     pub async fn release(&self) {
         let entry = &self.entry;
-        let now = entry.now();
-        let Some((at, record)) = entry.tenure.borrow_mut().release(now) else { return };
+        let Some((at, record)) = entry.tenure.borrow().release(entry.now()) else { return };
         let value = Some(entries::write(&record));
         let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT), value };
         let result = entry.store.append(Feed::Leases, feed_record, Some(at)).await;
-        slog::info!(entry.log, "lease"; "held" => false, "released" => result.is_ok());
+        slog::info!(entry.log, "lease-release"; "done" => result.is_ok(), "at" => at);
+        // An append without an answer may have given it up: only proof of the contrary keeps it.
+        if matches!(result, Ok(_) | Err(StoreError::Doubtful(_))) {
+            entry.tenure.borrow_mut().released();
+        }
         self.gossip.tell_digest();
     }
 
--- a/lib/tests/test_tenure.rs
+++ b/lib/tests/test_tenure.rs
@@ -178,6 +178,7 @@
     feed.settle(&mut a, ms(100));
     let (at, entry) = a.release(ms(300)).expect("held");
     feed.append(at, entry);
+    a.released();
     feed.settle(&mut b, ms(400));
     assert_eq!(b.fence(ms(400)), Some(3));
     assert_eq!(a.fence(ms(400)), None);
