serve, place: split what had grown long

orders into lease_keeper, engine_orders and store_pace; exchange_stream into find, flow and relay; planner into offers; gossip into picture_relay. Orders to a busy engine are repeated after 30 ms, then twice as late each time.

--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -4,6 +4,8 @@
 pub mod demand;
 pub mod entries;
 pub mod ledger;
+pub mod offers;
 pub mod planner;
+pub mod store_pace;
 pub mod survey;
 pub mod tenure;
--- /dev/null
+++ b/lib/src/place/offers.rs
@@ -0,0 +1,301 @@
+//! What it takes to load a model at an engine: what makes way, how long it lasts, what is lost.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::boot_clock::Moment;
+use crate::ids::Mebibytes;
+use crate::ids::ModelName;
+use crate::ids::ServerId;
+use crate::picture::configuration::EngineSpec;
+use crate::picture::configuration::ModelSpec;
+use crate::place::ledger::Engine;
+use crate::place::ledger::Source;
+use crate::place::planner::Scene;
+use crate::place::survey::Survey;
+
+/// Arrivals a second of a model from which it counts as busy: it is then asked for about as often
+/// as a load takes, so it must stay loaded.
+pub const BUSY_RATE: f64 = 0.5;
+/// Arrivals a second that one replica of a busy model serves before another is added. Reading a
+/// prompt keeps an engine's batch busy for some 75 ms; at four a second a third of its time.
+const RATE_PER_REPLICA: f64 = 4.0;
+/// Arrivals a second assumed of a model that was never asked for: once a minute.
+const UNKNOWN_RATE: f64 = 0.015;
+/// Worth of a second of waiting, compared with an eviction's expected loss in requests a second.
+const LOSS_SECONDS: f64 = 8.0;
+/// Part of its rate that a model loses with one of several replicas.
+const SPARE_PART: f64 = 0.1;
+/// Part of its rate that a model loses with one of the replicas that its demand asks for.
+const NEEDED_PART: f64 = 0.5;
+/// Requests that run on a victim delay its unloading by about this long.
+const RUNNING_DELAY: Duration = Duration::from_secs(3);
+/// Time of an order and its confirmation.
+const ORDER_TIME: Duration = Duration::from_millis(150);
+/// A model that was loaded or used this recently stays: its waiting requests are on their way.
+const SETTLE: Duration = Duration::from_millis(1500);
+/// After this wait a model may take the place of a busier one's last replica, whose callers then
+/// wait in turn.
+const LONG_WAIT: Duration = Duration::from_secs(1);
+/// Replicas of a busy model at least, so that one lost engine or data centre leaves one.
+const LEAST_BUSY: usize = 2;
+
+/// What it takes to load a model at an engine.
+#[derive(Clone, Debug)]
+pub struct Offer<'a> {
+    /// The engine.
+    pub engine: &'a Engine,
+    /// Models that make way.
+    pub victims: Vec<ModelName>,
+    /// Where the weights come from.
+    pub source: Source,
+    /// How long it takes.
+    pub time: Duration,
+    /// The time in seconds, and what the victims' loss is worth.
+    pub cost: f64,
+    /// Whether it can begin now; else it is worth a wait.
+    pub can_start: bool,
+}
+
+/// A model that requests wait for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// Its arrivals a second.
+    pub rate: f64,
+    /// How long its first request has waited.
+    pub waited: Duration,
+}
+
+/// The offers of all engines, while a plan is made.
+#[derive(Debug)]
+pub struct Offers<'a> {
+    /// What the plan looks at.
+    pub scene: &'a Scene<'a>,
+    /// Counts of it.
+    pub survey: Survey<'a>,
+    /// Models with waiting requests: their last replica stays where it is.
+    pub waited: HashSet<(SmolStr, ModelName)>,
+    /// Engines that got a step in this plan.
+    pub taken: HashSet<ServerId>,
+    /// Loads from the weight store, those of this plan included.
+    pub fetching: usize,
+    /// Loads from the weight store that may still begin.
+    pub store_room: usize,
+}
+
+impl<'a> Offers<'a> {
+    /// Returns what the engines of a service have in common.
+    pub fn spec(&self, service: &str) -> Option<&'a EngineSpec> {
+        self.scene.config.services.get(service)?.engine.as_ref()
+    }
+
+    /// Returns the engines of a service that may get steps.
+    pub fn engines<'b>(
+        &'b self,
+        service: &'b str,
+    ) -> impl Iterator<Item = &'a Engine> + use<'a, 'b> {
+        let scene = self.scene;
+        scene.ledger.engines.values().filter(move |e| {
+            e.server.service == service
+                && !e.server.leaving
+                && !scene.unreachable.contains(&e.server.id)
+        })
+    }
+
+    /// Returns arrivals a second of a model, with a small figure for one never asked for.
+    pub fn rate(&self, service: &str, model: &str) -> f64 {
+        self.survey.rate(service, model).max(UNKNOWN_RATE)
+    }
+
+    fn is_used(&self, engine: &Engine, model: &str) -> bool {
+        self.survey.running(&engine.server.id, model) > 0
+    }
+
+    /// Expected loss of evicting a model from one engine, in requests a second that meet no replica.
+    fn loss(&self, engine: &Engine, model: &str) -> f64 {
+        let service = &engine.server.service;
+        let rate = self.rate(service, model);
+        let replicas = self.survey.replicas(service, model);
+        if replicas > self.needed(service, model).max(1) {
+            return rate * SPARE_PART;
+        }
+        if replicas > 1 { rate * NEEDED_PART } else { rate }
+    }
+
+    /// A victim in use is the last choice: the load would wait for its requests.
+    fn delay_loss(&self, engine: &Engine, model: &str) -> f64 {
+        if self.is_used(engine, model) { RUNNING_DELAY.as_secs_f64() / LOSS_SECONDS } else { 0.0 }
+    }
+
+    /// Replicas that a model's demand asks for.
+    pub fn needed(&self, service: &str, model: &str) -> usize {
+        let rate = self.rate(service, model);
+        if rate < BUSY_RATE {
+            return 1;
+        }
+        ((rate / RATE_PER_REPLICA).ceil() as usize).max(LEAST_BUSY)
+    }
+
+    /// Whether a busy model must stay where it is.
+    ///
+    /// A model that is wanted now and has no replica may take the place of another's second one,
+    /// and of a last one that is asked for less, or after a long wait. Otherwise models that were
+    /// loaded first would keep all places, and the others would never be served.
+    fn must_stay(&self, engine: &Engine, model: &ModelName, wanted: Option<Wanted>) -> bool {
+        let service = &engine.server.service;
+        let rate = self.rate(service, model);
+        let replicas = self.survey.replicas(service, model);
+        if rate < BUSY_RATE {
+            return false;
+        }
+        match wanted {
+            None => replicas <= self.needed(service, model).min(LEAST_BUSY),
+            Some(wanted) => {
+                let yields = rate < wanted.rate || wanted.waited > LONG_WAIT;
+                replicas <= 1 && !yields
+            }
+        }
+    }
+
+    fn may_leave(&self, engine: &Engine, model: &ModelName, wanted: Option<Wanted>) -> bool {
+        let key = (engine.server.service.clone(), model.clone());
+        let settles = engine.used.get(model).is_some_and(|t| self.scene.now < *t + SETTLE);
+        let is_last = self.survey.replicas(&key.0, model) <= 1;
+        let is_waited = is_last && self.waited.contains(&key);
+        !settles && !is_waited && !self.must_stay(engine, model, wanted)
+    }
+
+    /// Whether models that may leave soon, though not now, make room for `need`.
+    fn has_room_soon(
+        &self,
+        engine: &Engine,
+        spec: &EngineSpec,
+        need: Mebibytes,
+        wanted: Option<Wanted>,
+    ) -> bool {
+        let soon = engine.models.iter().filter(|m| !self.must_stay(engine, &m.name, wanted));
+        let room: Mebibytes = soon.map(|m| engine.weight(spec, m)).sum();
+        spec.memory.saturating_sub(engine.taken(spec)) + room >= need
+    }
+
+    /// Victims that free room for `need`, the least loss first; none where it cannot be had.
+    fn victims(
+        &self,
+        engine: &Engine,
+        spec: &EngineSpec,
+        need: Mebibytes,
+        wanted: Option<Wanted>,
+    ) -> Option<(Vec<ModelName>, f64)> {
+        let mut free = spec.memory.saturating_sub(engine.taken(spec));
+        if free >= need {
+            return Some((Vec::new(), 0.0));
+        }
+        let mut options: Vec<(f64, Moment, Mebibytes, &ModelName)> = engine
+            .models
+            .iter()
+            .filter(|m| self.may_leave(engine, &m.name, wanted))
+            .map(|m| {
+                let loss = self.loss(engine, &m.name) + self.delay_loss(engine, &m.name);
+                let used = engine.used.get(&m.name).copied().unwrap_or_default();
+                (loss, used, engine.weight(spec, m), &m.name)
+            })
+            .collect();
+        options.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        let mut chosen = Vec::new();
+        for option in options {
+            if free >= need {
+                break;
+            }
+            free += option.2;
+            chosen.push(option);
+        }
+        if free < need {
+            return None;
+        }
+        // An early victim may turn out needless beside a larger later one.
+        for i in (0..chosen.len()).rev() {
+            if chosen.len() > 1 && free - chosen[i].2 >= need {
+                free -= chosen[i].2;
+                chosen.remove(i);
+            }
+        }
+        let loss = chosen.iter().map(|(loss, ..)| loss).sum();
+        Some((chosen.into_iter().map(|(_, _, _, name)| name.clone()).collect(), loss))
+    }
+
+    fn load_time(&self, spec: &ModelSpec, source: Source) -> Duration {
+        match source {
+            Source::Memory => spec.warm,
+            Source::Disk => spec.disk,
+            Source::Store => {
+                let share = (self.fetching + 1) as f64 / self.scene.parallel.max(1) as f64;
+                spec.load.mul_f64(share.max(1.0))
+            }
+        }
+    }
+
+    /// Returns what it takes to load a model at an engine; none where it cannot be done.
+    pub fn offer(
+        &self,
+        engine: &'a Engine,
+        spec: &EngineSpec,
+        model: &str,
+        wanted: Option<Wanted>,
+    ) -> Option<Offer<'a>> {
+        let model_spec = spec.models.get(model)?;
+        if engine.holds(model) || model_spec.size > spec.memory {
+            return None;
+        }
+        let now = self.scene.now;
+        let source = engine.source(model);
+        let mut time = self.load_time(model_spec, source) + ORDER_TIME;
+        if let Some(job) = &engine.job {
+            if job.model == model {
+                return None;
+            }
+            // Whatever makes way then, the job's own end comes first.
+            time += job.eta.saturating_sub(now) + ORDER_TIME;
+            let cost = time.as_secs_f64();
+            return Some(Offer {
+                engine,
+                victims: Vec::new(),
+                source,
+                time,
+                cost,
+                can_start: false,
+            });
+        }
+        let Some((victims, loss)) = self.victims(engine, spec, model_spec.size, wanted) else {
+            if !self.has_room_soon(engine, spec, model_spec.size, wanted) {
+                return None;
+            }
+            // A copy on this host's disk is worth a short wait: a load from the weight store at
+            // another engine takes longer.
+            time += SETTLE + ORDER_TIME;
+            let cost = time.as_secs_f64();
+            return Some(Offer {
+                engine,
+                victims: Vec::new(),
+                source,
+                time,
+                cost,
+                can_start: false,
+            });
+        };
+        if !victims.is_empty() {
+            time += ORDER_TIME;
+        }
+        if victims.iter().any(|v| self.is_used(engine, v)) {
+            time += RUNNING_DELAY;
+        }
+        let cost = time.as_secs_f64() + loss * LOSS_SECONDS;
+        let can_start = engine.confirmed
+            && engine.adapters.is_empty()
+            && now >= engine.rest_until
+            && !self.taken.contains(&engine.server.id)
+            && (source != Source::Store || self.store_room > 0);
+        Some(Offer { engine, victims, source, time, cost, can_start })
+    }
+}
--- /dev/null
+++ b/lib/src/serve/engine_orders.rs
@@ -0,0 +1,197 @@
+//! Orders to one engine, given until they are accepted or known to be in vain.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use crate::ids::Fence;
+use crate::ids::ModelName;
+use crate::ids::ServerId;
+use crate::place::ledger::Engine;
+use crate::protocol::EngineOrder;
+use crate::protocol::EngineReport;
+use crate::protocol::OrderKind;
+use crate::protocol::OrderReply;
+use crate::serve::call::CallError;
+use crate::serve::call::call;
+use crate::serve::entry::Entry;
+
+/// Time for an engine's answer to an order or a question: many times what it takes.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// First pause before an engine that is busy with another order is asked again; doubled each time.
+const BUSY_PAUSE: Duration = Duration::from_millis(30);
+/// Longest such pause: unloading waits for requests that run, which takes seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(240);
+/// Tries of an order before the engine's report is read.
+const TRIES: usize = 6;
+/// Times that the report is read before an order is given up.
+const REPORTS: usize = 10;
+/// An engine's report is some hundred milliseconds old.
+pub const REPORT_LAG: Duration = Duration::from_millis(100);
+
+/// Why an order was not carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderFailure {
+    /// The lease is no longer held.
+    LeaseLost,
+    /// The engine is not as believed.
+    Mismatch,
+    /// The engine does not answer.
+    Silent,
+}
+
+/// Gives orders to engines.
+#[derive(Debug)]
+pub struct EngineOrders {
+    entry: Rc<Entry>,
+}
+
+impl EngineOrders {
+    /// Gives orders for a daemon.
+    pub fn new(entry: Rc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    /// Calls `f` with the ledger's page on an engine, where there is one.
+    pub fn with_engine<T>(&self, id: &ServerId, f: impl FnOnce(&mut Engine) -> T) -> Option<T> {
+        self.entry.ledger.borrow_mut().engines.get_mut(id).map(f)
+    }
+
+    /// Gives one order until it is accepted.
+    ///
+    /// Every try expects the same number of accepted orders, so that only one of them can be carried
+    /// out, however late an unanswered one arrives.
+    ///
+    /// # Errors
+    ///
+    /// The lease is lost, or the engine is silent or not as believed.
+    pub async fn order(
+        &self,
+        server: &ServerId,
+        kind: OrderKind,
+        model: &ModelName,
+        adapter: Option<&SmolStr>,
+        fence: Fence,
+    ) -> Result<(), OrderFailure> {
+        let entry = &self.entry;
+        let expect = self.with_engine(server, |e| e.sequence).ok_or(OrderFailure::Mismatch)?;
+        let mut unanswered = false;
+        let mut pause = BUSY_PAUSE;
+        for tries in 0..TRIES * REPORTS {
+            if entry.fence() != Some(fence) {
+                return Err(OrderFailure::LeaseLost);
+            }
+            let target =
+                entry.directory.borrow().get(server).cloned().ok_or(OrderFailure::Mismatch)?;
+            let order = EngineOrder {
+                kind: kind.clone(),
+                model: model.clone(),
+                adapter: adapter.cloned(),
+                expect,
+                holder: entry.settings().id.clone(),
+                fence,
+            };
+            let request = entry.protocol.order(&target, &order);
+            let answer = call(&entry.pool, &target.id, target.addr, request, ANSWER_LIMIT).await;
+            let reply = match answer {
+                Ok((status, _)) => entry.protocol.order_reply(status),
+                Err(CallError::Unsent) if tries >= TRIES => return Err(OrderFailure::Silent),
+                Err(error) => {
+                    slog::info!(entry.log, "order-unanswered"; "server" => %server,
+                        "model" => model.as_str(), "expect" => expect, "error" => %error);
+                    unanswered |= error == CallError::Unanswered;
+                    sleep(BUSY_PAUSE).await;
+                    continue;
+                }
+            };
+            match reply {
+                OrderReply::Accepted => {
+                    self.accepted(server, expect + 1);
+                    return Ok(());
+                }
+                OrderReply::Done if kind == OrderKind::Unload => {
+                    self.accepted(server, expect + 1);
+                    return Ok(());
+                }
+                OrderReply::Done => return Ok(()),
+                OrderReply::Conflict if tries % TRIES != TRIES - 1 => {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+                OrderReply::Conflict => {
+                    self.settle_conflict(server, expect, unanswered).await?;
+                    if self.with_engine(server, |e| e.sequence) != Some(expect) {
+                        return Ok(());
+                    }
+                }
+                OrderReply::Fenced => {
+                    slog::warn!(entry.log, "order-fenced"; "server" => %server, "fence" => fence);
+                    entry.tenure.borrow_mut().lost();
+                    return Err(OrderFailure::LeaseLost);
+                }
+                OrderReply::Misdirected | OrderReply::Refused => {
+                    slog::info!(entry.log, "order-refused"; "server" => %server,
+                        "model" => model.as_str(), "reply" => ?reply);
+                    return Err(OrderFailure::Mismatch);
+                }
+            }
+        }
+        Err(OrderFailure::Silent)
+    }
+
+    fn accepted(&self, server: &ServerId, sequence: u64) {
+        self.with_engine(server, |engine| engine.sequence = engine.sequence.max(sequence));
+    }
+
+    /// Finds out whether an order that had no answer was carried out after all.
+    async fn settle_conflict(
+        &self,
+        server: &ServerId,
+        expect: u64,
+        unanswered: bool,
+    ) -> Result<(), OrderFailure> {
+        sleep(REPORT_LAG).await;
+        let report = self.report(server).await.ok_or(OrderFailure::Silent)?;
+        slog::info!(self.entry.log, "order-conflict"; "server" => %server, "expect" => expect,
+            "sequence" => report.sequence, "busy" => report.busy, "unanswered" => unanswered);
+        if report.sequence == expect {
+            // Busy with the order before; the next try may find it idle.
+            return Ok(());
+        }
+        if unanswered && report.sequence == expect + 1 {
+            self.accepted(server, report.sequence);
+            return Ok(());
+        }
+        Err(OrderFailure::Mismatch)
+    }
+
+    /// Reads an engine's report; none where it cannot be had.
+    pub async fn report(&self, id: &ServerId) -> Option<EngineReport> {
+        let entry = &self.entry;
+        let server = Rc::clone(entry.directory.borrow().get(id)?);
+        let request = entry.protocol.report(&server);
+        let answer = call(&entry.pool, &server.id, server.addr, request, ANSWER_LIMIT).await;
+        match answer {
+            Ok((status, body)) if status.is_success() => {
+                let report = entry.protocol.read_report(&body);
+                report
+                    .map_err(|error| {
+                        slog::warn!(entry.log, "report-unreadable"; "server" => %id,
+                            "error" => %error);
+                    })
+                    .ok()
+            }
+            Ok((status, _)) => {
+                slog::info!(entry.log, "report-refused"; "server" => %id,
+                    "status" => status.as_u16());
+                None
+            }
+            Err(error) => {
+                slog::info!(entry.log, "report-failed"; "server" => %id, "error" => %error);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/serve/find.rs
@@ -0,0 +1,132 @@
+//! The server for a stream, and the wait for a model that none holds yet.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::boot_clock::Moment;
+use crate::ids::ServerId;
+use crate::place::demand::Item;
+use crate::serve::attempt::Attempt;
+use crate::serve::choose::Choice;
+use crate::serve::choose::Chosen;
+use crate::serve::entry::Entry;
+use crate::serve::reply::Refusal;
+use crate::verdict::Verdict;
+
+/// When a caller should come back where nothing better is known.
+pub const COME_BACK: Duration = Duration::from_secs(1);
+/// Left of a caller's patience for the engine's first event, after a wait for a model.
+const FIRST_EVENT: Duration = Duration::from_millis(200);
+/// Time in which the holder of the placement lease says what it does about a wait.
+const WORD_TIME: Duration = Duration::from_millis(700);
+/// Pause before engines that all refused a request are asked again.
+const FULL_PAUSE: Duration = Duration::from_millis(80);
+/// Time in which another engine must be found for a stream that broke off.
+const AGAIN: Duration = Duration::from_millis(1200);
+
+/// Chooses a server, waiting for a model or adapter to be loaded where none has it.
+///
+/// # Errors
+///
+/// Returns the answer of our own where the wait is hopeless.
+pub async fn find_server(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Chosen, Refusal> {
+    let Some(item) = attempt.item() else {
+        let chosen = entry.choose(|c| c.plain(&attempt.service, &attempt.tried));
+        return chosen.ok_or_else(|| Refusal::failed(attempt.verdict, "no server", COME_BACK));
+    };
+    let began = entry.now();
+    let mut guard = None;
+    loop {
+        let changed = entry.waits.changed.notified();
+        match entry.choose(|c| c.engine(&item, &attempt.tried)) {
+            Choice::Server(chosen) => {
+                attempt.waited += entry.now().saturating_sub(began);
+                return Ok(chosen);
+            }
+            Choice::NoServer => {
+                return Err(Refusal::failed(attempt.verdict, "no server", COME_BACK));
+            }
+            Choice::Missing => {}
+        }
+        let now = entry.now();
+        let patience = attempt.deadline.min(attempt.arrived + attempt.route.patience());
+        let give_up = patience.min(entry.last_start());
+        if let Some(refusal) = hopeless(entry, attempt, &item, began, give_up) {
+            attempt.waited += now.saturating_sub(began);
+            return Err(refusal);
+        }
+        if guard.is_none() {
+            slog::info!(entry.log, "request-waits"; "attempt" => attempt.id(),
+                "model" => item.model.as_str(), "adapter" => item.adapter.as_deref().unwrap_or("-"),
+                "ahead" => entry.waits.waiting(&item),
+                "give_up_ms" => give_up.saturating_sub(now).as_millis());
+            guard = Some(entry.waits.begin(item.clone(), give_up, unusable(entry, attempt)));
+        }
+        // Engines that refused it may have room again.
+        let _notified = timeout(FULL_PAUSE * 2, changed).await;
+        if entry.now() > began + FULL_PAUSE && attempt.verdict == Verdict::DidNotRun {
+            attempt.tried.clear();
+        }
+    }
+}
+
+/// Engines that this request cannot use: those that failed it, and those out of reach.
+fn unusable(entry: &Entry, attempt: &Attempt) -> Vec<ServerId> {
+    let mut list = entry.choose(|c| c.dark(&attempt.service));
+    list.extend(attempt.tried.iter().cloned());
+    list
+}
+
+/// Refuses a wait that cannot end in time, as soon as that is known.
+fn hopeless(
+    entry: &Entry,
+    attempt: &Attempt,
+    item: &Item,
+    began: Moment,
+    give_up: Moment,
+) -> Option<Refusal> {
+    let now = entry.now();
+    let expected = entry.choose(|c| {
+        let servers = c.directory.servers().filter(|s| s.service == item.service && !s.leaving);
+        let times = servers
+            .filter_map(|s| c.holdings.expected(&s.id, &item.model, item.adapter.as_deref(), now));
+        times.min()
+    });
+    let verdict = attempt.verdict;
+    match expected {
+        Some(at) if at + FIRST_EVENT > give_up && now < give_up => {
+            let retry = at.saturating_sub(now).max(FIRST_EVENT);
+            Some(Refusal::failed(verdict, "the model will be loaded too late", retry))
+        }
+        _ if now + FIRST_EVENT > give_up => {
+            Some(Refusal::failed(verdict, "the model was not loaded in time", COME_BACK))
+        }
+        None if give_up < now + WORD_TIME && now > began + WORD_TIME => {
+            Some(Refusal::failed(verdict, "no engine can load the model in time", COME_BACK))
+        }
+        _ => None,
+    }
+}
+
+/// Chooses another server for a stream that broke off; callers wait for events, so not for long.
+pub async fn find_again(entry: &Rc<Entry>, attempt: &mut Attempt) -> Option<Chosen> {
+    let item = attempt.item()?;
+    let until = entry.now() + AGAIN;
+    let mut guard = None;
+    loop {
+        let changed = entry.waits.changed.notified();
+        if let Choice::Server(chosen) = entry.choose(|c| c.engine(&item, &attempt.tried)) {
+            return Some(chosen);
+        }
+        let left = until.saturating_sub(entry.now());
+        if left.is_zero() {
+            return None;
+        }
+        guard.get_or_insert_with(|| {
+            entry.waits.begin(item.clone(), until, unusable(entry, attempt))
+        });
+        let _notified = timeout(left.min(FULL_PAUSE * 2), changed).await;
+    }
+}
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -2,18 +2,12 @@
 //! daemon that the platform turns away.
 
 use std::cell::Cell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::io::AsyncReadExt as _;
-use tokio::io::AsyncWriteExt as _;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
-use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -24,7 +18,6 @@
 use crate::picture::digest::Digest;
 use crate::picture::digest::LoadNote;
 use crate::picture::digest::PeerMessage;
-use crate::picture::digest::PeerRequest;
 use crate::picture::digest::PictureReply;
 use crate::picture::digest::TenureNote;
 use crate::picture::directory::Change;
@@ -33,7 +26,8 @@
 use crate::picture::loads::Work;
 use crate::serve::entry::Entry;
 use crate::serve::observe;
-use crate::serve::socket;
+use crate::serve::picture_relay::FETCH_LIMIT;
+use crate::serve::picture_relay::fetch_picture;
 
 /// Least time between two tellings of demand.
 const DEMAND_GAP: Duration = Duration::from_millis(10);
@@ -43,10 +37,6 @@
 const DATAGRAM: usize = 60_000;
 /// Servers in one message; more go into further ones.
 const HOLDINGS_EACH: usize = 24;
-/// Time for another daemon's picture.
-const FETCH_LIMIT: Duration = Duration::from_secs(1);
-/// Largest picture of another daemon, in bytes.
-const PICTURE_LIMIT: u32 = 16 * 1024 * 1024;
 /// The store is taken as away when it has not answered for this long: more than a read's pace.
 const STORE_SILENT: Duration = Duration::from_millis(1700);
 /// Time between looks at whether this daemon is behind its peers or cut off.
@@ -359,58 +349,3 @@
         }
     }
 }
-
-/// Asks a peer for its picture.
-async fn fetch_picture(peer: SocketAddr) -> io::Result<PictureReply> {
-    let mut stream = socket::connect(peer, FETCH_LIMIT).await?;
-    let request = postcard::to_stdvec(&PeerRequest::Picture).map_err(io::Error::other)?;
-    stream.write_u32(request.len() as u32).await?;
-    stream.write_all(&request).await?;
-    let bytes = read_frame(&mut stream, PICTURE_LIMIT).await?;
-    postcard::from_bytes(&bytes).map_err(io::Error::other)
-}
-
-async fn read_frame(stream: &mut TcpStream, limit: u32) -> io::Result<Vec<u8>> {
-    let length = stream.read_u32().await?;
-    if length > limit {
-        return Err(io::Error::from(io::ErrorKind::InvalidData));
-    }
-    let mut bytes = vec![0; length as usize];
-    stream.read_exact(&mut bytes).await?;
-    Ok(bytes)
-}
-
-/// Answers peers that ask for the picture.
-pub async fn serve_peers(entry: Rc<Entry>, listener: TcpListener) {
-    loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            sleep(DEMAND_GAP).await;
-            continue;
-        };
-        let entry = Rc::clone(&entry);
-        spawn_local(async move {
-            if let Ok(Err(error)) = timeout(FETCH_LIMIT, serve_peer(&entry, stream)).await {
-                slog::warn!(entry.log, "peer-call-failed"; "from" => %from, "error" => %error);
-            }
-        });
-    }
-}
-
-async fn serve_peer(entry: &Entry, mut stream: TcpStream) -> io::Result<()> {
-    let request = read_frame(&mut stream, 1024).await?;
-    let PeerRequest::Picture = postcard::from_bytes(&request).map_err(io::Error::other)?;
-    let reply = {
-        let directory = entry.directory.borrow();
-        PictureReply {
-            config: entry.config().map_or(0, |c| c.version),
-            raw_config: entry.raw_config.borrow().to_vec(),
-            servers: directory.end(),
-            raw_servers: directory.raw().map(|(id, raw)| (id.clone(), raw.to_vec())).collect(),
-        }
-    };
-    let bytes = postcard::to_stdvec(&reply).map_err(io::Error::other)?;
-    entry.metrics.exchanged("picture", bytes.len());
-    stream.write_u32(bytes.len() as u32).await?;
-    stream.write_all(&bytes).await?;
-    stream.flush().await
-}
--- /dev/null
+++ b/lib/src/serve/lease_keeper.rs
@@ -0,0 +1,127 @@
+//! Takes, renews and gives up the placement lease.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use crate::place::entries;
+use crate::place::entries::LeaseEntry;
+use crate::place::entries::PLACEMENT;
+use crate::place::tenure::Step;
+use crate::serve::entry::Entry;
+use crate::serve::gossip::Gossip;
+use crate::serve::observe::note_store;
+use crate::store::Feed;
+use crate::store::FeedRecord;
+use crate::store::StoreError;
+
+/// Time between looks while this daemon may not bid.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Carries out what the tenure decides.
+#[derive(Debug)]
+pub struct LeaseKeeper {
+    entry: Rc<Entry>,
+    gossip: Rc<Gossip>,
+}
+
+impl LeaseKeeper {
+    /// Starts without the lease.
+    pub fn new(entry: Rc<Entry>, gossip: Rc<Gossip>) -> Rc<Self> {
+        Rc::new(Self { entry, gossip })
+    }
+
+    /// Takes and renews the lease.
+    pub async fn keep(self: Rc<Self>) {
+        let entry = &self.entry;
+        loop {
+            // A daemon that stops takes no new lease; one that it could not give up it keeps.
+            if entry.stopping.get().is_some() && !entry.tenure.borrow().is_involved() {
+                return;
+            }
+            if entry.config().is_none() || entry.isolated.get() {
+                sleep(LOOK_EVERY).await;
+                continue;
+            }
+            let now = entry.now();
+            let heard = entry.peers.borrow().holder(now).map(|(_, _, tenure)| tenure);
+            let step = entry.tenure.borrow_mut().next(now, heard);
+            match step {
+                Step::Sleep(until) => sleep(until.saturating_sub(now)).await,
+                Step::Read => self.read_lease().await,
+                Step::Append(at, record) => self.append_lease(at, &record).await,
+            }
+        }
+    }
+
+    async fn read_lease(&self) {
+        let entry = &self.entry;
+        let result = entry.store.newest(Feed::Leases).await;
+        note_store(entry, Feed::Leases, result.as_ref().err());
+        let now = entry.now();
+        match result {
+            Ok(batch) => {
+                let newest = batch.records.iter().rev().find(|r| r.key == PLACEMENT);
+                let raw = newest.and_then(|r| r.value.as_ref());
+                let record = raw.and_then(|raw| entries::read::<LeaseEntry>(raw).ok());
+                let was_held = entry.fence().is_some();
+                entry.tenure.borrow_mut().read(now, record.clone(), batch.end);
+                if was_held != entry.fence().is_some() {
+                    slog::info!(entry.log, "lease"; "held" => !was_held,
+                        "record" => ?record, "end" => batch.end);
+                }
+            }
+            Err(_failed) => entry.tenure.borrow_mut().refused(now),
+        }
+    }
+
+    async fn append_lease(&self, at: u64, record: &LeaseEntry) {
+        let entry = &self.entry;
+        let sent = entry.now();
+        let value = entries::write(record);
+        let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT), value: Some(value) };
+        let result = entry.store.append(Feed::Leases, feed_record, Some(at)).await;
+        note_store(entry, Feed::Leases, result.as_ref().err());
+        let now = entry.now();
+        let mut tenure = entry.tenure.borrow_mut();
+        match result {
+            Ok(offset) => {
+                tenure.appended(sent, now, offset);
+                drop(tenure);
+                if record.fence.is_none() {
+                    slog::info!(entry.log, "lease"; "held" => true, "fence" => offset + 1,
+                        "sent_ms_ago" => now.saturating_sub(sent).as_millis());
+                    self.gossip.tell_digest();
+                    entry.plan.notify_one();
+                }
+            }
+            Err(StoreError::Moved | StoreError::Expired) => {
+                slog::info!(entry.log, "lease-append-refused"; "at" => at);
+                tenure.moved();
+            }
+            Err(StoreError::Refused(_)) => tenure.refused(now),
+            Err(StoreError::Doubtful(error)) => {
+                slog::info!(entry.log, "lease-append-doubtful"; "at" => at, "error" => error);
+                tenure.doubtful(sent, now);
+            }
+        }
+    }
+
+    /// Gives the lease up, so that another daemon can take it at once; does nothing where it is not
+    /// held or the store does not answer.
+    pub async fn release(&self) {
+        let entry = &self.entry;
+        let Some((at, record)) = entry.tenure.borrow().release(entry.now()) else { return };
+        let value = Some(entries::write(&record));
+        let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT), value };
+        let result = entry.store.append(Feed::Leases, feed_record, Some(at)).await;
+        slog::info!(entry.log, "lease-release"; "done" => result.is_ok(), "at" => at);
+        // An append without an answer may have given it up: only proof of the contrary keeps it.
+        if matches!(result, Ok(_) | Err(StoreError::Doubtful(_))) {
+            entry.tenure.borrow_mut().released();
+        }
+        self.gossip.tell_digest();
+    }
+}
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -12,10 +12,11 @@
 use crate::serve::accept;
 use crate::serve::entry::Entry;
 use crate::serve::entry::EntrySettings;
-use crate::serve::gossip;
 use crate::serve::gossip::Gossip;
+use crate::serve::lease_keeper::LeaseKeeper;
 use crate::serve::observe;
 use crate::serve::orders::Orders;
+use crate::serve::picture_relay;
 use crate::serve::socket;
 
 /// The balancer asks once a second and needs two refusals; callers that it sends until then are
@@ -47,25 +48,26 @@
 /// # Errors
 ///
 /// An address cannot be used.
-pub fn start(entry: &Rc<Entry>) -> io::Result<Rc<Orders>> {
+pub fn start(entry: &Rc<Entry>) -> io::Result<Rc<LeaseKeeper>> {
     let settings = entry.settings();
     let front = socket::listen(settings.front)?;
     let ready = socket::listen(settings.ready)?;
     let peers = socket::listen(settings.peer)?;
     let gossip = Gossip::new(Rc::clone(entry), socket::datagrams(settings.peer)?);
     let orders = Orders::new(Rc::clone(entry), Rc::clone(&gossip));
+    let lease = LeaseKeeper::new(Rc::clone(entry), Rc::clone(&gossip));
     slog::info!(entry.log, "start"; "id" => settings.id.as_str(), "process" => entry.process,
         "centre" => settings.centre.as_str(), "front" => %settings.front,
         "peer" => %settings.peer, "version" => env!("CARGO_PKG_VERSION"));
     spawn_local(observe::follow_config(Rc::clone(entry)));
     spawn_local(observe::follow_servers(Rc::clone(entry)));
     spawn_local(observe::follow_daemons(Rc::clone(entry)));
-    spawn_local(gossip::serve_peers(Rc::clone(entry), peers));
+    spawn_local(picture_relay::serve_peers(Rc::clone(entry), peers));
     spawn_local(Rc::clone(&gossip).listen());
     spawn_local(Rc::clone(&gossip).tell_digests());
     spawn_local(Rc::clone(&gossip).tell_demand());
     spawn_local(Rc::clone(&gossip).keep_up());
-    spawn_local(Rc::clone(&orders).keep_lease());
+    spawn_local(Rc::clone(&lease).keep());
     spawn_local(Rc::clone(&orders).place());
     spawn_local(accept::serve_callers(Rc::clone(entry), front));
     spawn_local(accept::serve_ready(Rc::clone(entry), ready));
@@ -76,7 +78,7 @@
         Err(error) => slog::warn!(entry.log, "metrics-unserved"; "error" => %error),
     }
     spawn_local(sweep(Rc::clone(entry)));
-    Ok(orders)
+    Ok(lease)
 }
 
 /// Runs a daemon until SIGTERM and the end of its requests.
@@ -87,7 +89,7 @@
 pub async fn run(entry: Rc<Entry>, source: Rc<dyn SettingsSource>) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let orders = start(&entry)?;
+    let lease = start(&entry)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -95,7 +97,7 @@
             () = sleep(RELOAD_EVERY) => reload(&entry, &*source, "look"),
         }
     }
-    stop(&entry, &orders).await;
+    stop(&entry, &lease).await;
     Ok(())
 }
 
@@ -126,7 +128,7 @@
 }
 
 /// Stops without cutting a request: new callers go elsewhere, those that are here are served.
-pub async fn stop(entry: &Rc<Entry>, orders: &Orders) {
+pub async fn stop(entry: &Rc<Entry>, lease: &LeaseKeeper) {
     let began = entry.now();
     entry.stopping.set(Some(began));
     let grace = entry.settings().grace;
@@ -134,7 +136,7 @@
     let mut next_release = began;
     loop {
         if entry.now() >= next_release {
-            orders.release().await;
+            lease.release().await;
             next_release = entry.now() + RELEASE_EVERY;
         }
         let waited = entry.now().saturating_sub(began);
--- /dev/null
+++ b/lib/src/serve/picture_relay.rs
@@ -0,0 +1,87 @@
+//! The platform's records for a daemon that the platform turns away, over a connection to a peer.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::picture::digest::PeerRequest;
+use crate::picture::digest::PictureReply;
+use crate::serve::entry::Entry;
+use crate::serve::socket;
+
+/// Time for another daemon's picture.
+pub const FETCH_LIMIT: Duration = Duration::from_secs(1);
+/// Largest picture of another daemon, in bytes.
+const PICTURE_LIMIT: u32 = 16 * 1024 * 1024;
+/// Largest request of a peer, in bytes.
+const REQUEST_LIMIT: u32 = 1024;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Asks a peer for its picture.
+///
+/// # Errors
+///
+/// The peer cannot be reached or answers nonsense.
+pub async fn fetch_picture(peer: SocketAddr) -> io::Result<PictureReply> {
+    let mut stream = socket::connect(peer, FETCH_LIMIT).await?;
+    let request = postcard::to_stdvec(&PeerRequest::Picture).map_err(io::Error::other)?;
+    stream.write_u32(request.len() as u32).await?;
+    stream.write_all(&request).await?;
+    let bytes = read_frame(&mut stream, PICTURE_LIMIT).await?;
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
+}
+
+async fn read_frame(stream: &mut TcpStream, limit: u32) -> io::Result<Vec<u8>> {
+    let length = stream.read_u32().await?;
+    if length > limit {
+        return Err(io::Error::from(io::ErrorKind::InvalidData));
+    }
+    let mut bytes = vec![0; length as usize];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
+
+/// Answers peers that ask for the picture.
+pub async fn serve_peers(entry: Rc<Entry>, listener: TcpListener) {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let entry = Rc::clone(&entry);
+        spawn_local(async move {
+            if let Ok(Err(error)) = timeout(FETCH_LIMIT, serve_peer(&entry, stream)).await {
+                slog::warn!(entry.log, "peer-call-failed"; "from" => %from, "error" => %error);
+            }
+        });
+    }
+}
+
+async fn serve_peer(entry: &Entry, mut stream: TcpStream) -> io::Result<()> {
+    let request = read_frame(&mut stream, REQUEST_LIMIT).await?;
+    let PeerRequest::Picture = postcard::from_bytes(&request).map_err(io::Error::other)?;
+    let reply = {
+        let directory = entry.directory.borrow();
+        PictureReply {
+            config: entry.config().map_or(0, |c| c.version),
+            raw_config: entry.raw_config.borrow().to_vec(),
+            servers: directory.end(),
+            raw_servers: directory.raw().map(|(id, raw)| (id.clone(), raw.to_vec())).collect(),
+        }
+    };
+    let bytes = postcard::to_stdvec(&reply).map_err(io::Error::other)?;
+    entry.metrics.exchanged("picture", bytes.len());
+    stream.write_u32(bytes.len() as u32).await?;
+    stream.write_all(&bytes).await?;
+    stream.flush().await
+}
