place: keep the lease holder's host free on a fleet that waits

Cause: on 72 daemons with 560 waiting requests the holder's host (0.12 of a core) stood still for seconds: 15 loads of 1.2 s ended together after 4.2 s. Each note of demand walked all daemons' notes, and each waiting model was offered to all 94 engines. A renewal that came late then ended all loads under way (202 of 662 'LeaseLost') and threw demand and ledger away.

Change: a late renewal pauses orders and ends nothing (late_renewal); waiting models are offered to hosts with copies first (copy_unreachable); times of wants are kept per item; the holder's digests come every 0.3 s, so that its silence shows after 0.9 s.

--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -18,8 +18,12 @@
 /// Daemons from which on digests come less often: each daemon sends and takes one for every other,
 /// and this many a third of a second cost about one percent of a tenth of a core.
 const FLEET: usize = 36;
+/// The same for the lease holder: at 72 daemons its digests cost half a percent of a core.
+const HOLDER_FLEET: usize = 100;
 /// A peer that missed this many digests is out of reach: loss alone does not explain it.
 const MISSED: u32 = 5;
+/// A lease holder that missed this many may be gone.
+const MISSED_BY_HOLDER: u32 = 3;
 /// A peer that was silent for this long is forgotten; a daemon that stays away was replaced.
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
@@ -137,15 +141,25 @@
         DIGEST_EVERY.mul_f64((self.daemons() as f64 / FLEET as f64).max(1.0))
     }
 
+    /// Returns the time between the digests of the lease holder, whose silence must show soon.
+    pub fn holder_gap(&self) -> Duration {
+        DIGEST_EVERY.mul_f64((self.daemons() as f64 / HOLDER_FLEET as f64).max(1.0))
+    }
+
     /// Returns after which silence a peer is out of reach.
     pub fn silent_after(&self) -> Duration {
         self.digest_gap() * MISSED
     }
 
     /// Returns the holder of the placement lease with the highest fencing number heard of.
+    ///
+    /// One that fell silent is not returned, so that others look at the lease while its validity runs
+    /// out; they bid only after that.
     pub fn holder(&self, now: Moment) -> Option<(&DaemonId, &Peer, HeardTenure)> {
         let claims = self.peers.iter().filter_map(|(id, p)| Some((id, p, p.tenure?)));
-        claims.filter(|(_, _, t)| now <= t.until).max_by_key(|(_, _, t)| t.fence)
+        let silent = self.holder_gap() * MISSED_BY_HOLDER;
+        let is_fresh = |p: &Peer| p.heard.is_some_and(|h| now <= h + silent);
+        claims.filter(|(_, p, t)| now <= t.until && is_fresh(p)).max_by_key(|(_, _, t)| t.fence)
     }
 
     /// Returns whether every peer of another data centre that was heard before is silent now.
--- a/lib/src/place/demand.rs
+++ b/lib/src/place/demand.rs
@@ -42,6 +42,9 @@
     pub avoid: Vec<ServerId>,
 }
 
+/// Items whose times are kept before old ones are cleared.
+const MOST_WANTED: usize = 4096;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
     value: f64,
@@ -73,7 +76,9 @@
     counts: HashMap<(DaemonId, Item), u32>,
     rates: BTreeMap<Item, Rate>,
     told: HashMap<DaemonId, Told>,
-    since: HashMap<Item, Moment>,
+    /// When each item was first and last wanted; looked through only now and then, as hundreds of
+    /// notes come in a second.
+    wanted: HashMap<Item, (Moment, Moment)>,
 }
 
 impl Demand {
@@ -96,12 +101,27 @@
         let mut waits = BTreeMap::new();
         for want in note.wants {
             let item = Item { service: want.service, model: want.model, adapter: want.adapter };
-            let since = *self.since.entry(item.clone()).or_insert(now);
+            let since = self.since(&item, now);
             let until = now + Duration::from_millis(want.left_ms.into());
             waits.insert(item, Wait { waiting: want.waiting, since, until, avoid: want.avoid });
         }
         self.told.insert(from.clone(), Told { at: now, waits });
-        self.since.retain(|item, _| self.told.values().any(|t| t.waits.contains_key(item)));
+    }
+
+    /// Returns since when an item has been wanted without a pause.
+    fn since(&mut self, item: &Item, now: Moment) -> Moment {
+        if let Some((first, last)) = self.wanted.get_mut(item) {
+            if now > *last + WANT_FRESH {
+                *first = now;
+            }
+            *last = now;
+            return *first;
+        }
+        if self.wanted.len() >= MOST_WANTED {
+            self.wanted.retain(|_, (_, last)| now <= *last + WANT_FRESH);
+        }
+        self.wanted.insert(item.clone(), (now, now));
+        now
     }
 
     /// Returns what is waited for now.
--- a/lib/src/place/offers.rs
+++ b/lib/src/place/offers.rs
@@ -68,6 +68,10 @@
     pub waited: Duration,
 }
 
+fn is_usable(scene: &Scene<'_>, engine: &Engine) -> bool {
+    !engine.server.leaving && !scene.unreachable.contains(&engine.server.id)
+}
+
 /// The offers of all engines, while a plan is made.
 #[derive(Debug)]
 pub struct Offers<'a> {
@@ -97,11 +101,13 @@
         service: &'b str,
     ) -> impl Iterator<Item = &'a Engine> + use<'a, 'b> {
         let scene = self.scene;
-        scene.ledger.engines.values().filter(move |e| {
-            e.server.service == service
-                && !e.server.leaving
-                && !scene.unreachable.contains(&e.server.id)
-        })
+        let engines = scene.ledger.engines.values();
+        engines.filter(move |e| e.server.service == service && is_usable(scene, e))
+    }
+
+    /// Returns whether an engine may get steps.
+    pub fn is_usable(&self, engine: &Engine) -> bool {
+        is_usable(self.scene, engine)
     }
 
     /// Returns arrivals a second of a model, with a small figure for one never asked for.
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -179,13 +179,24 @@
         if self.offers.engines(&item.service).filter(is_open).any(serves) {
             return;
         }
-        let best_offer = |wanted| {
+        let near = self.offers.survey.near(&item.service, &item.model);
+        let best_near = |wanted| {
+            let engines = near.iter().copied().filter(|e| self.offers.is_usable(e));
+            let open = engines.filter(is_open);
+            let offers = open.filter_map(|e| self.offers.offer(e, spec, &item.model, wanted));
+            offers.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        };
+        let best_far = |wanted| {
             let engines = self.offers.engines(&item.service).filter(is_open);
             let offers = engines.filter_map(|e| self.offers.offer(e, spec, &item.model, wanted));
             offers.min_by(|a, b| a.cost.total_cmp(&b.cost))
         };
-        // Only where nothing else can make way do busy models have to.
-        let best = best_offer(None).or_else(|| best_offer(wanted));
+        // A host with a copy of the weights is worth a wait: a load from the weight store takes
+        // several times as long. Only where nothing else can make way do busy models have to.
+        let best = best_near(None)
+            .or_else(|| best_near(wanted))
+            .or_else(|| best_far(None))
+            .or_else(|| best_far(wanted));
         // Where the best engine is at work on another load, the model waits for it.
         if let Some(best) = best.filter(|b| b.can_start) {
             self.begin(best, &item.model, "requests wait");
@@ -216,11 +227,12 @@
     /// Puts an adapter on an engine that holds its model, where none has it yet.
     fn place_adapter(&self, item: &Item, avoid: &[ServerId]) -> Option<Action> {
         let adapter = item.adapter.as_ref()?;
-        let holders: Vec<&Engine> = self
-            .offers
-            .engines(&item.service)
-            .filter(|e| e.holds(&item.model) && !avoid.contains(&e.server.id))
-            .collect();
+        if avoid.is_empty() && self.offers.survey.has_adapter(&item.service, &item.model, adapter) {
+            return None;
+        }
+        let holders = self.offers.survey.holders(&item.service, &item.model);
+        let is_open = |e: &&&Engine| self.offers.is_usable(e) && !avoid.contains(&e.server.id);
+        let holders: Vec<&Engine> = holders.iter().filter(is_open).copied().collect();
         let has = |e: &&Engine| {
             e.holds_adapter(&item.model, adapter) || e.awaits_adapter(&item.model, adapter)
         };
--- a/lib/src/place/survey.rs
+++ b/lib/src/place/survey.rs
@@ -7,11 +7,14 @@
 use crate::ids::CentreId;
 use crate::picture::loads::Loads;
 use crate::place::demand::Demand;
+use crate::place::ledger::Engine;
 use crate::place::ledger::Ledger;
 use crate::place::ledger::Source;
 
 /// A service and a model.
 type ModelKey<'a> = (&'a str, &'a str);
+/// Engines by service, then by model.
+type EnginesByModel<'a> = HashMap<&'a str, HashMap<&'a str, Vec<&'a Engine>>>;
 
 /// Replicas of a model.
 #[derive(Clone, Debug, Default)]
@@ -27,19 +30,28 @@
 pub struct Survey<'a> {
     rates: HashMap<ModelKey<'a>, f64>,
     replicas: HashMap<ModelKey<'a>, Replicas<'a>>,
-    copies: HashSet<ModelKey<'a>>,
+    holders: EnginesByModel<'a>,
+    copies: EnginesByModel<'a>,
+    adapters: HashSet<(&'a str, &'a str, &'a str)>,
     used: HashMap<(&'a str, &'a str), u32>,
     /// Loads from the weight store that are under way.
     pub fetching: usize,
 }
 
+fn find<'a, 'b>(engines: &'b EnginesByModel<'a>, service: &str, model: &str) -> &'b [&'a Engine] {
+    let list = engines.get(service).and_then(|models| models.get(model));
+    list.map_or(&[], Vec::as_slice)
+}
+
 impl<'a> Survey<'a> {
     /// Counts.
     pub fn new(ledger: &'a Ledger, demand: &'a Demand, loads: &'a Loads, now: Moment) -> Self {
         let mut survey = Self {
             rates: HashMap::new(),
             replicas: HashMap::new(),
-            copies: HashSet::new(),
+            holders: HashMap::new(),
+            copies: HashMap::new(),
+            adapters: HashSet::new(),
             used: HashMap::new(),
             fetching: 0,
         };
@@ -60,7 +72,7 @@
         survey
     }
 
-    fn count_engine(&mut self, engine: &'a crate::place::ledger::Engine) {
+    fn count_engine(&mut self, engine: &'a Engine) {
         let service = engine.server.service.as_str();
         let centre = engine.server.centre.as_str();
         let job = engine.job.as_ref();
@@ -72,10 +84,25 @@
             let replicas = self.replicas.entry((service, model)).or_default();
             replicas.count += 1;
             *replicas.centres.entry(centre).or_default() += 1;
-            self.copies.insert((service, model));
         }
-        for model in engine.memory.iter().chain(&engine.disk) {
-            self.copies.insert((service, model));
+        for held in &engine.models {
+            let holders = self.holders.entry(service).or_default();
+            holders.entry(&held.name).or_default().push(engine);
+            for adapter in &held.adapters {
+                self.adapters.insert((service, &held.name, adapter));
+            }
+        }
+        for job in &engine.adapters {
+            self.adapters.insert((service, &job.model, &job.adapter));
+        }
+        let on_host = engine.disk.iter().chain(&engine.memory);
+        let coming = job.map(|j| &j.model);
+        for model in on_host.chain(engine.models.iter().map(|m| &m.name)).chain(coming) {
+            let copies = self.copies.entry(service).or_default();
+            let list = copies.entry(model).or_default();
+            if list.last().is_none_or(|last| last.server.id != engine.server.id) {
+                list.push(engine);
+            }
         }
     }
 
@@ -104,9 +131,24 @@
         replicas.and_then(|r| r.centres.get(centre.as_str())).copied().unwrap_or(0)
     }
 
+    /// Returns the engines that hold a model.
+    pub fn holders(&self, service: &str, model: &str) -> &[&'a Engine] {
+        find(&self.holders, service, model)
+    }
+
+    /// Returns the engines that hold a model, load it, or have a copy of its weights on their host.
+    pub fn near(&self, service: &str, model: &str) -> &[&'a Engine] {
+        find(&self.copies, service, model)
+    }
+
+    /// Returns whether some engine holds or awaits an adapter.
+    pub fn has_adapter(&self, service: &str, model: &str, adapter: &str) -> bool {
+        self.adapters.contains(&(service, model, adapter))
+    }
+
     /// Returns whether some engine holds a model or has a copy of its weights.
     pub fn has_copy(&self, service: &str, model: &str) -> bool {
-        self.copies.contains(&(service, model))
+        !self.near(service, model).is_empty()
     }
 
     /// Returns how many requests for a model run at an engine.
--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -24,8 +24,9 @@
 const MARGIN: Duration = Duration::from_millis(150);
 /// Time between looks at a lease that a peer holds.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
-/// A failed renewal shows for this long that the store is away.
-const OUTAGE_SHOWN: Duration = Duration::from_millis(1500);
+/// A failed renewal shows for this long that the store is away: a silent store shows it once a call's
+/// time limit of a second, and a slow host takes its time in between.
+const OUTAGE_SHOWN: Duration = Duration::from_secs(3);
 
 /// What the holder of the lease has.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -104,6 +105,14 @@
         (self.is_valid(&held, now) && now >= held.orders_from).then_some(held.fence)
     }
 
+    /// Returns the fencing number of the tenure, though its validity may have lapsed for a moment.
+    ///
+    /// A late renewal pauses orders. It ends the tenure only when another daemon proves to have the
+    /// lease: until then what was ordered goes on, and what is known stays known.
+    pub fn standing(&self) -> Option<Fence> {
+        self.held.map(|h| h.fence)
+    }
+
     fn is_valid(&self, held: &Held, now: Moment) -> bool {
         // Where engines check fences, a holder that cannot renew goes on until somebody proves to
         // have taken over: an outage of the store must not stop all placement. The failed renewal
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -80,9 +80,7 @@
         let mut unanswered = false;
         let mut pause = BUSY_PAUSE;
         for tries in 0..TRIES * REPORTS {
-            if entry.fence() != Some(fence) {
-                return Err(OrderFailure::LeaseLost);
-            }
+            self.wait_for_lease(fence).await?;
             let target =
                 entry.directory.borrow().get(server).cloned().ok_or(OrderFailure::Mismatch)?;
             let order = EngineOrder {
@@ -141,6 +139,17 @@
         Err(OrderFailure::Silent)
     }
 
+    /// Waits until orders may be given under `fence`.
+    async fn wait_for_lease(&self, fence: Fence) -> Result<(), OrderFailure> {
+        while self.entry.fence() != Some(fence) {
+            if self.entry.standing() != Some(fence) {
+                return Err(OrderFailure::LeaseLost);
+            }
+            sleep(BUSY_PAUSE).await;
+        }
+        Ok(())
+    }
+
     fn accepted(&self, server: &ServerId, sequence: u64) {
         self.with_engine(server, |engine| engine.sequence = engine.sequence.max(sequence));
     }
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -217,6 +217,11 @@
         self.tenure.borrow().fence(self.now())
     }
 
+    /// Returns the fencing number of this daemon's tenure, though orders may be paused.
+    pub fn standing(&self) -> Option<Fence> {
+        self.tenure.borrow().standing()
+    }
+
     /// Takes one repeated send out of the budget.
     pub fn take_repeat(&self, service: &ServiceName) -> bool {
         let daemons = self.peers.borrow().daemons();
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    fn digest_gap(&self) -> Duration {
+        let peers = self.entry.peers.borrow();
+        let is_holder = self.entry.standing().is_some();
+        if is_holder { peers.holder_gap() } else { peers.digest_gap() }
+    }
+
     fn digest(&self) -> Digest {
         let entry = &self.entry;
         let now = entry.now();
@@ -105,8 +111,7 @@
     pub async fn tell_digests(self: Rc<Self>) {
         loop {
             self.tell_digest();
-            let gap = self.entry.peers.borrow().digest_gap();
-            sleep(gap).await;
+            sleep(self.digest_gap()).await;
         }
     }
 
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -23,7 +23,7 @@
 /// served.
 const LEAVE_TIME: Duration = Duration::from_millis(2600);
 /// Left of the grace for the process to end by itself.
-const END_MARGIN: Duration = Duration::from_millis(400);
+const END_MARGIN: Duration = Duration::from_secs(1);
 /// Time between looks at what is in progress.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Time between tries to give the lease up, while the store is away.
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -104,18 +104,18 @@
 
     fn turn(self: &Rc<Self>) {
         let entry = &self.entry;
-        let fence = entry.fence();
         let Some(config) = entry.config() else { return };
         {
             let mut desk = self.desk.borrow_mut();
-            if desk.fence != fence {
-                desk.fence = fence;
+            let standing = entry.standing();
+            if desk.fence != standing {
+                desk.fence = standing;
                 desk.pace.restart(entry.now());
                 entry.ledger.borrow_mut().doubt_all();
                 *entry.demand.borrow_mut() = Demand::default();
             }
         }
-        let Some(fence) = fence else { return };
+        let Some(fence) = entry.fence() else { return };
         entry.ledger.borrow_mut().follow(&entry.directory.borrow(), &config);
         self.read_unconfirmed();
         for action in self.plan(&config) {
@@ -276,7 +276,7 @@
         self.publish(server, &job.model, fence);
         sleep(time.saturating_sub(REPORT_LAG)).await;
         loop {
-            if self.entry.fence() != Some(fence) {
+            if self.entry.standing() != Some(fence) {
                 return Err(OrderFailure::LeaseLost);
             }
             if let Some(report) = self.engines.report(server).await
--- /dev/null
+++ b/lib/tests/test_demand.rs
@@ -0,0 +1,86 @@
+//! Demand of all daemons, as the lease holder hears it.
+
+use std::time::Duration;
+
+use comfreymux_lib::boot_clock::Moment;
+use comfreymux_lib::picture::digest::CountNote;
+use comfreymux_lib::picture::digest::DemandNote;
+use comfreymux_lib::picture::digest::WantNote;
+use comfreymux_lib::place::demand::Demand;
+use comfreymux_lib::place::demand::Item;
+
+const fn ms(ms: u64) -> Moment {
+    Duration::from_millis(ms)
+}
+
+fn item() -> Item {
+    Item { service: "draft".into(), model: "rare".into(), adapter: None }
+}
+
+fn want(waiting: u32, avoid: &[&str]) -> DemandNote {
+    let want = WantNote {
+        service: "draft".into(),
+        model: "rare".into(),
+        adapter: None,
+        waiting,
+        left_ms: 5_000,
+        avoid: avoid.iter().map(|id| (*id).into()).collect(),
+    };
+    DemandNote { wants: vec![want], counts: Vec::new() }
+}
+
+fn count(count: u32) -> DemandNote {
+    let count = CountNote { service: "draft".into(), model: "rare".into(), adapter: None, count };
+    DemandNote { wants: Vec::new(), counts: vec![count] }
+}
+
+#[test]
+fn waits_summed() {
+    let mut demand = Demand::default();
+    demand.hear(&"d1".into(), want(2, &["e1", "e2"]), ms(100));
+    demand.hear(&"d2".into(), want(3, &["e2"]), ms(300));
+    let waits = demand.waits(ms(400));
+    let wait = &waits[&item()];
+    assert_eq!((wait.waiting, wait.since), (5, ms(100)));
+    assert_eq!(wait.avoid, ["e2"], "an engine that one daemon reaches can be used");
+}
+
+/// A daemon dies with its waiting requests; nothing must be loaded for them for long.
+#[test]
+fn silent_forgotten() {
+    let mut demand = Demand::default();
+    demand.hear(&"d1".into(), want(2, &[]), ms(100));
+    assert!(demand.waits(ms(5_000)).is_empty());
+}
+
+/// A wait that ended and another later are two waits: the second has not waited long.
+#[test]
+fn pause_ends() {
+    let mut demand = Demand::default();
+    demand.hear(&"d1".into(), want(1, &[]), ms(100));
+    demand.hear(&"d1".into(), want(1, &[]), ms(500));
+    assert_eq!(demand.waits(ms(600))[&item()].since, ms(100));
+    demand.hear(&"d1".into(), want(1, &[]), ms(9_000));
+    assert_eq!(demand.waits(ms(9_000))[&item()].since, ms(9_000));
+}
+
+/// A daemon starts anew and counts from zero; its old counts must not make a burst.
+#[test]
+fn restart_counted() {
+    let mut demand = Demand::default();
+    demand.hear(&"d1".into(), count(1_000), ms(100));
+    let rate = demand.item_rate(&item(), ms(100));
+    assert!(rate < 1.0, "{rate}");
+    demand.hear(&"d1".into(), count(4), ms(200));
+    assert!(demand.item_rate(&item(), ms(200)) < 2.0);
+}
+
+/// Demand moves on; what was asked for half a minute ago is no reason to keep a model.
+#[test]
+fn rate_fades() {
+    let mut demand = Demand::default();
+    demand.hear(&"d1".into(), count(0), ms(0));
+    demand.hear(&"d1".into(), count(60), ms(1_000));
+    assert!(demand.item_rate(&item(), ms(1_000)) > 5.0);
+    assert!(demand.item_rate(&item(), ms(31_000)) < 0.2);
+}
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -177,6 +177,27 @@
     assert_eq!(load_of(&site.plan(), "rare"), None);
 }
 
+/// The only host with a copy cannot be reached from the waiting daemons; the weight store has to do.
+#[test]
+fn copy_unreachable() {
+    let mut site = Site::new(&[("a", 70_000, 0), ("b", 70_000, 0), ("rare", 70_000, 0)]);
+    site.engine("e1", &["a", "b"], &[]);
+    site.engine("e2", &["a", "b"], &["rare"]);
+    let want = WantNote {
+        service: SERVICE.into(),
+        model: "rare".into(),
+        adapter: None,
+        waiting: 1,
+        left_ms: 10_000,
+        avoid: vec!["e2".into()],
+    };
+    let note = DemandNote { wants: vec![want], counts: Vec::new() };
+    site.demand.hear(&"d1".into(), note, NOW);
+    let plan = site.plan();
+    let (server, _, source) = load_of(&plan, "rare").expect("loaded");
+    assert_eq!((server, source), ("e1", Source::Store));
+}
+
 /// An engine at work is worth waiting for where its disk has the model.
 #[test]
 fn job_awaited() {
--- a/lib/tests/test_tenure.rs
+++ b/lib/tests/test_tenure.rs
@@ -275,3 +275,16 @@
         assert!(VALID > Duration::ZERO);
     }
 }
+
+/// A renewal comes a second late on a slow host. A third of all loads were given up as if the lease
+/// were lost, and what was known of demand and engines was thrown away.
+#[test]
+fn late_renewal() {
+    let mut feed = Feed::default();
+    let mut a = daemon(1, true);
+    feed.settle(&mut a, ms(100));
+    assert_eq!(a.fence(ms(3_000)), None);
+    assert_eq!(a.standing(), Some(1));
+    feed.settle(&mut a, ms(3_100));
+    assert_eq!(a.fence(ms(3_100)), Some(1));
+}
