serve: a stream without an event is no stream; one place takes holdings in

A stream that ends before its first event was passed on as complete; a resumable one goes on elsewhere now. Two copies of taking holdings in and of an offer for later became one each.

--- a/lib/src/place/offers.rs
+++ b/lib/src/place/offers.rs
@@ -59,6 +59,14 @@
     pub can_start: bool,
 }
 
+impl<'a> Offer<'a> {
+    /// An offer that cannot begin now.
+    fn later(engine: &'a Engine, source: Source, time: Duration) -> Self {
+        let cost = time.as_secs_f64();
+        Self { engine, victims: Vec::new(), source, time, cost, can_start: false }
+    }
+}
+
 /// A model that requests wait for.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted {
@@ -263,15 +271,7 @@
             }
             // Whatever makes way then, the job's own end comes first.
             time += job.eta.saturating_sub(now) + ORDER_TIME;
-            let cost = time.as_secs_f64();
-            return Some(Offer {
-                engine,
-                victims: Vec::new(),
-                source,
-                time,
-                cost,
-                can_start: false,
-            });
+            return Some(Offer::later(engine, source, time));
         }
         let Some((victims, loss)) = self.victims(engine, spec, model_spec.size, wanted) else {
             if !self.has_room_soon(engine, spec, model_spec.size, wanted) {
@@ -280,15 +280,7 @@
             // A copy on this host's disk is worth a short wait: a load from the weight store at
             // another engine takes longer.
             time += SETTLE + ORDER_TIME;
-            let cost = time.as_secs_f64();
-            return Some(Offer {
-                engine,
-                victims: Vec::new(),
-                source,
-                time,
-                cost,
-                can_start: false,
-            });
+            return Some(Offer::later(engine, source, time));
         };
         if !victims.is_empty() {
             time += ORDER_TIME;
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -25,6 +25,7 @@
 use crate::picture::directory::Directory;
 use crate::picture::health::Evidence;
 use crate::picture::health::Health;
+use crate::picture::holdings::Holding;
 use crate::picture::holdings::Holdings;
 use crate::picture::loads::Loads;
 use crate::picture::peer_table::PeerTable;
@@ -237,6 +238,19 @@
         }
     }
 
+    /// Takes in the lease holder's word on what engines hold, and wakes those that wait for it.
+    pub fn put_holdings(&self, fence: Fence, list: Vec<Holding>) {
+        let now = self.now();
+        let directory = self.directory.borrow();
+        let mut holdings = self.holdings.borrow_mut();
+        for holding in list {
+            let beat = directory.get(&holding.server).map_or(0, |s| s.beat);
+            holdings.put(fence, holding, beat, now);
+        }
+        drop(holdings);
+        self.waits.changed.notify_waiters();
+    }
+
     /// Calls `f` with what a choice of servers looks at.
     pub fn choose<T>(&self, f: impl FnOnce(&Chooser<'_>) -> T) -> T {
         let directory = self.directory.borrow();
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -137,7 +137,9 @@
         let mut flow = Flow::new(answer, resume, work);
         let events = match flow.next().await? {
             Progress::Events(events) => events,
-            Progress::End => Bytes::new(),
+            // Nothing may be left of a stream that its caller takes up again.
+            Progress::End if resume.is_some() => Bytes::new(),
+            Progress::End => return Err(SendFailure::doubtful("the stream has no event")),
         };
         flow.work.first_event();
         Ok(Opened::Stream(Box::new(Started { head, flow, events, first: entry.now() })))
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -227,14 +227,7 @@
                 }
             }
             Content::Holdings(fence, list) => {
-                let directory = entry.directory.borrow();
-                let mut holdings = entry.holdings.borrow_mut();
-                for holding in list {
-                    let beat = directory.get(&holding.server).map_or(0, |s| s.beat);
-                    holdings.put(fence, holding, beat, now);
-                }
-                drop(holdings);
-                entry.waits.changed.notify_waiters();
+                entry.put_holdings(fence, list);
             }
         }
     }
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -16,7 +16,6 @@
 use crate::ids::ServerId;
 use crate::picture::configuration::Configuration;
 use crate::picture::configuration::ModelSpec;
-use crate::picture::holdings::Holding;
 use crate::place::demand::Demand;
 use crate::place::ledger::AdapterJob;
 use crate::place::ledger::Engine;
@@ -406,24 +405,11 @@
             let waiting: Vec<_> = waiting.into_iter().cloned().collect();
             drop(demand);
             self.gossip.tell_holding(fence, &holding, &waiting);
-            self.put(fence, vec![holding]);
+            entry.put_holdings(fence, vec![holding]);
         }
         entry.plan.notify_one();
     }
 
-    fn put(&self, fence: Fence, list: Vec<Holding>) {
-        let entry = &self.entry;
-        let now = entry.now();
-        let directory = entry.directory.borrow();
-        let mut holdings = entry.holdings.borrow_mut();
-        for holding in list {
-            let beat = directory.get(&holding.server).map_or(0, |s| s.beat);
-            holdings.put(fence, holding, beat, now);
-        }
-        drop(holdings);
-        entry.waits.changed.notify_waiters();
-    }
-
     /// Tells all daemons what changed, in a large fleet in batches.
     fn tell(&self, fence: Fence) {
         let entry = &self.entry;
@@ -445,6 +431,6 @@
         drop(ledger);
         drop(desk);
         self.gossip.tell_holdings(fence, &list);
-        self.put(fence, list);
+        entry.put_holdings(fence, list);
     }
 }
