soak: break some answers with every trouble

Change: each trouble also makes a server break eight of its next answers, drawn from a course of its own, so that the troubles of a seed stay what they were.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -84,9 +84,11 @@
         spawn_local(callers::ask_on(Rc::clone(&outcome), fronts.clone(), seed, number));
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut broken = ChaCha8Rng::seed_from_u64(!seed);
     let began = Instant::now();
     while began.elapsed() < time {
         plan::strike(&world, &mut rng).await;
+        plan::sprinkle(&world, &mut broken);
         let pause = Duration::from_millis(rng.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -30,6 +30,19 @@
     Behaviour::RepeatEvent,
 ];
 
+/// Broken answers that a server gives after each trouble.
+const SPRINKLE: usize = 8;
+
+/// Makes one server break some of its next answers, whatever else happens.
+///
+/// It draws from a course of its own, so that the troubles of a seed stay what they were.
+pub fn sprinkle(world: &World, rng: &mut ChaCha8Rng) {
+    let servers = world.servers.borrow();
+    let server = &servers[rng.random_range(0..servers.len())];
+    let broken = (0..SPRINKLE).map(|_| BROKEN[rng.random_range(0..BROKEN.len())]);
+    server.script.borrow_mut().extend(broken);
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
