--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -155,10 +155,10 @@
     if status != 200 {
         return;
     }
-    if answer.header("x-comfreymux-attempt-id") != attempt {
+    if answer.attempt() != attempt {
         fault("another request's answer");
     }
-    if answer.header("x-comfreymux-server-stamp").is_empty() {
+    if !answer.is_signed() {
         fault("a success without a server's signature");
     }
     let text = String::from_utf8_lossy(&answer.body);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -82,9 +82,7 @@
             later(time, move || store.delay.set(Duration::ZERO));
         }
         6 => {
-            world.store.compact("keyed.op");
-            world.store.compact("keyed.servers");
-            world.store.wake();
+            world.store.forget_history();
         }
         7 | 8 => {
             let proxies = if kind == 7 { &world.store_proxies } else { &world.front_proxies };
@@ -103,7 +101,7 @@
         }
         _ => {
             let version = world.next_version();
-            world.store.put("keyed.op", "config", Some(&configuration(version)));
+            world.store.put_config(&configuration(version));
         }
     }
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -79,7 +79,7 @@
         folder: &Path,
     ) -> io::Result<Rc<Self>> {
         let store = StoreStandin::start().await?;
-        store.put("keyed.op", "config", Some(&configuration(1)));
+        store.put_config(&configuration(1));
         let mut daemons = Vec::new();
         let mut store_proxies = Vec::new();
         let mut front_proxies = Vec::new();
@@ -179,7 +179,7 @@
         let store = Rc::clone(&self.store);
         spawn_local(async move {
             sleep(BEAT * 3).await;
-            store.put("keyed.servers", &server.id, None);
+            store.remove_server(&server.id);
         });
     }
 
@@ -193,7 +193,7 @@
         spawn_local(async move {
             sleep(LEAVE_TIME).await;
             server.crash();
-            store.put("keyed.servers", &server.id, None);
+            store.remove_server(&server.id);
         });
     }
 
