serve: pass whole answers on in one place, drop what nobody read

A server's whole answer was passed on by two copies of the same lines; reply has the one now. Every request's prompt parts were parsed and never looked at, and the pool counted connections and their reuse for nobody: removed.

--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -43,8 +43,6 @@
     pub adapter: Option<SmolStr>,
     /// Tokens of the prompt.
     pub prompt: u32,
-    /// Parts of the prompt, in order, with their tokens; equal ids are equal text.
-    pub parts: Vec<(u64, u32)>,
 }
 
 /// What a send tells a backend server beside the caller's request.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -16,8 +16,8 @@
 use crate::serve::choose::Chosen;
 use crate::serve::entry::Entry;
 use crate::serve::handle::log_answer;
-use crate::serve::headers::strip_connection;
 use crate::serve::reply::Refusal;
+use crate::serve::reply::pass_on;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
 use crate::verdict::Verdict;
@@ -66,7 +66,7 @@
                 attempt.verdict = Verdict::Ran;
                 log_answer(entry, attempt, head.status, "answered", None);
                 entry.metrics.first_byte(entry.now().saturating_sub(attempt.arrived));
-                return Ok(relay(head, body));
+                return Ok(pass_on(head, body));
             }
             Err(failure) => {
                 attempt.failed(entry, &failure);
@@ -139,12 +139,3 @@
         .await
         .unwrap_or_else(|_elapsed| Err(SendFailure::doubtful("no answer in time")))
 }
-
-/// Passes a server's answer on: its status, body and headers, less those of the connection.
-fn relay(head: response::Parts, body: Bytes) -> Response<ReplyBody> {
-    let mut response = Response::new(ReplyBody::whole(body));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
-    strip_connection(response.headers_mut());
-    response
-}
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -22,6 +22,7 @@
 use crate::serve::headers::strip_connection;
 use crate::serve::relay::Relay;
 use crate::serve::reply::Refusal;
+use crate::serve::reply::pass_on;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
 use crate::verdict::Verdict;
@@ -64,11 +65,7 @@
         Ok(Opened::Other(head, body)) => {
             attempt.verdict = Verdict::Ran;
             log_answer(entry, &attempt, head.status, "answered", None);
-            let mut response = Response::new(ReplyBody::whole(body));
-            *response.status_mut() = head.status;
-            *response.headers_mut() = head.headers;
-            strip_connection(response.headers_mut());
-            Ok(response)
+            Ok(pass_on(head, body))
         }
         Ok(Opened::Stream(started)) => Ok(relay(entry, attempt, *started)),
         Err(refusal) => Err((refusal, attempt)),
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -32,8 +32,6 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     server: ServerId,
-    /// Whether it has carried a request before.
-    pub reused: bool,
 }
 
 #[derive(Debug)]
@@ -46,7 +44,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<ServerId, Vec<Idle>>>>,
-    opened: Rc<std::cell::Cell<u64>>,
 }
 
 impl Connection {
@@ -57,11 +54,6 @@
 }
 
 impl Pool {
-    /// Returns how many connections were opened.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Returns an idle connection that is still sound.
     fn take_idle(&self, server: &ServerId) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -69,7 +61,7 @@
         let now = Instant::now();
         while let Some(Idle { sender, until }) = list.pop() {
             if now < until && sender.is_ready() {
-                return Some(Connection { sender, server: server.clone(), reused: true });
+                return Some(Connection { sender, server: server.clone() });
             }
         }
         None
@@ -98,14 +90,13 @@
     /// The server cannot be reached; nothing was sent.
     pub async fn fresh(&self, server: &ServerId, addr: SocketAddr) -> std::io::Result<Connection> {
         let stream = socket::connect(addr, CONNECT_LIMIT).await?;
-        self.opened.set(self.opened.get() + 1);
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
         let (sender, driver) = handshake.await.map_err(std::io::Error::other)?;
         spawn_local(async move {
             // Its end shows at the sender; the reason is logged where a request met it.
             let _ended = driver.await;
         });
-        Ok(Connection { sender, server: server.clone(), reused: false })
+        Ok(Connection { sender, server: server.clone() })
     }
 
     /// Takes a connection back after a complete answer to its request.
--- a/lib/src/serve/reply.rs
+++ b/lib/src/serve/reply.rs
@@ -1,4 +1,4 @@
-//! Answers of our own.
+//! Answers to callers: a server's, passed on whole, and our own.
 
 use std::time::Duration;
 
@@ -7,10 +7,21 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::response;
 
 use crate::serve::body::ReplyBody;
+use crate::serve::headers::strip_connection;
 use crate::verdict::Verdict;
 
+/// Passes a server's whole answer on: its status, body and headers, less those of the connection.
+pub fn pass_on(head: response::Parts, body: Bytes) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole(body));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    strip_connection(response.headers_mut());
+    response
+}
+
 /// An answer of our own and why it was given.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Refusal {
