store_pace: learn from loads under way, and hand on what is known

The number was learned only at the end of a load. Ruled out: the configuration does not say how many run at full speed. Change: the work that each load would have done is added up for every possible number; a load that ends early proves a number, one that is late refutes it before it has ended. Two begin together while nothing is known. The lease's record hands the result on. Tests: sharing_learned for four stores, shown_early, knowledge_inherited, dark_ignored, limit_doubted.

--- a/lib/src/place/entries.rs
+++ b/lib/src/place/entries.rs
@@ -9,6 +9,7 @@
 use crate::ids::DaemonId;
 use crate::ids::Fence;
 use crate::picture::digest::ProcessId;
+use crate::place::store_pace::StoreShare;
 use crate::protocol::FormatError;
 
 /// Key of the record of the placement lease.
@@ -34,6 +35,9 @@
     pub fence: Option<Fence>,
     /// Whether the holder gave the lease up.
     pub released: bool,
+    /// What the holder knew of the weight store.
+    #[serde(default)]
+    pub share: StoreShare,
 }
 
 /// Writes a record.
--- a/lib/src/place/store_pace.rs
+++ b/lib/src/place/store_pace.rs
@@ -1,17 +1,65 @@
 //! How fast models may come from the weight store, and how many at once it serves at full speed.
+//!
+//! The store does not say how many loads it serves at full speed; beyond that number they share it,
+//! each slower in proportion. Loads show it by their time: for each number that is possible, the work
+//! that a load would have done by now is added up. One that ends before its work is done by a number
+//! proves that the store serves more; one that goes on long after it is done proves that it serves
+//! fewer.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::boot_clock::Moment;
+use crate::ids::ServerId;
 
-/// Loads from the weight store that run at full speed at once, until measured otherwise.
-const PARALLEL: usize = 4;
-/// A load that takes this much longer than it should alone shows that the store is shared.
-const SLOWED: f64 = 1.3;
+/// Loads at once at most: more would take engines out of service for callers who wait elsewhere.
+const MOST: usize = 4;
+/// Loads at once while nothing is known. One alone would show nothing.
+const FIRST: usize = 2;
+/// Part of a load's work after which an end counts as punctual: loads of one size differ a little.
+const DONE: f64 = 0.85;
+/// A load that has not ended after this many times its work shows that the store serves fewer.
+const LATE: f64 = 1.3;
 /// Part of the ceiling that a new holder of the lease uses for one window: it does not know what the
 /// one before ordered.
 const FIRST_PART: f64 = 0.5;
+/// After this time a limit is doubted: a slow phase of the store may have passed.
+const DOUBT_AFTER: Duration = Duration::from_mins(1);
+
+/// What is known of the weight store, handed on from holder to holder of the placement lease.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreShare {
+    /// Loads at once that were seen at full speed.
+    pub proven: usize,
+    /// Most loads at once that may be at full speed.
+    pub limit: usize,
+}
+
+impl Default for StoreShare {
+    fn default() -> Self {
+        Self { proven: 1, limit: MOST }
+    }
+}
+
+impl StoreShare {
+    /// Returns how many loads at once to run: all that are proven, and as many again as a trial.
+    pub fn parallel(self) -> usize {
+        (self.proven * FIRST).min(self.limit).max(1)
+    }
+}
+
+/// A load from the weight store that is under way.
+#[derive(Debug)]
+struct Running {
+    server: ServerId,
+    /// Its time where it has the store for itself.
+    alone: Duration,
+    /// Work done so far in seconds, were 1, 2, … loads served at full speed.
+    done: [f64; MOST],
+}
 
 /// Loads from the weight store.
 #[derive(Debug)]
@@ -20,23 +68,86 @@
     since: Moment,
     /// When loads of the last window began.
     begun: VecDeque<Moment>,
-    parallel: usize,
+    running: Vec<Running>,
+    /// Until when work is added up.
+    counted: Moment,
+    share: StoreShare,
+    limited: Moment,
 }
 
 impl StorePace {
     /// Begins with nothing ordered.
     pub fn new(since: Moment) -> Self {
-        Self { since, begun: VecDeque::new(), parallel: PARALLEL }
+        Self {
+            since,
+            begun: VecDeque::new(),
+            running: Vec::new(),
+            counted: since,
+            share: StoreShare::default(),
+            limited: since,
+        }
     }
 
-    /// Begins anew, as a new holder of the lease.
-    pub fn restart(&mut self, now: Moment) {
+    /// Begins anew, as a new holder of the lease, with what the one before knew.
+    pub fn restart(&mut self, now: Moment, share: StoreShare) {
         self.since = now;
+        self.running.clear();
+        self.counted = now;
+        self.limited = now;
+        self.share =
+            StoreShare { proven: share.proven.clamp(1, MOST), limit: share.limit.clamp(1, MOST) };
     }
 
-    /// Notes that a load begins.
-    pub fn begin(&mut self, now: Moment) {
+    /// Notes that an engine begins a load that takes `alone` by itself.
+    pub fn begin(&mut self, server: &ServerId, alone: Duration, now: Moment) {
+        self.count(now);
         self.begun.push_back(now);
+        self.running.push(Running { server: server.clone(), alone, done: [0.0; MOST] });
+    }
+
+    /// Notes that an engine's load is over; learns from one that succeeded.
+    pub fn end(&mut self, server: &ServerId, succeeded: bool, now: Moment) {
+        self.count(now);
+        let Some(at) = self.running.iter().position(|r| r.server == *server) else { return };
+        let load = self.running.remove(at);
+        if !succeeded {
+            return;
+        }
+        let due = load.alone.as_secs_f64() * DONE;
+        let proven = load.done.iter().position(|done| *done >= due).map_or(MOST, |n| n + 1);
+        self.share.proven = self.share.proven.max(proven.min(self.share.limit));
+    }
+
+    /// Looks for loads that are late; returns whether the store turned out to serve fewer at once.
+    pub fn look(&mut self, now: Moment) -> bool {
+        self.count(now);
+        if now > self.limited + DOUBT_AFTER && self.share.limit < MOST {
+            self.limited = now;
+            self.share.limit += 1;
+        }
+        let is_late =
+            |load: &&Running, n: usize| load.done[n - 1] > load.alone.as_secs_f64() * LATE;
+        // A load that is late even alone says nothing of the store: its engine may be at fault.
+        let lates = self.running.iter().filter(|load| !is_late(load, 1));
+        let fewest = lates.filter_map(|load| (2..=MOST).find(|n| is_late(&load, *n))).min();
+        let Some(limit) = fewest.map(|n| n - 1).filter(|limit| *limit < self.share.limit) else {
+            return false;
+        };
+        self.share = StoreShare { proven: self.share.proven.min(limit), limit };
+        self.limited = now;
+        true
+    }
+
+    /// Adds up the work of the loads under way.
+    fn count(&mut self, now: Moment) {
+        let time = now.saturating_sub(self.counted).as_secs_f64();
+        self.counted = now;
+        let at_once = self.running.len() as f64;
+        for load in &mut self.running {
+            for (n, done) in load.done.iter_mut().enumerate() {
+                *done += time * ((n + 1) as f64 / at_once).min(1.0);
+            }
+        }
     }
 
     /// Returns how many loads may begin, where `rate` a second are allowed in each `window`.
@@ -51,26 +162,13 @@
         most.saturating_sub(self.begun.len())
     }
 
-    /// Returns how many loads at once run at full speed, as far as known.
-    pub fn parallel(&self) -> usize {
-        self.parallel
+    /// Returns what is known of the store.
+    pub fn share(&self) -> StoreShare {
+        self.share
     }
 
     /// Returns the time of a load that runs beside others, `count` in all.
     pub fn shared(&self, alone: Duration, count: usize) -> Duration {
-        alone.mul_f64((count as f64 / self.parallel as f64).max(1.0))
-    }
-
-    /// Learns from a load that took `took` while `count` ran at its end; returns whether the store
-    /// turned out to serve fewer at full speed.
-    pub fn learn(&mut self, took: Duration, alone: Duration, count: usize) -> bool {
-        let factor = took.as_secs_f64() / alone.as_secs_f64().max(f64::EPSILON);
-        if factor <= SLOWED || count > self.parallel {
-            return false;
-        }
-        let fitting = (count.max(1) as f64 / factor).floor().max(1.0) as usize;
-        let is_fewer = fitting < self.parallel;
-        self.parallel = self.parallel.min(fitting);
-        is_fewer
+        alone.mul_f64((count as f64 / self.share.parallel() as f64).max(1.0))
     }
 }
--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -13,6 +13,7 @@
 use crate::picture::digest::ProcessId;
 use crate::picture::peer_table::HeardTenure;
 use crate::place::entries::LeaseEntry;
+use crate::place::store_pace::StoreShare;
 
 /// Time for which a renewal is valid, counted from before its append was sent. For as long after a
 /// holder's end nothing is loaded; a store that takes 100 times its usual 4 ms still renews in time.
@@ -90,6 +91,8 @@
     /// When the store last failed to answer.
     outage: Option<Moment>,
     retry_at: Moment,
+    /// What is known of the weight store: the holder's own word, else that of the newest record.
+    share: StoreShare,
 }
 
 impl Tenure {
@@ -116,9 +119,20 @@
             unsettled: None,
             outage: None,
             retry_at: Moment::ZERO,
+            share: StoreShare::default(),
         }
     }
 
+    /// Returns what the last holder knew of the weight store, as far as read.
+    pub fn share(&self) -> StoreShare {
+        self.share
+    }
+
+    /// Takes in what this daemon knows of the weight store, to be handed on with the lease.
+    pub fn keep_share(&mut self, share: StoreShare) {
+        self.share = share;
+    }
+
     /// Returns the fencing number while this daemon may give orders.
     pub fn fence(&self, now: Moment) -> Option<Fence> {
         let held = self.held?;
@@ -193,7 +207,8 @@
     }
 
     fn record(&self, fence: Option<Fence>) -> LeaseEntry {
-        LeaseEntry { holder: self.me.clone(), process: self.process, fence, released: false }
+        let (holder, process, share) = (self.me.clone(), self.process, self.share);
+        LeaseEntry { holder, process, fence, released: false, share }
     }
 
     /// Returns the record that gives the lease up, where it is held and the store answers.
@@ -268,6 +283,7 @@
             }
         } else {
             self.lost();
+            self.share = entry.as_ref().map_or(self.share, |e| e.share);
             let is_held = entry.as_ref().is_some_and(|e| !e.released);
             // The holder told until when the record is valid, unless it wrote a later one, perhaps
             // just before this read.
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -109,7 +109,7 @@
             let standing = entry.standing();
             if desk.fence != standing {
                 desk.fence = standing;
-                desk.pace.restart(entry.now());
+                desk.pace.restart(entry.now(), entry.tenure.borrow().share());
                 entry.ledger.borrow_mut().doubt_all();
                 *entry.demand.borrow_mut() = Demand::default();
             }
@@ -117,12 +117,26 @@
         let Some(fence) = entry.fence() else { return };
         entry.ledger.borrow_mut().follow(&entry.directory.borrow(), &config);
         self.read_unconfirmed();
+        self.look_at_store();
         for action in self.plan(&config) {
             self.begin(action, fence);
         }
         self.tell(fence);
     }
 
+    /// Learns how many loads the weight store serves at full speed, and hands that on.
+    fn look_at_store(&self) {
+        let entry = &self.entry;
+        let mut desk = self.desk.borrow_mut();
+        let is_fewer = desk.pace.look(entry.now());
+        let share = desk.pace.share();
+        if is_fewer {
+            slog::info!(entry.log, "weight-store-shared"; "full_speed" => share.limit,
+                "proven" => share.proven);
+        }
+        entry.tenure.borrow_mut().keep_share(share);
+    }
+
     fn plan(&self, config: &Configuration) -> Vec<Action> {
         let entry = &self.entry;
         let now = entry.now();
@@ -134,7 +148,7 @@
         let avoided = ledger.engines.keys().filter(|id| health.is_avoided(id, now)).cloned();
         let window = entry.settings().load_window;
         let mut desk = self.desk.borrow_mut();
-        let parallel = desk.pace.parallel();
+        let parallel = desk.pace.share().parallel();
         let store_room = if rate.is_finite() { desk.pace.room(rate, window, now) } else { 0 };
         drop(desk);
         let scene = Scene {
@@ -206,8 +220,10 @@
                     "waiting" => entry.demand.borrow().waits(now).values().map(|w| w.waiting).sum::<u32>());
                 let job = Job { model, victims, source, since: now, eta: now + time };
                 engine.job = Some(job.clone());
+                let service = engine.server.service.clone();
+                let alone = self.load_time(&service, &job.model);
                 if source == Source::Store {
-                    self.desk.borrow_mut().pace.begin(now);
+                    self.desk.borrow_mut().pace.begin(&server, alone, now);
                 }
                 self.desk.borrow_mut().untold.insert(server.clone(), TELLINGS);
                 let orders = Rc::clone(self);
@@ -236,6 +252,7 @@
         slog::info!(entry.log, "load-ended"; "server" => %server, "model" => job.model.as_str(),
             "source" => ?job.source, "result" => ?result,
             "ms" => now.saturating_sub(job.since).as_millis());
+        self.desk.borrow_mut().pace.end(&server, result.is_ok(), now);
         self.with_engine(&server, |engine| {
             engine.job = None;
             match result {
@@ -262,7 +279,6 @@
             self.engines.order(server, OrderKind::Unload, victim, None, fence).await?;
             self.with_engine(server, |engine| engine.unloaded(victim));
         }
-        let began = self.entry.now();
         self.engines.order(server, OrderKind::Load, &job.model, None, fence).await?;
         let time = self.plain_time(server, job);
         let accepted = self.entry.now();
@@ -282,7 +298,6 @@
                 && !report.busy
                 && report.models.iter().any(|m| m.name == job.model)
             {
-                self.learn_pace(server, job, began);
                 return Ok(());
             }
             if self.entry.now() > eta + OVERDUE {
@@ -292,12 +307,16 @@
         }
     }
 
-    /// The model of a job as the configuration describes it.
-    fn model_spec(&self, server: &ServerId, job: &Job) -> Option<ModelSpec> {
-        let service = self.with_engine(server, |e| e.server.service.clone())?;
+    /// A model as the configuration describes it.
+    fn model_spec(&self, service: &str, model: &str) -> Option<ModelSpec> {
         let config = self.entry.config()?;
-        let engine = config.services.get(&service)?.engine.as_ref()?;
-        engine.models.get(&job.model).cloned()
+        let engine = config.services.get(service)?.engine.as_ref()?;
+        engine.models.get(model).cloned()
+    }
+
+    /// The time of a load from the weight store that has it for itself.
+    fn load_time(&self, service: &str, model: &str) -> Duration {
+        self.model_spec(service, model).map_or(Duration::ZERO, |spec| spec.load)
     }
 
     fn fetching(&self) -> usize {
@@ -307,7 +326,8 @@
 
     /// The time of a load that shares the weight store with those under way.
     fn plain_time(&self, server: &ServerId, job: &Job) -> Duration {
-        let Some(spec) = self.model_spec(server, job) else {
+        let service = self.with_engine(server, |e| e.server.service.clone());
+        let Some(spec) = service.and_then(|service| self.model_spec(&service, &job.model)) else {
             return job.eta.saturating_sub(job.since);
         };
         match job.source {
@@ -317,22 +337,6 @@
         }
     }
 
-    /// Learns from a load's time how many the weight store serves at full speed.
-    fn learn_pace(&self, server: &ServerId, job: &Job, began: Moment) {
-        let Some(spec) = self.model_spec(server, job).filter(|_| job.source == Source::Store)
-        else {
-            return;
-        };
-        let took = self.entry.now().saturating_sub(began).saturating_sub(REPORT_LAG);
-        let fetching = self.fetching();
-        let mut desk = self.desk.borrow_mut();
-        if desk.pace.learn(took, spec.load, fetching) {
-            slog::info!(self.entry.log, "weight-store-shared"; "took_ms" => took.as_millis(),
-                "alone_ms" => spec.load.as_millis(), "at_once" => fetching,
-                "full_speed" => desk.pace.parallel());
-        }
-    }
-
     async fn run_adapter(
         self: Rc<Self>,
         server: ServerId,
--- a/lib/tests/test_store_pace.rs
+++ b/lib/tests/test_store_pace.rs
@@ -1,23 +1,30 @@
-//! Loads from the weight store: never over their ceiling, and slowed where the store is.
+//! Loads from the weight store: never over their ceiling, and as many at once as it serves well.
 
 use std::time::Duration;
 
 use comfreymux_lib::place::store_pace::StorePace;
+use comfreymux_lib::place::store_pace::StoreShare;
+use rstest::rstest;
 
 const WINDOW: Duration = Duration::from_secs(5);
 const RATE: f64 = 2.0;
+const ALONE: Duration = Duration::from_secs(6);
 
 fn at(seconds: u64) -> Duration {
     Duration::from_secs(100 + seconds)
 }
 
+fn begin(pace: &mut StorePace, loads: std::ops::Range<usize>, now: Duration) {
+    for n in loads {
+        pace.begin(&format!("e{n}").into(), ALONE, now);
+    }
+}
+
 #[test]
 fn ceiling_kept() {
     let mut pace = StorePace::new(Duration::ZERO);
     assert_eq!(pace.room(RATE, WINDOW, at(0)), 10);
-    for _ in 0..10 {
-        pace.begin(at(1));
-    }
+    begin(&mut pace, 0..10, at(1));
     assert_eq!(pace.room(RATE, WINDOW, at(5)), 0);
     assert_eq!(pace.room(RATE, WINDOW, at(7)), 10);
 }
@@ -26,19 +33,80 @@
 #[test]
 fn successor_careful() {
     let mut pace = StorePace::new(Duration::ZERO);
-    pace.restart(at(0));
+    pace.restart(at(0), StoreShare::default());
     assert_eq!(pace.room(RATE, WINDOW, at(1)), 5);
     assert_eq!(pace.room(RATE, WINDOW, at(6)), 10);
 }
 
-/// Four loads at once take four times as long: the store serves one at a time.
+/// The real store, for loads that begin together: `full` at once run at full speed, and more share
+/// it. Returns how many at once are run in the end.
+fn settle(full: usize) -> StoreShare {
+    let mut pace = StorePace::new(at(0));
+    let mut now = at(0);
+    for _ in 0..4 {
+        let count = pace.share().parallel();
+        begin(&mut pace, 0..count, now);
+        let took = ALONE.mul_f64((count as f64 / full as f64).max(1.0));
+        let end = now + took;
+        while now < end {
+            now += Duration::from_millis(100);
+            pace.look(now);
+        }
+        for n in 0..count {
+            pace.end(&format!("e{n}").into(), true, now);
+        }
+    }
+    pace.share()
+}
+
+/// Callers wait four times as long for a model as its load should take: four loads at once shared
+/// a store that serves one at full speed, and nobody learned it before the first of them ended.
+#[rstest]
+#[case::one(1, 1)]
+#[case::two(2, 2)]
+#[case::four(4, 4)]
+#[case::more(9, 4)]
+fn sharing_learned(#[case] full: usize, #[case] parallel: usize) {
+    assert_eq!(settle(full).parallel(), parallel);
+}
+
+/// Two loads share a store that serves one: it shows before either has ended.
 #[test]
-fn sharing_learned() {
-    let mut pace = StorePace::new(Duration::ZERO);
-    let alone = Duration::from_secs(6);
-    assert!(!pace.learn(Duration::from_secs(7), alone, 4));
-    assert_eq!(pace.shared(alone, 4), alone);
-    assert!(pace.learn(Duration::from_secs(24), alone, 4));
-    assert_eq!(pace.parallel(), 1);
-    assert_eq!(pace.shared(alone, 2), alone * 2);
+fn shown_early() {
+    let mut pace = StorePace::new(at(0));
+    begin(&mut pace, 0..2, at(0));
+    assert!(!pace.look(at(7)));
+    assert!(pace.look(at(8)));
+    assert_eq!(pace.share().parallel(), 1);
+    assert_eq!(pace.shared(ALONE, 2), ALONE * 2);
+}
+
+/// Each new holder of the lease began four more loads, which shared a store that serves one; engines
+/// were out of service with them for the rest of the day. It goes on with what was known.
+#[test]
+fn knowledge_inherited() {
+    let mut pace = StorePace::new(at(0));
+    pace.restart(at(0), StoreShare { proven: 1, limit: 1 });
+    assert_eq!(pace.share().parallel(), 1);
+}
+
+/// A host goes dark in the middle of a load: its lateness says nothing of the store.
+#[test]
+fn dark_ignored() {
+    let mut pace = StorePace::new(at(0));
+    begin(&mut pace, 0..1, at(0));
+    for second in 1..60 {
+        assert!(!pace.look(at(second)));
+    }
+    pace.end(&"e0".into(), false, at(60));
+    assert_eq!(pace.share(), StoreShare::default());
+}
+
+/// The store was slow for a while: a limit learned then is tried again a minute later.
+#[test]
+fn limit_doubted() {
+    let mut pace = StorePace::new(at(0));
+    pace.restart(at(0), StoreShare { proven: 1, limit: 1 });
+    pace.look(at(61));
+    assert_eq!(pace.share().parallel(), 2);
 }
