planner: load what lies on no host by demand, not by who asked first

An engine at work offered to load them later at no loss, which was always cheapest, so nothing began; and the first to ask had the store's turn. Ruled out: the ceiling of loads (27 a second), the holder's own time. Change: models without a usable copy are loaded in a pass of their own, the most asked for first, at engines that can begin now, with as many at once as the store serves; busy ones before second replicas. Tests: demand_first and copyless_begun failed before.

--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns whether the host keeps a copy of a model's weights beside a loaded one.
+    pub fn has_copy(&self, model: &str) -> bool {
+        self.source(model) != Source::Store
+    }
+
     /// Returns how many adapters it holds or awaits.
     pub fn adapter_count(&self) -> usize {
         self.models.iter().map(|m| m.adapters.len()).sum::<usize>() + self.adapters.len()
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -117,9 +117,10 @@
             Planner { scene: self, offers, waits, placed: HashSet::new(), actions: Vec::new() };
         planner.serve_waits();
         planner.serve_adapters();
+        planner.fetch(true);
         planner.add_replicas();
         planner.add_adapters();
-        planner.fetch();
+        planner.fetch(false);
         planner.actions
     }
 }
@@ -186,17 +187,9 @@
             let offers = open.filter_map(|e| self.offers.offer(e, spec, &item.model, wanted));
             offers.min_by(|a, b| a.cost.total_cmp(&b.cost))
         };
-        let best_far = |wanted| {
-            let engines = self.offers.engines(&item.service).filter(is_open);
-            let offers = engines.filter_map(|e| self.offers.offer(e, spec, &item.model, wanted));
-            offers.min_by(|a, b| a.cost.total_cmp(&b.cost))
-        };
         // A host with a copy of the weights is worth a wait: a load from the weight store takes
         // several times as long. Only where nothing else can make way do busy models have to.
-        let best = best_near(None)
-            .or_else(|| best_near(wanted))
-            .or_else(|| best_far(None))
-            .or_else(|| best_far(wanted));
+        let best = best_near(None).or_else(|| best_near(wanted));
         // Where the best engine is at work on another load, the model waits for it.
         if let Some(best) = best.filter(|b| b.can_start) {
             self.begin(best, &item.model, "requests wait");
@@ -329,33 +322,64 @@
         }
     }
 
-    /// Loads a model that has no copy on any engine, so that one lies on a disk.
-    fn fetch(&mut self) {
-        let most = if self.scene.demand.is_empty() { FETCHES } else { FETCHES_BUSY };
+    /// Loads models without a copy on any usable engine from the weight store, the most asked for
+    /// first: those that are asked for now, or in spare time all others, so that one copy lies on a
+    /// disk.
+    ///
+    /// The store is slow, and slower where loads share it: a rare model that asked first must not take
+    /// the place of one that many callers come for.
+    fn fetch(&mut self, is_urgent: bool) {
+        let is_calm = self.scene.demand.is_empty();
+        let most = if is_urgent || is_calm { FETCHES } else { FETCHES_BUSY };
+        let most = most.min(self.scene.parallel);
         for service in self.scene.config.services.values() {
             let Some(spec) = &service.engine else { continue };
-            let lacks = |model: &&ModelName| {
-                !self.offers.survey.has_copy(&service.name, model)
-                    && !self.placed.contains(&(service.name.clone(), (*model).clone()))
-            };
-            let mut missing: Vec<&ModelName> = spec.models.keys().filter(lacks).collect();
-            let rate = |model: &ModelName| self.offers.rate(&service.name, model);
-            missing.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
-            for model in missing {
-                if self.offers.fetching >= most.min(self.scene.parallel)
-                    || self.offers.store_room == 0
-                {
+            let mut missing: Vec<(f64, &ModelName)> = spec
+                .models
+                .keys()
+                .filter(|model| !self.has_copy(&service.name, model))
+                .map(|model| (self.pull(&service.name, model), model))
+                .filter(|(pull, _)| !is_urgent || *pull >= BUSY_RATE)
+                .collect();
+            missing.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+            for (rate, model) in missing {
+                if self.offers.fetching >= most || self.offers.store_room == 0 {
                     return;
                 }
+                let wanted = is_urgent.then_some(Wanted { rate, waited: Duration::ZERO });
+                let avoid = self.avoid(&service.name, model);
                 let offers = self
                     .offers
                     .engines(&service.name)
-                    .filter(|e| e.models.iter().all(|m| e.source(&m.name) != Source::Store))
-                    .filter_map(|e| self.offers.offer(e, spec, model, None));
+                    .filter(|e| !avoid.contains(&e.server.id))
+                    .filter(|e| is_urgent || e.models.iter().all(|m| e.has_copy(&m.name)))
+                    .filter_map(|e| self.offers.offer(e, spec, model, wanted));
                 let open = offers.filter(|o| o.can_start);
-                let Some(best) = open.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
+                let Some(best) = open.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { continue };
                 self.begin(best, model, "no copy on any host");
             }
         }
     }
+
+    /// Whether some usable engine holds a model, loads it, or has a copy of its weights.
+    fn has_copy(&self, service: &SmolStr, model: &ModelName) -> bool {
+        let avoid = self.avoid(service, model);
+        let is_open = |e: &&Engine| self.offers.is_usable(e) && !avoid.contains(&e.server.id);
+        self.placed.contains(&(service.clone(), model.clone()))
+            || self.offers.survey.near(service, model).iter().any(is_open)
+    }
+
+    /// Engines that the requests that wait for a model cannot use.
+    fn avoid(&self, service: &SmolStr, model: &ModelName) -> &[ServerId] {
+        let item = Item { service: service.clone(), model: model.clone(), adapter: None };
+        self.waits.get(&item).map_or(&[], |wait| &wait.avoid)
+    }
+
+    /// Arrivals a second of a model, its waiting requests counted as if they came in a second.
+    fn pull(&self, service: &SmolStr, model: &ModelName) -> f64 {
+        let is_it = |i: &Item| i.service == *service && i.model == *model;
+        let waiting: u32 =
+            self.waits.iter().filter(|(i, _)| is_it(i)).map(|(_, w)| w.waiting).sum();
+        self.offers.rate(service, model) + f64::from(waiting)
+    }
 }
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -41,6 +41,7 @@
     demand: Demand,
     loads: Loads,
     room: usize,
+    parallel: usize,
 }
 
 fn spec(size: u64, adapters: usize) -> ModelSpec {
@@ -72,6 +73,7 @@
             demand: Demand::default(),
             loads: Loads::default(),
             room: 8,
+            parallel: 4,
         }
     }
 
@@ -134,7 +136,7 @@
             demand: &self.demand,
             loads: &self.loads,
             unreachable: Vec::new(),
-            parallel: 4,
+            parallel: self.parallel,
             store_room: self.room,
         };
         scene.plan()
@@ -298,6 +300,44 @@
     assert_eq!(site.plan().len(), 1);
 }
 
+/// Callers of a busy model are refused for a minute. All hosts with copies of its weights were taken
+/// away; the weight store serves one load at a time, and a rare model that had been asked for a little
+/// earlier took its turn, since the longest wait came first.
+#[test]
+fn demand_first() {
+    let names = ["a", "b", "c", "d", "rare", "asked"];
+    let mut site = Site::new(&names.map(|n| (n, 60_000, 0)));
+    site.engine("e1", &["a", "b"], &[]);
+    site.engine("e2", &["c", "d"], &[]);
+    site.parallel = 1;
+    site.want("rare", None);
+    site.busy("asked", 2);
+    let plan = site.plan();
+    assert!(load_of(&plan, "asked").is_some(), "{plan:?}");
+    assert_eq!(load_of(&plan, "rare"), None);
+}
+
+/// The same callers: every engine was at work on some other load, and the busy model was promised the
+/// one that would be free first, over and over, as that had nothing to lose yet.
+#[test]
+fn copyless_begun() {
+    let mut site = Site::new(&["a", "b", "c", "d", "asked"].map(|n| (n, 70_000, 0)));
+    site.engine("e1", &["a", "b"], &[]).job = Some(Job {
+        model: "c".into(),
+        victims: vec!["b".into()],
+        source: Source::Disk,
+        since: NOW,
+        eta: NOW + Duration::from_millis(200),
+    });
+    site.engine("e2", &["c", "d"], &[]);
+    site.busy("asked", 3);
+    site.want("asked", None);
+    for model in ["c", "d"] {
+        site.busy(model, 2);
+    }
+    assert_eq!(load_of(&site.plan(), "asked").map(|l| l.0), Some("e2"));
+}
+
 /// A new holder of the lease does not know yet what an engine holds after a late order.
 #[test]
 fn unconfirmed_spared() {
