find: refuse at once what lies on no host and comes too late

Change: they are refused as soon as that is known, with the load's time as Retry-After; where a load could end in time, after the holder's 0.7 s without a word of it. Ruled out: refusing where engines tell nothing of copies; they may have some. Test: copyless_refused failed before (held for 1.7 s).

--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -98,6 +98,26 @@
         }
     }
 
+    /// Returns whether a model is held by an engine, or its weights lie on the host of one.
+    ///
+    /// Where no engine of the service tells of copies, every model may have some.
+    pub fn has_copy(&self, item: &Item) -> bool {
+        let engines = self.directory.servers().filter(|s| s.service == item.service);
+        let mut tells = false;
+        for server in engines {
+            let copies = &server.copies;
+            tells |= !copies.disk.is_empty() || !copies.memory.is_empty();
+            let is_usable = !server.leaving && !self.health.is_dark(&server.id, self.now);
+            let is_near = copies.disk.contains(&item.model)
+                || copies.memory.contains(&item.model)
+                || self.holdings.holds(server, &item.model, None);
+            if is_usable && is_near {
+                return true;
+            }
+        }
+        !tells
+    }
+
     /// Returns the engines of a service that cannot be reached from here.
     pub fn dark(&self, service: &str) -> Vec<ServerId> {
         let is_dark =
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -103,6 +103,12 @@
         _ if now + FIRST_EVENT > give_up => {
             Some(Refusal::failed(verdict, "the model was not loaded in time", COME_BACK))
         }
+        None if !entry.choose(|c| c.has_copy(item)) => {
+            let load = load_time(attempt, item);
+            let is_silent = now > began + WORD_TIME;
+            (is_silent || now + load > give_up)
+                .then(|| Refusal::failed(verdict, "no host has a copy of the model", load))
+        }
         None if give_up < now + WORD_TIME && now > began + WORD_TIME => {
             Some(Refusal::failed(verdict, "no engine can load the model in time", COME_BACK))
         }
@@ -110,6 +116,12 @@
     }
 }
 
+/// Time of the model's load from the weight store.
+fn load_time(attempt: &Attempt, item: &Item) -> Duration {
+    let engine = attempt.config.services.get(&item.service).and_then(|s| s.engine.as_ref());
+    engine.and_then(|e| e.models.get(&item.model)).map_or(COME_BACK, |m| m.load)
+}
+
 /// Chooses another server for a stream that broke off; callers wait for events, so not for long.
 pub async fn find_again(entry: &Rc<Entry>, attempt: &mut Attempt) -> Option<Chosen> {
     let item = attempt.item()?;
