place: add replicas as demand peaks, and keep the weight store free for them

Their arrivals were counted over six seconds, and replicas on hosts with copies were at the end; the weight store was taken by loads that had begun beside others: a load's time is fixed when it begins (13.4 s alone, 26.7 s as the second), so that one extra load held the store for long. Ruled out: routing (servers of a model had equal load). Change: replicas follow the arrivals of two seconds and the slots that requests in progress fill; they wait for a host with a copy that is at work; the pace of the store reckons with the number of loads at a load's start; loads that nobody waits for are no trial where they are long. A plan counts requests in progress once instead of once for each model of each engine. Tests: peak_followed, full_relieved, copy_awaited; sharing_learned reworked to the store's real behaviour, with the same four stores.

--- a/lib/src/picture/loads.rs
+++ b/lib/src/picture/loads.rs
@@ -51,6 +51,15 @@
     fresh: Duration,
 }
 
+impl Tables {
+    /// This daemon's requests and those of peers that were heard lately.
+    fn all(&self, now: Moment) -> impl Iterator<Item = (&Place, &Work)> {
+        let fresh = self.peers.values().filter(move |(heard, _)| now <= *heard + self.fresh);
+        let peers = fresh.flat_map(|(_, list)| list.iter().map(|(place, work)| (place, work)));
+        self.own.iter().chain(peers)
+    }
+}
+
 /// Counts of requests in progress.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
@@ -105,18 +114,20 @@
         work
     }
 
-    /// Returns how many requests for a model are in progress at an engine.
-    pub fn running(&self, server: &str, model: &str, now: Moment) -> u32 {
-        let is_it = |p: &Place| p.server == server && p.model.as_deref() == Some(model);
-        self.sum(now, is_it).running
+    /// Returns how many requests are in progress at each place.
+    pub fn running(&self, now: Moment) -> HashMap<Place, u32> {
+        let tables = self.tables.borrow();
+        let mut all = HashMap::new();
+        for (place, work) in tables.all(now) {
+            *all.entry(place.clone()).or_default() += work.running;
+        }
+        all
     }
 
     fn sum(&self, now: Moment, counts: impl Fn(&Place) -> bool) -> Work {
         let tables = self.tables.borrow();
-        let fresh = tables.peers.values().filter(|(heard, _)| now <= *heard + tables.fresh);
-        let peers = fresh.flat_map(|(_, list)| list.iter().map(|(place, work)| (place, work)));
         let mut sum = Work::default();
-        for (_, work) in tables.own.iter().chain(peers).filter(|(place, _)| counts(place)) {
+        for (_, work) in tables.all(now).filter(|(place, _)| counts(place)) {
             sum.running += work.running;
             sum.prompt += work.prompt;
         }
--- a/lib/src/place/demand.rs
+++ b/lib/src/place/demand.rs
@@ -15,6 +15,9 @@
 
 /// Arrivals count for this long in a rate: demand moves to other models within seconds.
 const MEMORY: f64 = 6.0;
+/// The same for a peak, which must show while its first callers are being served. Over two seconds the
+/// arrivals of a model that needs a second replica (four a second) scatter by a third.
+const PEAK_MEMORY: f64 = 2.0;
 /// A daemon's wants count for this long after it told them; it repeats them five times meanwhile.
 const WANT_FRESH: Duration = Duration::from_millis(1200);
 
@@ -45,22 +48,32 @@
 /// Items whose times are kept before old ones are cleared.
 const MOST_WANTED: usize = 4096;
 
+/// Arrivals a second, fading over two times.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
     value: f64,
+    peak: f64,
     at: Moment,
 }
 
 impl Rate {
     fn add(&mut self, now: Moment, count: f64) {
-        self.value = self.get(now) * MEMORY + count;
-        self.value /= MEMORY;
+        self.value = self.get(now) + count / MEMORY;
+        self.peak = self.get_peak(now) + count / PEAK_MEMORY;
         self.at = now;
     }
 
     fn get(self, now: Moment) -> f64 {
+        self.value * self.faded(now, MEMORY)
+    }
+
+    fn get_peak(self, now: Moment) -> f64 {
+        self.peak * self.faded(now, PEAK_MEMORY)
+    }
+
+    fn faded(self, now: Moment, memory: f64) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.value * (-age / MEMORY).exp()
+        (-age / memory).exp()
     }
 }
 
@@ -149,6 +162,11 @@
         self.rates.iter().map(move |(item, rate)| (item, rate.get(now)))
     }
 
+    /// Returns arrivals a second of each item over the last two seconds or so.
+    pub fn peaks(&self, now: Moment) -> impl Iterator<Item = (&Item, f64)> {
+        self.rates.iter().map(move |(item, rate)| (item, rate.get_peak(now)))
+    }
+
     /// Returns the daemons with requests that wait for a model or an adapter of it.
     pub fn waiting_daemons(&self, service: &str, models: &[&str]) -> Vec<&DaemonId> {
         let is_it = |i: &Item| i.service == service && models.contains(&i.model.as_str());
--- a/lib/src/place/offers.rs
+++ b/lib/src/place/offers.rs
@@ -22,6 +22,9 @@
 /// Arrivals a second that one replica of a busy model serves before another is added. Reading a
 /// prompt keeps an engine's batch busy for some 75 ms; at four a second a third of its time.
 const RATE_PER_REPLICA: f64 = 4.0;
+/// Part of an engine's slots that a model's requests may fill before another replica is added: a full
+/// batch makes new requests wait for a slot, and the load of a replica takes as long as some requests.
+const FILLED: f64 = 0.5;
 /// Arrivals a second assumed of a model that was never asked for: once a minute.
 const UNKNOWN_RATE: f64 = 0.015;
 /// Worth of a second of waiting, compared with an eviction's expected loss in requests a second.
@@ -123,12 +126,12 @@
         self.survey.rate(service, model).max(UNKNOWN_RATE)
     }
 
-    fn is_used(&self, engine: &Engine, model: &str) -> bool {
-        self.survey.running(&engine.server.id, model) > 0
+    fn is_used(&self, engine: &Engine, model: &ModelName) -> bool {
+        self.survey.running_at(&engine.server.id, model) > 0
     }
 
     /// Expected loss of evicting a model from one engine, in requests a second that meet no replica.
-    fn loss(&self, engine: &Engine, model: &str) -> f64 {
+    fn loss(&self, engine: &Engine, model: &ModelName) -> f64 {
         let service = &engine.server.service;
         let rate = self.rate(service, model);
         let replicas = self.survey.replicas(service, model);
@@ -139,17 +142,21 @@
     }
 
     /// A victim in use is the last choice: the load would wait for its requests.
-    fn delay_loss(&self, engine: &Engine, model: &str) -> f64 {
+    fn delay_loss(&self, engine: &Engine, model: &ModelName) -> f64 {
         if self.is_used(engine, model) { RUNNING_DELAY.as_secs_f64() / LOSS_SECONDS } else { 0.0 }
     }
 
-    /// Replicas that a model's demand asks for.
-    pub fn needed(&self, service: &str, model: &str) -> usize {
-        let rate = self.rate(service, model);
-        if rate < BUSY_RATE {
+    /// Replicas that a model's demand asks for: by its arrivals, and by its requests in progress, which
+    /// pile up where these take longer than expected.
+    pub fn needed(&self, service: &str, model: &ModelName) -> usize {
+        if self.rate(service, model) < BUSY_RATE {
             return 1;
         }
-        ((rate / RATE_PER_REPLICA).ceil() as usize).max(LEAST_BUSY)
+        let slots = self.spec(service).map_or(1, |s| s.slots.max(1));
+        let running = f64::from(self.survey.running(service, model));
+        let by_work = running / (f64::from(slots) * FILLED);
+        let by_rate = self.survey.peak(service, model) / RATE_PER_REPLICA;
+        (by_rate.max(by_work).ceil() as usize).max(LEAST_BUSY)
     }
 
     /// Whether a busy model must stay where it is.
@@ -243,10 +250,7 @@
         match source {
             Source::Memory => spec.warm,
             Source::Disk => spec.disk,
-            Source::Store => {
-                let share = (self.fetching + 1) as f64 / self.scene.parallel.max(1) as f64;
-                spec.load.mul_f64(share.max(1.0))
-            }
+            Source::Store => self.scene.share.time(spec.load, self.fetching + 1),
         }
     }
 
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -15,6 +15,7 @@
 use crate::ids::ModelName;
 use crate::ids::ServerId;
 use crate::picture::configuration::Configuration;
+use crate::picture::configuration::EngineSpec;
 use crate::picture::loads::Loads;
 use crate::place::demand::Demand;
 use crate::place::demand::Item;
@@ -26,6 +27,7 @@
 use crate::place::offers::Offer;
 use crate::place::offers::Offers;
 use crate::place::offers::Wanted;
+use crate::place::store_pace::StoreShare;
 use crate::place::survey::Survey;
 
 /// Loads from the weight store under way at once, those that nobody waits for.
@@ -33,6 +35,10 @@
 /// The same once there is traffic: engines that fetch cannot serve other loads meanwhile.
 const FETCHES_BUSY: usize = 3;
 
+/// Longest load that is tried beside others while nobody waits for it. Where the store serves fewer at
+/// once it takes twice as long or more, and what callers ask for meanwhile waits behind it.
+const TRIAL_LOAD: Duration = Duration::from_secs(8);
+
 /// A step to take at one engine.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -79,8 +85,8 @@
     pub loads: &'a Loads,
     /// Engines that cannot be reached from the holder.
     pub unreachable: Vec<ServerId>,
-    /// Loads from the weight store at once that are still at full speed.
-    pub parallel: usize,
+    /// What is known of the weight store.
+    pub share: StoreShare,
     /// Loads from the weight store that may still begin under its ceiling.
     pub store_room: usize,
 }
@@ -279,12 +285,12 @@
             }
             let key = (SmolStr::new(service), ModelName::new(model));
             let engines = self.offers.engines(service).count();
-            let needed = self.offers.needed(service, model).min(engines);
+            let needed = self.offers.needed(service, &key.1).min(engines);
             if self.placed.contains(&key) || self.offers.survey.replicas(service, model) >= needed {
                 continue;
             }
             let Some(spec) = self.offers.spec(service) else { continue };
-            let may_fetch = self.offers.fetching < self.scene.parallel;
+            let may_fetch = self.offers.fetching < self.scene.share.parallel();
             let spread = |o: &Offer<'_>| {
                 self.offers.survey.replicas_in(service, model, &o.engine.server.centre) as f64
                     + o.cost
@@ -293,8 +299,10 @@
                 .offers
                 .engines(service)
                 .filter_map(|e| self.offers.offer(e, spec, model, None));
-            let open = offers.filter(|o| o.can_start && (o.source != Source::Store || may_fetch));
-            let best = open.min_by(|a, b| spread(a).total_cmp(&spread(b)));
+            // A host with a copy that is at work now is worth a wait: the weight store is slower, and
+            // others need it more.
+            let best = offers.min_by(|a, b| spread(a).total_cmp(&spread(b)));
+            let best = best.filter(|o| o.can_start && (o.source != Source::Store || may_fetch));
             if let Some(best) = best {
                 self.begin(best, &key.1, "busy model");
             }
@@ -329,11 +337,9 @@
     /// The store is slow, and slower where loads share it: a rare model that asked first must not take
     /// the place of one that many callers come for.
     fn fetch(&mut self, is_urgent: bool) {
-        let is_calm = self.scene.demand.is_empty();
-        let most = if is_urgent || is_calm { FETCHES } else { FETCHES_BUSY };
-        let most = most.min(self.scene.parallel);
         for service in self.scene.config.services.values() {
             let Some(spec) = &service.engine else { continue };
+            let most = if is_urgent { self.scene.share.parallel() } else { self.spare(spec) };
             let mut missing: Vec<(f64, &ModelName)> = spec
                 .models
                 .keys()
@@ -361,6 +367,15 @@
         }
     }
 
+    /// Loads from the weight store at once that nobody waits for.
+    fn spare(&self, spec: &EngineSpec) -> usize {
+        let most = if self.scene.demand.is_empty() { FETCHES } else { FETCHES_BUSY };
+        let longest = spec.models.values().map(|m| m.load).max().unwrap_or_default();
+        let share = self.scene.share;
+        let proven = if longest > TRIAL_LOAD { share.proven } else { share.parallel() };
+        most.min(proven)
+    }
+
     /// Whether some usable engine holds a model, loads it, or has a copy of its weights.
     fn has_copy(&self, service: &SmolStr, model: &ModelName) -> bool {
         let avoid = self.avoid(service, model);
--- a/lib/src/place/store_pace.rs
+++ b/lib/src/place/store_pace.rs
@@ -1,10 +1,9 @@
 //! How fast models may come from the weight store, and how many at once it serves at full speed.
 //!
-//! The store does not say how many loads it serves at full speed; beyond that number they share it,
-//! each slower in proportion. Loads show it by their time: for each number that is possible, the work
-//! that a load would have done by now is added up. One that ends before its work is done by a number
-//! proves that the store serves more; one that goes on long after it is done proves that it serves
-//! fewer.
+//! The store does not say how many loads it serves at full speed; one that begins beside more takes
+//! longer in proportion, for all of its time. Loads show the number by their time: one that ends sooner
+//! than it should by a number proves that the store serves more, and one that goes on for longer proves
+//! that it serves fewer, long before it ends.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -19,9 +18,9 @@
 const MOST: usize = 4;
 /// Loads at once while nothing is known. One alone would show nothing.
 const FIRST: usize = 2;
-/// Part of a load's work after which an end counts as punctual: loads of one size differ a little.
+/// Part of a load's time after which an end counts as punctual: loads of one size differ a little.
 const DONE: f64 = 0.85;
-/// A load that has not ended after this many times its work shows that the store serves fewer.
+/// A load that has not ended after this many times its time shows that the store serves fewer.
 const LATE: f64 = 1.3;
 /// Part of the ceiling that a new holder of the lease uses for one window: it does not know what the
 /// one before ordered.
@@ -49,16 +48,29 @@
     pub fn parallel(self) -> usize {
         (self.proven * FIRST).min(self.limit).max(1)
     }
+
+    /// Returns the time of a load that begins beside others, `count` in all.
+    pub fn time(self, alone: Duration, count: usize) -> Duration {
+        alone.mul_f64((count as f64 / self.parallel() as f64).max(1.0))
+    }
 }
 
 /// A load from the weight store that is under way.
 #[derive(Debug)]
 struct Running {
     server: ServerId,
+    since: Moment,
     /// Its time where it has the store for itself.
     alone: Duration,
-    /// Work done so far in seconds, were 1, 2, … loads served at full speed.
-    done: [f64; MOST],
+    /// Loads under way when it began, itself included.
+    count: usize,
+}
+
+impl Running {
+    /// Its time in seconds, were `full` loads at once served at full speed.
+    fn time(&self, full: usize) -> f64 {
+        self.alone.as_secs_f64() * (self.count as f64 / full as f64).max(1.0)
+    }
 }
 
 /// Loads from the weight store.
@@ -69,8 +81,6 @@
     /// When loads of the last window began.
     begun: VecDeque<Moment>,
     running: Vec<Running>,
-    /// Until when work is added up.
-    counted: Moment,
     share: StoreShare,
     limited: Moment,
 }
@@ -82,7 +92,6 @@
             since,
             begun: VecDeque::new(),
             running: Vec::new(),
-            counted: since,
             share: StoreShare::default(),
             limited: since,
         }
@@ -92,7 +101,6 @@
     pub fn restart(&mut self, now: Moment, share: StoreShare) {
         self.since = now;
         self.running.clear();
-        self.counted = now;
         self.limited = now;
         self.share =
             StoreShare { proven: share.proven.clamp(1, MOST), limit: share.limit.clamp(1, MOST) };
@@ -100,36 +108,36 @@
 
     /// Notes that an engine begins a load that takes `alone` by itself.
     pub fn begin(&mut self, server: &ServerId, alone: Duration, now: Moment) {
-        self.count(now);
         self.begun.push_back(now);
-        self.running.push(Running { server: server.clone(), alone, done: [0.0; MOST] });
+        let count = self.running.len() + 1;
+        self.running.push(Running { server: server.clone(), since: now, alone, count });
     }
 
     /// Notes that an engine's load is over; learns from one that succeeded.
     pub fn end(&mut self, server: &ServerId, succeeded: bool, now: Moment) {
-        self.count(now);
         let Some(at) = self.running.iter().position(|r| r.server == *server) else { return };
         let load = self.running.remove(at);
         if !succeeded {
             return;
         }
-        let due = load.alone.as_secs_f64() * DONE;
-        let proven = load.done.iter().position(|done| *done >= due).map_or(MOST, |n| n + 1);
+        let took = now.saturating_sub(load.since).as_secs_f64();
+        let proven = (1..=MOST).find(|full| took >= load.time(*full) * DONE).unwrap_or(1);
         self.share.proven = self.share.proven.max(proven.min(self.share.limit));
     }
 
     /// Looks for loads that are late; returns whether the store turned out to serve fewer at once.
     pub fn look(&mut self, now: Moment) -> bool {
-        self.count(now);
         if now > self.limited + DOUBT_AFTER && self.share.limit < MOST {
             self.limited = now;
             self.share.limit += 1;
         }
-        let is_late =
-            |load: &&Running, n: usize| load.done[n - 1] > load.alone.as_secs_f64() * LATE;
-        // A load that is late even alone says nothing of the store: its engine may be at fault.
+        let is_late = |load: &Running, full: usize| {
+            now.saturating_sub(load.since).as_secs_f64() > load.time(full) * LATE
+        };
+        // A load that is late even with the store shared by all says nothing of it: its engine may be
+        // at fault.
         let lates = self.running.iter().filter(|load| !is_late(load, 1));
-        let fewest = lates.filter_map(|load| (2..=MOST).find(|n| is_late(&load, *n))).min();
+        let fewest = lates.filter_map(|load| (2..=MOST).find(|full| is_late(load, *full))).min();
         let Some(limit) = fewest.map(|n| n - 1).filter(|limit| *limit < self.share.limit) else {
             return false;
         };
@@ -138,18 +146,6 @@
         true
     }
 
-    /// Adds up the work of the loads under way.
-    fn count(&mut self, now: Moment) {
-        let time = now.saturating_sub(self.counted).as_secs_f64();
-        self.counted = now;
-        let at_once = self.running.len() as f64;
-        for load in &mut self.running {
-            for (n, done) in load.done.iter_mut().enumerate() {
-                *done += time * ((n + 1) as f64 / at_once).min(1.0);
-            }
-        }
-    }
-
     /// Returns how many loads may begin, where `rate` a second are allowed in each `window`.
     ///
     /// The ceiling is kept with room to spare, as loads begin some time after their orders.
@@ -166,9 +162,4 @@
     pub fn share(&self) -> StoreShare {
         self.share
     }
-
-    /// Returns the time of a load that runs beside others, `count` in all.
-    pub fn shared(&self, alone: Duration, count: usize) -> Duration {
-        alone.mul_f64((count as f64 / self.share.parallel() as f64).max(1.0))
-    }
 }
--- a/lib/src/place/survey.rs
+++ b/lib/src/place/survey.rs
@@ -5,7 +5,10 @@
 
 use crate::boot_clock::Moment;
 use crate::ids::CentreId;
+use crate::ids::ModelName;
+use crate::ids::ServerId;
 use crate::picture::loads::Loads;
+use crate::picture::loads::Place;
 use crate::place::demand::Demand;
 use crate::place::ledger::Engine;
 use crate::place::ledger::Ledger;
@@ -33,7 +36,11 @@
     holders: EnginesByModel<'a>,
     copies: EnginesByModel<'a>,
     adapters: HashSet<(&'a str, &'a str, &'a str)>,
-    used: HashMap<(&'a str, &'a str), u32>,
+    peaks: HashMap<ModelKey<'a>, f64>,
+    /// Requests in progress by engine and model.
+    used: HashMap<(ServerId, ModelName), u32>,
+    /// Requests in progress by service and model.
+    running: HashMap<(&'a str, ModelName), u32>,
     /// Loads from the weight store that are under way.
     pub fetching: usize,
 }
@@ -52,7 +59,9 @@
             holders: HashMap::new(),
             copies: HashMap::new(),
             adapters: HashSet::new(),
+            peaks: HashMap::new(),
             used: HashMap::new(),
+            running: HashMap::new(),
             fetching: 0,
         };
         for (item, rate) in demand.rates(now) {
@@ -61,17 +70,24 @@
         for engine in ledger.engines.values().filter(|e| !e.server.leaving) {
             survey.count_engine(engine);
         }
-        for engine in ledger.engines.values() {
-            for held in &engine.models {
-                let running = loads.running(&engine.server.id, &held.name, now);
-                if running > 0 {
-                    survey.used.insert((&engine.server.id, &held.name), running);
-                }
-            }
+        for (item, peak) in demand.peaks(now) {
+            *survey.peaks.entry((&item.service, &item.model)).or_default() += peak;
         }
+        survey.count_running(ledger, loads.running(now));
         survey
     }
 
+    fn count_running(&mut self, ledger: &'a Ledger, running: HashMap<Place, u32>) {
+        for (place, count) in running {
+            let Some(model) = place.model else { continue };
+            if let Some(engine) = ledger.engines.get(&place.server) {
+                let service = engine.server.service.as_str();
+                *self.running.entry((service, model.clone())).or_default() += count;
+            }
+            self.used.insert((place.server, model), count);
+        }
+    }
+
     fn count_engine(&mut self, engine: &'a Engine) {
         let service = engine.server.service.as_str();
         let centre = engine.server.centre.as_str();
@@ -151,8 +167,20 @@
         !self.near(service, model).is_empty()
     }
 
+    /// Returns the arrivals a second of a model that its replicas must carry: a rise counts at once, a
+    /// fall after a while.
+    pub fn peak(&self, service: &str, model: &str) -> f64 {
+        let peak = self.peaks.get(&(service, model)).copied().unwrap_or(0.0);
+        self.rate(service, model).max(peak)
+    }
+
     /// Returns how many requests for a model run at an engine.
-    pub fn running(&self, server: &str, model: &str) -> u32 {
-        self.used.get(&(server, model)).copied().unwrap_or(0)
+    pub fn running_at(&self, server: &ServerId, model: &ModelName) -> u32 {
+        self.used.get(&(server.clone(), model.clone())).copied().unwrap_or(0)
+    }
+
+    /// Returns how many requests for a model run at all engines.
+    pub fn running(&self, service: &str, model: &ModelName) -> u32 {
+        self.running.get(&(service, model.clone())).copied().unwrap_or(0)
     }
 }
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -148,7 +148,7 @@
         let avoided = ledger.engines.keys().filter(|id| health.is_avoided(id, now)).cloned();
         let window = entry.settings().load_window;
         let mut desk = self.desk.borrow_mut();
-        let parallel = desk.pace.share().parallel();
+        let share = desk.pace.share();
         let store_room = if rate.is_finite() { desk.pace.room(rate, window, now) } else { 0 };
         drop(desk);
         let scene = Scene {
@@ -158,7 +158,7 @@
             demand: &demand,
             loads: &entry.loads,
             unreachable: avoided.collect(),
-            parallel,
+            share,
             store_room,
         };
         scene.plan()
@@ -333,7 +333,7 @@
         match job.source {
             Source::Memory => spec.warm,
             Source::Disk => spec.disk,
-            Source::Store => self.desk.borrow().pace.shared(spec.load, self.fetching()),
+            Source::Store => self.desk.borrow().pace.share().time(spec.load, self.fetching()),
         }
     }
 
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -25,6 +25,7 @@
 use comfreymux_lib::place::ledger::Source;
 use comfreymux_lib::place::planner::Action;
 use comfreymux_lib::place::planner::Scene;
+use comfreymux_lib::place::store_pace::StoreShare;
 use proptest::prelude::prop;
 use proptest::prelude::proptest;
 use proptest::test_runner::Config;
@@ -41,7 +42,7 @@
     demand: Demand,
     loads: Loads,
     room: usize,
-    parallel: usize,
+    share: StoreShare,
 }
 
 fn spec(size: u64, adapters: usize) -> ModelSpec {
@@ -73,7 +74,7 @@
             demand: Demand::default(),
             loads: Loads::default(),
             room: 8,
-            parallel: 4,
+            share: StoreShare { proven: 4, limit: 4 },
         }
     }
 
@@ -136,7 +137,7 @@
             demand: &self.demand,
             loads: &self.loads,
             unreachable: Vec::new(),
-            parallel: self.parallel,
+            share: self.share,
             store_room: self.room,
         };
         scene.plan()
@@ -309,7 +310,7 @@
     let mut site = Site::new(&names.map(|n| (n, 60_000, 0)));
     site.engine("e1", &["a", "b"], &[]);
     site.engine("e2", &["c", "d"], &[]);
-    site.parallel = 1;
+    site.share = StoreShare { proven: 1, limit: 1 };
     site.want("rare", None);
     site.busy("asked", 2);
     let plan = site.plan();
@@ -338,6 +339,60 @@
     assert_eq!(load_of(&site.plan(), "asked").map(|l| l.0), Some("e2"));
 }
 
+/// Engines with copies of a busy model were at work for another second when it needed a replica. It was
+/// fetched from the weight store, which took 13 s, and those that lay on no host waited behind it.
+#[test]
+fn copy_awaited() {
+    let mut site = Site::new(&["a", "b", "c", "d", "busy"].map(|n| (n, 70_000, 0)));
+    site.engine("e1", &["busy", "a"], &[]);
+    site.engine("e22", &["b", "c"], &["busy"]).job = Some(Job {
+        model: "d".into(),
+        victims: vec!["b".into()],
+        source: Source::Disk,
+        since: NOW,
+        eta: NOW + Duration::from_millis(900),
+    });
+    site.engine("e333", &["a", "d"], &[]);
+    site.busy("busy", 3);
+    assert_eq!(load_of(&site.plan(), "busy"), None);
+}
+
+/// A model's callers rise from eight a second to twenty-four within two seconds. Counted over six
+/// seconds its arrivals ask for three replicas; a quarter of the first events came late until more were
+/// added.
+#[test]
+fn peak_followed() {
+    let mut site = Site::new(&["a", "b", "c", "d", "e", "f", "hot"].map(|n| (n, 70_000, 0)));
+    site.engine("e1", &["hot", "a"], &[]);
+    site.engine("e22", &["hot", "b"], &[]);
+    site.engine("e333", &["hot", "c"], &[]);
+    site.engine("e4444", &["d", "e"], &["hot"]);
+    let count =
+        |count| CountNote { service: SERVICE.into(), model: "hot".into(), adapter: None, count };
+    for (seconds, total) in [(10, 0), (8, 16), (6, 32), (4, 48), (2, 64), (0, 112)] {
+        let note = DemandNote { wants: Vec::new(), counts: vec![count(total)] };
+        site.demand.hear(&"d1".into(), note, NOW.saturating_sub(Duration::from_secs(seconds)));
+    }
+    assert_eq!(load_of(&site.plan(), "hot").map(|l| l.0), Some("e4444"));
+}
+
+/// Streams of a model take longer than its arrivals tell: most slots of its engines are taken, and new
+/// requests wait for one.
+#[test]
+fn full_relieved() {
+    let mut site = Site::new(&["a", "b", "c", "d", "hot"].map(|n| (n, 70_000, 0)));
+    site.engine("e1", &["hot", "a"], &[]);
+    site.engine("e22", &["hot", "b"], &[]);
+    site.engine("e333", &["c", "d"], &["hot"]);
+    site.busy("hot", 1);
+    assert_eq!(load_of(&site.plan(), "hot"), None);
+    let place = |server: &str| Place { server: server.into(), model: Some("hot".into()) };
+    let running: Vec<_> =
+        (0..80).map(|n| site.loads.begin(place(["e1", "e22"][n % 2]), 100)).collect();
+    assert_eq!(load_of(&site.plan(), "hot").map(|l| l.0), Some("e333"));
+    drop(running);
+}
+
 /// A new holder of the lease does not know yet what an engine holds after a late order.
 #[test]
 fn unconfirmed_spared() {
--- a/lib/tests/test_store_pace.rs
+++ b/lib/tests/test_store_pace.rs
@@ -38,29 +38,34 @@
     assert_eq!(pace.room(RATE, WINDOW, at(6)), 10);
 }
 
-/// The real store, for loads that begin together: `full` at once run at full speed, and more share
-/// it. Returns how many at once are run in the end.
+/// A store that serves `full` loads at once at full speed, and those that begin beside more slower in
+/// proportion. Returns what is known after some rounds of as many loads as seem right.
 fn settle(full: usize) -> StoreShare {
     let mut pace = StorePace::new(at(0));
     let mut now = at(0);
     for _ in 0..4 {
         let count = pace.share().parallel();
         begin(&mut pace, 0..count, now);
-        let took = ALONE.mul_f64((count as f64 / full as f64).max(1.0));
-        let end = now + took;
-        while now < end {
+        let mut ends: Vec<_> = (0..count)
+            .map(|n| (now + ALONE.mul_f64(((n + 1) as f64 / full as f64).max(1.0)), n))
+            .collect();
+        while !ends.is_empty() {
             now += Duration::from_millis(100);
             pace.look(now);
-        }
-        for n in 0..count {
-            pace.end(&format!("e{n}").into(), true, now);
+            ends.retain(|(end, n)| {
+                let is_over = *end <= now;
+                if is_over {
+                    pace.end(&format!("e{n}").into(), true, now);
+                }
+                !is_over
+            });
         }
     }
     pace.share()
 }
 
-/// Callers wait four times as long for a model as its load should take: four loads at once shared
-/// a store that serves one at full speed, and nobody learned it before the first of them ended.
+/// Callers wait four times as long for a model as its load should take: four loads began at once at
+/// a store that serves one at full speed, and nobody learned it before the last of them ended.
 #[rstest]
 #[case::one(1, 1)]
 #[case::two(2, 2)]
@@ -70,15 +75,16 @@
     assert_eq!(settle(full).parallel(), parallel);
 }
 
-/// Two loads share a store that serves one: it shows before either has ended.
+/// Two loads begin at a store that serves one: it shows before the second has ended.
 #[test]
 fn shown_early() {
     let mut pace = StorePace::new(at(0));
     begin(&mut pace, 0..2, at(0));
+    pace.end(&"e0".into(), true, at(6));
     assert!(!pace.look(at(7)));
     assert!(pace.look(at(8)));
     assert_eq!(pace.share().parallel(), 1);
-    assert_eq!(pace.shared(ALONE, 2), ALONE * 2);
+    assert_eq!(pace.share().time(ALONE, 2), ALONE * 2);
 }
 
 /// Each new holder of the lease began four more loads, which shared a store that serves one; engines
