--- a/lib/src/place/demand.rs
+++ b/lib/src/place/demand.rs
@@ -89,8 +89,6 @@
     counts: HashMap<(DaemonId, Item), u32>,
     rates: BTreeMap<Item, Rate>,
     told: HashMap<DaemonId, Told>,
-    /// When callers were first heard of.
-    begun: Option<Moment>,
     /// When each item was first and last wanted; looked through only now and then, as hundreds of
     /// notes come in a second.
     wanted: HashMap<Item, (Moment, Moment)>,
@@ -110,7 +108,6 @@
                 None => count.count.min(1),
             };
             if more > 0 {
-                self.begun.get_or_insert(now);
                 self.rates.entry(item).or_default().add(now, more.into());
             }
         }
@@ -182,8 +179,8 @@
         self.rates.get(item).map_or(0.0, |r| r.get(now))
     }
 
-    /// Returns for how long callers have asked; none where they never did.
-    pub fn age(&self, now: Moment) -> Option<Duration> {
-        self.begun.map(|begun| now.saturating_sub(begun))
+    /// Returns whether anything was ever asked for.
+    pub fn is_empty(&self) -> bool {
+        self.rates.is_empty()
     }
 }
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -35,12 +35,6 @@
 /// The same once there is traffic: engines that fetch cannot serve other loads meanwhile.
 const FETCHES_BUSY: usize = 3;
 
-/// Time from the first callers until it shows which models are busy. What is fetched before may hold
-/// the weight store for longer than their replicas can wait.
-const DEMAND_KNOWN: Duration = Duration::from_secs(4);
-/// Cost of a replica beside models with one arrival a second, in seconds of a load: prompts that are
-/// read for others hold up an engine's streams. A busy model's replica lasts longer than its load.
-const CROWDED: f64 = 0.5;
 /// Longest load that is tried beside others while nobody waits for it. Where the store serves fewer at
 /// once it takes twice as long or more, and what callers ask for meanwhile waits behind it.
 const TRIAL_LOAD: Duration = Duration::from_secs(8);
@@ -300,7 +294,6 @@
             let spread = |o: &Offer<'_>| {
                 self.offers.survey.replicas_in(service, model, &o.engine.server.centre) as f64
                     + o.cost
-                    + self.offers.survey.crowd(o.engine) * CROWDED
             };
             let offers = self
                 .offers
@@ -376,11 +369,7 @@
 
     /// Loads from the weight store at once that nobody waits for.
     fn spare(&self, spec: &EngineSpec) -> usize {
-        let most = match self.scene.demand.age(self.scene.now) {
-            None => FETCHES,
-            Some(age) if age < DEMAND_KNOWN => return 0,
-            Some(_) => FETCHES_BUSY,
-        };
+        let most = if self.scene.demand.is_empty() { FETCHES } else { FETCHES_BUSY };
         let longest = spec.models.values().map(|m| m.load).max().unwrap_or_default();
         let share = self.scene.share;
         let proven = if longest > TRIAL_LOAD { share.proven } else { share.parallel() };
--- a/lib/src/place/survey.rs
+++ b/lib/src/place/survey.rs
@@ -167,15 +167,6 @@
         !self.near(service, model).is_empty()
     }
 
-    /// Returns the arrivals a second that an engine's models bring it, shared with their other replicas.
-    pub fn crowd(&self, engine: &Engine) -> f64 {
-        let service = engine.server.service.as_str();
-        let coming = engine.job.as_ref().map(|j| &j.model).filter(|m| !engine.holds(m));
-        let models = engine.models.iter().map(|m| &m.name).chain(coming);
-        let share = |m: &ModelName| self.rate(service, m) / self.replicas(service, m).max(1) as f64;
-        models.map(share).sum()
-    }
-
     /// Returns the arrivals a second of a model that its replicas must carry: a rise counts at once, a
     /// fall after a while.
     pub fn peak(&self, service: &str, model: &str) -> f64 {
