gossip: tell other data centres every second time in a large fleet

Change: beyond 36 daemons peers elsewhere hear every second digest, the lease holder all; the holder itself tells all.

--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -53,12 +53,15 @@
     malformed: Cell<u64>,
     /// When the last digest was told.
     told: Cell<Moment>,
+    /// Number of digests told.
+    round: Cell<u64>,
 }
 
 impl Gossip {
     /// Uses a socket.
     pub fn new(entry: Rc<Entry>, socket: UdpSocket) -> Rc<Self> {
-        Rc::new(Self { entry, socket, malformed: Cell::default(), told: Cell::default() })
+        let (malformed, told, round) = <_>::default();
+        Rc::new(Self { entry, socket, malformed, told, round })
     }
 
     fn encode(&self, content: Content) -> Vec<u8> {
@@ -122,15 +125,20 @@
         }
     }
 
-    /// Tells all peers this daemon's state.
+    /// Tells peers this daemon's state: all of them where it holds the lease, else those whose turn it is.
     pub fn tell_digest(&self) {
         let bytes = self.encode(Content::Digest(self.digest()));
         let now = self.entry.now();
         self.told.set(now);
+        let round = self.round.replace(self.round.get().wrapping_add(1));
         let addrs: Vec<SocketAddr> = {
             let mut peers = self.entry.peers.borrow_mut();
             peers.sweep(now);
-            peers.all().map(|(_, p)| p.addr).collect()
+            if self.entry.standing().is_some() {
+                peers.all().map(|(_, p)| p.addr).collect()
+            } else {
+                peers.listeners(&self.entry.settings().centre, round).collect()
+            }
         };
         for addr in &addrs {
             self.send(*addr, &bytes, "digest");
