logging: write the last line before a process ends

The writing thread takes lines before it writes them; the flush looked only at those that it had not taken. Ruled out: a kill at the end of the grace. Change: the flush waits for lines that are being written as well. Test: last_written failed before.

--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
@@ -87,10 +88,32 @@
 /// Time between writes: one wake-up of the writing thread carries many lines.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
 
+/// Looks at whether the last lines are written, at most, before a process ends.
+const FLUSH_LOOKS: u32 = 4;
+
 #[derive(Debug, Default)]
 struct Waiting {
     bytes: Vec<u8>,
     dropped: u64,
+    /// Whether lines were taken and are not written yet.
+    writing: bool,
+}
+
+impl Waiting {
+    /// Takes the lines to be written.
+    fn take(&mut self) -> Vec<u8> {
+        let mut bytes = std::mem::take(&mut self.bytes);
+        let dropped = std::mem::take(&mut self.dropped);
+        if dropped > 0 {
+            bytes.extend_from_slice(format!("event=lines-dropped count={dropped}\n").as_bytes());
+        }
+        self.writing = !bytes.is_empty();
+        bytes
+    }
+}
+
+fn lock(waiting: &Mutex<Waiting>) -> MutexGuard<'_, Waiting> {
+    waiting.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Keeps lines until the writing thread takes them; never blocks whoever logs.
@@ -98,7 +121,7 @@
 
 impl io::Write for WaitingWriter {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let mut waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut waiting = lock(&self.0);
         if waiting.bytes.len() + buf.len() > WAITING_BYTES {
             waiting.dropped += 1;
         } else {
@@ -142,10 +165,14 @@
     }
 
     /// Gives the lines that wait a last moment to be written.
+    ///
+    /// Lines that the writing thread has taken count as well: a process that ended then would lose its
+    /// last line, and its stop would look like a crash.
     pub fn flush(&self) {
-        for _ in 0..3 {
+        for _ in 0..FLUSH_LOOKS {
             thread::sleep(WRITE_EVERY);
-            if self.waiting.lock().unwrap_or_else(PoisonError::into_inner).bytes.is_empty() {
+            let waiting = lock(&self.waiting);
+            if waiting.bytes.is_empty() && !waiting.writing {
                 return;
             }
         }
@@ -155,14 +182,11 @@
 fn write_lines(waiting: &Mutex<Waiting>, mut output: impl io::Write) {
     loop {
         thread::sleep(WRITE_EVERY);
-        let Waiting { mut bytes, dropped } =
-            std::mem::take(&mut *waiting.lock().unwrap_or_else(PoisonError::into_inner));
-        if dropped > 0 {
-            bytes.extend_from_slice(format!("event=lines-dropped count={dropped}\n").as_bytes());
-        }
+        let bytes = lock(waiting).take();
         if !bytes.is_empty() && output.write_all(&bytes).and_then(|()| output.flush()).is_err() {
             return;
         }
+        lock(waiting).writing = false;
     }
 }
 
--- a/lib/tests/test_line_log.rs
+++ b/lib/tests/test_line_log.rs
@@ -85,3 +85,22 @@
     let text = gate.wait_for("event=lines-dropped");
     assert!(text.len() < 2 * 1024 * 1024, "{} bytes", text.len());
 }
+
+/// A daemon stops as planned, yet its log has no line of the end: whoever reads it takes the stop for a
+/// crash. The writing thread had taken the line and not written it when the process ended.
+#[test]
+fn last_written() {
+    let gate = Gate::default();
+    let log = LineLog::to(gate.clone());
+    slog::info!(log.logger(), "stop"; "phase" => "ended");
+    // The writing thread takes the line, and is held up by the output.
+    thread::sleep(Duration::from_millis(150));
+    let opener = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(120));
+        gate.open();
+        gate
+    });
+    log.flush();
+    let gate = opener.join().expect("a thread");
+    assert!(gate.text().contains("phase=ended"), "flushed before it was written");
+}
