--- a/lib/tests/test_line_log.rs
+++ b/lib/tests/test_line_log.rs
@@ -95,12 +95,13 @@
     slog::info!(log.logger(), "stop"; "phase" => "ended");
     // The writing thread takes the line, and is held up by the output.
     thread::sleep(Duration::from_millis(150));
+    let opened = gate.clone();
     let opener = thread::spawn(move || {
         thread::sleep(Duration::from_millis(120));
-        gate.open();
-        gate
+        opened.open();
     });
     log.flush();
-    let gate = opener.join().expect("a thread");
-    assert!(gate.text().contains("phase=ended"), "flushed before it was written");
+    let text = gate.text();
+    opener.join().expect("a thread");
+    assert!(text.contains("phase=ended"), "flushed before it was written");
 }
