socket: reset connections that are given up

The old holder there had ordered nothing since 34.6 s; its orders of 34.1 s, given up after 0.5 s, were still in the kernel, which sends again at growing intervals, also after a close. Ruled out: an order after the partition (its tasks ended with LeaseLost before). Change: outgoing connections are reset when they are dropped, which takes back what the other end has not taken.

--- a/lib/src/serve/socket.rs
+++ b/lib/src/serve/socket.rs
@@ -41,6 +41,10 @@
 
 /// Connects to another process within `limit`.
 ///
+/// When such a connection is dropped it is reset, so that what was sent and not yet taken is lost: an
+/// order that was given up during a partition would otherwise be sent again by the kernel and reach its
+/// engine seconds after another daemon's orders. Whole answers are read before a connection is dropped.
+///
 /// # Errors
 ///
 /// The other end refused, or could not be reached in time; nothing was sent.
@@ -50,6 +54,7 @@
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
     watch(&stream)?;
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
