place, serve: split planner and orders, log what a choice cost

The request line tells among how many servers a choice fell and what it cost. The number of connections of a service was read by nobody: removed.

--- a/lib/src/picture/configuration.rs
+++ b/lib/src/picture/configuration.rs
@@ -113,8 +113,6 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that one backend server takes from all callers.
-    pub connections: u32,
     /// Set where its backend servers are model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -3,9 +3,11 @@
 
 pub mod demand;
 pub mod entries;
+mod fetching;
 pub mod ledger;
 pub mod offers;
 pub mod planner;
 pub mod store_pace;
 pub mod survey;
 pub mod tenure;
+pub mod urgency;
--- /dev/null
+++ b/lib/src/place/fetching.rs
@@ -0,0 +1,92 @@
+//! Loads from the weight store: what lies on no host.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::ids::ModelName;
+use crate::ids::ServerId;
+use crate::picture::configuration::EngineSpec;
+use crate::place::demand::Item;
+use crate::place::ledger::Engine;
+use crate::place::offers::BUSY_RATE;
+use crate::place::offers::Wanted;
+use crate::place::planner::Planner;
+
+/// Loads from the weight store under way at once, those that nobody waits for.
+const FETCHES: usize = 4;
+/// The same once there is traffic: engines that fetch cannot serve other loads meanwhile.
+const FETCHES_BUSY: usize = 3;
+/// Longest load that is tried beside others while nobody waits for it. Where the store serves fewer at
+/// once it takes twice as long or more, and what callers ask for meanwhile waits behind it.
+const TRIAL_LOAD: Duration = Duration::from_secs(8);
+
+impl Planner<'_> {
+    /// Loads models without a copy on any usable engine from the weight store, the most asked for
+    /// first: those that are asked for now, or in spare time all others, so that one copy lies on a
+    /// disk.
+    ///
+    /// The store is slow, and slower where loads share it: a rare model that asked first must not take
+    /// the place of one that many callers come for.
+    pub(super) fn fetch(&mut self, is_urgent: bool) {
+        for service in self.scene.config.services.values() {
+            let Some(spec) = &service.engine else { continue };
+            let most = if is_urgent { self.scene.share.parallel() } else { self.spare(spec) };
+            let mut missing: Vec<(f64, &ModelName)> = spec
+                .models
+                .keys()
+                .filter(|model| !self.has_copy(&service.name, model))
+                .map(|model| (self.pull(&service.name, model), model))
+                .filter(|(pull, _)| !is_urgent || *pull >= BUSY_RATE)
+                .collect();
+            missing.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+            for (rate, model) in missing {
+                if self.offers.fetching >= most || self.offers.store_room == 0 {
+                    return;
+                }
+                let wanted = is_urgent.then_some(Wanted { rate, waited: Duration::ZERO });
+                let avoid = self.avoid(&service.name, model);
+                let offers = self
+                    .offers
+                    .engines(&service.name)
+                    .filter(|e| !avoid.contains(&e.server.id))
+                    .filter(|e| is_urgent || e.models.iter().all(|m| e.has_copy(&m.name)))
+                    .filter_map(|e| self.offers.offer(e, spec, model, wanted));
+                let open = offers.filter(|o| o.can_start);
+                let Some(best) = open.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { continue };
+                self.begin(best, model, "no copy on any host");
+            }
+        }
+    }
+
+    /// Loads from the weight store at once that nobody waits for.
+    fn spare(&self, spec: &EngineSpec) -> usize {
+        let most = if self.scene.demand.is_empty() { FETCHES } else { FETCHES_BUSY };
+        let longest = spec.models.values().map(|m| m.load).max().unwrap_or_default();
+        let share = self.scene.share;
+        let proven = if longest > TRIAL_LOAD { share.proven } else { share.parallel() };
+        most.min(proven)
+    }
+
+    /// Whether some usable engine holds a model, loads it, or has a copy of its weights.
+    fn has_copy(&self, service: &SmolStr, model: &ModelName) -> bool {
+        let avoid = self.avoid(service, model);
+        let is_open = |e: &&Engine| self.offers.is_usable(e) && !avoid.contains(&e.server.id);
+        self.placed.contains(&(service.clone(), model.clone()))
+            || self.offers.survey.near(service, model).iter().any(is_open)
+    }
+
+    /// Engines that the requests that wait for a model cannot use.
+    fn avoid(&self, service: &SmolStr, model: &ModelName) -> &[ServerId] {
+        let item = Item { service: service.clone(), model: model.clone(), adapter: None };
+        self.waits.get(&item).map_or(&[], |wait| &wait.avoid)
+    }
+
+    /// Arrivals a second of a model, its waiting requests counted as if they came in a second.
+    fn pull(&self, service: &SmolStr, model: &ModelName) -> f64 {
+        let is_it = |i: &Item| i.service == *service && i.model == *model;
+        let waiting: u32 =
+            self.waits.iter().filter(|(i, _)| is_it(i)).map(|(_, w)| w.waiting).sum();
+        self.offers.rate(service, model) + f64::from(waiting)
+    }
+}
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -15,7 +15,6 @@
 use crate::ids::ModelName;
 use crate::ids::ServerId;
 use crate::picture::configuration::Configuration;
-use crate::picture::configuration::EngineSpec;
 use crate::picture::loads::Loads;
 use crate::place::demand::Demand;
 use crate::place::demand::Item;
@@ -29,17 +28,7 @@
 use crate::place::offers::Wanted;
 use crate::place::store_pace::StoreShare;
 use crate::place::survey::Survey;
-
-/// Loads from the weight store under way at once, those that nobody waits for.
-const FETCHES: usize = 4;
-/// The same once there is traffic: engines that fetch cannot serve other loads meanwhile.
-const FETCHES_BUSY: usize = 3;
-
-/// Time of the shortest loads, from a host's memory or disk.
-const SOONEST: Duration = Duration::from_millis(1500);
-/// Longest load that is tried beside others while nobody waits for it. Where the store serves fewer at
-/// once it takes twice as long or more, and what callers ask for meanwhile waits behind it.
-const TRIAL_LOAD: Duration = Duration::from_secs(8);
+use crate::place::urgency::Urgency;
 
 /// A step to take at one engine.
 #[derive(Clone, Debug, PartialEq)]
@@ -96,26 +85,14 @@
 /// Steps begun at once at most; the next plan follows within a tenth of a second.
 const MOST_ACTIONS: usize = 32;
 
-/// The order of waits; the first come first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Urgency {
-    /// More callers come while the model is away, some of them with a goal that no load can meet.
-    Busy(Moment),
-    /// A load that begins now can still be punctual, until the moment given.
-    Punctual(Moment),
-    /// Too late for a punctual answer, though not for any until the moment given.
-    Late(Moment),
-    /// No load comes in time for those who wait, since the moment given; others may follow them.
-    Lost(Moment),
-}
-
 /// A plan in the making.
-struct Planner<'a> {
-    scene: &'a Scene<'a>,
-    offers: Offers<'a>,
-    waits: BTreeMap<Item, Wait>,
+#[derive(Debug)]
+pub(super) struct Planner<'a> {
+    pub(super) scene: &'a Scene<'a>,
+    pub(super) offers: Offers<'a>,
+    pub(super) waits: BTreeMap<Item, Wait>,
     /// Models that got a step.
-    placed: HashSet<(SmolStr, ModelName)>,
+    pub(super) placed: HashSet<(SmolStr, ModelName)>,
     actions: Vec<Action>,
 }
 
@@ -151,7 +128,7 @@
         self.actions.len() >= MOST_ACTIONS
     }
 
-    fn begin(&mut self, offer: Offer<'a>, model: &ModelName, reason: &'static str) {
+    pub(super) fn begin(&mut self, offer: Offer<'a>, model: &ModelName, reason: &'static str) {
         let server = offer.engine.server.id.clone();
         self.offers.taken.insert(server.clone());
         self.placed.insert((offer.engine.server.service.clone(), model.clone()));
@@ -185,21 +162,9 @@
         }
     }
 
-    /// Which waits come first where engines are few.
-    ///
-    /// Served by age alone, a queue that has once grown longer than callers' goals makes everybody late:
-    /// each load is for somebody who has just become late.
     fn urgency(&self, item: &Item, wait: &Wait) -> Urgency {
-        if self.offers.rate(&item.service, &item.model) >= BUSY_RATE {
-            return Urgency::Busy(wait.since);
-        }
-        if wait.due >= self.scene.now + SOONEST {
-            return Urgency::Punctual(wait.due);
-        }
-        if wait.until >= self.scene.now + SOONEST {
-            return Urgency::Late(wait.until);
-        }
-        Urgency::Lost(wait.since)
+        let rate = self.offers.rate(&item.service, &item.model);
+        Urgency::new(wait, rate, self.scene.now)
     }
 
     fn serve_wait(&mut self, item: &Item) {
@@ -364,72 +329,4 @@
             }
         }
     }
-
-    /// Loads models without a copy on any usable engine from the weight store, the most asked for
-    /// first: those that are asked for now, or in spare time all others, so that one copy lies on a
-    /// disk.
-    ///
-    /// The store is slow, and slower where loads share it: a rare model that asked first must not take
-    /// the place of one that many callers come for.
-    fn fetch(&mut self, is_urgent: bool) {
-        for service in self.scene.config.services.values() {
-            let Some(spec) = &service.engine else { continue };
-            let most = if is_urgent { self.scene.share.parallel() } else { self.spare(spec) };
-            let mut missing: Vec<(f64, &ModelName)> = spec
-                .models
-                .keys()
-                .filter(|model| !self.has_copy(&service.name, model))
-                .map(|model| (self.pull(&service.name, model), model))
-                .filter(|(pull, _)| !is_urgent || *pull >= BUSY_RATE)
-                .collect();
-            missing.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
-            for (rate, model) in missing {
-                if self.offers.fetching >= most || self.offers.store_room == 0 {
-                    return;
-                }
-                let wanted = is_urgent.then_some(Wanted { rate, waited: Duration::ZERO });
-                let avoid = self.avoid(&service.name, model);
-                let offers = self
-                    .offers
-                    .engines(&service.name)
-                    .filter(|e| !avoid.contains(&e.server.id))
-                    .filter(|e| is_urgent || e.models.iter().all(|m| e.has_copy(&m.name)))
-                    .filter_map(|e| self.offers.offer(e, spec, model, wanted));
-                let open = offers.filter(|o| o.can_start);
-                let Some(best) = open.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { continue };
-                self.begin(best, model, "no copy on any host");
-            }
-        }
-    }
-
-    /// Loads from the weight store at once that nobody waits for.
-    fn spare(&self, spec: &EngineSpec) -> usize {
-        let most = if self.scene.demand.is_empty() { FETCHES } else { FETCHES_BUSY };
-        let longest = spec.models.values().map(|m| m.load).max().unwrap_or_default();
-        let share = self.scene.share;
-        let proven = if longest > TRIAL_LOAD { share.proven } else { share.parallel() };
-        most.min(proven)
-    }
-
-    /// Whether some usable engine holds a model, loads it, or has a copy of its weights.
-    fn has_copy(&self, service: &SmolStr, model: &ModelName) -> bool {
-        let avoid = self.avoid(service, model);
-        let is_open = |e: &&Engine| self.offers.is_usable(e) && !avoid.contains(&e.server.id);
-        self.placed.contains(&(service.clone(), model.clone()))
-            || self.offers.survey.near(service, model).iter().any(is_open)
-    }
-
-    /// Engines that the requests that wait for a model cannot use.
-    fn avoid(&self, service: &SmolStr, model: &ModelName) -> &[ServerId] {
-        let item = Item { service: service.clone(), model: model.clone(), adapter: None };
-        self.waits.get(&item).map_or(&[], |wait| &wait.avoid)
-    }
-
-    /// Arrivals a second of a model, its waiting requests counted as if they came in a second.
-    fn pull(&self, service: &SmolStr, model: &ModelName) -> f64 {
-        let is_it = |i: &Item| i.service == *service && i.model == *model;
-        let waiting: u32 =
-            self.waits.iter().filter(|(i, _)| is_it(i)).map(|(_, w)| w.waiting).sum();
-        self.offers.rate(service, model) + f64::from(waiting)
-    }
 }
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -1,6 +1,7 @@
 //! The path of a request through an entry host, a filter each: accept, route, wait, send, relay.
 
 pub mod accept;
+mod adapter_orders;
 pub mod attempt;
 pub mod body;
 pub mod call;
--- /dev/null
+++ b/lib/src/serve/adapter_orders.rs
@@ -0,0 +1,80 @@
+//! The lease holder's orders for adapters, which take milliseconds where models take seconds.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use crate::ids::Fence;
+use crate::ids::ModelName;
+use crate::ids::ServerId;
+use crate::place::ledger::AdapterJob;
+use crate::protocol::OrderKind;
+use crate::serve::engine_orders::OrderFailure;
+use crate::serve::orders::ADAPTER_TIME;
+use crate::serve::orders::Orders;
+use crate::serve::orders::REST;
+
+impl Orders {
+    /// Loads an adapter, and notes what came of it.
+    pub(super) async fn run_adapter(
+        self: Rc<Self>,
+        server: ServerId,
+        job: AdapterJob,
+        victim: Option<(ModelName, SmolStr)>,
+        fence: Fence,
+    ) {
+        let result = self.carry_out_adapter(&server, &job, victim.as_ref(), fence).await;
+        let entry = &self.entry;
+        let now = entry.now();
+        slog::info!(entry.log, "adapter"; "server" => %server, "model" => job.model.as_str(),
+            "adapter" => job.adapter.as_str(), "result" => ?result,
+            "victim" => victim.as_ref().map_or("-", |(_, a)| a.as_str()));
+        self.with_engine(&server, |engine| {
+            engine.adapters.retain(|a| *a != job);
+            match result {
+                Ok(()) => {
+                    let held = engine.models.iter_mut().find(|m| m.name == job.model);
+                    if let Some(held) = held
+                        && !held.adapters.contains(&job.adapter)
+                    {
+                        held.adapters.push(job.adapter.clone());
+                    }
+                }
+                Err(_failure) => {
+                    engine.confirmed = false;
+                    engine.rest_until = now + REST;
+                }
+            }
+        });
+        self.publish(&server, &job.model, fence);
+    }
+
+    async fn carry_out_adapter(
+        &self,
+        server: &ServerId,
+        job: &AdapterJob,
+        victim: Option<&(ModelName, SmolStr)>,
+        fence: Fence,
+    ) -> Result<(), OrderFailure> {
+        // Orders to one engine go one after the other: each expects the number of those before.
+        while self
+            .with_engine(server, |e| e.adapters.first().is_some_and(|first| first != job))
+            .unwrap_or(false)
+        {
+            sleep(Duration::from_millis(3)).await;
+        }
+        if let Some((model, adapter)) = victim {
+            self.engines.order(server, OrderKind::Unload, model, Some(adapter), fence).await?;
+            self.with_engine(server, |engine| {
+                for held in engine.models.iter_mut().filter(|m| m.name == *model) {
+                    held.adapters.retain(|a| a != adapter);
+                }
+            });
+        }
+        self.engines.order(server, OrderKind::Load, &job.model, Some(&job.adapter), fence).await?;
+        sleep(ADAPTER_TIME).await;
+        Ok(())
+    }
+}
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -18,6 +18,7 @@
 use crate::place::demand::Item;
 use crate::protocol::CallerTerms;
 use crate::protocol::SendTerms;
+use crate::serve::choose::Chosen;
 use crate::serve::entry::Entry;
 use crate::serve::headers::strip_connection;
 use crate::serve::send::SendFailure;
@@ -60,6 +61,10 @@
     pub arrivals: u32,
     /// The server of the last send.
     pub last: Option<ServerId>,
+    /// What the last server's choice cost, in estimated milliseconds.
+    pub cost: f64,
+    /// Servers that it was chosen among.
+    pub among: usize,
     /// Why the last send failed.
     pub reason: &'static str,
     /// How long it waited for a model.
@@ -119,10 +124,12 @@
         }
     }
 
-    /// Notes a send to `server`.
-    pub fn sent(&mut self, server: &ServerId) {
+    /// Notes a send to a chosen server.
+    pub fn sent(&mut self, chosen: &Chosen) {
         self.sends += 1;
-        self.last = Some(server.clone());
+        self.last = Some(chosen.server.id.clone());
+        self.cost = chosen.cost;
+        self.among = chosen.among;
     }
 
     /// Takes in that a send failed.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -123,7 +123,7 @@
     chosen: &Chosen,
 ) -> Result<(response::Parts, Bytes), SendFailure> {
     let server = &chosen.server;
-    attempt.sent(&server.id);
+    attempt.sent(chosen);
     let request = attempt.request(entry, server, None);
     let _work = entry.loads.begin(attempt.place(&server.id), attempt.terms.prompt);
     let id = attempt.terms.attempt.as_ref();
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -116,7 +116,7 @@
     resume: Option<u64>,
 ) -> Result<Opened, SendFailure> {
     let server = &chosen.server;
-    attempt.sent(&server.id);
+    attempt.sent(chosen);
     let request = attempt.request(entry, server, resume);
     let work = entry.loads.begin(attempt.place(&server.id), attempt.terms.prompt);
     let id = attempt.terms.attempt.as_ref();
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -135,6 +135,8 @@
         sends: 0,
         arrivals: 0,
         last: None,
+        cost: 0.0,
+        among: 0,
         reason: "",
         waited: Duration::ZERO,
     })
@@ -233,6 +235,7 @@
         "model" => attempt.terms.model.as_deref().unwrap_or("-"),
         "adapter" => attempt.terms.adapter.as_deref().unwrap_or("-"),
         "server" => attempt.last.as_deref().unwrap_or("-"),
+        "among" => attempt.among, "cost_ms" => attempt.cost.round() as i64,
         "status" => status.as_u16(), "verdict" => %attempt.verdict, "reason" => reason,
         "sends" => attempt.sends, "waited_ms" => attempt.waited.as_millis(),
         "first_ms" => first.map_or(-1, |t| ms(t) as i64), "ms" => ms(now),
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use smol_str::SmolStr;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -39,9 +38,9 @@
 /// A load that is late by this much is given up; its engine's report is read anew.
 const OVERDUE: Duration = Duration::from_secs(20);
 /// Rest of an engine after a change that failed.
-const REST: Duration = Duration::from_millis(400);
+pub(super) const REST: Duration = Duration::from_millis(400);
 /// Time of an adapter's load, from the order to its first use.
-const ADAPTER_TIME: Duration = Duration::from_millis(30);
+pub(super) const ADAPTER_TIME: Duration = Duration::from_millis(30);
 /// What is told about an engine is repeated this often, for datagrams that are lost.
 const TELLINGS: u8 = 3;
 /// Daemons up to which every change is told to all at once. In a larger fleet those that wait are
@@ -70,9 +69,9 @@
 /// Plans and carries plans out.
 #[derive(Debug)]
 pub struct Orders {
-    entry: Rc<Entry>,
+    pub(super) entry: Rc<Entry>,
     gossip: Rc<Gossip>,
-    engines: EngineOrders,
+    pub(super) engines: EngineOrders,
     desk: RefCell<Desk>,
 }
 
@@ -241,7 +240,11 @@
         }
     }
 
-    fn with_engine<T>(&self, id: &ServerId, f: impl FnOnce(&mut Engine) -> T) -> Option<T> {
+    pub(super) fn with_engine<T>(
+        &self,
+        id: &ServerId,
+        f: impl FnOnce(&mut Engine) -> T,
+    ) -> Option<T> {
         self.engines.with_engine(id, f)
     }
 
@@ -337,68 +340,8 @@
         }
     }
 
-    async fn run_adapter(
-        self: Rc<Self>,
-        server: ServerId,
-        job: AdapterJob,
-        victim: Option<(ModelName, SmolStr)>,
-        fence: Fence,
-    ) {
-        let result = self.carry_out_adapter(&server, &job, victim.as_ref(), fence).await;
-        let entry = &self.entry;
-        let now = entry.now();
-        slog::info!(entry.log, "adapter"; "server" => %server, "model" => job.model.as_str(),
-            "adapter" => job.adapter.as_str(), "result" => ?result,
-            "victim" => victim.as_ref().map_or("-", |(_, a)| a.as_str()));
-        self.with_engine(&server, |engine| {
-            engine.adapters.retain(|a| *a != job);
-            match result {
-                Ok(()) => {
-                    let held = engine.models.iter_mut().find(|m| m.name == job.model);
-                    if let Some(held) = held
-                        && !held.adapters.contains(&job.adapter)
-                    {
-                        held.adapters.push(job.adapter.clone());
-                    }
-                }
-                Err(_failure) => {
-                    engine.confirmed = false;
-                    engine.rest_until = now + REST;
-                }
-            }
-        });
-        self.publish(&server, &job.model, fence);
-    }
-
-    async fn carry_out_adapter(
-        &self,
-        server: &ServerId,
-        job: &AdapterJob,
-        victim: Option<&(ModelName, SmolStr)>,
-        fence: Fence,
-    ) -> Result<(), OrderFailure> {
-        // Orders to one engine go one after the other: each expects the number of those before.
-        while self
-            .with_engine(server, |e| e.adapters.first().is_some_and(|first| first != job))
-            .unwrap_or(false)
-        {
-            sleep(Duration::from_millis(3)).await;
-        }
-        if let Some((model, adapter)) = victim {
-            self.engines.order(server, OrderKind::Unload, model, Some(adapter), fence).await?;
-            self.with_engine(server, |engine| {
-                for held in engine.models.iter_mut().filter(|m| m.name == *model) {
-                    held.adapters.retain(|a| a != adapter);
-                }
-            });
-        }
-        self.engines.order(server, OrderKind::Load, &job.model, Some(&job.adapter), fence).await?;
-        sleep(ADAPTER_TIME).await;
-        Ok(())
-    }
-
     /// Tells this daemon and those that wait for `model` what an engine holds; the others follow.
-    fn publish(&self, server: &ServerId, model: &ModelName, fence: Fence) {
+    pub(super) fn publish(&self, server: &ServerId, model: &ModelName, fence: Fence) {
         let entry = &self.entry;
         let now = entry.now();
         self.desk.borrow_mut().untold.insert(server.clone(), TELLINGS);
--- a/lib/tests/test_line_log.rs
+++ b/lib/tests/test_line_log.rs
@@ -95,10 +95,10 @@
     slog::info!(log.logger(), "stop"; "phase" => "ended");
     // The writing thread takes the line, and is held up by the output.
     thread::sleep(Duration::from_millis(150));
-    let opened = gate.clone();
+    let output = gate.clone();
     let opener = thread::spawn(move || {
         thread::sleep(Duration::from_millis(120));
-        opened.open();
+        output.open();
     });
     log.flush();
     let text = gate.text();
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod hosts_standin;
 pub mod http_server;
 pub mod log_standin;
+pub mod placing_site;
 pub mod rig;
 pub mod rows;
 pub mod service_standin;
--- /dev/null
+++ b/lib/testutils/src/placing_site.rs
@@ -0,0 +1,167 @@
+//! Engines, their models and demand, for tests of plans.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use comfreymux_lib::boot_clock::Moment;
+use comfreymux_lib::picture::configuration::CallerLimits;
+use comfreymux_lib::picture::configuration::Configuration;
+use comfreymux_lib::picture::configuration::EngineSpec;
+use comfreymux_lib::picture::configuration::ModelSpec;
+use comfreymux_lib::picture::configuration::Service;
+use comfreymux_lib::picture::digest::CountNote;
+use comfreymux_lib::picture::digest::DemandNote;
+use comfreymux_lib::picture::digest::WantNote;
+use comfreymux_lib::picture::directory::Copies;
+use comfreymux_lib::picture::directory::HeldModel;
+use comfreymux_lib::picture::directory::Server;
+use comfreymux_lib::picture::loads::Loads;
+use comfreymux_lib::place::demand::Demand;
+use comfreymux_lib::place::ledger::Engine;
+use comfreymux_lib::place::ledger::Ledger;
+use comfreymux_lib::place::ledger::Source;
+use comfreymux_lib::place::planner::Action;
+use comfreymux_lib::place::planner::Scene;
+use comfreymux_lib::place::store_pace::StoreShare;
+use smol_str::SmolStr;
+
+/// The moment of the plan.
+pub const NOW: Moment = Duration::from_secs(100);
+/// The engines' service.
+pub const SERVICE: &str = "draft";
+
+/// A service of engines with room for two models of 70 GB and one of 40 GB, or three of 60.
+#[derive(Debug)]
+pub struct Site {
+    /// The configuration.
+    pub config: Configuration,
+    /// What the engines hold.
+    pub ledger: Ledger,
+    /// What callers ask for.
+    pub demand: Demand,
+    /// Requests in progress.
+    pub loads: Loads,
+    /// Loads from the weight store that may begin.
+    pub room: usize,
+    /// What is known of the weight store.
+    pub share: StoreShare,
+}
+
+fn spec(size: u64, adapters: usize) -> ModelSpec {
+    ModelSpec {
+        size,
+        load: Duration::from_secs(6),
+        disk: Duration::from_millis(1600),
+        warm: Duration::from_millis(1200),
+        adapters: (1..=adapters).map(|n| format!("a{n}").into()).collect(),
+        adapter_size: 50,
+    }
+}
+
+impl Site {
+    /// Starts without engines, with models by name, size and number of adapters.
+    pub fn new(models: &[(&str, u64, usize)]) -> Self {
+        let models = models.iter().map(|(n, size, a)| ((*n).into(), spec(*size, *a))).collect();
+        let engine =
+            EngineSpec { models, slots: 64, memory: 200_000, adapter_slots: 8, load_rate: 2.2 };
+        let service = Service { name: SERVICE.into(), engine: Some(engine) };
+        let limits = CallerLimits {
+            head: 8192,
+            body: 8192,
+            head_time: Duration::from_secs(1),
+            idle: Duration::from_secs(1),
+        };
+        Self {
+            config: Configuration::new(1, Vec::new(), vec![service], limits),
+            ledger: Ledger::default(),
+            demand: Demand::default(),
+            loads: Loads::default(),
+            room: 8,
+            share: StoreShare { proven: 4, limit: 4 },
+        }
+    }
+
+    /// Adds an engine; the length of its id gives its data centre.
+    ///
+    /// # Panics
+    ///
+    /// Never: the address is well formed.
+    pub fn engine(&mut self, id: &str, held: &[&str], disk: &[&str]) -> &mut Engine {
+        let held_model = |name: &&str| HeldModel { name: (*name).into(), adapters: Vec::new() };
+        let server = Server {
+            id: id.into(),
+            service: SERVICE.into(),
+            addr: "127.0.0.1:9000".parse().expect("an address"),
+            centre: format!("c{}", id.len()).into(),
+            slots: 64,
+            leaving: false,
+            models: held.iter().map(held_model).collect(),
+            copies: Copies::default(),
+            beat: 1,
+        };
+        let engine = Engine {
+            models: server.models.clone(),
+            server: Rc::new(server),
+            sequence: 0,
+            memory: Vec::new(),
+            disk: disk.iter().chain(held).map(|m| (*m).into()).collect(),
+            confirmed: true,
+            job: None,
+            adapters: Vec::new(),
+            used: BTreeMap::new(),
+            rest_until: Moment::ZERO,
+        };
+        self.ledger.engines.entry(id.into()).or_insert(engine)
+    }
+
+    /// Makes one request wait for a model or adapter.
+    pub fn want(&mut self, model: &str, adapter: Option<&str>) {
+        let want = WantNote {
+            service: SERVICE.into(),
+            model: model.into(),
+            adapter: adapter.map(Into::into),
+            waiting: 1,
+            left_ms: 10_000,
+            due_ms: 4_000,
+            avoid: Vec::new(),
+        };
+        let note = DemandNote { wants: vec![want], counts: Vec::new() };
+        self.demand.hear(&format!("d-{model}").into(), note, NOW);
+    }
+
+    /// Makes a model asked for `rate` times a second.
+    pub fn busy(&mut self, model: &str, rate: u32) {
+        for count in [0, rate * 6] {
+            let count =
+                CountNote { service: SERVICE.into(), model: model.into(), adapter: None, count };
+            let note = DemandNote { wants: Vec::new(), counts: vec![count] };
+            self.demand.hear(&format!("busy-{model}").into(), note, NOW);
+        }
+    }
+
+    /// Returns the next steps.
+    pub fn plan(&self) -> Vec<Action> {
+        let scene = Scene {
+            now: NOW,
+            config: &self.config,
+            ledger: &self.ledger,
+            demand: &self.demand,
+            loads: &self.loads,
+            unreachable: Vec::new(),
+            share: self.share,
+            store_room: self.room,
+        };
+        scene.plan()
+    }
+}
+
+/// Returns engine, victims and source of a model's load in a plan.
+pub fn load_of<'a>(plan: &'a [Action], model: &str) -> Option<(&'a str, Vec<&'a str>, Source)> {
+    plan.iter().find_map(|action| match action {
+        Action::Load { server, model: m, victims, source, .. } if m == model => {
+            Some((server.as_str(), victims.iter().map(SmolStr::as_str).collect(), *source))
+        }
+        _ => None,
+    })
+}
