--- a/lib/tests/test_replicas.rs
+++ b/lib/tests/test_replicas.rs
@@ -5,7 +5,6 @@
 use comfreymux_lib::picture::digest::CountNote;
 use comfreymux_lib::picture::digest::DemandNote;
 use comfreymux_lib::picture::loads::Place;
-use comfreymux_lib::place::demand::Demand;
 use comfreymux_lib::place::ledger::Job;
 use comfreymux_lib::place::ledger::Source;
 use comfreymux_testutils::placing_site::NOW;
