metrics: count operations at the store and time loads

Operators pay for calls to the store and for loads; neither had a counter on the metrics address. Operations by feed and outcome, loads by source and outcome with their times. What a holder tells of its lease is named TenureClaim, since a claim is the right to run a request elsewhere in the project.

--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -33,6 +33,8 @@
     waiting: Gauge<u64>,
     active: Gauge<u64>,
     control: Counter<u64>,
+    calls: Counter<u64>,
+    loads: Histogram<f64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -90,6 +92,11 @@
             waiting: gauge("waiting", "Requests that wait for a replica"),
             active: gauge("active", "Requests in progress"),
             control: counter("control_bytes", "Bytes exchanged with daemons and the log"),
+            calls: counter(
+                "store_calls",
+                "Operations at the platform's store by feed and outcome; a listing takes a call a page",
+            ),
+            loads: seconds("load", "Time of models' loads by source and outcome"),
             registry,
             _provider: provider,
         }
@@ -142,6 +149,17 @@
         self.control.add(bytes as u64, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a call to the platform's store, which is paid for also where it failed.
+    pub fn called_store(&self, feed: &'static str, outcome: &'static str) {
+        self.calls.add(1, &[KeyValue::new("feed", feed), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the time of a model's load.
+    pub fn loaded(&self, source: &'static str, outcome: &'static str, time: Duration) {
+        let labels = [KeyValue::new("source", source), KeyValue::new("outcome", outcome)];
+        self.loads.record(time.as_secs_f64(), &labels);
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         let mut out = Vec::new();
--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -14,7 +14,7 @@
 use crate::picture::configuration::ServiceName;
 use crate::picture::directory::HeldModel;
 use crate::picture::holdings::Holding;
-use crate::place::tenure::Claim;
+use crate::place::tenure::TenureClaim;
 
 /// Identity of one start of a daemon's process, drawn at random.
 pub type ProcessId = u64;
@@ -30,8 +30,8 @@
     pub end: Offset,
 }
 
-impl From<Claim> for TenureNote {
-    fn from(claim: Claim) -> Self {
+impl From<TenureClaim> for TenureNote {
+    fn from(claim: TenureClaim) -> Self {
         Self { fence: claim.fence, left_ms: claim.left.as_millis() as u32, end: claim.end }
     }
 }
--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -30,6 +30,17 @@
     Store,
 }
 
+impl Source {
+    /// Returns its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Disk => "disk",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// A change of models that is under way at an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -44,7 +44,7 @@
 
 /// What a holder tells its peers of its lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Claim {
+pub struct TenureClaim {
     /// The fencing number of its orders.
     pub fence: Fence,
     /// For how long the lease is still valid.
@@ -156,11 +156,11 @@
     }
 
     /// Returns what is to be told to peers while the lease is valid.
-    pub fn claim(&self, now: Moment) -> Option<Claim> {
+    pub fn claim(&self, now: Moment) -> Option<TenureClaim> {
         let held = self.held.filter(|h| self.is_valid(h, now))?;
         let left = (held.sent + VALID).saturating_sub(now);
         let left = if left.is_zero() { VALID } else { left };
-        Some(Claim { fence: held.fence, left, end: held.end })
+        Some(TenureClaim { fence: held.fence, left, end: held.end })
     }
 
     /// Returns the next step; `heard` is another daemon's claim.
--- a/lib/src/serve/lease_keeper.rs
+++ b/lib/src/serve/lease_keeper.rs
@@ -118,6 +118,7 @@
         let value = Some(entries::write(&record));
         let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT), value };
         let result = entry.store.append(Feed::Leases, feed_record, Some(at)).await;
+        note_store(entry, Feed::Leases, result.as_ref().err());
         slog::info!(entry.log, "lease-release"; "done" => result.is_ok(), "at" => at);
         // An append without an answer may have given it up: only proof of the contrary keeps it.
         if matches!(result, Ok(_) | Err(StoreError::Doubtful(_))) {
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -35,6 +35,7 @@
 pub fn note_store(entry: &Entry, feed: Feed, failed: Option<&StoreError>) {
     let now = entry.now();
     let had = entry.store_seen.get();
+    entry.metrics.called_store(feed.name(), failed.map_or("done", StoreError::name));
     match failed {
         None => {
             let was_lost = entry.store_lost.replace(false);
@@ -200,22 +201,26 @@
     let settings = entry.settings();
     let me = DaemonEntry { addr: settings.peer, process: entry.process };
     let record = || FeedRecord { key: settings.id.clone(), value: Some(entries::write(&me)) };
-    while let Err(error) = entry.store.append(Feed::Daemons, record(), None).await {
-        note_store(&entry, Feed::Daemons, Some(&error));
+    loop {
+        let result = entry.store.append(Feed::Daemons, record(), None).await;
+        note_store(&entry, Feed::Daemons, result.as_ref().err());
+        if result.is_ok() {
+            break;
+        }
         sleep(PAUSE * 2).await;
     }
     let mut before = Duration::ZERO;
     for look in DAEMON_LOOKS {
         sleep(look.saturating_sub(before)).await;
         before = look;
-        let mut result = entry.store.newest(Feed::Daemons).await;
-        while let Err(error) = result {
-            note_store(&entry, Feed::Daemons, Some(&error));
+        loop {
+            let result = entry.store.newest(Feed::Daemons).await;
+            note_store(&entry, Feed::Daemons, result.as_ref().err());
+            if let Ok(batch) = result {
+                take_daemons(&entry, &batch);
+                break;
+            }
             sleep(PAUSE * 4).await;
-            result = entry.store.newest(Feed::Daemons).await;
-        }
-        if let Ok(batch) = result {
-            take_daemons(&entry, &batch);
         }
     }
 }
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -255,6 +255,8 @@
         slog::info!(entry.log, "load-ended"; "server" => %server, "model" => job.model.as_str(),
             "source" => ?job.source, "result" => ?result,
             "ms" => now.saturating_sub(job.since).as_millis());
+        let outcome = if result.is_ok() { "done" } else { "failed" };
+        entry.metrics.loaded(job.source.name(), outcome, now.saturating_sub(job.since));
         self.desk.borrow_mut().pace.end(&server, result.is_ok(), now);
         self.with_engine(&server, |engine| {
             engine.job = None;
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -79,6 +79,18 @@
     Moved,
 }
 
+impl StoreError {
+    /// Returns its name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Moved => "moved",
+            Self::Expired => "expired",
+            Self::Refused(_) => "refused",
+            Self::Doubtful(_) => "doubtful",
+        }
+    }
+}
+
 /// The platform's store. What it acknowledged is never lost, and its answers are linearizable.
 pub trait Store: fmt::Debug {
     /// Returns the newest record of each key.
