entry: begin no request in the last second of a planned stop

Only streams were refused late in a stop. Ruled out: the reset of dropped connections (the answer was not there yet); a slow server (its run was 3 and 13 ms old). Change: requests with one answer are refused unrun in the last second before the end, as streams are in the last two thirds.

--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -20,6 +20,7 @@
 use crate::picture::budget::Budget;
 use crate::picture::budget::BudgetLimits;
 use crate::picture::configuration::Configuration;
+use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
 use crate::picture::digest::ProcessId;
 use crate::picture::directory::Directory;
@@ -40,6 +41,11 @@
 
 /// Part of a stop's grace in which streams may still begin; most of them end in the rest.
 const START_PART: f64 = 0.33;
+/// Left of a stop's grace for the process to end by itself.
+pub const END_MARGIN: Duration = Duration::from_secs(1);
+/// Time before a stop's end in which no request with one answer begins: nearly all are answered in less.
+/// Callers go on using open connections, and what began in the last instant was cut.
+const PLAIN_TIME: Duration = Duration::from_secs(1);
 
 /// Megabits a second from which a host's link carries the lease holder's word to a fleet of 72
 /// daemons: it was measured at 5, in bursts, beside the reports of 90 engines and callers' streams.
@@ -230,10 +236,14 @@
         self.stopping.get().is_none() && self.config.borrow().is_some() && !self.isolated.get()
     }
 
-    /// Returns until when a stream may begin here: one that begins late in a stop would be cut.
-    pub fn last_start(&self) -> Moment {
-        let stop = self.stopping.get();
-        stop.map_or(Moment::MAX, |began| began + self.settings.borrow().grace.mul_f64(START_PART))
+    /// Returns until when a request of a kind may begin here: one that begins late in a stop would be
+    /// cut.
+    pub fn last_start(&self, kind: RouteKind) -> Moment {
+        let Some(began) = self.stopping.get() else { return Moment::MAX };
+        let grace = self.settings.borrow().grace;
+        let stream = grace.mul_f64(START_PART);
+        let plain = grace.saturating_sub(END_MARGIN + PLAIN_TIME);
+        began + if kind == RouteKind::Streaming { stream } else { plain.max(stream) }
     }
 
     /// Returns whether callers should leave this daemon after their answer.
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -193,7 +193,7 @@
         entry.waits.arrived(&item, attempt.arrived);
     }
     entry.budget.borrow_mut().first(&attempt.service, attempt.arrived);
-    if attempt.route.kind == RouteKind::Streaming && entry.now() > entry.last_start() {
+    if entry.now() > entry.last_start(attempt.route.kind) {
         // On a connection that is still open it would be cut when this daemon ends.
         return refuse(entry, &attempt, &Refusal::unrun("this daemon stops", ELSEWHERE));
     }
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::serve::accept;
+use crate::serve::entry::END_MARGIN;
 use crate::serve::entry::Entry;
 use crate::serve::entry::EntrySettings;
 use crate::serve::gossip::Gossip;
@@ -22,8 +23,6 @@
 /// The balancer asks once a second and needs two refusals; callers that it sends until then are
 /// served.
 const LEAVE_TIME: Duration = Duration::from_millis(2600);
-/// Left of the grace for the process to end by itself.
-const END_MARGIN: Duration = Duration::from_secs(1);
 /// Time between looks at what is in progress.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Time between tries to give the lease up, while the store is away.
