store_pace: work out a shared load's time in one place

The time of a load that shares the weight store stood twice, for a plan and for a load under way, and the factor of the trial was named after the number that it first gives. The share of digests in the bytes between data centres is marked as worked out: the 97 MB were measured, the four fifths were not. Behaviour is unchanged; the tests of placing pass unchanged.

--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -129,8 +129,9 @@
     /// Returns the addresses of those to tell in a round.
     ///
     /// In a large fleet peers of other data centres are told every second time only: bytes between data
-    /// centres are paid for, and callers are mostly served in their own. Digests were four fifths of
-    /// the 97 MB that 72 daemons sent there in 48 s. The lease holder, who plans for all, is told always.
+    /// centres are paid for, and callers are mostly served in their own. Of the 97 MB that 72
+    /// daemons sent there in 48 s about four fifths were digests, worked out from their number and size.
+    /// The lease holder, who plans for all, is told always.
     pub fn listeners(&self, centre: &str, round: u64) -> impl Iterator<Item = SocketAddr> {
         let is_all = self.daemons() <= FLEET || round.is_multiple_of(2);
         let is_told = move |p: &&Peer| is_all || p.centre == centre || p.tenure.is_some();
--- a/lib/src/place/store_pace.rs
+++ b/lib/src/place/store_pace.rs
@@ -16,8 +16,8 @@
 
 /// Loads at once at most: more would take engines out of service for callers who wait elsewhere.
 const MOST: usize = 4;
-/// Loads at once while nothing is known. One alone would show nothing.
-const FIRST: usize = 2;
+/// Loads at once for each that is proven: half of them are a trial. One alone would show nothing.
+const TRIAL_FACTOR: usize = 2;
 /// Part of a load's time after which an end counts as punctual: loads of one size differ a little.
 const DONE: f64 = 0.85;
 /// A load that has not ended after this many times its time shows that the store serves fewer.
@@ -46,15 +46,20 @@
 impl StoreShare {
     /// Returns how many loads at once to run: all that are proven, and as many again as a trial.
     pub fn parallel(self) -> usize {
-        (self.proven * FIRST).min(self.limit).max(1)
+        (self.proven * TRIAL_FACTOR).min(self.limit).max(1)
     }
 
     /// Returns the time of a load that begins beside others, `count` in all.
     pub fn time(self, alone: Duration, count: usize) -> Duration {
-        alone.mul_f64((count as f64 / self.parallel() as f64).max(1.0))
+        shared_time(alone, count, self.parallel())
     }
 }
 
+/// The time of a load that began as one of `count` at a store that serves `full` at full speed.
+fn shared_time(alone: Duration, count: usize, full: usize) -> Duration {
+    alone.mul_f64((count as f64 / full as f64).max(1.0))
+}
+
 /// A load from the weight store that is under way.
 #[derive(Debug)]
 struct Running {
@@ -67,9 +72,9 @@
 }
 
 impl Running {
-    /// Its time in seconds, were `full` loads at once served at full speed.
-    fn time(&self, full: usize) -> f64 {
-        self.alone.as_secs_f64() * (self.count as f64 / full as f64).max(1.0)
+    /// Its time, were `full` loads at once served at full speed.
+    fn time(&self, full: usize) -> Duration {
+        shared_time(self.alone, self.count, full)
     }
 }
 
@@ -120,8 +125,8 @@
         if !succeeded {
             return;
         }
-        let took = now.saturating_sub(load.since).as_secs_f64();
-        let proven = (1..=MOST).find(|full| took >= load.time(*full) * DONE).unwrap_or(1);
+        let took = now.saturating_sub(load.since);
+        let proven = (1..=MOST).find(|full| took >= load.time(*full).mul_f64(DONE)).unwrap_or(1);
         self.share.proven = self.share.proven.max(proven.min(self.share.limit));
     }
 
@@ -132,7 +137,7 @@
             self.share.limit += 1;
         }
         let is_late = |load: &Running, full: usize| {
-            now.saturating_sub(load.since).as_secs_f64() > load.time(full) * LATE
+            now.saturating_sub(load.since) > load.time(full).mul_f64(LATE)
         };
         // A load that is late even with the store shared by all says nothing of it: its engine may be
         // at fault.
