store_calls: tell feeds apart, and when a failed call was sent

Cause: a daemon's loss of the store was logged once for all feeds and without the time at which the failed call had left, so the log could not tell a read that outlived an outage from a version that was not taken in. The configuration's age showed in refusals only. Change: one place notes each call to the store; lines by feed with call_ms and feed_seen_ms_ago; gauges configuration_version and configuration_age. No change of behaviour; the time of the last read of the configuration is now that of its feed.

--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -32,6 +32,8 @@
     idle: Counter<f64>,
     waiting: Gauge<u64>,
     active: Gauge<u64>,
+    config_version: Gauge<u64>,
+    config_age: Gauge<f64>,
     control: Counter<u64>,
     calls: Counter<u64>,
     loads: Histogram<f64>,
@@ -91,6 +93,14 @@
                 .build(),
             waiting: gauge("waiting", "Requests that wait for a replica"),
             active: gauge("active", "Requests in progress"),
+            config_version: gauge("configuration_version", "Version of the configuration in force"),
+            config_age: meter
+                .f64_gauge("configuration_age")
+                .with_unit("s")
+                .with_description(
+                    "Time since the store last told whether the configuration changed",
+                )
+                .build(),
             control: counter("control_bytes", "Bytes exchanged with daemons and the log"),
             calls: counter(
                 "store_calls",
@@ -144,6 +154,12 @@
         self.active.record(u64::from(active), &[]);
     }
 
+    /// Notes the configuration in force and for how long the store has said nothing about it.
+    pub fn configuration(&self, version: u64, age: Duration) {
+        self.config_version.record(version, &[]);
+        self.config_age.record(age.as_secs_f64(), &[]);
+    }
+
     /// Counts bytes of control traffic.
     pub fn exchanged(&self, kind: &'static str, bytes: usize) {
         self.control.add(bytes as u64, &[KeyValue::new("kind", kind)]);
--- a/lib/src/picture.rs
+++ b/lib/src/picture.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod configuration;
+pub mod contact;
 pub mod digest;
 pub mod directory;
 pub mod health;
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -26,4 +26,5 @@
 pub mod reply;
 pub mod send;
 pub mod socket;
+pub mod store_calls;
 pub mod waits;
--- a/lib/src/serve/accept.rs
+++ b/lib/src/serve/accept.rs
@@ -95,6 +95,8 @@
     serve_small(entry, listener, |entry, asked| match asked {
         "/metrics" => {
             entry.metrics.load(entry.waits.total(), entry.active.get());
+            let version = entry.config().map_or(0, |c| c.version);
+            entry.metrics.configuration(version, entry.config_age(entry.now()));
             (StatusCode::OK, entry.metrics.text())
         }
         _ => (StatusCode::NOT_FOUND, String::new()),
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -22,6 +22,7 @@
 use crate::picture::configuration::Configuration;
 use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
+use crate::picture::contact::Contact;
 use crate::picture::digest::ProcessId;
 use crate::picture::directory::Directory;
 use crate::picture::health::Evidence;
@@ -37,6 +38,7 @@
 use crate::serve::choose::Chooser;
 use crate::serve::pool::Pool;
 use crate::serve::waits::Waits;
+use crate::store::Feed;
 use crate::store::Store;
 
 /// Part of a stop's grace in which streams may still begin; most of them end in the rest.
@@ -156,10 +158,8 @@
     pub plan: Notify,
     /// When the store last answered.
     pub store_seen: Cell<Moment>,
-    /// Whether the last call to the store failed.
-    pub store_lost: Cell<bool>,
-    /// When the configuration was last known to be the newest.
-    pub config_seen: Cell<Moment>,
+    /// Whether the store answers, by feed.
+    pub contact: RefCell<Contact>,
     /// When SIGTERM came.
     pub stopping: Cell<Option<Moment>>,
     /// Requests of callers in progress.
@@ -206,8 +206,7 @@
             ledger: RefCell::default(),
             plan: Notify::new(),
             store_seen: Cell::default(),
-            store_lost: Cell::default(),
-            config_seen: Cell::default(),
+            contact: RefCell::default(),
             stopping: Cell::default(),
             active: Cell::default(),
             isolated: Cell::default(),
@@ -251,9 +250,14 @@
         self.stopping.get().is_some() || self.isolated.get()
     }
 
+    /// Returns for how long the store has not said whether the configuration changed.
+    pub fn config_age(&self, now: Moment) -> Duration {
+        self.contact.borrow().silence(Feed::Configuration, now)
+    }
+
     /// Returns whether the configuration may have changed without this daemon's notice.
     pub fn is_stale(&self, now: Moment) -> bool {
-        now > self.config_seen.get() + self.settings.borrow().stale_after
+        self.config_age(now) > self.settings.borrow().stale_after
     }
 
     /// Returns the fencing number while this daemon may give orders.
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -79,7 +79,7 @@
     let config = entry.config().map_or(0, |c| c.version);
     slog::info!(entry.log, "request-refused"; "attempt" => terms.attempt.as_deref().unwrap_or("-"),
         "status" => refusal.status.as_u16(), "reason" => refusal.reason, "config" => config,
-        "config_age_ms" => entry.now().saturating_sub(entry.config_seen.get()).as_millis(),
+        "config_age_ms" => entry.config_age(entry.now()).as_millis(),
         "host" => host(parts), "path" => parts.uri.path());
     entry.metrics.refused(refusal.reason);
     refusal.response()
--- a/lib/src/serve/lease_keeper.rs
+++ b/lib/src/serve/lease_keeper.rs
@@ -12,7 +12,7 @@
 use crate::place::tenure::Step;
 use crate::serve::entry::Entry;
 use crate::serve::gossip::Gossip;
-use crate::serve::observe::note_store;
+use crate::serve::store_calls::noted;
 use crate::store::Feed;
 use crate::store::FeedRecord;
 use crate::store::StoreError;
@@ -58,8 +58,7 @@
 
     async fn read_lease(&self) {
         let entry = &self.entry;
-        let result = entry.store.newest(Feed::Leases).await;
-        note_store(entry, Feed::Leases, result.as_ref().err());
+        let result = noted(entry, Feed::Leases, entry.store.newest(Feed::Leases)).await;
         let now = entry.now();
         match result {
             Ok(batch) => {
@@ -82,8 +81,8 @@
         let sent = entry.now();
         let value = entries::write(record);
         let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT), value: Some(value) };
-        let result = entry.store.append(Feed::Leases, feed_record, Some(at)).await;
-        note_store(entry, Feed::Leases, result.as_ref().err());
+        let call = entry.store.append(Feed::Leases, feed_record, Some(at));
+        let result = noted(entry, Feed::Leases, call).await;
         let now = entry.now();
         let mut tenure = entry.tenure.borrow_mut();
         match result {
@@ -117,8 +116,8 @@
         let Some((at, record)) = entry.tenure.borrow().release(entry.now()) else { return };
         let value = Some(entries::write(&record));
         let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT), value };
-        let result = entry.store.append(Feed::Leases, feed_record, Some(at)).await;
-        note_store(entry, Feed::Leases, result.as_ref().err());
+        let call = entry.store.append(Feed::Leases, feed_record, Some(at));
+        let result = noted(entry, Feed::Leases, call).await;
         slog::info!(entry.log, "lease-release"; "done" => result.is_ok(), "at" => at);
         // An append without an answer may have given it up: only proof of the contrary keeps it.
         if matches!(result, Ok(_) | Err(StoreError::Doubtful(_))) {
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -12,6 +12,7 @@
 use crate::place::entries;
 use crate::place::entries::DaemonEntry;
 use crate::serve::entry::Entry;
+use crate::serve::store_calls::noted;
 use crate::store::Batch;
 use crate::store::Feed;
 use crate::store::FeedRecord;
@@ -31,31 +32,6 @@
 const DAEMON_LOOKS: [Duration; 4] =
     [Duration::ZERO, Duration::from_millis(700), Duration::from_secs(2), Duration::from_secs(10)];
 
-/// Notes whether the store answered, and logs when that changes.
-pub fn note_store(entry: &Entry, feed: Feed, failed: Option<&StoreError>) {
-    let now = entry.now();
-    let had = entry.store_seen.get();
-    entry.metrics.called_store(feed.name(), failed.map_or("done", StoreError::name));
-    match failed {
-        None => {
-            let was_lost = entry.store_lost.replace(false);
-            entry.store_seen.set(now);
-            if was_lost {
-                slog::info!(entry.log, "dependency-regained"; "dependency" => "store",
-                    "feed" => %feed, "away_ms" => now.saturating_sub(had).as_millis());
-            }
-        }
-        Some(StoreError::Expired | StoreError::Moved) => {}
-        Some(error) => {
-            if !entry.store_lost.replace(true) {
-                slog::warn!(entry.log, "dependency-lost"; "dependency" => "store",
-                    "feed" => %feed, "error" => %error,
-                    "seen_ms_ago" => now.saturating_sub(had).as_millis());
-            }
-        }
-    }
-}
-
 /// Takes in a configuration; an older one than that in force changes nothing.
 pub fn adopt_config(entry: &Entry, raw: &Bytes, from: &str) {
     let config = match entry.protocol.configuration(raw) {
@@ -81,19 +57,17 @@
     if let Some(raw) = newest.and_then(|r| r.value.as_ref()) {
         adopt_config(entry, raw, "store");
     }
-    entry.config_seen.set(entry.now());
 }
 
 /// Follows the operators' configuration.
 pub async fn follow_config(entry: Rc<Entry>) {
     let mut from = None;
     loop {
-        let result = match from {
-            None => entry.store.newest(Feed::Configuration).await,
-            Some(offset) => entry.store.read(Feed::Configuration, offset, CONFIG_WAIT).await,
+        let call = match from {
+            None => entry.store.newest(Feed::Configuration),
+            Some(offset) => entry.store.read(Feed::Configuration, offset, CONFIG_WAIT),
         };
-        note_store(&entry, Feed::Configuration, result.as_ref().err());
-        match result {
+        match noted(&entry, Feed::Configuration, call).await {
             Ok(batch) => {
                 take_config(&entry, &batch);
                 from = Some(batch.end);
@@ -178,12 +152,11 @@
 pub async fn follow_servers(entry: Rc<Entry>) {
     let mut from = None;
     loop {
-        let result = match from {
-            None => entry.store.newest(Feed::Servers).await,
-            Some(offset) => entry.store.read(Feed::Servers, offset, Duration::ZERO).await,
+        let call = match from {
+            None => entry.store.newest(Feed::Servers),
+            Some(offset) => entry.store.read(Feed::Servers, offset, Duration::ZERO),
         };
-        note_store(&entry, Feed::Servers, result.as_ref().err());
-        match result {
+        match noted(&entry, Feed::Servers, call).await {
             Ok(batch) => {
                 take_servers(&entry, &batch, from.is_none());
                 from = Some(batch.end);
@@ -202,9 +175,8 @@
     let me = DaemonEntry { addr: settings.peer, process: entry.process };
     let record = || FeedRecord { key: settings.id.clone(), value: Some(entries::write(&me)) };
     loop {
-        let result = entry.store.append(Feed::Daemons, record(), None).await;
-        note_store(&entry, Feed::Daemons, result.as_ref().err());
-        if result.is_ok() {
+        let call = entry.store.append(Feed::Daemons, record(), None);
+        if noted(&entry, Feed::Daemons, call).await.is_ok() {
             break;
         }
         sleep(PAUSE * 2).await;
@@ -214,9 +186,8 @@
         sleep(look.saturating_sub(before)).await;
         before = look;
         loop {
-            let result = entry.store.newest(Feed::Daemons).await;
-            note_store(&entry, Feed::Daemons, result.as_ref().err());
-            if let Ok(batch) = result {
+            let call = entry.store.newest(Feed::Daemons);
+            if let Ok(batch) = noted(&entry, Feed::Daemons, call).await {
                 take_daemons(&entry, &batch);
                 break;
             }
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -14,7 +14,7 @@
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
 /// What the store keeps for us.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Feed {
     /// The operators' configuration.
     Configuration,
