observe: a read of the configuration ends within two seconds

Cause: a call that met a silent store, or a connection that went silent, is never answered. The read of the configuration waited five seconds and one more for its answer, so what operators wrote after the store's return was not seen for up to six seconds; all daemons had begun their reads in the same instant, so no peer knew better. A retry could take another idle connection that was lost as well.

--- a/lib/src/serve/call.rs
+++ b/lib/src/serve/call.rs
@@ -30,7 +30,8 @@
 
 /// Makes a call that must be answered within `limit`.
 ///
-/// A connection whose call had no answer is closed: nothing more comes on it.
+/// A connection whose call had no answer is closed: nothing more comes on it. So are the idle ones to the
+/// same address: what lost track of one has often lost them all, and each would cost another `limit`.
 ///
 /// # Errors
 ///
@@ -61,7 +62,13 @@
         let body = body.map_err(|_broken| CallError::Unanswered)?.to_bytes();
         Ok((status, body))
     };
-    let answer = timeout(limit, exchange).await.map_err(|_elapsed| CallError::Unanswered)??;
+    let answer = match timeout(limit, exchange).await {
+        Ok(answer) => answer?,
+        Err(_elapsed) => {
+            pool.forget(name);
+            return Err(CallError::Unanswered);
+        }
+    };
     pool.give_back(connection, Some(KEEP));
     Ok(answer)
 }
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use smol_str::SmolStr;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::ids::ServerId;
 use crate::picture::directory::Change;
@@ -21,11 +23,16 @@
 /// Key of the configuration's record.
 const CONFIG_KEY: &str = "config";
 /// Longest wait for a change of the configuration in one call.
-const CONFIG_WAIT: Duration = Duration::from_secs(5);
+///
+/// A call that met a store that was silent, or a connection that was lost without a reset, is never
+/// answered, and what operators write after the store's return is not seen until it is given up: this wait
+/// and one second later. Users allow three seconds, of which one is left to ask again. With a wait of five
+/// seconds all daemons of a fleet went on with an old version for up to six seconds after an outage.
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
 /// Part of the time within which a leaving server must get nothing more that lies between two reads
 /// of the servers' feed. Peers read at other moments and tell who left.
 const READ_PART: f64 = 0.55;
-/// Pause after a call that failed.
+/// Least time from a call that failed to the next.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Times of the looks at the list of daemons after the start; later ones hear of new daemons from
 /// these themselves.
@@ -63,6 +70,7 @@
 pub async fn follow_config(entry: Rc<Entry>) {
     let mut from = None;
     loop {
+        let begun = Instant::now();
         let call = match from {
             None => entry.store.newest(Feed::Configuration),
             Some(offset) => entry.store.read(Feed::Configuration, offset, CONFIG_WAIT),
@@ -73,7 +81,8 @@
                 from = Some(batch.end);
             }
             Err(StoreError::Expired) => from = None,
-            Err(_failed) => sleep(PAUSE).await,
+            // A call that was given up late was pause enough.
+            Err(_failed) => sleep_until(begun + PAUSE).await,
         }
     }
 }
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -122,6 +122,11 @@
         });
     }
 
+    /// Closes the idle connections to a server.
+    pub fn forget(&self, server: &ServerId) {
+        self.idle.borrow_mut().remove(server);
+    }
+
     /// Closes idle connections that are too old, and all to servers other than `known`.
     pub fn sweep(&self, known: impl Fn(&str) -> bool) {
         let now = Instant::now();
