follow_config: two daemons a data centre ask for the configuration often

Ruled out: the long wait for all, ended where another feed shows that the store was away; an answer lost on one connection shows on no other feed. Change: the first two daemons of a data centre by name ask often and tell it of a new version at once; the others wait five seconds, give a call up when a peer has a later version, and take a reader's part when its digests or what they say of the store's silence show that it is gone or blind (readers_few, readers_replaced, peer_heard).

--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -24,6 +24,14 @@
 const MISSED: u32 = 5;
 /// A lease holder that missed this many may be gone.
 const MISSED_BY_HOLDER: u32 = 3;
+/// Daemons of a data centre that ask for the configuration often, so that the others need not. Two, so that
+/// the loss of one is none of the others' concern.
+const CONFIG_READERS: usize = 2;
+/// A peer that was heard longer ago than this is not counted on to read the configuration.
+const READER_SILENT: Duration = Duration::from_millis(1500);
+/// Nor is one to which the store said nothing of the configuration for longer than this: more than the
+/// second between its reads, less than callers are let to notice.
+const READER_BLIND: Duration = Duration::from_millis(2500);
 /// A peer that was silent for this long is forgotten; a daemon that stays away was replaced.
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
@@ -51,6 +59,8 @@
     pub centre: CentreId,
     /// Configuration that it follows.
     pub config: ConfigVersion,
+    /// When the store last told it whether the configuration changed.
+    pub config_seen: Moment,
     /// Place in the feed of servers that it has read up to.
     pub servers: Offset,
     /// Its claim to the placement lease.
@@ -89,6 +99,7 @@
             heard: None,
             centre: CentreId::default(),
             config: 0,
+            config_seen: Moment::ZERO,
             servers: 0,
             tenure: None,
             listed: now,
@@ -112,6 +123,8 @@
         peer.heard = Some(now);
         peer.centre = digest.centre.clone();
         peer.config = digest.config;
+        let age = Duration::from_millis(digest.config_age_ms.into());
+        peer.config_seen = now.saturating_sub(age);
         peer.servers = digest.servers;
         peer.tenure = digest.tenure.map(|t| HeardTenure {
             fence: t.fence,
@@ -144,6 +157,18 @@
         self.peers.iter().filter(move |(_, p)| p.is_near(now, silent))
     }
 
+    /// Returns whether a daemon asks for the configuration often: where no two others of its data centre
+    /// that come before it by name are known to do so.
+    ///
+    /// A reader that stopped, was cut off or hears nothing from the store no longer counts, and the next
+    /// takes its part; where the store is away for all, all ask often. Readers that are counted wrongly cost
+    /// calls, never time.
+    pub fn reads_often(&self, id: &str, centre: &str, now: Moment) -> bool {
+        let before = self.peers.iter().take_while(|(peer, _)| peer.as_str() < id);
+        let readers = before.filter(|(_, p)| p.centre == centre && p.follows_config(now));
+        readers.count() < CONFIG_READERS
+    }
+
     /// Returns how many daemons share what all may do together, this one included.
     ///
     /// Peers that are silent count: they may be at work behind a partition.
@@ -196,6 +221,11 @@
 }
 
 impl Peer {
+    /// Returns whether it can be counted on to hear of a change of the configuration.
+    fn follows_config(&self, now: Moment) -> bool {
+        self.is_near(now, READER_SILENT) && now <= self.config_seen + READER_BLIND
+    }
+
     /// Returns whether it was heard lately: less than `silent` ago.
     pub fn is_near(&self, now: Moment, silent: Duration) -> bool {
         self.heard.is_some_and(|h| now <= h + silent)
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -13,6 +13,7 @@
 pub mod exchange_stream;
 pub mod find;
 pub mod flow;
+pub mod follow_config;
 pub mod gossip;
 pub mod handle;
 pub mod headers;
--- a/lib/src/serve/accept.rs
+++ b/lib/src/serve/accept.rs
@@ -95,7 +95,7 @@
     serve_small(entry, listener, |entry, asked| match asked {
         "/metrics" => {
             entry.metrics.load(entry.waits.total(), entry.active.get());
-            let version = entry.config().map_or(0, |c| c.version);
+            let version = entry.config_version();
             entry.metrics.configuration(version, entry.config_age(entry.now()));
             (StatusCode::OK, entry.metrics.text())
         }
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::picture::budget::Budget;
 use crate::picture::budget::BudgetLimits;
+use crate::picture::configuration::ConfigVersion;
 use crate::picture::configuration::Configuration;
 use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
@@ -156,6 +157,10 @@
     pub ledger: RefCell<Ledger>,
     /// Wakes the holder.
     pub plan: Notify,
+    /// Wakes those who tell peers of a version that has come into force.
+    pub config_changed: Notify,
+    /// Tells that a peer has a later version of the configuration.
+    pub config_news: Notify,
     /// When the store last answered.
     pub store_seen: Cell<Moment>,
     /// Whether the store answers, by feed.
@@ -205,6 +210,8 @@
             demand: RefCell::default(),
             ledger: RefCell::default(),
             plan: Notify::new(),
+            config_changed: Notify::new(),
+            config_news: Notify::new(),
             store_seen: Cell::default(),
             contact: RefCell::default(),
             stopping: Cell::default(),
@@ -230,6 +237,23 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the version of the configuration; 0 before the first.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config.borrow().as_ref().map_or(0, |c| c.version)
+    }
+
+    /// Returns whether a peer that is in reach has a later version of the configuration.
+    pub fn is_behind(&self) -> bool {
+        let version = self.config_version();
+        self.peers.borrow().near(self.now()).any(|(_, peer)| peer.config > version)
+    }
+
+    /// Returns whether this daemon asks the store for the configuration often, on behalf of its data centre.
+    pub fn reads_often(&self) -> bool {
+        let settings = self.settings.borrow();
+        self.peers.borrow().reads_often(&settings.id, &settings.centre, self.now())
+    }
+
     /// Returns whether new callers are welcome.
     pub fn is_ready(&self) -> bool {
         self.stopping.get().is_none() && self.config.borrow().is_some() && !self.isolated.get()
--- /dev/null
+++ b/lib/src/serve/follow_config.rs
@@ -0,0 +1,109 @@
+//! Follows the operators' configuration at the platform's store.
+//!
+//! Calls are paid for, so only some daemons of a data centre ask often; the others wait for long, and ask again
+//! at once when a peer has a later version.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::ids::Offset;
+use crate::serve::entry::Entry;
+use crate::serve::observe::adopt_config;
+use crate::serve::store_calls::noted;
+use crate::store::Batch;
+use crate::store::Feed;
+use crate::store::StoreError;
+
+/// Key of the configuration's record.
+const CONFIG_KEY: &str = "config";
+/// Longest wait for a change in one call of a daemon that asks often.
+///
+/// A call that met a store that was silent, or a connection that was lost without a reset, is never
+/// answered, and what operators write after the store's return is not seen until it is given up: this wait
+/// and one second later. Users allow three seconds, of which one is left to ask again. With a wait of five
+/// seconds all daemons of a fleet went on with an old version for up to six seconds after an outage.
+const OFTEN_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait of the others. A call a second of each of 72 daemons cost 0.02 of a day's worth.
+const SELDOM_WAIT: Duration = Duration::from_secs(5);
+/// A call of a daemon that asks often is given up after this time, also where it began to ask often only
+/// while the call was out.
+const OFTEN_LIMIT: Duration = Duration::from_secs(2);
+/// Time between looks at whether this daemon asks often.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// For this long a daemon waits for its own call's answer when a peer has a later version: usually both
+/// hear of it in the same instant.
+const NEWS_PAUSE: Duration = Duration::from_millis(100);
+/// A call younger than this is not given up for a peer's later version; a slow store takes 0.4 s.
+const YOUNG: Duration = Duration::from_millis(500);
+/// Least time from a call that failed to the next.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Follows the configuration for as long as the daemon runs.
+pub async fn follow_config(entry: Rc<Entry>) {
+    let mut from = None;
+    loop {
+        let begun = Instant::now();
+        let result = match from {
+            None => {
+                noted(&entry, Feed::Configuration, entry.store.newest(Feed::Configuration)).await
+            }
+            Some(offset) => read_on(&entry, offset).await,
+        };
+        match result {
+            Ok(batch) => {
+                take_config(&entry, &batch);
+                from = Some(batch.end);
+            }
+            Err(StoreError::Expired) => from = None,
+            // A call that was given up late was pause enough.
+            Err(_failed) => sleep_until(begun + PAUSE).await,
+        }
+    }
+}
+
+fn take_config(entry: &Entry, batch: &Batch) {
+    let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
+    if let Some(raw) = newest.and_then(|r| r.value.as_ref()) {
+        adopt_config(entry, raw, "store");
+    }
+}
+
+/// Waits for the next version.
+async fn read_on(entry: &Entry, from: Offset) -> Result<Batch, StoreError> {
+    let begun = entry.now();
+    let wait = if entry.reads_often() { OFTEN_WAIT } else { SELDOM_WAIT };
+    let call = entry.store.read(Feed::Configuration, from, wait);
+    tokio::select! {
+        biased;
+        result = noted(entry, Feed::Configuration, call) => result,
+        reason = given_up(entry) => {
+            entry.metrics.called_store(Feed::Configuration.name(), "given up");
+            slog::info!(entry.log, "store-call-given-up"; "feed" => %Feed::Configuration,
+                "reason" => reason, "config" => entry.config_version(),
+                "call_ms" => entry.now().saturating_sub(begun).as_millis());
+            Err(StoreError::Doubtful(reason.to_owned()))
+        }
+    }
+}
+
+/// Waits until a call that has just begun is to be given up; returns why.
+async fn given_up(entry: &Entry) -> &'static str {
+    let begun = Instant::now();
+    loop {
+        if timeout(LOOK_EVERY, entry.config_news.notified()).await.is_ok() {
+            sleep(NEWS_PAUSE).await;
+        }
+        let out = begun.elapsed();
+        if out >= YOUNG && entry.is_behind() {
+            return "a peer has a later version";
+        }
+        if out >= OFTEN_LIMIT && entry.reads_often() {
+            return "no answer in time";
+        }
+    }
+}
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -95,6 +95,7 @@
         let claim = entry.tenure.borrow().claim(now);
         let servers = entry.directory.borrow().end();
         let left = entry.directory.borrow_mut().left(now);
+        let age = entry.config_age(now);
         let note = |(place, work): (Place, Work)| LoadNote {
             server: place.server,
             model: place.model,
@@ -103,7 +104,8 @@
         };
         Digest {
             centre: entry.settings().centre.clone(),
-            config: entry.config().map_or(0, |c| c.version),
+            config: entry.config_version(),
+            config_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             servers,
             left,
             ready: entry.is_ready(),
@@ -119,12 +121,28 @@
             let now = self.entry.now();
             if now >= due || self.told.get().is_zero() {
                 self.tell_digest();
-            } else {
-                sleep(due.saturating_sub(now)).await;
+            } else if timeout(due.saturating_sub(now), self.entry.config_changed.notified())
+                .await
+                .is_ok()
+            {
+                self.tell_version();
             }
         }
     }
 
+    /// Tells the data centre at once that a version has come into force, on the part of those who ask for it
+    /// often: the others may not hear of it otherwise for seconds.
+    fn tell_version(&self) {
+        if !self.entry.reads_often() {
+            return;
+        }
+        let bytes = self.encode(Content::Digest(self.digest()));
+        let centre = self.entry.settings().centre.clone();
+        for (_, peer) in self.entry.peers.borrow().all().filter(|(_, p)| p.centre == centre) {
+            self.send(peer.addr, &bytes, "digest");
+        }
+    }
+
     /// Tells peers this daemon's state: all of them where it holds the lease, else those whose turn it is.
     pub fn tell_digest(&self) {
         let bytes = self.encode(Content::Digest(self.digest()));
@@ -257,6 +275,9 @@
             slog::info!(entry.log, "dependency-regained"; "dependency" => "peer", "peer" => %from,
                 "addr" => %addr, "config" => digest.config);
         }
+        if digest.config > entry.config_version() {
+            entry.config_news.notify_one();
+        }
         if !had_holder && digest.tenure.is_some() {
             // Demand that nobody heard is told to the new holder at once.
             entry.waits.begun.notify_one();
@@ -327,7 +348,7 @@
     fn peer_ahead(&self) -> Option<SocketAddr> {
         let entry = &self.entry;
         let now = entry.now();
-        let config = entry.config().map_or(0, |c| c.version);
+        let config = entry.config_version();
         let servers = entry.directory.borrow().end();
         let store_silent = now > entry.store_seen.get() + STORE_SILENT;
         let peers = entry.peers.borrow();
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -76,7 +76,7 @@
     refusal: &Refusal,
 ) -> Response<ReplyBody> {
     let terms = entry.protocol.caller_terms(&parts.headers);
-    let config = entry.config().map_or(0, |c| c.version);
+    let config = entry.config_version();
     slog::info!(entry.log, "request-refused"; "attempt" => terms.attempt.as_deref().unwrap_or("-"),
         "status" => refusal.status.as_u16(), "reason" => refusal.reason, "config" => config,
         "config_age_ms" => entry.config_age(entry.now()).as_millis(),
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -13,6 +13,7 @@
 use crate::serve::entry::END_MARGIN;
 use crate::serve::entry::Entry;
 use crate::serve::entry::EntrySettings;
+use crate::serve::follow_config;
 use crate::serve::gossip::Gossip;
 use crate::serve::lease_keeper::LeaseKeeper;
 use crate::serve::observe;
@@ -58,7 +59,7 @@
     slog::info!(entry.log, "start"; "id" => settings.id.as_str(), "process" => entry.process,
         "centre" => settings.centre.as_str(), "front" => %settings.front,
         "peer" => %settings.peer, "version" => env!("CARGO_PKG_VERSION"));
-    spawn_local(observe::follow_config(Rc::clone(entry)));
+    spawn_local(follow_config::follow_config(Rc::clone(entry)));
     spawn_local(observe::follow_servers(Rc::clone(entry)));
     spawn_local(observe::follow_daemons(Rc::clone(entry)));
     spawn_local(picture_relay::serve_peers(Rc::clone(entry), peers));
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -1,13 +1,11 @@
-//! Follows the platform's feeds: configuration, servers, daemons.
+//! Follows the platform's feeds of servers and daemons, and takes in what the store and peers tell.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use smol_str::SmolStr;
-use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 
 use crate::ids::ServerId;
 use crate::picture::directory::Change;
@@ -20,19 +18,10 @@
 use crate::store::FeedRecord;
 use crate::store::StoreError;
 
-/// Key of the configuration's record.
-const CONFIG_KEY: &str = "config";
-/// Longest wait for a change of the configuration in one call.
-///
-/// A call that met a store that was silent, or a connection that was lost without a reset, is never
-/// answered, and what operators write after the store's return is not seen until it is given up: this wait
-/// and one second later. Users allow three seconds, of which one is left to ask again. With a wait of five
-/// seconds all daemons of a fleet went on with an old version for up to six seconds after an outage.
-const CONFIG_WAIT: Duration = Duration::from_secs(1);
 /// Part of the time within which a leaving server must get nothing more that lies between two reads
 /// of the servers' feed. Peers read at other moments and tell who left.
 const READ_PART: f64 = 0.55;
-/// Least time from a call that failed to the next.
+/// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Times of the looks at the list of daemons after the start; later ones hear of new daemons from
 /// these themselves.
@@ -48,7 +37,7 @@
             return;
         }
     };
-    let old = entry.config().map_or(0, |c| c.version);
+    let old = entry.config_version();
     if config.version <= old {
         return;
     }
@@ -56,37 +45,10 @@
         "from" => from, "routes" => config.route_count(), "services" => config.services.len());
     *entry.config.borrow_mut() = Some(Rc::new(config));
     *entry.raw_config.borrow_mut() = raw.clone();
+    entry.config_changed.notify_one();
     entry.plan.notify_one();
 }
 
-fn take_config(entry: &Entry, batch: &Batch) {
-    let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
-    if let Some(raw) = newest.and_then(|r| r.value.as_ref()) {
-        adopt_config(entry, raw, "store");
-    }
-}
-
-/// Follows the operators' configuration.
-pub async fn follow_config(entry: Rc<Entry>) {
-    let mut from = None;
-    loop {
-        let begun = Instant::now();
-        let call = match from {
-            None => entry.store.newest(Feed::Configuration),
-            Some(offset) => entry.store.read(Feed::Configuration, offset, CONFIG_WAIT),
-        };
-        match noted(&entry, Feed::Configuration, call).await {
-            Ok(batch) => {
-                take_config(&entry, &batch);
-                from = Some(batch.end);
-            }
-            Err(StoreError::Expired) => from = None,
-            // A call that was given up late was pause enough.
-            Err(_failed) => sleep_until(begun + PAUSE).await,
-        }
-    }
-}
-
 /// Takes in one server's entry, or its removal.
 pub fn take_server(entry: &Entry, key: &ServerId, value: Option<&Bytes>, from: &str) -> Change {
     let now = entry.now();
--- a/lib/src/serve/picture_relay.rs
+++ b/lib/src/serve/picture_relay.rs
@@ -73,7 +73,7 @@
     let reply = {
         let directory = entry.directory.borrow();
         PictureReply {
-            config: entry.config().map_or(0, |c| c.version),
+            config: entry.config_version(),
             raw_config: entry.raw_config.borrow().to_vec(),
             servers: directory.end(),
             raw_servers: directory.raw().map(|(id, raw)| (id.clone(), raw.to_vec())).collect(),
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -19,20 +19,63 @@
     let mut peers = PeerTable::default();
     for n in 0..count {
         let tenure = (n + 1 == count).then_some(TenureNote { fence: 1, left_ms: 1000, end: 1 });
-        let digest = Digest {
-            centre: ["near", "far"][usize::from(n % 2)].into(),
-            config: 1,
-            servers: 1,
-            left: Vec::new(),
-            ready: true,
-            loads: Vec::new(),
-            tenure,
-        };
+        let centre = ["near", "far"][usize::from(n % 2)];
+        let digest = Digest { tenure, ..digest(centre, Duration::ZERO) };
         peers.heard(&format!("d{n}").into(), addr(n), n.into(), &digest, NOW);
     }
     peers
 }
 
+fn digest(centre: &str, config_age: Duration) -> Digest {
+    Digest {
+        centre: centre.into(),
+        config: 1,
+        config_age_ms: config_age.as_millis() as u32,
+        servers: 1,
+        left: Vec::new(),
+        ready: true,
+        loads: Vec::new(),
+        tenure: None,
+    }
+}
+
+fn hear(peers: &mut PeerTable, n: u16, centre: &str, config_age: Duration, now: Duration) {
+    let _was_silent =
+        peers.heard(&format!("d{n}").into(), addr(n), n.into(), &digest(centre, config_age), now);
+}
+
+/// Each of 72 daemons asked the store for the configuration each second; two in a data centre do.
+#[test]
+fn readers_few() {
+    let mut peers = PeerTable::default();
+    assert!(peers.reads_often("d1", "near", NOW), "one that knows nobody asks itself");
+    hear(&mut peers, 0, "far", Duration::ZERO, NOW);
+    hear(&mut peers, 1, "near", Duration::ZERO, NOW);
+    hear(&mut peers, 2, "near", Duration::ZERO, NOW);
+    hear(&mut peers, 3, "near", Duration::ZERO, NOW);
+    let often = |id: &str| peers.reads_often(id, "near", NOW);
+    assert_eq!(["d1", "d2", "d3", "d4"].map(often), [true, true, false, false]);
+    assert!(peers.reads_often("d4", "far", NOW));
+}
+
+/// A version stays unseen in a data centre for six seconds. Of the two daemons that ask for it one is cut off
+/// from the store and goes on telling its peers, the other has stopped; the next two take their part.
+#[test]
+fn readers_replaced() {
+    let mut peers = PeerTable::default();
+    let second = Duration::from_secs(1);
+    hear(&mut peers, 1, "near", Duration::ZERO, NOW);
+    hear(&mut peers, 2, "near", Duration::ZERO, NOW);
+    assert!(!peers.reads_often("d3", "near", NOW + second));
+    let later = NOW + second * 2;
+    hear(&mut peers, 1, "near", second * 3, later);
+    assert!(peers.reads_often("d3", "near", later));
+    assert!(peers.reads_often("d4", "near", later));
+    hear(&mut peers, 1, "near", Duration::ZERO, later);
+    hear(&mut peers, 3, "near", Duration::ZERO, later);
+    assert!(!peers.reads_often("d4", "near", later), "the first and the third do");
+}
+
 /// Bytes between data centres are paid for; in a large fleet most of them were digests.
 #[rstest]
 #[case::small(8, 0, 8)]
