serve: count a request until its answer is written

Cause: a request counted as answered when `handle` returned; its answer still lay with the HTTP library where the caller read slowly. A stop that found nothing in progress 2.6 s after SIGTERM ended, and the caller got a part of it. Ruled out: the body's drop as the sign (the library takes a whole answer at once and drops the body before it has written it). Change: each connection counts its requests; the answer's body holds the count, which ends with the first flush after the body is gone: the library flushes a socket only when it has written all that it had. Streams need no count of their own any more.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -1,10 +1,13 @@
 //! The path of a request through an entry host, a filter each: accept, route, wait, send, relay.
 
 pub mod accept;
+pub mod active_request;
+pub mod active_requests;
 mod adapter_orders;
 pub mod attempt;
 pub mod body;
 pub mod call;
+pub mod caller_socket;
 pub mod choose;
 pub mod engine_orders;
 pub mod entry;
--- a/lib/src/serve/accept.rs
+++ b/lib/src/serve/accept.rs
@@ -19,7 +19,9 @@
 use tokio::time::sleep;
 
 use crate::picture::configuration::CallerLimits;
+use crate::serve::active_requests::ActiveRequests;
 use crate::serve::body::ReplyBody;
+use crate::serve::caller_socket::CallerSocket;
 use crate::serve::entry::Entry;
 use crate::serve::handle::handle;
 use crate::serve::socket;
@@ -59,16 +61,19 @@
         return;
     }
     let limits = entry.config().map_or(FIRST_LIMITS, |c| c.limits);
+    let requests = ActiveRequests::new(Rc::clone(&entry));
+    let socket = CallerSocket::new(stream, Rc::clone(&requests));
     let for_requests = Rc::clone(&entry);
     let service = service_fn(move |request: Request<Incoming>| {
         let entry = Rc::clone(&for_requests);
-        async move { Ok::<_, Infallible>(handle(entry, request).await) }
+        let active = requests.begin();
+        async move { Ok::<_, Infallible>(handle(entry, active, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle.max(limits.head_time) + IDLE_MARGIN)
         .max_buf_size(limits.head.max(LEAST_HEAD))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     if let Err(error) = connection.await {
         slog::debug!(entry.log, "caller-connection-ended"; "error" => %error);
     }
--- a/lib/src/serve/body.rs
+++ b/lib/src/serve/body.rs
@@ -13,6 +13,8 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
+use crate::serve::active_request::ActiveRequest;
+
 /// Chunks that wait for a caller who reads slowly; a full channel slows the backend server down.
 const CHUNKS: usize = 64;
 
@@ -25,25 +27,36 @@
 /// Where a stream's chunks go.
 pub type ChunkSender = mpsc::Sender<Result<Bytes, BrokenOff>>;
 
-/// A body that is known whole, or whose chunks come one by one.
 #[derive(Debug)]
-pub enum ReplyBody {
-    /// A whole body.
+enum Content {
     Whole(Full<Bytes>),
-    /// Chunks of a stream; ends when its sender is dropped.
+    /// Ends when its sender is dropped.
     Stream(mpsc::Receiver<Result<Bytes, BrokenOff>>),
 }
 
+/// A body that is known whole, or whose chunks come one by one.
+#[derive(Debug)]
+pub struct ReplyBody {
+    content: Content,
+    /// The request that it answers, where callers are waited for.
+    active: Option<ActiveRequest>,
+}
+
 impl ReplyBody {
     /// Makes a whole body.
     pub fn whole(bytes: Bytes) -> Self {
-        Self::Whole(Full::new(bytes))
+        Self { content: Content::Whole(Full::new(bytes)), active: None }
     }
 
     /// Makes a stream and where its chunks go.
     pub fn stream() -> (ChunkSender, Self) {
         let (sender, receiver) = mpsc::channel(CHUNKS);
-        (sender, Self::Stream(receiver))
+        (sender, Self { content: Content::Stream(receiver), active: None })
+    }
+
+    /// Counts the request as in progress for as long as this body lives.
+    pub fn hold(&mut self, active: ActiveRequest) {
+        self.active = Some(active);
     }
 }
 
@@ -55,27 +68,27 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match self.get_mut() {
-            Self::Whole(full) => Pin::new(full)
+        match &mut self.get_mut().content {
+            Content::Whole(full) => Pin::new(full)
                 .poll_frame(cx)
                 .map(|f| f.map(|f| f.map_err(|e: Infallible| match e {}))),
-            Self::Stream(receiver) => {
+            Content::Stream(receiver) => {
                 receiver.poll_recv(cx).map(|chunk| chunk.map(|c| c.map(Frame::data)))
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(full) => full.is_end_stream(),
-            Self::Stream(_) => false,
+        match &self.content {
+            Content::Whole(full) => full.is_end_stream(),
+            Content::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(full) => full.size_hint(),
-            Self::Stream(_) => SizeHint::default(),
+        match &self.content {
+            Content::Whole(full) => full.size_hint(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
--- /dev/null
+++ b/lib/src/serve/caller_socket.rs
@@ -0,0 +1,76 @@
+//! A caller's socket, which tells when all answers have been written to it.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+use crate::serve::active_requests::ActiveRequests;
+
+/// A caller's socket.
+///
+/// The HTTP library flushes it only when it has written all that it had; what the system has taken by
+/// then reaches the caller also after this process has ended.
+#[derive(Debug)]
+pub struct CallerSocket {
+    stream: TcpStream,
+    requests: Rc<ActiveRequests>,
+}
+
+impl CallerSocket {
+    /// Watches the answers to `requests` on their way through `stream`.
+    pub fn new(stream: TcpStream, requests: Rc<ActiveRequests>) -> Self {
+        Self { stream, requests }
+    }
+}
+
+impl AsyncRead for CallerSocket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerSocket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
+        this.requests.written();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -162,7 +162,7 @@
     pub config_seen: Cell<Moment>,
     /// When SIGTERM came.
     pub stopping: Cell<Option<Moment>>,
-    /// Requests of callers in progress.
+    /// Requests of callers whose answers are not all written.
     pub active: Cell<u32>,
     /// Whether this daemon is cut off from other data centres and the store.
     pub isolated: Cell<bool>,
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -155,11 +155,9 @@
     entry.metrics.first_byte(started.first.saturating_sub(attempt.arrived));
     entry.metrics.waited(&attempt.route.name, attempt.waited);
     let entry = Rc::clone(entry);
-    entry.active.set(entry.active.get() + 1);
     spawn_local(async move {
-        let mut relay = Relay { entry: Rc::clone(&entry), attempt, sender };
+        let mut relay = Relay { entry, attempt, sender };
         relay.run(started).await;
-        entry.active.set(entry.active.get().saturating_sub(1));
     });
     response
 }
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -21,6 +21,7 @@
 use crate::picture::configuration::Route;
 use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
+use crate::serve::active_request::ActiveRequest;
 use crate::serve::attempt::Attempt;
 use crate::serve::body::ReplyBody;
 use crate::serve::entry::Entry;
@@ -39,25 +40,12 @@
 /// When a caller should try another daemon in place of one that stops.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
-/// Counts a request in progress.
-struct Active(Rc<Entry>);
-
-impl Active {
-    fn begin(entry: &Rc<Entry>) -> Self {
-        entry.active.set(entry.active.get() + 1);
-        Self(Rc::clone(entry))
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.set(self.0.active.get().saturating_sub(1));
-    }
-}
-
-/// Answers a request.
-pub async fn handle(entry: Rc<Entry>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let _active = Active::begin(&entry);
+/// Answers a request, which is in progress until its answer is written.
+pub async fn handle(
+    entry: Rc<Entry>,
+    active: ActiveRequest,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
     let arrived = entry.now();
     let (parts, body) = request.into_parts();
     let mut response = match read(&entry, parts, body, arrived).await {
@@ -67,6 +55,7 @@
     if entry.sends_away() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    response.body_mut().hold(active);
     response
 }
 
