serve: begin in a planned stop only what can end

Cause: requests with one answer began until two seconds before a stop's grace is over, however long their deadline; at the end whatever was in progress was dropped, so its caller saw a closed connection and could not know whether it had run. A release of the lease at a store out of reach could hold the end up past the grace. A second was kept for the end of the process. Ruled out: a second SIGTERM or a reload during a stop (neither is taken); requests read after the last look. Change: one rule for all kinds.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -24,6 +24,7 @@
 pub mod observe;
 pub mod orders;
 pub mod picture_relay;
+pub mod planned_stop;
 pub mod pool;
 pub mod relay;
 pub mod reply;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -21,6 +21,7 @@
 use crate::serve::choose::Chosen;
 use crate::serve::entry::Entry;
 use crate::serve::headers::strip_connection;
+use crate::serve::reply::Refusal;
 use crate::serve::send::SendFailure;
 use crate::verdict::Verdict;
 
@@ -49,8 +50,10 @@
     pub arrived: Moment,
     /// When it must have its answer.
     pub deadline: Moment,
-    /// What is known of it running.
+    /// What is known of it running, but for a send that is under way.
     pub verdict: Verdict,
+    /// Whether a send is under way.
+    pub sending: bool,
     /// Servers that it was sent to in vain.
     pub tried: Vec<ServerId>,
     /// Servers that may have run it.
@@ -127,13 +130,23 @@
     /// Notes a send to a chosen server.
     pub fn sent(&mut self, chosen: &Chosen) {
         self.sends += 1;
+        self.sending = true;
         self.last = Some(chosen.server.id.clone());
         self.cost = chosen.cost;
         self.among = chosen.among;
     }
 
+    /// Gives the request up wherever it is; the caller is told whether it may have run.
+    pub fn give_up(&mut self, reason: &'static str, retry: Duration) -> Refusal {
+        if self.sending {
+            self.verdict = self.verdict.and(Verdict::MayHaveRun);
+        }
+        Refusal::failed(self.verdict, reason, retry)
+    }
+
     /// Takes in that a send failed.
     pub fn failed(&mut self, entry: &Entry, failure: &SendFailure) {
+        self.sending = false;
         self.reason = failure.reason;
         self.arrivals += u32::from(failure.arrived);
         self.verdict = self.verdict.and(failure.verdict);
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use slog::Logger;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::boot_clock::BootClock;
 use crate::boot_clock::Moment;
@@ -20,7 +21,6 @@
 use crate::picture::budget::Budget;
 use crate::picture::budget::BudgetLimits;
 use crate::picture::configuration::Configuration;
-use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
 use crate::picture::digest::ProcessId;
 use crate::picture::directory::Directory;
@@ -35,18 +35,11 @@
 use crate::place::tenure::Tenure;
 use crate::protocol::Protocol;
 use crate::serve::choose::Chooser;
+use crate::serve::planned_stop::PlannedStop;
 use crate::serve::pool::Pool;
 use crate::serve::waits::Waits;
 use crate::store::Store;
 
-/// Part of a stop's grace in which streams may still begin; most of them end in the rest.
-const START_PART: f64 = 0.33;
-/// Left of a stop's grace for the process to end by itself.
-pub const END_MARGIN: Duration = Duration::from_secs(1);
-/// Time before a stop's end in which no request with one answer begins: nearly all are answered in less.
-/// Callers go on using open connections, and what began in the last instant was cut.
-const PLAIN_TIME: Duration = Duration::from_secs(1);
-
 /// Megabits a second from which a host's link carries the lease holder's word to a fleet of 72
 /// daemons: it was measured at 5, in bursts, beside the reports of 90 engines and callers' streams.
 const HOLDER_LINK: f64 = 50.0;
@@ -160,8 +153,10 @@
     pub store_lost: Cell<bool>,
     /// When the configuration was last known to be the newest.
     pub config_seen: Cell<Moment>,
-    /// When SIGTERM came.
-    pub stopping: Cell<Option<Moment>>,
+    /// The stop that SIGTERM began.
+    pub stopping: Cell<Option<PlannedStop>>,
+    /// Whether a stop is over, so that what is in progress is given up.
+    pub ending: watch::Sender<bool>,
     /// Requests of callers whose answers are not all written.
     pub active: Cell<u32>,
     /// Whether this daemon is cut off from other data centres and the store.
@@ -209,6 +204,7 @@
             store_lost: Cell::default(),
             config_seen: Cell::default(),
             stopping: Cell::default(),
+            ending: watch::Sender::default(),
             active: Cell::default(),
             isolated: Cell::default(),
             metrics: Metrics::new(),
@@ -236,14 +232,16 @@
         self.stopping.get().is_none() && self.config.borrow().is_some() && !self.isolated.get()
     }
 
-    /// Returns until when a request of a kind may begin here: one that begins late in a stop would be
-    /// cut.
-    pub fn last_start(&self, kind: RouteKind) -> Moment {
-        let Some(began) = self.stopping.get() else { return Moment::MAX };
-        let grace = self.settings.borrow().grace;
-        let stream = grace.mul_f64(START_PART);
-        let plain = grace.saturating_sub(END_MARGIN + PLAIN_TIME);
-        began + if kind == RouteKind::Streaming { stream } else { plain.max(stream) }
+    /// Returns until when a request may begin here that must be answered by `deadline`.
+    pub fn last_start(&self, deadline: Moment) -> Moment {
+        self.stopping.get().map_or(Moment::MAX, |stop| stop.last_start(deadline))
+    }
+
+    /// Waits until what is in progress is given up, because a stop is over.
+    pub async fn ended(&self) {
+        let mut ending = self.ending.subscribe();
+        let told = ending.wait_for(|is_over| *is_over).await;
+        debug_assert!(told.is_ok(), "the sender lives as long as this");
     }
 
     /// Returns whether callers should leave this daemon after their answer.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -4,20 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Response;
 use http::response;
 use tokio::time::timeout;
 
 use crate::picture::configuration::RouteKind;
 use crate::picture::health::Evidence;
 use crate::serve::attempt::Attempt;
-use crate::serve::body::ReplyBody;
 use crate::serve::choose::Choice;
 use crate::serve::choose::Chosen;
 use crate::serve::entry::Entry;
-use crate::serve::handle::log_answer;
 use crate::serve::reply::Refusal;
-use crate::serve::reply::pass_on;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
 use crate::verdict::Verdict;
@@ -34,7 +30,10 @@
 /// # Errors
 ///
 /// Returns the answer of our own that the caller gets.
-pub async fn run(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Response<ReplyBody>, Refusal> {
+pub async fn run(
+    entry: &Rc<Entry>,
+    attempt: &mut Attempt,
+) -> Result<(response::Parts, Bytes), Refusal> {
     loop {
         let now = entry.now();
         if now >= attempt.deadline {
@@ -63,10 +62,8 @@
                 if is_retried(entry, attempt, &head) {
                     continue;
                 }
-                attempt.verdict = Verdict::Ran;
-                log_answer(entry, attempt, head.status, "answered", None);
                 entry.metrics.first_byte(entry.now().saturating_sub(attempt.arrived));
-                return Ok(pass_on(head, body));
+                return Ok((head, body));
             }
             Err(failure) => {
                 attempt.failed(entry, &failure);
@@ -106,6 +103,7 @@
     attempt.runs += 1;
     attempt.arrivals += 1;
     attempt.verdict = Verdict::Ran;
+    attempt.sending = false;
     attempt.tried.push(server);
     let is_open = attempt.may_repeat(entry.now()) && choose(entry, attempt).is_some();
     // The next round takes the repeat out of the budget; a server's own answer is better than ours.
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -18,14 +18,11 @@
 use crate::serve::find::find_server;
 use crate::serve::flow::Flow;
 use crate::serve::flow::Progress;
-use crate::serve::handle::log_answer;
 use crate::serve::headers::strip_connection;
 use crate::serve::relay::Relay;
 use crate::serve::reply::Refusal;
-use crate::serve::reply::pass_on;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
-use crate::verdict::Verdict;
 
 /// Largest answer other than a stream.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
@@ -52,27 +49,12 @@
     Other(response::Parts, Bytes),
 }
 
-/// Finds a server that begins to answer, and passes its events on.
+/// Finds a server that begins to answer.
 ///
 /// # Errors
 ///
 /// Returns the answer of our own that the caller gets.
-pub async fn run(
-    entry: &Rc<Entry>,
-    mut attempt: Attempt,
-) -> Result<Response<ReplyBody>, (Refusal, Attempt)> {
-    match open(entry, &mut attempt).await {
-        Ok(Opened::Other(head, body)) => {
-            attempt.verdict = Verdict::Ran;
-            log_answer(entry, &attempt, head.status, "answered", None);
-            Ok(pass_on(head, body))
-        }
-        Ok(Opened::Stream(started)) => Ok(relay(entry, attempt, *started)),
-        Err(refusal) => Err((refusal, attempt)),
-    }
-}
-
-async fn open(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Opened, Refusal> {
+pub async fn open(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Opened, Refusal> {
     let resume = attempt.terms.last_event;
     loop {
         let chosen = find_server(entry, attempt).await?;
@@ -146,7 +128,7 @@
 }
 
 /// Begins the answer to the caller and leaves the rest to a task.
-fn relay(entry: &Rc<Entry>, attempt: Attempt, started: Started) -> Response<ReplyBody> {
+pub fn relay(entry: &Rc<Entry>, attempt: Attempt, started: Started) -> Response<ReplyBody> {
     let (sender, body) = ReplyBody::stream();
     let mut response = Response::new(body);
     *response.status_mut() = started.head.status;
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -53,7 +53,7 @@
         }
         let now = entry.now();
         let patience = attempt.deadline.min(attempt.arrived + attempt.route.patience());
-        let give_up = patience.min(entry.last_start(attempt.route.kind));
+        let give_up = patience.min(entry.last_start(attempt.deadline));
         if let Some(refusal) = hopeless(entry, attempt, &item, began, give_up) {
             attempt.waited += now.saturating_sub(began);
             return Err(refusal);
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -27,7 +27,9 @@
 use crate::serve::entry::Entry;
 use crate::serve::exchange_plain;
 use crate::serve::exchange_stream;
+use crate::serve::exchange_stream::Opened;
 use crate::serve::reply::Refusal;
+use crate::serve::reply::pass_on;
 use crate::verdict::Verdict;
 
 /// Bodies of requests that are held at once; more would not fit a small host's memory.
@@ -39,6 +41,8 @@
 
 /// When a caller should try another daemon in place of one that stops.
 const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Why a request has no answer, where a stop is the cause.
+pub const STOPS: &str = "this daemon stops";
 
 /// Answers a request, which is in progress until its answer is written.
 pub async fn handle(
@@ -90,7 +94,12 @@
         let refusal = Refusal::unrun("no configuration yet", LEARNING);
         return Err((parts, refusal));
     };
-    let body = match read_body(body, config.limits.body).await {
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, config.limits.body) => body,
+        () = entry.ended() => Err(Refusal::unrun(STOPS, ELSEWHERE)),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(refusal) => return Err((parts, refusal)),
     };
@@ -119,6 +128,7 @@
         arrived,
         deadline: arrived + time,
         verdict: Verdict::DidNotRun,
+        sending: false,
         tried: Vec::new(),
         runs: 0,
         sends: 0,
@@ -182,20 +192,31 @@
         entry.waits.arrived(&item, attempt.arrived);
     }
     entry.budget.borrow_mut().first(&attempt.service, attempt.arrived);
-    if entry.now() > entry.last_start(attempt.route.kind) {
-        // On a connection that is still open it would be cut when this daemon ends.
-        return refuse(entry, &attempt, &Refusal::unrun("this daemon stops", ELSEWHERE));
+    if entry.now() > entry.last_start(attempt.deadline) {
+        return refuse(entry, &attempt, &Refusal::unrun(STOPS, ELSEWHERE));
     }
-    let result = if attempt.route.kind == RouteKind::Streaming {
-        exchange_stream::run(entry, attempt).await
-    } else {
-        let result = exchange_plain::run(entry, &mut attempt).await;
-        result.map_err(|refusal| (refusal, attempt))
+    let result = tokio::select! {
+        biased;
+        result = exchange(entry, &mut attempt) => result,
+        () = entry.ended() => Err(attempt.give_up(STOPS, ELSEWHERE)),
     };
     match result {
-        Ok(response) => response,
-        Err((refusal, attempt)) => refuse(entry, &attempt, &refusal),
+        Ok(Opened::Other(head, body)) => {
+            attempt.verdict = Verdict::Ran;
+            log_answer(entry, &attempt, head.status, "answered", None);
+            pass_on(head, body)
+        }
+        Ok(Opened::Stream(started)) => exchange_stream::relay(entry, attempt, *started),
+        Err(refusal) => refuse(entry, &attempt, &refusal),
+    }
+}
+
+async fn exchange(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Opened, Refusal> {
+    if attempt.route.kind == RouteKind::Streaming {
+        return exchange_stream::open(entry, attempt).await;
     }
+    let (head, body) = exchange_plain::run(entry, attempt).await?;
+    Ok(Opened::Other(head, body))
 }
 
 fn refuse(entry: &Entry, attempt: &Attempt, refusal: &Refusal) -> Response<ReplyBody> {
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -8,9 +8,9 @@
 use tokio::signal::unix::signal;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::serve::accept;
-use crate::serve::entry::END_MARGIN;
 use crate::serve::entry::Entry;
 use crate::serve::entry::EntrySettings;
 use crate::serve::gossip::Gossip;
@@ -18,13 +18,13 @@
 use crate::serve::observe;
 use crate::serve::orders::Orders;
 use crate::serve::picture_relay;
+use crate::serve::planned_stop::PlannedStop;
 use crate::serve::socket;
 
-/// The balancer asks once a second and needs two refusals; callers that it sends until then are
-/// served.
-const LEAVE_TIME: Duration = Duration::from_millis(2600);
 /// Time between looks at what is in progress.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Time between looks at whether last answers are written.
+const LAST_LOOK_EVERY: Duration = Duration::from_millis(5);
 /// Time between tries to give the lease up, while the store is away.
 const RELEASE_EVERY: Duration = Duration::from_millis(500);
 /// Time between looks at the settings' file, which may change without a signal.
@@ -126,25 +126,43 @@
     }
 }
 
-/// Stops without cutting a request: new callers go elsewhere, those that are here are served.
+/// Stops without cutting a request: new callers go elsewhere, those that are here are served, and those
+/// that cannot be served in the grace are told.
 pub async fn stop(entry: &Rc<Entry>, lease: &LeaseKeeper) {
     let began = entry.now();
-    entry.stopping.set(Some(began));
-    let grace = entry.settings().grace;
+    let stop = PlannedStop::new(began, entry.settings().grace);
+    entry.stopping.set(Some(stop));
     slog::info!(entry.log, "stop"; "phase" => "begun", "active" => entry.active.get());
     let mut next_release = began;
     loop {
         if entry.now() >= next_release {
-            lease.release().await;
+            // A store that is out of reach holds the release up; the stop's end does not wait for it.
+            let left = stop.end().saturating_sub(entry.now());
+            let _unanswered = timeout(left, lease.release()).await;
             next_release = entry.now() + RELEASE_EVERY;
         }
-        let waited = entry.now().saturating_sub(began);
-        let is_done = waited >= LEAVE_TIME && entry.active.get() == 0;
-        if is_done || waited + END_MARGIN >= grace {
+        let now = entry.now();
+        let is_idle = now >= stop.callers_left() && entry.active.get() == 0;
+        if is_idle || now >= stop.end() {
             break;
         }
-        sleep(LOOK_EVERY).await;
+        sleep(LOOK_EVERY.min(stop.end().saturating_sub(now))).await;
     }
+    give_up(entry, stop).await;
     slog::info!(entry.log, "stop"; "phase" => "ended", "active" => entry.active.get(),
         "ms" => entry.now().saturating_sub(began).as_millis());
 }
+
+/// Tells the callers of what is still in progress that it ends here; streams break off.
+///
+/// They would see a closed connection, and not know whether a request had run.
+async fn give_up(entry: &Entry, stop: PlannedStop) {
+    if entry.active.get() == 0 {
+        return;
+    }
+    slog::info!(entry.log, "stop"; "phase" => "given-up", "active" => entry.active.get());
+    entry.ending.send_replace(true);
+    while entry.active.get() > 0 && entry.now() < stop.last_answer() {
+        sleep(LAST_LOOK_EVERY).await;
+    }
+}
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -19,6 +19,7 @@
 use crate::serve::find::find_again;
 use crate::serve::flow::Flow;
 use crate::serve::flow::Progress;
+use crate::serve::handle::STOPS;
 use crate::serve::handle::log_answer;
 use crate::serve::send::SendFailure;
 use crate::verdict::Verdict;
@@ -42,6 +43,7 @@
     Complete,
     CallerLeft,
     OutOfTime,
+    DaemonEnds,
     Broken(SendFailure),
 }
 
@@ -62,6 +64,7 @@
                 }
                 Stop::CallerLeft => "the caller left",
                 Stop::OutOfTime => "out of time",
+                Stop::DaemonEnds => STOPS,
                 Stop::Broken(failure) => {
                     self.attempt.failed(&self.entry, &failure);
                     let last = flow.last();
@@ -116,6 +119,7 @@
             let next = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Stop::CallerLeft,
+                () = self.entry.ended() => return Stop::DaemonEnds,
                 next = timeout(limit, flow.next()) => next,
             };
             match next {
@@ -140,6 +144,7 @@
             let chosen = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
+                () = self.entry.ended() => return None,
                 chosen = find_again(&self.entry, &mut self.attempt) => chosen?,
             };
             if !self.entry.take_repeat(&self.attempt.service) {
@@ -149,6 +154,7 @@
             let opened = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
+                () = self.entry.ended() => return None,
                 opened = send_first(&self.entry, &mut self.attempt, &chosen, last) => opened,
             };
             match opened {
