store: one record that cannot be read no longer stops a feed

Cause: the decoders gave up a whole listing for one value that was no base64, and a whole read for one key that was no text, at each try. A key that no address can hold failed the next page of a listing.

Ruled out: taking the readable part of an answer whose lengths do not add up; nothing tells where the next record begins, and its offset would be a guess.

--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -34,6 +34,7 @@
     active: Gauge<u64>,
     control: Counter<u64>,
     calls: Counter<u64>,
+    unread: Counter<u64>,
     loads: Histogram<f64>,
 }
 
@@ -96,6 +97,10 @@
                 "store_calls",
                 "Operations at the platform's store by feed and outcome; a listing takes a call a page",
             ),
+            unread: counter(
+                "unreadable_records",
+                "Records of the platform's store that cannot be read by feed, each time one is met",
+            ),
             loads: seconds("load", "Time of models' loads by source and outcome"),
             registry,
             _provider: provider,
@@ -154,6 +159,11 @@
         self.calls.add(1, &[KeyValue::new("feed", feed), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a record of a feed that cannot be read.
+    pub fn unread(&self, feed: &'static str) {
+        self.unread.add(1, &[KeyValue::new("feed", feed)]);
+    }
+
     /// Records the time of a model's load.
     pub fn loaded(&self, source: &'static str, outcome: &'static str, time: Duration) {
         let labels = [KeyValue::new("source", source), KeyValue::new("outcome", outcome)];
--- a/lib/src/picture.rs
+++ b/lib/src/picture.rs
@@ -8,3 +8,4 @@
 pub mod holdings;
 pub mod loads;
 pub mod peer_table;
+pub mod unread;
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -30,6 +30,7 @@
 use crate::picture::holdings::Holdings;
 use crate::picture::loads::Loads;
 use crate::picture::peer_table::PeerTable;
+use crate::picture::unread::UnreadTable;
 use crate::place::demand::Demand;
 use crate::place::ledger::Ledger;
 use crate::place::tenure::Tenure;
@@ -37,6 +38,8 @@
 use crate::serve::choose::Chooser;
 use crate::serve::pool::Pool;
 use crate::serve::waits::Waits;
+use crate::store::Batch;
+use crate::store::Feed;
 use crate::store::Store;
 
 /// Part of a stop's grace in which streams may still begin; most of them end in the rest.
@@ -162,6 +165,8 @@
     pub config_seen: Cell<Moment>,
     /// When SIGTERM came.
     pub stopping: Cell<Option<Moment>>,
+    /// Records of the store that cannot be read.
+    pub unread: RefCell<UnreadTable>,
     /// Requests of callers in progress.
     pub active: Cell<u32>,
     /// Whether this daemon is cut off from other data centres and the store.
@@ -209,6 +214,7 @@
             store_lost: Cell::default(),
             config_seen: Cell::default(),
             stopping: Cell::default(),
+            unread: RefCell::default(),
             active: Cell::default(),
             isolated: Cell::default(),
             metrics: Metrics::new(),
@@ -281,6 +287,24 @@
         }
     }
 
+    /// Counts a record of the store that cannot be read, and logs it where that is news.
+    pub fn note_unread(&self, feed: Feed, key: &str, reason: &str) {
+        self.metrics.unread(feed.name());
+        let note = self.unread.borrow_mut().note(feed, key, reason, self.now());
+        if let Some(note) = note {
+            slog::warn!(self.log, "record-unreadable"; "feed" => %feed, "key" => note.key.as_str(),
+                "reason" => note.reason, "unlogged" => note.unlogged);
+        }
+    }
+
+    /// Takes in which records of a batch could not be read.
+    pub fn note_batch(&self, feed: Feed, batch: &Batch) {
+        for record in &batch.unread {
+            let key = record.key.as_ref().map_or(record.shown.as_str(), |key| key.as_str());
+            self.note_unread(feed, key, &record.reason);
+        }
+    }
+
     /// Takes in the lease holder's word on what engines hold, and wakes those that wait for it.
     pub fn put_holdings(&self, fence: Fence, list: Vec<Holding>) {
         let now = self.now();
--- a/lib/src/serve/lease_keeper.rs
+++ b/lib/src/serve/lease_keeper.rs
@@ -63,6 +63,7 @@
         let now = entry.now();
         match result {
             Ok(batch) => {
+                entry.note_batch(Feed::Leases, &batch);
                 let newest = batch.records.iter().rev().find(|r| r.key == PLACEMENT);
                 let raw = newest.and_then(|r| r.value.as_ref());
                 let record = raw.and_then(|raw| entries::read::<LeaseEntry>(raw).ok());
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -77,6 +77,7 @@
 }
 
 fn take_config(entry: &Entry, batch: &Batch) {
+    entry.note_batch(Feed::Configuration, batch);
     let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
     if let Some(raw) = newest.and_then(|r| r.value.as_ref()) {
         adopt_config(entry, raw, "store");
@@ -136,6 +137,7 @@
 fn take_servers(entry: &Entry, batch: &Batch, is_whole: bool) {
     let mut changed = false;
     entry.directory.borrow_mut().read(entry.now());
+    entry.note_batch(Feed::Servers, batch);
     for record in &batch.records {
         changed |= take_server(entry, &record.key, record.value.as_ref(), "store") != Change::None;
     }
@@ -228,6 +230,7 @@
 fn take_daemons(entry: &Entry, batch: &Batch) {
     let id = &entry.settings().id;
     let now = entry.now();
+    entry.note_batch(Feed::Daemons, batch);
     for record in batch.records.iter().filter(|r| r.key != *id) {
         let Some(raw) = &record.value else { continue };
         match entries::read::<DaemonEntry>(raw) {
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -14,7 +14,7 @@
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
 /// What the store keeps for us.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Feed {
     /// The operators' configuration.
     Configuration,
@@ -53,11 +53,24 @@
     pub value: Option<Bytes>,
 }
 
+/// A record that cannot be read, as another writer may leave it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadRecord {
+    /// Its key, where that much can be read.
+    pub key: Option<SmolStr>,
+    /// What there is of it, for the log.
+    pub shown: String,
+    /// Why it cannot be read.
+    pub reason: String,
+}
+
 /// Records and the offset after the last of them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Batch {
     /// The records, oldest first.
     pub records: Vec<FeedRecord>,
+    /// Those that cannot be read. They have offsets as the others have.
+    pub unread: Vec<UnreadRecord>,
     /// Where to read on.
     pub end: Offset,
 }
