servers: an entry that cannot be read names no server, and suspends the one under its id

Cause: any state but draining counted as ready, a missing one too; an unreadable entry under a known id left that server in use, without end if it had died.

Weighed for a known id: keeping it until its heartbeats lapse or while sends succeed uses a server that no entry names, and would miss a notice that was written over before a listing; dropping it at once would have engines' models loaded elsewhere, and telling peers that it left would keep it out for good.

An unreadable entry suspends the server: no new requests or orders, not relayed; its models still count, waits for them go on. The next readable entry ends it; after 4 s without one the server is forgotten (heartbeats lapse after three, 3.6 s).

--- a/lib/src/picture/directory.rs
+++ b/lib/src/picture/directory.rs
@@ -24,6 +24,10 @@
 /// For this long peers are told which servers left: longer than any daemon goes without a read.
 const TELL_LEFT: Duration = Duration::from_secs(4);
 
+/// A server whose entry was written over is forgotten after this long without a readable one: longer
+/// than the three heartbeats of silence after which the platform removes an entry.
+const SUSPENDED_FOR: Duration = Duration::from_secs(4);
+
 /// A model that a backend server holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HeldModel {
@@ -72,6 +76,8 @@
     raw: Bytes,
     /// Set while the entry is missing though it may only have lapsed.
     lapsed: Option<Moment>,
+    /// Set while the newest entry names no server.
+    suspended: Option<Moment>,
 }
 
 /// What a change did to the directory.
@@ -89,6 +95,10 @@
     Lapsed,
     /// What a server holds changed.
     Updated,
+    /// A server's entry was written over by one that names no server.
+    Suspended,
+    /// Its entry can be read again.
+    Resumed,
 }
 
 /// The backend servers by id.
@@ -140,17 +150,33 @@
             None if server.leaving => Change::Leaving,
             None => Change::Joined,
             Some(old) if server.leaving && !old.server.leaving => Change::Leaving,
+            Some(old) if old.suspended.is_some() => Change::Resumed,
             Some(old) if old.server.models != server.models => Change::Updated,
             Some(_) => Change::None,
         };
         if change == Change::Leaving {
             self.left.push((now, server.id.clone()));
         }
-        let entry = Entry { server: Rc::new(server), raw, lapsed: None };
+        let entry = Entry { server: Rc::new(server), raw, lapsed: None, suspended: None };
         self.entries.insert(entry.server.id.clone(), entry);
         change
     }
 
+    /// Takes in that an entry names no server, though it stands under a server's id.
+    ///
+    /// Another writer wrote over it; the server itself, if it lives, writes again within a heartbeat.
+    /// Until then it gets no new work. What is known of it is kept, and peers are not told that it left:
+    /// both would cost loads of models elsewhere, and a server that left never comes back.
+    pub fn suspend(&mut self, id: &str, now: Moment) -> Change {
+        match self.entries.get_mut(id) {
+            Some(entry) if entry.suspended.is_none() => {
+                entry.suspended = Some(now);
+                Change::Suspended
+            }
+            _ => Change::None,
+        }
+    }
+
     /// Takes in the removal of an entry, as the store tells it.
     ///
     /// While the store is away, servers cannot renew their entries; those of sound servers lapse and
@@ -201,35 +227,45 @@
         self.entries.remove(id).map_or(Change::None, |_| Change::Removed)
     }
 
-    /// Drops the entries that did not come back after the store's return.
+    /// Drops the entries that did not come back after the store's return, or were written over for long.
     pub fn sweep(&mut self, now: Moment) -> Vec<ServerId> {
         if self.back.is_some_and(|back| now < back + RETURN_GRACE) {
             return Vec::new();
         }
-        let gone: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.lapsed.is_some())
-            .map(|(id, _)| id.clone())
-            .collect();
+        let is_gone = |e: &Entry| {
+            e.lapsed.is_some() || e.suspended.is_some_and(|since| now >= since + SUSPENDED_FOR)
+        };
+        let gone: Vec<_> =
+            self.entries.iter().filter(|(_, e)| is_gone(e)).map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.entries.remove(id);
         }
         gone
     }
 
-    /// Returns a server.
+    /// Returns a server, also a suspended one.
     pub fn get(&self, id: &str) -> Option<&Rc<Server>> {
         self.entries.get(id).map(|e| &e.server)
     }
 
-    /// Returns all servers.
+    /// Returns the servers that entries name.
     pub fn servers(&self) -> impl Iterator<Item = &Rc<Server>> {
+        self.entries.values().filter(|e| e.suspended.is_none()).map(|e| &e.server)
+    }
+
+    /// Returns all servers, also those whose entries were written over: they may be back in a moment.
+    pub fn known(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.entries.values().map(|e| &e.server)
     }
 
+    /// Returns the servers whose entries were written over.
+    pub fn suspended(&self) -> impl Iterator<Item = &ServerId> {
+        self.entries.iter().filter(|(_, e)| e.suspended.is_some()).map(|(id, _)| id)
+    }
+
     /// Returns the entries as the platform wrote them.
     pub fn raw(&self) -> impl Iterator<Item = (&ServerId, &Bytes)> {
-        self.entries.iter().map(|(id, e)| (id, &e.raw))
+        let named = self.entries.iter().filter(|(_, e)| e.suspended.is_none());
+        named.map(|(id, e)| (id, &e.raw))
     }
 }
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -93,7 +93,7 @@
         };
         match self.cheapest(&item.service, tried, holds, cost) {
             Some(chosen) => Choice::Server(chosen),
-            None if self.directory.servers().any(|s| s.service == item.service) => Choice::Missing,
+            None if self.directory.known().any(|s| s.service == item.service) => Choice::Missing,
             None => Choice::NoServer,
         }
     }
@@ -102,7 +102,7 @@
     ///
     /// Where no engine of the service tells of copies, every model may have some.
     pub fn has_copy(&self, item: &Item) -> bool {
-        let engines = self.directory.servers().filter(|s| s.service == item.service);
+        let engines = self.directory.known().filter(|s| s.service == item.service);
         let mut tells = false;
         for server in engines {
             let copies = &server.copies;
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -108,15 +108,19 @@
 /// Takes in one server's entry, or its removal.
 pub fn take_server(entry: &Entry, key: &ServerId, value: Option<&Bytes>, from: &str) -> Change {
     let now = entry.now();
-    let change = match value {
-        None => entry.directory.borrow_mut().remove(key, now),
-        Some(raw) => match entry.protocol.server(key, raw) {
-            Ok(server) => entry.directory.borrow_mut().put(server, raw.clone(), now),
-            Err(error) => {
-                slog::error!(entry.log, "server-unreadable"; "server" => %key, "error" => %error);
-                Change::None
-            }
-        },
+    let change = match value.map(|raw| (raw, entry.protocol.server(key, raw))) {
+        None => {
+            entry.unread.borrow_mut().clear(Feed::Servers, key);
+            entry.directory.borrow_mut().remove(key, now)
+        }
+        Some((raw, Ok(server))) => {
+            entry.unread.borrow_mut().clear(Feed::Servers, key);
+            entry.directory.borrow_mut().put(server, raw.clone(), now)
+        }
+        Some((_, Err(error))) => {
+            entry.note_unread(Feed::Servers, key, &error.0);
+            entry.directory.borrow_mut().suspend(key, now)
+        }
     };
     if change != Change::None {
         log_change(entry, key, change, from);
@@ -124,6 +128,15 @@
     change
 }
 
+/// Takes in that the record under a key names no server.
+fn take_unread(entry: &Entry, key: &ServerId) -> Change {
+    let change = entry.directory.borrow_mut().suspend(key, entry.now());
+    if change != Change::None {
+        log_change(entry, key, change, "store");
+    }
+    change
+}
+
 fn log_change(entry: &Entry, id: &ServerId, change: Change, from: &str) {
     let directory = entry.directory.borrow();
     let server = directory.get(id);
@@ -141,8 +154,14 @@
     for record in &batch.records {
         changed |= take_server(entry, &record.key, record.value.as_ref(), "store") != Change::None;
     }
+    let unread: Vec<&SmolStr> = batch.unread.iter().filter_map(|r| r.key.as_ref()).collect();
+    for key in &unread {
+        changed |= take_unread(entry, key) != Change::None;
+    }
     if is_whole {
-        let listed: Vec<SmolStr> = batch.records.iter().map(|r| r.key.clone()).collect();
+        // A record that cannot be read is there all the same.
+        let read = batch.records.iter().map(|r| &r.key);
+        let listed: Vec<SmolStr> = read.chain(unread).cloned().collect();
         let missing = entry.directory.borrow().missing(&listed);
         for id in missing {
             changed |= take_server(entry, &id, None, "store") != Change::None;
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -142,6 +142,7 @@
         let ledger = entry.ledger.borrow();
         let demand = entry.demand.borrow();
         let health = entry.health.borrow();
+        let directory = entry.directory.borrow();
         let rates = config.services.values().filter_map(|s| s.engine.as_ref()).map(|e| e.load_rate);
         let rate = rates.fold(f64::INFINITY, f64::min);
         let avoided = ledger.engines.keys().filter(|id| health.is_avoided(id, now)).cloned();
@@ -156,7 +157,7 @@
             ledger: &ledger,
             demand: &demand,
             loads: &entry.loads,
-            unreachable: avoided.collect(),
+            unreachable: avoided.chain(directory.suspended().cloned()).collect(),
             share,
             store_room,
         };
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -119,3 +119,42 @@
     assert_eq!(directory.forget("a"), Change::Removed);
     assert_eq!(directory.forget("a"), Change::None);
 }
+
+/// A server's requests go elsewhere for good after another program wrote over its entry for a moment:
+/// peers had been told that it left, and a server that left never comes back under its id.
+#[test]
+fn suspended_back() {
+    let mut directory = Directory::default();
+    put(&mut directory, "a", 1, false);
+    assert_eq!(directory.suspend("a", ms(0)), Change::Suspended);
+    assert_eq!(directory.suspend("a", ms(100)), Change::None);
+    assert_eq!((directory.servers().count(), directory.raw().count()), (0, 0));
+    assert!(directory.left(ms(100)).is_empty());
+    assert_eq!(put(&mut directory, "a", 2, false), Change::Resumed);
+    assert_eq!(directory.servers().count(), 1);
+    assert_eq!(directory.suspend("b", ms(100)), Change::None);
+}
+
+/// A dead server whose entry was written over is not removed by anybody; its models would count as
+/// loaded for ever.
+#[test]
+fn suspended_swept() {
+    let mut directory = Directory::default();
+    put(&mut directory, "a", 1, false);
+    directory.suspend("a", ms(0));
+    assert!(directory.sweep(ms(3_600)).is_empty());
+    assert!(directory.get("a").is_some());
+    assert_eq!(directory.sweep(ms(4_000)), ["a"]);
+}
+
+/// A server that gave notice must not be ready again because its entry was written over meanwhile.
+#[test]
+fn suspended_leaving() {
+    let mut directory = Directory::default();
+    put(&mut directory, "a", 1, true);
+    directory.suspend("a", ms(0));
+    assert_eq!(put(&mut directory, "a", 2, false), Change::None);
+    put(&mut directory, "a", 3, true);
+    assert!(directory.get("a").expect("listed").leaving);
+    assert_eq!(directory.remove("a", ms(100)), Change::Removed);
+}
