observe: another writer's record hides neither a server nor a configuration

Left: a configuration that was written over before a daemon's first listing comes from a peer or the next version.

--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -9,8 +9,10 @@
 
 use crate::ids::ServerId;
 use crate::picture::directory::Change;
+use crate::picture::directory::Server;
 use crate::place::entries;
 use crate::place::entries::DaemonEntry;
+use crate::protocol::FormatError;
 use crate::serve::entry::Entry;
 use crate::store::Batch;
 use crate::store::Feed;
@@ -56,31 +58,37 @@
     }
 }
 
-/// Takes in a configuration; an older one than that in force changes nothing.
-pub fn adopt_config(entry: &Entry, raw: &Bytes, from: &str) {
+/// Takes in a configuration; an older one than that in force changes nothing, nor does one that cannot
+/// be read. Returns whether it can be read.
+pub fn adopt_config(entry: &Entry, raw: &Bytes, from: &str) -> bool {
     let config = match entry.protocol.configuration(raw) {
         Ok(config) => config,
         Err(error) => {
-            slog::error!(entry.log, "configuration-unreadable"; "from" => from, "error" => %error);
-            return;
+            entry.note_unread(Feed::Configuration, CONFIG_KEY, &error.0);
+            return false;
         }
     };
+    entry.unread.borrow_mut().clear(Feed::Configuration, CONFIG_KEY);
     let old = entry.config().map_or(0, |c| c.version);
     if config.version <= old {
-        return;
+        return true;
     }
     slog::info!(entry.log, "configuration"; "version" => config.version, "before" => old,
         "from" => from, "routes" => config.route_count(), "services" => config.services.len());
     *entry.config.borrow_mut() = Some(Rc::new(config));
     *entry.raw_config.borrow_mut() = raw.clone();
     entry.plan.notify_one();
+    true
 }
 
 fn take_config(entry: &Entry, batch: &Batch) {
     entry.note_batch(Feed::Configuration, batch);
-    let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
-    if let Some(raw) = newest.and_then(|r| r.value.as_ref()) {
-        adopt_config(entry, raw, "store");
+    let records = batch.records.iter().rev().filter(|r| r.key == CONFIG_KEY);
+    // Another writer's record must not hide the operators' version before it.
+    for raw in records.filter_map(|r| r.value.as_ref()) {
+        if adopt_config(entry, raw, "store") {
+            break;
+        }
     }
     entry.config_seen.set(entry.now());
 }
@@ -105,23 +113,34 @@
     }
 }
 
+/// Reads a server's entry.
+fn read_server(entry: &Entry, key: &ServerId, raw: &[u8]) -> Result<Server, FormatError> {
+    let server = entry.protocol.server(key, raw)?;
+    // A server stays in its service. Another writer's entry under its id, with a greater heartbeat,
+    // would hide all that the server itself says.
+    let directory = entry.directory.borrow();
+    match directory.get(key).filter(|known| known.service != server.service) {
+        Some(known) => Err(FormatError(format!("its service was {} before", known.service))),
+        None => Ok(server),
+    }
+}
+
 /// Takes in one server's entry, or its removal.
 pub fn take_server(entry: &Entry, key: &ServerId, value: Option<&Bytes>, from: &str) -> Change {
     let now = entry.now();
-    let change = match value.map(|raw| (raw, entry.protocol.server(key, raw))) {
-        None => {
-            entry.unread.borrow_mut().clear(Feed::Servers, key);
-            entry.directory.borrow_mut().remove(key, now)
-        }
-        Some((raw, Ok(server))) => {
-            entry.unread.borrow_mut().clear(Feed::Servers, key);
-            entry.directory.borrow_mut().put(server, raw.clone(), now)
-        }
-        Some((_, Err(error))) => {
-            entry.note_unread(Feed::Servers, key, &error.0);
-            entry.directory.borrow_mut().suspend(key, now)
-        }
+    let read = value.map(|raw| (raw, read_server(entry, key, raw)));
+    if let Some((_, Err(error))) = &read {
+        entry.note_unread(Feed::Servers, key, &error.0);
+    } else {
+        entry.unread.borrow_mut().clear(Feed::Servers, key);
+    }
+    let mut directory = entry.directory.borrow_mut();
+    let change = match read {
+        None => directory.remove(key, now),
+        Some((raw, Ok(server))) => directory.put(server, raw.clone(), now),
+        Some((_, Err(_unread))) => directory.suspend(key, now),
     };
+    drop(directory);
     if change != Change::None {
         log_change(entry, key, change, from);
     }
@@ -254,12 +273,10 @@
         let Some(raw) = &record.value else { continue };
         match entries::read::<DaemonEntry>(raw) {
             Ok(peer) => {
+                entry.unread.borrow_mut().clear(Feed::Daemons, &record.key);
                 entry.peers.borrow_mut().list(&record.key, peer.addr, peer.process, now);
             }
-            Err(error) => {
-                slog::error!(entry.log, "daemon-unreadable"; "daemon" => %record.key,
-                    "error" => %error);
-            }
+            Err(error) => entry.note_unread(Feed::Daemons, &record.key, &error.0),
         }
     }
 }
