--- a/lib/tests/test_tenure.rs
+++ b/lib/tests/test_tenure.rs
@@ -34,6 +34,12 @@
 }
 
 impl Feed {
+    /// Another program writes over the record.
+    fn overwrite(&mut self) {
+        self.newest = None;
+        self.end += 1;
+    }
+
     fn append(&mut self, at: u64, entry: LeaseEntry) -> Option<u64> {
         if at != self.end {
             return None;
@@ -329,3 +335,59 @@
     feed.settle(&mut a, ms(3_100));
     assert_eq!(a.fence(ms(3_100)), Some(1));
 }
+
+/// Two daemons order at once: another program wrote over the record of the lease, and the second
+/// daemon took a feed without a readable record for a lease that nobody has.
+#[rstest]
+#[case::fenced(true)]
+#[case::unfenced(false)]
+fn hidden_kept(#[case] fenced: bool) {
+    let mut feed = Feed::default();
+    let (mut a, mut b) = (daemon(1, fenced), daemon(2, fenced));
+    feed.settle(&mut a, ms(100));
+    for t in (150..30_000).step_by(50) {
+        if t % 700 == 0 {
+            feed.overwrite();
+        }
+        feed.settle(&mut b, ms(t));
+        feed.settle(&mut a, ms(t));
+        assert_eq!((a.fence(ms(t)), b.standing()), (Some(1), None), "at {t} ms");
+    }
+}
+
+/// The holder dies and its record is written over. Another waits as long as for a record that it can
+/// read, and where engines do not check fencing numbers its orders lie apart from the last ones.
+#[rstest]
+#[case::fenced(true, ms(1_600))]
+#[case::unfenced(false, APART)]
+fn hidden_replaced(#[case] fenced: bool, #[case] least: Duration) {
+    let mut feed = Feed::default();
+    let (mut a, mut b) = (daemon(1, fenced), daemon(2, fenced));
+    feed.settle(&mut a, ms(100));
+    feed.overwrite();
+    let taken = (150..20_000).step_by(50).find(|t| {
+        feed.settle(&mut b, ms(*t));
+        b.fence(ms(*t)).is_some()
+    });
+    let taken = ms(taken.expect("taken over"));
+    assert!(taken >= ms(100) + least, "after {taken:?}");
+    assert!(taken < ms(7_000), "after {taken:?}");
+}
+
+/// The holder was frozen for so long that another may have taken over, and the record is written over:
+/// it must not go on as if the lease were its own.
+#[test]
+fn hidden_frozen() {
+    let mut feed = Feed::default();
+    let (mut a, mut b) = (daemon(1, true), daemon(2, true));
+    feed.settle(&mut a, ms(100));
+    for t in (200..4_000).step_by(50) {
+        feed.settle(&mut b, ms(t));
+    }
+    assert!(b.fence(ms(4_000)).is_some());
+    feed.overwrite();
+    feed.settle(&mut a, ms(4_000));
+    assert_eq!(a.standing(), None);
+    feed.settle(&mut b, ms(4_050));
+    assert!(b.fence(ms(4_050)).is_some());
+}
