tenure: another writer's record does not free the lease

Cause: a feed without a readable record counted as one where nobody has the lease. When another program wrote over the record, the holder gave up and any daemon took over at once; where engines do not check fencing numbers, without the time that must lie between two holders. Records under other keys looked like renewals: while a program wrote every 1.7 s or faster, no daemon replaced a dead holder; a renewal whose answer was lost was not found again.

Ruled out: reading the feed's history for what was written over; it is deleted after 20 s, and a holder that is valid by its own clock needs no proof, one that is not can bid again.

Change: with a hidden record the holder goes on while its own renewal is valid, others wait as if it had been renewed now. Records carry their own offset, so growth by others is told apart; a daemon that finds none waits as before.

Left: a program that writes over the lease's own record every 1.7 s or faster keeps a dead holder's place empty.

--- a/lib/src/place/entries.rs
+++ b/lib/src/place/entries.rs
@@ -8,6 +8,7 @@
 
 use crate::ids::DaemonId;
 use crate::ids::Fence;
+use crate::ids::Offset;
 use crate::picture::digest::ProcessId;
 use crate::place::store_pace::StoreShare;
 use crate::protocol::FormatError;
@@ -35,6 +36,9 @@
     pub fence: Option<Fence>,
     /// Whether the holder gave the lease up.
     pub released: bool,
+    /// Its own offset, which its append named. Records of other keys make the feed grow as well.
+    #[serde(default)]
+    pub at: Option<Offset>,
     /// What the holder knew of the weight store.
     #[serde(default)]
     pub share: StoreShare,
--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -177,17 +177,17 @@
             if now < due {
                 return Step::Sleep(due);
             }
-            return Step::Append(end, self.record(Some(held.fence)));
+            return Step::Append(end, self.record(Some(held.fence), end));
         }
         if heard.is_some() {
             return Step::Sleep(now + LOOK_EVERY);
         }
-        let is_free = self.entry.as_ref().is_none_or(|e| e.released);
+        let is_free = self.entry.as_ref().map_or(end == 0, |e| e.released);
         let from = if is_free { Moment::ZERO } else { self.others_until + MARGIN };
         if now < from + self.patience {
             return Step::Sleep((from + self.patience).min(now + LOOK_EVERY));
         }
-        Step::Append(end, self.record(None))
+        Step::Append(end, self.record(None, end))
     }
 
     /// Takes in what is heard of another holder now, or that none is heard.
@@ -206,9 +206,9 @@
         self.followed = heard.is_some();
     }
 
-    fn record(&self, fence: Option<Fence>) -> LeaseEntry {
+    fn record(&self, fence: Option<Fence>, at: Offset) -> LeaseEntry {
         let (holder, process, share) = (self.me.clone(), self.process, self.share);
-        LeaseEntry { holder, process, fence, released: false, share }
+        LeaseEntry { holder, process, fence, released: false, at: Some(at), share }
     }
 
     /// Returns the record that gives the lease up, where it is held and the store answers.
@@ -217,8 +217,9 @@
     /// process lives.
     pub fn release(&self, now: Moment) -> Option<(Offset, LeaseEntry)> {
         let held = self.held.filter(|h| now < h.sent + VALID)?;
-        let entry = LeaseEntry { released: true, ..self.record(Some(held.fence)) };
-        Some((self.end?, entry))
+        let end = self.end?;
+        let entry = LeaseEntry { released: true, ..self.record(Some(held.fence), end) };
+        Some((end, entry))
     }
 
     /// Takes in that the lease was given up.
@@ -243,10 +244,10 @@
         }
         // The newest record may be this daemon's own, from an append whose answer was lost; another
         // may have held the lease just before it. Only an empty feed proves that nobody did.
-        let wait = if self.fenced || self.entry.is_none() { Duration::ZERO } else { self.apart };
+        let wait = if self.fenced || offset == 0 { Duration::ZERO } else { self.apart };
         let fence = offset + 1;
         self.held = Some(Held { fence, sent, end: fence, orders_from: now + wait });
-        self.entry = Some(self.record(Some(fence)));
+        self.entry = Some(self.record(Some(fence), offset));
     }
 
     /// Takes in that the feed ended elsewhere: somebody else, or an older append of ours, was first.
@@ -270,34 +271,56 @@
         }
     }
 
-    /// Takes in the newest record, its offset and the feed's end.
+    /// Takes in the newest record that can be read and the feed's end.
     pub fn read(&mut self, now: Moment, entry: Option<LeaseEntry>, end: Offset) {
         self.outage = None;
         let grew = self.end != Some(end);
         self.end = Some(end);
-        let is_mine = entry.as_ref().is_some_and(|e| e.process == self.process && !e.released);
-        if is_mine {
-            // Without growth the append has not landed; the record is an older one of this daemon.
-            if let Some((sent, _)) = self.unsettled.take_if(|(_, at)| end == *at + 1) {
-                self.settle(entry.as_ref(), sent, now, end);
-            }
-        } else {
-            self.lost();
-            self.share = entry.as_ref().map_or(self.share, |e| e.share);
-            let is_held = entry.as_ref().is_some_and(|e| !e.released);
-            // The holder told until when the record is valid, unless it wrote a later one, perhaps
-            // just before this read.
-            let is_told = self.heard.is_some_and(|h| h.end == end);
-            if is_held && grew && !is_told {
-                self.others_until = self.others_until.max(now + VALID);
+        // An append lands where the feed ended or never: it has done so, or the feed has grown past it.
+        let settled = self.unsettled.take_if(|(_, at)| end > *at);
+        match &entry {
+            None if end > 0 => self.read_hidden(now, grew),
+            Some(e) if e.process == self.process && !e.released => {
+                // Without the same offset the record is an older one of this daemon.
+                if let Some((sent, at)) = settled.filter(|(_, at)| e.at == Some(*at)) {
+                    self.settle(e.fence, sent, now, at + 1);
+                }
             }
+            _ => self.read_other(now, entry.as_ref(), end, grew),
         }
         self.entry = entry;
     }
 
-    /// An append of ours that had no answer did land.
-    fn settle(&mut self, entry: Option<&LeaseEntry>, sent: Moment, now: Moment, end: Offset) {
-        let fence = entry.and_then(|e| e.fence).unwrap_or(end);
+    /// The newest record is another's or there is none.
+    fn read_other(&mut self, now: Moment, entry: Option<&LeaseEntry>, end: Offset, grew: bool) {
+        self.lost();
+        self.share = entry.map_or(self.share, |e| e.share);
+        let at = entry.and_then(|e| e.at);
+        let before = self.entry.as_ref().and_then(|e| e.at);
+        // Records of other keys do not renew the lease.
+        let is_new = if at.is_some() && before.is_some() { at != before } else { grew };
+        // The holder told until when the record is valid, unless it wrote a later one, perhaps just
+        // before this read.
+        let is_told = self.heard.is_some_and(|h| h.end == at.map_or(end, |at| at + 1));
+        if entry.is_some_and(|e| !e.released) && is_new && !is_told {
+            self.others_until = self.others_until.max(now + VALID);
+        }
+    }
+
+    /// Another writer's record hides that of the lease: anybody may have it.
+    ///
+    /// While this daemon's own renewal is valid nobody else has bid, so it goes on. After that it must
+    /// not: another may have taken over. Who does not hold the lease waits as if it had been renewed.
+    fn read_hidden(&mut self, now: Moment, grew: bool) {
+        self.held = self.held.filter(|h| now < h.sent + VALID);
+        if self.held.is_none() && grew {
+            self.others_until = self.others_until.max(now + VALID);
+        }
+    }
+
+    /// An append of ours that had no answer did land; the feed ended at `end` after it.
+    fn settle(&mut self, fence: Option<Fence>, sent: Moment, now: Moment, end: Offset) {
+        let fence = fence.unwrap_or(end);
         match &mut self.held {
             Some(held) if held.fence == fence => {
                 held.sent = held.sent.max(sent);
--- a/lib/src/serve/lease_keeper.rs
+++ b/lib/src/serve/lease_keeper.rs
@@ -66,7 +66,7 @@
                 entry.note_batch(Feed::Leases, &batch);
                 let newest = batch.records.iter().rev().find(|r| r.key == PLACEMENT);
                 let raw = newest.and_then(|r| r.value.as_ref());
-                let record = raw.and_then(|raw| entries::read::<LeaseEntry>(raw).ok());
+                let record = raw.and_then(|raw| self.read_record(raw));
                 let was_held = entry.fence().is_some();
                 entry.tenure.borrow_mut().read(now, record.clone(), batch.end);
                 if was_held != entry.fence().is_some() {
@@ -78,6 +78,19 @@
         }
     }
 
+    fn read_record(&self, raw: &[u8]) -> Option<LeaseEntry> {
+        match entries::read(raw) {
+            Ok(record) => {
+                self.entry.unread.borrow_mut().clear(Feed::Leases, PLACEMENT);
+                Some(record)
+            }
+            Err(error) => {
+                self.entry.note_unread(Feed::Leases, PLACEMENT, &error.0);
+                None
+            }
+        }
+    }
+
     async fn append_lease(&self, at: u64, record: &LeaseEntry) {
         let entry = &self.entry;
         let sent = entry.now();
--- a/lib/tests/test_tenure.rs
+++ b/lib/tests/test_tenure.rs
@@ -40,6 +40,11 @@
         self.end += 1;
     }
 
+    /// Another program writes a record under another key.
+    fn grow(&mut self) {
+        self.end += 1;
+    }
+
     fn append(&mut self, at: u64, entry: LeaseEntry) -> Option<u64> {
         if at != self.end {
             return None;
@@ -260,6 +265,78 @@
     })
 }
 
+/// What happens next in a random course.
+#[derive(Clone, Copy, Debug)]
+struct Move {
+    /// The daemon that takes its next step.
+    who: usize,
+    /// Milliseconds before it.
+    pause: u64,
+    fate: Fate,
+    /// Another writer's record: 1 under the key of the lease, 2 under another.
+    foreign: u8,
+}
+
+/// Plays a course without fences; checks that no two daemons may order within the time that must lie
+/// between them, and that fencing numbers only grow.
+fn play(moves: Vec<Move>) {
+    let mut feed = Feed::default();
+    let mut daemons: Vec<_> = (1..=3).map(|p| daemon(p, false)).collect();
+    let mut late: Vec<(Moment, u64, LeaseEntry)> = Vec::new();
+    let mut now = ms(0);
+    let mut last_order: Option<(usize, Moment, u64)> = None;
+    for Move { who, pause, fate, foreign } in moves {
+        now += ms(pause);
+        match foreign {
+            1 => feed.overwrite(),
+            2 => feed.grow(),
+            _ => {}
+        }
+        late.sort_by_key(|(at, _, _)| *at);
+        while late.first().is_some_and(|(at, _, _)| *at <= now) {
+            let (_, at, entry) = late.remove(0);
+            feed.append(at, entry);
+        }
+        let tenure = &mut daemons[who];
+        match tenure.next(now, None) {
+            Step::Sleep(_) => {}
+            Step::Read => match fate {
+                Fate::Answered => tenure.read(now, feed.newest.clone(), feed.end),
+                _ => tenure.refused(now),
+            },
+            Step::Append(at, entry) => match fate {
+                Fate::Answered => match feed.append(at, entry) {
+                    Some(offset) => tenure.appended(now, now, offset),
+                    None => tenure.moved(),
+                },
+                Fate::Lost => {
+                    feed.append(at, entry);
+                    tenure.doubtful(now, now);
+                }
+                Fate::LostAndUndone => tenure.doubtful(now, now),
+                Fate::Late(tenths) => {
+                    late.push((now + ms(u64::from(tenths) * 100), at, entry));
+                    tenure.doubtful(now, now);
+                }
+                Fate::Refused => tenure.refused(now),
+            },
+        }
+        let holders: Vec<_> =
+            daemons.iter().enumerate().filter_map(|(i, d)| Some((i, d.fence(now)?))).collect();
+        assert!(holders.len() <= 1, "{holders:?} at {now:?}");
+        if let Some((who, fence)) = holders.first().copied() {
+            if let Some((before, at, old)) = last_order {
+                assert!(fence >= old, "fence {fence} after {old}");
+                if before != who {
+                    assert!(now >= at + APART, "turns at {at:?} and {now:?}");
+                }
+            }
+            last_order = Some((who, now, fence));
+        }
+    }
+    assert!(VALID > Duration::ZERO);
+}
+
 proptest! {
     #![proptest_config(Config { rng_seed: RngSeed::Fixed(11), ..Config::default() })]
 
@@ -270,56 +347,17 @@
     fn never_two(
         moves in prop::collection::vec((0..3_usize, 20..900_u64, fate()), 1..300),
     ) {
-        let mut feed = Feed::default();
-        let mut daemons: Vec<_> = (1..=3).map(|p| daemon(p, false)).collect();
-        let mut late: Vec<(Moment, u64, LeaseEntry)> = Vec::new();
-        let mut now = ms(0);
-        let mut last_order: Option<(usize, Moment, u64)> = None;
-        for (who, pause, fate) in moves {
-            now += ms(pause);
-            late.sort_by_key(|(at, _, _)| *at);
-            while late.first().is_some_and(|(at, _, _)| *at <= now) {
-                let (_, at, entry) = late.remove(0);
-                feed.append(at, entry);
-            }
-            let tenure = &mut daemons[who];
-            match tenure.next(now, None) {
-                Step::Sleep(_) => {}
-                Step::Read => match fate {
-                    Fate::Answered => tenure.read(now, feed.newest.clone(), feed.end),
-                    _ => tenure.refused(now),
-                },
-                Step::Append(at, entry) => match fate {
-                    Fate::Answered => match feed.append(at, entry) {
-                        Some(offset) => tenure.appended(now, now, offset),
-                        None => tenure.moved(),
-                    },
-                    Fate::Lost => {
-                        feed.append(at, entry);
-                        tenure.doubtful(now, now);
-                    }
-                    Fate::LostAndUndone => tenure.doubtful(now, now),
-                    Fate::Late(tenths) => {
-                        late.push((now + ms(u64::from(tenths) * 100), at, entry));
-                        tenure.doubtful(now, now);
-                    }
-                    Fate::Refused => tenure.refused(now),
-                },
-            }
-            let holders: Vec<_> =
-                daemons.iter().enumerate().filter_map(|(i, d)| Some((i, d.fence(now)?))).collect();
-            assert!(holders.len() <= 1, "{holders:?} at {now:?}");
-            if let Some((who, fence)) = holders.first().copied() {
-                if let Some((before, at, old)) = last_order {
-                    assert!(fence >= old, "fence {fence} after {old}");
-                    if before != who {
-                        assert!(now >= at + APART, "turns at {at:?} and {now:?}");
-                    }
-                }
-                last_order = Some((who, now, fence));
-            }
-        }
-        assert!(VALID > Duration::ZERO);
+        let own = |(who, pause, fate)| Move { who, pause, fate, foreign: 0 };
+        play(moves.into_iter().map(own).collect());
+    }
+
+    /// The same while another program writes to the feed, over the lease's record too.
+    #[test]
+    fn never_two_foreign(
+        moves in prop::collection::vec((0..3_usize, 20..900_u64, fate(), 0..12_u8), 1..300),
+    ) {
+        let all = |(who, pause, fate, foreign)| Move { who, pause, fate, foreign };
+        play(moves.into_iter().map(all).collect());
     }
 }
 
@@ -391,3 +429,38 @@
     feed.settle(&mut b, ms(4_050));
     assert!(b.fence(ms(4_050)).is_some());
 }
+
+/// The holder dies while another program writes to the feed under a key of its own, twice a second. Each
+/// of its records looked like a renewal, and nobody took over for as long as it wrote.
+#[test]
+fn busy_feed() {
+    let mut feed = Feed::default();
+    let (mut a, mut b) = (daemon(1, true), daemon(2, true));
+    feed.settle(&mut a, ms(100));
+    let taken = (150..20_000).step_by(50).find(|t| {
+        if t % 500 == 0 {
+            feed.grow();
+        }
+        feed.settle(&mut b, ms(*t));
+        b.fence(ms(*t)).is_some()
+    });
+    let taken = taken.expect("taken over");
+    assert!((1_700..4_000).contains(&taken), "after {taken} ms");
+}
+
+/// The answer to a renewal is lost, and another program's record is the next in the feed: the renewal
+/// landed all the same.
+#[test]
+fn busy_answer() {
+    let mut feed = Feed::default();
+    let mut a = daemon(1, true);
+    a.read(ms(100), None, 0);
+    let Step::Append(at, entry) = a.next(ms(200), None) else { panic!("a bid was due") };
+    feed.append(at, entry);
+    a.doubtful(ms(200), ms(1_200));
+    feed.grow();
+    for t in [1_300, 1_600] {
+        feed.settle(&mut a, ms(t));
+    }
+    assert_eq!(a.fence(ms(1_600)), Some(1));
+}
