--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -43,6 +43,36 @@
     server.script.borrow_mut().extend(broken);
 }
 
+/// Leaves a record of another writer in one of the store's topics, over a record that counts or beside.
+/// The configuration itself stays: daemons that all start anew have it from nowhere else.
+///
+/// It draws from a course of its own, as broken answers do.
+pub fn litter(world: &World, rng: &mut ChaCha8Rng) {
+    let server = {
+        let servers = world.servers.borrow();
+        servers[rng.random_range(0..servers.len())].id.clone()
+    };
+    let keys = [
+        ("servers", server.as_str()),
+        ("op", "config"),
+        ("leases", "placement"),
+        ("daemons", "d0"),
+    ];
+    let (topic, taken) = keys[rng.random_range(0..keys.len())];
+    let key = if rng.random_bool(0.3) { taken.as_bytes() } else { b"\xffforeign" };
+    let values: [&[u8]; 6] = [
+        b"\xff\xfe",
+        b"[]",
+        b"{\"service\":7}",
+        b"{\"service\":\"booking\",\"address\":\"127.0.0.1:1\",\"state\":\"retired\"}",
+        b"{\"service\":\"nobody\",\"address\":\"127.0.0.1:1\",\"state\":\"ready\",\"sequence\":99999}",
+        b"{\"version\":\"seven\"}",
+    ];
+    let value = values[rng.random_range(0..values.len())];
+    world.note(&format!("foreign topic={topic} key={}", key.escape_ascii()));
+    world.store.put_raw(&format!("keyed.{topic}"), key, value);
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
