--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -13,14 +13,13 @@
 
 use crate::ids::Offset;
 use crate::serve::entry::Entry;
+use crate::serve::observe::CONFIG_KEY;
 use crate::serve::observe::adopt_config;
 use crate::serve::store_calls::noted;
 use crate::store::Batch;
 use crate::store::Feed;
 use crate::store::StoreError;
 
-/// Key of the configuration's record.
-const CONFIG_KEY: &str = "config";
 /// Longest wait for a change in one call of a daemon that asks often.
 ///
 /// A call that met a store that was silent, or a connection that was lost without a reset, is never
@@ -67,9 +66,13 @@
 }
 
 fn take_config(entry: &Entry, batch: &Batch) {
-    let newest = batch.records.iter().rev().find(|r| r.key == CONFIG_KEY);
-    if let Some(raw) = newest.and_then(|r| r.value.as_ref()) {
-        adopt_config(entry, raw, "store");
+    entry.note_batch(Feed::Configuration, batch);
+    let records = batch.records.iter().rev().filter(|r| r.key == CONFIG_KEY);
+    // Another writer's record must not hide the operators' version before it.
+    for raw in records.filter_map(|r| r.value.as_ref()) {
+        if adopt_config(entry, raw, "store") {
+            break;
+        }
     }
 }
 
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -9,8 +9,10 @@
 
 use crate::ids::ServerId;
 use crate::picture::directory::Change;
+use crate::picture::directory::Server;
 use crate::place::entries;
 use crate::place::entries::DaemonEntry;
+use crate::protocol::FormatError;
 use crate::serve::entry::Entry;
 use crate::serve::store_calls::noted;
 use crate::store::Batch;
@@ -18,6 +20,8 @@
 use crate::store::FeedRecord;
 use crate::store::StoreError;
 
+/// Key of the configuration's record.
+pub const CONFIG_KEY: &str = "config";
 /// Part of the time within which a leaving server must get nothing more that lies between two reads
 /// of the servers' feed. Peers read at other moments and tell who left.
 const READ_PART: f64 = 0.55;
@@ -28,18 +32,20 @@
 const DAEMON_LOOKS: [Duration; 4] =
     [Duration::ZERO, Duration::from_millis(700), Duration::from_secs(2), Duration::from_secs(10)];
 
-/// Takes in a configuration; an older one than that in force changes nothing.
-pub fn adopt_config(entry: &Entry, raw: &Bytes, from: &str) {
+/// Takes in a configuration; an older one than that in force changes nothing, nor does one that cannot
+/// be read. Returns whether it can be read.
+pub fn adopt_config(entry: &Entry, raw: &Bytes, from: &str) -> bool {
     let config = match entry.protocol.configuration(raw) {
         Ok(config) => config,
         Err(error) => {
-            slog::error!(entry.log, "configuration-unreadable"; "from" => from, "error" => %error);
-            return;
+            entry.note_unread(Feed::Configuration, CONFIG_KEY, &error.0);
+            return false;
         }
     };
+    entry.unread.borrow_mut().clear(Feed::Configuration, CONFIG_KEY);
     let old = entry.config_version();
     if config.version <= old {
-        return;
+        return true;
     }
     slog::info!(entry.log, "configuration"; "version" => config.version, "before" => old,
         "from" => from, "routes" => config.route_count(), "services" => config.services.len());
@@ -47,27 +53,52 @@
     *entry.raw_config.borrow_mut() = raw.clone();
     entry.config_changed.notify_one();
     entry.plan.notify_one();
+    true
+}
+
+/// Reads a server's entry.
+fn read_server(entry: &Entry, key: &ServerId, raw: &[u8]) -> Result<Server, FormatError> {
+    let server = entry.protocol.server(key, raw)?;
+    // A server stays in its service. Another writer's entry under its id, with a greater heartbeat,
+    // would hide all that the server itself says.
+    let directory = entry.directory.borrow();
+    match directory.get(key).filter(|known| known.service != server.service) {
+        Some(known) => Err(FormatError(format!("its service was {} before", known.service))),
+        None => Ok(server),
+    }
 }
 
 /// Takes in one server's entry, or its removal.
 pub fn take_server(entry: &Entry, key: &ServerId, value: Option<&Bytes>, from: &str) -> Change {
     let now = entry.now();
-    let change = match value {
-        None => entry.directory.borrow_mut().remove(key, now),
-        Some(raw) => match entry.protocol.server(key, raw) {
-            Ok(server) => entry.directory.borrow_mut().put(server, raw.clone(), now),
-            Err(error) => {
-                slog::error!(entry.log, "server-unreadable"; "server" => %key, "error" => %error);
-                Change::None
-            }
-        },
+    let read = value.map(|raw| (raw, read_server(entry, key, raw)));
+    if let Some((_, Err(error))) = &read {
+        entry.note_unread(Feed::Servers, key, &error.0);
+    } else {
+        entry.unread.borrow_mut().clear(Feed::Servers, key);
+    }
+    let mut directory = entry.directory.borrow_mut();
+    let change = match read {
+        None => directory.remove(key, now),
+        Some((raw, Ok(server))) => directory.put(server, raw.clone(), now),
+        Some((_, Err(_unread))) => directory.suspend(key, now),
     };
+    drop(directory);
     if change != Change::None {
         log_change(entry, key, change, from);
     }
     change
 }
 
+/// Takes in that the record under a key names no server.
+fn take_unread(entry: &Entry, key: &ServerId) -> Change {
+    let change = entry.directory.borrow_mut().suspend(key, entry.now());
+    if change != Change::None {
+        log_change(entry, key, change, "store");
+    }
+    change
+}
+
 fn log_change(entry: &Entry, id: &ServerId, change: Change, from: &str) {
     let directory = entry.directory.borrow();
     let server = directory.get(id);
@@ -81,11 +112,18 @@
 fn take_servers(entry: &Entry, batch: &Batch, is_whole: bool) {
     let mut changed = false;
     entry.directory.borrow_mut().read(entry.now());
+    entry.note_batch(Feed::Servers, batch);
     for record in &batch.records {
         changed |= take_server(entry, &record.key, record.value.as_ref(), "store") != Change::None;
     }
+    let unread: Vec<&SmolStr> = batch.unread.iter().filter_map(|r| r.key.as_ref()).collect();
+    for key in &unread {
+        changed |= take_unread(entry, key) != Change::None;
+    }
     if is_whole {
-        let listed: Vec<SmolStr> = batch.records.iter().map(|r| r.key.clone()).collect();
+        // A record that cannot be read is there all the same.
+        let read = batch.records.iter().map(|r| &r.key);
+        let listed: Vec<SmolStr> = read.chain(unread).cloned().collect();
         let missing = entry.directory.borrow().missing(&listed);
         for id in missing {
             changed |= take_server(entry, &id, None, "store") != Change::None;
@@ -170,16 +208,15 @@
 fn take_daemons(entry: &Entry, batch: &Batch) {
     let id = &entry.settings().id;
     let now = entry.now();
+    entry.note_batch(Feed::Daemons, batch);
     for record in batch.records.iter().filter(|r| r.key != *id) {
         let Some(raw) = &record.value else { continue };
         match entries::read::<DaemonEntry>(raw) {
             Ok(peer) => {
+                entry.unread.borrow_mut().clear(Feed::Daemons, &record.key);
                 entry.peers.borrow_mut().list(&record.key, peer.addr, peer.process, now);
             }
-            Err(error) => {
-                slog::error!(entry.log, "daemon-unreadable"; "daemon" => %record.key,
-                    "error" => %error);
-            }
+            Err(error) => entry.note_unread(Feed::Daemons, &record.key, &error.0),
         }
     }
 }
