--- a/lib/src/picture/directory.rs
+++ b/lib/src/picture/directory.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 
 use crate::boot_clock::Moment;
+use crate::ids::Birth;
 use crate::ids::CentreId;
 use crate::ids::ModelName;
 use crate::ids::Offset;
@@ -61,8 +62,10 @@
     pub models: Vec<HeldModel>,
     /// Copies of weights near its accelerator.
     pub copies: Copies,
-    /// Number of its heartbeat; a later entry has a greater one.
+    /// Number of its heartbeat; a later entry of one start has a greater one.
     pub beat: u64,
+    /// When it started, where it says so.
+    pub born: Option<Birth>,
 }
 
 /// A server's entry as the platform wrote it, to be relayed to other daemons.
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use crate::ids::Birth;
 use crate::ids::Fence;
 use crate::ids::ModelName;
 use crate::ids::ServerId;
@@ -129,6 +130,8 @@
     pub busy: bool,
     /// Orders that it has accepted.
     pub sequence: u64,
+    /// When it started, where it says so.
+    pub born: Option<Birth>,
 }
 
 /// Reads and writes what callers, backend servers and the platform say.
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -24,6 +24,7 @@
         models: Vec::new(),
         copies: Copies::default(),
         beat,
+        born: None,
     }
 }
 
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -99,6 +99,7 @@
             models: held.iter().map(held_model).collect(),
             copies: Copies::default(),
             beat: 1,
+            born: None,
         };
         let engine = Engine {
             models: server.models.clone(),
