digest: number the form of datagrams

Cause: servers in datagrams have a start now. The encoding does not describe itself, so that a datagram of the version before can decode to nonsense while hosts are updated one by one; a start far in the future would keep every later start of that server from being believed.

Ruled out: 2 as the number.

Change: a byte before the encoded message, which no name's length is; other datagrams count as malformed.

--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use thiserror::Error;
 
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
@@ -122,6 +123,24 @@
     Holdings(Fence, Vec<Holding>),
 }
 
+/// Number of the form of datagrams; a change of these types takes the next one.
+///
+/// The encoding does not describe itself: datagrams of another version's types may decode to nonsense,
+/// such as a start of a server that no later one can follow. The first form had no number and began with
+/// the length of a daemon's name, which is never that of this number.
+const FORMAT: u8 = 0xf2;
+
+/// Why a datagram cannot be read.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum MessageError {
+    /// It is of another form, as daemons of another version send.
+    #[error("it is not of form {FORMAT}")]
+    Format,
+    /// It is cut or broken.
+    #[error("{0}")]
+    Malformed(#[from] postcard::Error),
+}
+
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerMessage {
@@ -135,6 +154,24 @@
     pub content: Content,
 }
 
+impl PeerMessage {
+    /// Writes the datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        // These types have no form that the codec refuses.
+        postcard::to_extend(self, vec![FORMAT]).unwrap_or_default()
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// It is of another form, or broken.
+    pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
+        let body = bytes.strip_prefix(&[FORMAT]).ok_or(MessageError::Format)?;
+        Ok(postcard::from_bytes(body)?)
+    }
+}
+
 /// What one daemon asks of another over a connection.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerRequest {
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -74,8 +74,7 @@
             port: settings.peer.port(),
             content,
         };
-        // These types have no form that the codec refuses.
-        postcard::to_stdvec(&message).unwrap_or_default()
+        message.encode()
     }
 
     fn send(&self, to: SocketAddr, bytes: &[u8], kind: &'static str) {
@@ -212,7 +211,7 @@
                 sleep(DEMAND_GAP).await;
                 continue;
             };
-            match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+            match PeerMessage::decode(&buffer[..length]) {
                 Ok(message) => self.take(message, from),
                 Err(error) => {
                     let count = self.malformed.get() + 1;
