--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -339,3 +339,22 @@
     pace.end(&start(SECOND), true, ms(7_000));
     assert_eq!(pace.share().proven, 1);
 }
+
+/// A server is cut off from the store, its entry runs out, and it comes back three seconds later. A peer
+/// still tells that it left, as it saw the entry go; the server would get no request again until its next
+/// start.
+#[test]
+fn returned_usable() {
+    let mut early = Directory::default();
+    let mut late = Directory::default();
+    put(&mut early, server(Some(FIRST), 70, &[]), 0);
+    put(&mut late, server(Some(FIRST), 70, &[]), 0);
+    assert_eq!(late.remove("e1", ms(1_000)), Change::Removed);
+    put(&mut early, server(Some(FIRST), 71, &[]), 4_000);
+    for left in late.left(ms(4_100)) {
+        assert_eq!(early.leave(&left, ms(4_100)), Change::None);
+    }
+    assert!(!early.get("e1").expect("listed").leaving);
+    put(&mut late, server(Some(FIRST), 71, &[]), 4_200);
+    assert!(late.left(ms(4_300)).is_empty());
+}
