directory: use a server again that came back after its entry ran out

Cause: peers tell for four seconds that a server left, by its start alone. A server that was only cut off and is back within that time was taken for leaving by all daemons until its next start.

Ruled out: to believe the first later heartbeat.

Change: the word carries the last heartbeat before the entry's end (`LeftNote`); three more are proof (`BACK_BEATS`), also where the word came first. A notice of the server's own is never taken back within one start.

--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -51,6 +51,15 @@
     pub prompt: u32,
 }
 
+/// A server that left, by the last that was known of it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeftNote {
+    /// The start that left.
+    pub server: ServerStart,
+    /// Its last heartbeat; a later one shows that it came back.
+    pub beat: u64,
+}
+
 /// A daemon's state, told to all others several times a second.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Digest {
@@ -60,8 +69,8 @@
     pub config: ConfigVersion,
     /// Place in the platform's feed of servers that it has read up to.
     pub servers: Offset,
-    /// Starts of servers that it saw leave in the last seconds.
-    pub left: Vec<ServerStart>,
+    /// Servers that it saw leave in the last seconds.
+    pub left: Vec<LeftNote>,
     /// Whether it takes new callers.
     pub ready: bool,
     /// Its requests by server.
--- a/lib/src/picture/directory.rs
+++ b/lib/src/picture/directory.rs
@@ -15,6 +15,7 @@
 use crate::ids::Offset;
 use crate::ids::ServerId;
 use crate::picture::configuration::ServiceName;
+use crate::picture::digest::LeftNote;
 use crate::picture::server_start::ServerStart;
 use crate::picture::starts::StartOrder;
 use crate::picture::starts::Starts;
@@ -28,6 +29,10 @@
 /// For this long peers are told which servers left: longer than any daemon goes without a read.
 const TELL_LEFT: Duration = Duration::from_secs(4);
 
+/// A server whose entry ended is back once it has sent this many heartbeats more. One or two may have
+/// been under way to a slow store when it left, and a request must not reach it long after that.
+const BACK_BEATS: u64 = 3;
+
 /// A model that a backend server holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HeldModel {
@@ -77,6 +82,10 @@
         ServerStart { id: self.id.clone(), born: self.born }
     }
 
+    fn left_note(&self) -> LeftNote {
+        LeftNote { server: self.start(), beat: self.beat }
+    }
+
     /// Turns this into what is known of a newer start whose entry has not been read yet: where it may
     /// listen, and that it holds nothing of before.
     fn restart(&mut self, born: Option<Birth>) {
@@ -97,6 +106,15 @@
     raw: Bytes,
     /// Set while the entry is missing though it may only have lapsed.
     lapsed: Option<Moment>,
+    /// The last heartbeat before its end, where only a peer says that the server left.
+    told_left: Option<u64>,
+}
+
+impl Entry {
+    /// Returns whether a newer entry shows that a server, which a peer saw leave, is back.
+    fn is_back(&self, newer: &Server) -> bool {
+        self.told_left.is_some_and(|beat| newer.beat >= beat + BACK_BEATS)
+    }
 }
 
 /// What a change did to the directory.
@@ -104,7 +122,7 @@
 pub enum Change {
     /// Nothing that matters to routing.
     None,
-    /// A server came.
+    /// A server came, or came back.
     Joined,
     /// A server started again under its id.
     Restarted,
@@ -128,8 +146,8 @@
     read: Option<Moment>,
     /// When it was first read after the store had been away.
     back: Option<Moment>,
-    /// Starts of servers that left lately, and when that was noticed.
-    left: Vec<(Moment, ServerStart)>,
+    /// Servers that left lately, and when that was noticed.
+    left: Vec<(Moment, LeftNote)>,
     starts: Starts,
 }
 
@@ -161,6 +179,7 @@
         {
             Rc::make_mut(&mut entry.server).restart(start.born);
             entry.lapsed = None;
+            entry.told_left = None;
         }
         order
     }
@@ -177,9 +196,10 @@
             return Change::None;
         }
         let old = self.entries.get(&server.id);
-        // Feeds may repeat old entries; one start of a server that leaves never comes back.
+        // Feeds may repeat old entries; one start of a server that gave notice never comes back.
         if let Some(old) = old
-            && (old.server.beat > server.beat || old.server.leaving && !server.leaving)
+            && (old.server.beat > server.beat
+                || old.server.leaving && !server.leaving && !old.is_back(&server))
         {
             if let Some(entry) = self.entries.get_mut(&server.id) {
                 entry.lapsed = None;
@@ -191,13 +211,14 @@
             None => Change::Joined,
             Some(_) if order == StartOrder::Newer && !server.leaving => Change::Restarted,
             Some(old) if server.leaving && !old.server.leaving => Change::Leaving,
+            Some(old) if old.server.leaving && !server.leaving => Change::Joined,
             Some(old) if old.server.models != server.models => Change::Updated,
             Some(_) => Change::None,
         };
         if change == Change::Leaving {
-            self.left.push((now, server.start()));
+            self.left.push((now, server.left_note()));
         }
-        let entry = Entry { server: Rc::new(server), raw, lapsed: None };
+        let entry = Entry { server: Rc::new(server), raw, lapsed: None, told_left: None };
         self.entries.insert(entry.server.id.clone(), entry);
         change
     }
@@ -219,26 +240,30 @@
             return Change::Lapsed;
         }
         if let Some(entry) = self.entries.remove(id) {
-            self.left.push((now, entry.server.start()));
+            self.left.push((now, entry.server.left_note()));
         }
         Change::Removed
     }
 
-    /// Returns the starts of servers that left lately, to be told to peers: each daemon reads at other
-    /// moments.
-    pub fn left(&mut self, now: Moment) -> Vec<ServerStart> {
+    /// Returns the servers that left lately, to be told to peers: each daemon reads at other moments.
+    pub fn left(&mut self, now: Moment) -> Vec<LeftNote> {
         self.left.retain(|(at, _)| now <= *at + TELL_LEFT);
-        self.left.iter().map(|(_, start)| start.clone()).collect()
+        self.left.iter().map(|(_, note)| note.clone()).collect()
     }
 
-    /// Takes in a peer's word that a start of a server left.
-    pub fn leave(&mut self, start: &ServerStart, now: Moment) -> Change {
-        if self.hear(start, now) == StartOrder::Older {
+    /// Takes in a peer's word that a server left.
+    ///
+    /// It may only have been cut off until its entry ran out, and be back while the word still goes on.
+    /// The feed is read in order: who knows later heartbeats has read entries that were written after the
+    /// end of the one that the peer speaks of.
+    pub fn leave(&mut self, note: &LeftNote, now: Moment) -> Change {
+        if self.hear(&note.server, now) == StartOrder::Older {
             return Change::None;
         }
-        match self.entries.get_mut(&start.id) {
-            Some(entry) if !entry.server.leaving => {
+        match self.entries.get_mut(&note.server.id) {
+            Some(entry) if !entry.server.leaving && entry.server.beat < note.beat + BACK_BEATS => {
                 Rc::make_mut(&mut entry.server).leaving = true;
+                entry.told_left = Some(note.beat);
                 Change::Leaving
             }
             _ => Change::None,
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -269,11 +269,12 @@
             entry.waits.begun.notify_one();
         }
         let mut changed = false;
-        for start in &digest.left {
-            if entry.directory.borrow_mut().leave(start, now) != Change::None {
+        for note in &digest.left {
+            if entry.directory.borrow_mut().leave(note, now) != Change::None {
                 changed = true;
-                slog::info!(entry.log, "server"; "server" => %start, "change" => "Leaving",
-                    "from" => %from, "born" => start.born.unwrap_or(0));
+                slog::info!(entry.log, "server"; "server" => %note.server, "change" => "Leaving",
+                    "from" => %from, "beat" => note.beat,
+                    "born" => note.server.born.unwrap_or(0));
             }
         }
         if changed {
