directory: take a returned server up by time, not by its heartbeats

Change: a server whose entry came back while peers still tell its end is held off for six seconds, and used if its entry stands then.

`returned_usable` has its story unchanged with counts as the feed shows them (1, then 18), `heartbeat_late` is stricter (13 after 1, and 17 s in place of one more heartbeat), `word_kept` is new: a daemon that never saw the end keeps to the peer's word.

--- a/lib/src/picture/directory.rs
+++ b/lib/src/picture/directory.rs
@@ -29,9 +29,11 @@
 /// For this long peers are told which servers left: longer than any daemon goes without a read.
 const TELL_LEFT: Duration = Duration::from_secs(4);
 
-/// A server whose entry ended is back once it has sent this many heartbeats more. One or two may have
-/// been under way to a slow store when it left, and a request must not reach it long after that.
-const BACK_BEATS: u64 = 3;
+/// A server whose entry ended and came back is used again after the entry has stood for this long. It may
+/// be a last heartbeat that reached a slow store after the server had left. Such an entry ends after three
+/// heartbeats without another, 4.5 s after it came in where that was measured, and no request must reach
+/// that server.
+const BACK_AFTER: Duration = Duration::from_secs(6);
 
 /// A model that a backend server holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -106,14 +108,32 @@
     raw: Bytes,
     /// Set while the entry is missing though it may only have lapsed.
     lapsed: Option<Moment>,
-    /// The last heartbeat before its end, where only a peer says that the server left.
-    told_left: Option<u64>,
+    /// Set where the entry is newer than the end that a peer tells of: the server may be back.
+    back: Option<Moment>,
 }
 
 impl Entry {
-    /// Returns whether a newer entry shows that a server, which a peer saw leave, is back.
-    fn is_back(&self, newer: &Server) -> bool {
-        self.told_left.is_some_and(|beat| newer.beat >= beat + BACK_BEATS)
+    /// Takes in that a peer saw the server's entry end; returns whether that is news.
+    ///
+    /// The feed is read in order: who knows a later heartbeat has read an entry that was written after
+    /// the end that the peer speaks of.
+    fn leave(&mut self, note: &LeftNote, now: Moment) -> bool {
+        if self.server.leaving || self.back.is_some() {
+            return false;
+        }
+        self.back = (self.server.beat > note.beat).then_some(now);
+        Rc::make_mut(&mut self.server).leaving = true;
+        true
+    }
+
+    /// Makes the server usable if it has been back for long enough; returns whether it did.
+    fn settle(&mut self, now: Moment) -> bool {
+        let is_due = self.back.is_some_and(|back| now > back + BACK_AFTER);
+        if !is_due || !self.server.leaving {
+            return false;
+        }
+        Rc::make_mut(&mut self.server).leaving = false;
+        true
     }
 }
 
@@ -179,7 +199,7 @@
         {
             Rc::make_mut(&mut entry.server).restart(start.born);
             entry.lapsed = None;
-            entry.told_left = None;
+            entry.back = None;
         }
         order
     }
@@ -190,16 +210,18 @@
     }
 
     /// Takes in a server's entry.
-    pub fn put(&mut self, server: Server, raw: Bytes, now: Moment) -> Change {
+    pub fn put(&mut self, mut server: Server, raw: Bytes, now: Moment) -> Change {
         let order = self.hear(&server.start(), now);
         if order == StartOrder::Older {
             return Change::None;
         }
         let old = self.entries.get(&server.id);
+        // A server that may be back is held off until that is proven, but its news are taken in.
+        let back = old.and_then(|old| old.back).filter(|_| !server.leaving);
+        server.leaving |= back.is_some() && old.is_some_and(|old| old.server.leaving);
         // Feeds may repeat old entries; one start of a server that gave notice never comes back.
         if let Some(old) = old
-            && (old.server.beat > server.beat
-                || old.server.leaving && !server.leaving && !old.is_back(&server))
+            && (old.server.beat > server.beat || old.server.leaving && !server.leaving)
         {
             if let Some(entry) = self.entries.get_mut(&server.id) {
                 entry.lapsed = None;
@@ -211,14 +233,13 @@
             None => Change::Joined,
             Some(_) if order == StartOrder::Newer && !server.leaving => Change::Restarted,
             Some(old) if server.leaving && !old.server.leaving => Change::Leaving,
-            Some(old) if old.server.leaving && !server.leaving => Change::Joined,
             Some(old) if old.server.models != server.models => Change::Updated,
             Some(_) => Change::None,
         };
         if change == Change::Leaving {
             self.left.push((now, server.left_note()));
         }
-        let entry = Entry { server: Rc::new(server), raw, lapsed: None, told_left: None };
+        let entry = Entry { server: Rc::new(server), raw, lapsed: None, back };
         self.entries.insert(entry.server.id.clone(), entry);
         change
     }
@@ -253,21 +274,15 @@
 
     /// Takes in a peer's word that a server left.
     ///
-    /// It may only have been cut off until its entry ran out, and be back while the word still goes on.
-    /// The feed is read in order: who knows later heartbeats has read entries that were written after the
-    /// end of the one that the peer speaks of.
+    /// It may only have been cut off until its entry ran out, and be back while the word still goes on;
+    /// [`Self::settle`] finds that out.
     pub fn leave(&mut self, note: &LeftNote, now: Moment) -> Change {
         if self.hear(&note.server, now) == StartOrder::Older {
             return Change::None;
         }
-        match self.entries.get_mut(&note.server.id) {
-            Some(entry) if !entry.server.leaving && entry.server.beat < note.beat + BACK_BEATS => {
-                Rc::make_mut(&mut entry.server).leaving = true;
-                entry.told_left = Some(note.beat);
-                Change::Leaving
-            }
-            _ => Change::None,
-        }
+        let entry = self.entries.get_mut(&note.server.id);
+        let is_news = entry.is_some_and(|entry| entry.leave(note, now));
+        if is_news { Change::Leaving } else { Change::None }
     }
 
     /// Returns the entries that are not among `listed`.
@@ -281,6 +296,17 @@
         self.entries.remove(id).map_or(Change::None, |_| Change::Removed)
     }
 
+    /// Returns the servers that are usable again: a peer saw their entries end, and they are back.
+    pub fn settle(&mut self, now: Moment) -> Vec<ServerId> {
+        let mut back = Vec::new();
+        for (id, entry) in &mut self.entries {
+            if entry.settle(now) {
+                back.push(id.clone());
+            }
+        }
+        back
+    }
+
     /// Drops the entries that did not come back after the store's return.
     pub fn sweep(&mut self, now: Moment) -> Vec<ServerId> {
         self.starts.sweep(now, |id| self.entries.contains_key(id));
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -165,13 +165,17 @@
     }
 }
 
-/// Drops servers whose entries did not come back in time.
+/// Drops servers whose entries did not come back in time, and takes up those that have.
 pub fn sweep_servers(entry: &Entry) {
     let gone = entry.directory.borrow_mut().sweep(entry.now());
     for id in &gone {
         slog::info!(entry.log, "server"; "server" => %id, "change" => "Gone", "from" => "store");
     }
-    if !gone.is_empty() {
+    let back = entry.directory.borrow_mut().settle(entry.now());
+    for id in &back {
+        log_change(entry, id, Change::Joined, "store");
+    }
+    if !gone.is_empty() || !back.is_empty() {
         servers_changed(entry);
     }
 }
--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -345,41 +345,60 @@
     assert_eq!(pace.share().proven, 1);
 }
 
+/// Two daemons with a server's entry; the second has seen it end.
+fn entry_ended() -> (Directory, Directory) {
+    let mut early = Directory::default();
+    let mut late = Directory::default();
+    put(&mut early, server(Some(FIRST), 1, &[]), 0);
+    put(&mut late, server(Some(FIRST), 1, &[]), 0);
+    assert_eq!(late.remove("e1", ms(10_000)), Change::Removed);
+    assert_eq!(early.remove("e1", ms(10_100)), Change::Removed);
+    (early, late)
+}
+
 /// A server is cut off from the store, its entry runs out, and it comes back three seconds later. A peer
 /// still tells that it left, as it saw the entry go; the server would get no request again until its next
 /// start.
 #[test]
 fn returned_usable() {
-    let mut early = Directory::default();
-    let mut late = Directory::default();
-    put(&mut early, server(Some(FIRST), 70, &[]), 0);
-    put(&mut late, server(Some(FIRST), 70, &[]), 0);
-    assert_eq!(late.remove("e1", ms(1_000)), Change::Removed);
-    put(&mut early, server(Some(FIRST), 71, &[]), 3_000);
-    for left in late.left(ms(3_100)) {
-        early.leave(&left, ms(3_100));
+    let (mut early, mut late) = entry_ended();
+    put(&mut early, server(Some(FIRST), 18, &[]), 13_000);
+    for left in late.left(ms(13_100)) {
+        early.leave(&left, ms(13_100));
     }
-    put(&mut early, server(Some(FIRST), 72, &[]), 4_000);
-    assert_eq!(put(&mut early, server(Some(FIRST), 73, &[]), 4_500), Change::Joined);
-    for left in late.left(ms(4_600)) {
-        assert_eq!(early.leave(&left, ms(4_600)), Change::None);
+    assert_eq!(early.settle(ms(19_200)), ["e1"]);
+    assert!(!early.get("e1").expect("listed").leaving);
+    put(&mut early, server(Some(FIRST), 19, &["hem"]), 19_300);
+    for left in late.left(ms(13_900)) {
+        assert_eq!(early.leave(&left, ms(19_400)), Change::None);
     }
     assert!(!early.get("e1").expect("listed").leaving);
 }
 
 /// A server leaves without notice while the store is slow: its last heartbeat is written after its entry
-/// was removed. It is no sign of life, and the server must not get requests again.
+/// was removed. It is no sign of life, and the server must not get requests until that entry ends too.
 #[test]
 fn heartbeat_late() {
+    let (mut early, mut late) = entry_ended();
+    put(&mut early, server(Some(FIRST), 13, &[]), 12_000);
+    for left in late.left(ms(12_100)) {
+        assert_eq!(early.leave(&left, ms(12_100)), Change::Leaving);
+    }
+    assert_eq!(put(&mut early, server(Some(FIRST), 14, &[]), 12_500), Change::None);
+    assert!(early.settle(ms(17_000)).is_empty());
+    assert!(early.get("e1").expect("listed").leaving);
+}
+
+/// The store turns a daemon away, so that it never sees an entry end. A peer's word is about the very
+/// entry that it has, and no time makes that server usable.
+#[test]
+fn word_kept() {
     let mut early = Directory::default();
-    let mut late = Directory::default();
-    put(&mut early, server(Some(FIRST), 70, &[]), 0);
-    put(&mut late, server(Some(FIRST), 70, &[]), 0);
-    assert_eq!(late.remove("e1", ms(1_000)), Change::Removed);
-    put(&mut early, server(Some(FIRST), 71, &[]), 2_000);
-    for left in late.left(ms(2_100)) {
-        assert_eq!(early.leave(&left, ms(2_100)), Change::Leaving);
+    let (_, mut late) = entry_ended();
+    put(&mut early, server(Some(FIRST), 1, &[]), 0);
+    for left in late.left(ms(10_200)) {
+        assert_eq!(early.leave(&left, ms(10_200)), Change::Leaving);
     }
-    assert_eq!(put(&mut early, server(Some(FIRST), 72, &[]), 2_500), Change::None);
+    assert!(early.settle(ms(60_000)).is_empty());
     assert!(early.get("e1").expect("listed").leaving);
 }
