--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -182,9 +182,10 @@
 #[test]
 fn gone_remembered() {
     let mut directory = Directory::default();
-    put(&mut directory, server(Some(SECOND), 1, &[]), 0);
-    assert_eq!(directory.remove("e1", ms(100)), Change::Removed);
-    assert_eq!(put(&mut directory, server(Some(FIRST), 70, &["hem"]), 200), Change::None);
+    put(&mut directory, server(Some(SECOND), 1, &[]), 100_000);
+    assert_eq!(directory.remove("e1", ms(100_100)), Change::Removed);
+    directory.sweep(ms(150_000));
+    assert_eq!(put(&mut directory, server(Some(FIRST), 70, &["hem"]), 150_100), Change::None);
     assert!(directory.get("e1").is_none());
     // Long after nobody relays it any more the id is free for whoever starts under it.
     directory.sweep(ms(400_000));
