soak: stop each daemon beside slow servers and nothing else

Cause: the soak sends SIGTERM, and callers stay on open connections, but its servers answer at once and other troubles overlap, so that a connection closed without an answer proves nothing and was only counted. Change: after the recovery plain servers take 1.5 s for a request and each daemon is told to stop, 0.3 s after the one before. Meanwhile a request that a server ran may not end with a closed connection, and no 502 is due. The recovery is counted before.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -27,6 +27,9 @@
 /// Statuses that promise that a request has not run and will not.
 const UNRUN: [u16; 4] = [408, 421, 429, 503];
 
+/// The status of a request that may have run and has no answer.
+const IN_DOUBT: u16 = 502;
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -67,6 +70,10 @@
     pub faults: RefCell<Vec<String>>,
     /// Good answers and all answers since the counts were reset.
     pub good: Cell<(u64, u64)>,
+    /// Whether nothing but planned stops happens.
+    pub calm: Cell<bool>,
+    /// Attempts that ended meanwhile with a closed connection and no answer.
+    pub cut: RefCell<Vec<String>>,
     /// Whether callers stop.
     pub over: Cell<bool>,
 }
@@ -88,6 +95,7 @@
         }
         seen.asked.borrow_mut().push((attempt.clone(), kind));
         let began = Instant::now();
+        let was_calm = seen.calm.get();
         let leaves = rng.random_bool(0.05);
         let limit = if leaves { Duration::from_millis(30) } else { DEADLINE + LATE };
         let exchange = async {
@@ -106,12 +114,19 @@
         match timeout(limit, exchange).await {
             Ok(Some((wire, answer))) => {
                 judge(&seen, &attempt, kind, &answer);
+                if was_calm && seen.calm.get() && answer.status() == IN_DOUBT {
+                    let fault = format!("{attempt} {kind:?} was left in doubt by a planned stop");
+                    seen.faults.borrow_mut().push(fault);
+                }
                 if answer.whole && answer.header("connection") != "close" {
                     open = Some(wire);
                 }
             }
             // Closed without an answer: the daemon was killed, or the request crossed its stop.
             Ok(None) => {
+                if was_calm && seen.calm.get() {
+                    seen.cut.borrow_mut().push(attempt);
+                }
                 count_answer(&seen, false);
                 front = fronts[rng.random_range(0..fronts.len())];
                 sleep(Duration::from_millis(50)).await;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! `comfreymux-soak`: real daemons under random troubles, their promises checked from outside.
 
 mod callers;
+mod calm_stop;
 mod flags;
 mod plan;
 mod process;
@@ -97,10 +98,14 @@
         }
     }
     recover(&world, &outcome).await?;
+    let (good, all) = outcome.good.get();
+    calm_stop::stop_each(&world, &outcome).await?;
     outcome.over.set(true);
     sleep(Duration::from_millis(200)).await;
-    let faults = check(&world, &outcome);
-    let (good, all) = outcome.good.get();
+    let mut faults = check(&world, &outcome);
+    if (good as f64) < GOOD_PART * all as f64 || all == 0 {
+        faults.push(format!("after the recovery {good} of {all} answers are good"));
+    }
     let asked = outcome.asked.borrow().len();
     Ok((faults, format!("{asked} requests, {good} of {all} good after recovery")))
 }
@@ -149,6 +154,11 @@
             faults.push(format!("{attempt} was told that it did not run, but it did"));
         }
     }
+    for attempt in seen.cut.borrow().iter().filter(|a| runs.contains_key(*a)) {
+        let kind = kinds.get(attempt);
+        faults
+            .push(format!("{attempt} {kind:?} ran, and a planned stop left it without an answer"));
+    }
     let mut holders: BTreeMap<u64, String> = BTreeMap::new();
     let servers = world.servers.borrow();
     let gone = world.gone.borrow();
@@ -166,9 +176,5 @@
     for daemon in &world.daemons {
         faults.extend(daemon.borrow().faults.iter().cloned());
     }
-    let (good, all) = seen.good.get();
-    if (good as f64) < GOOD_PART * all as f64 || all == 0 {
-        faults.push(format!("after the recovery {good} of {all} answers are good"));
-    }
     faults
 }
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Returns whether it was told to end and has not been started again.
+    pub fn is_stopping(&self) -> bool {
+        self.terminated.is_some()
+    }
+
     /// Looks whether it ended, and starts it again; notes an end that nobody asked for.
     ///
     /// # Errors
