tests: a suspended engine is waited for, and gets no order

Removed on trial: without the suspended ones among the unreachable engines engine_suspended fails (503); without Directory::known in the choice suspended_awaited fails.

--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -8,6 +8,12 @@
 use comfreymux_lib::picture::directory::Copies;
 use comfreymux_lib::picture::directory::Directory;
 use comfreymux_lib::picture::directory::Server;
+use comfreymux_lib::picture::health::Health;
+use comfreymux_lib::picture::holdings::Holdings;
+use comfreymux_lib::picture::loads::Loads;
+use comfreymux_lib::place::demand::Item;
+use comfreymux_lib::serve::choose::Choice;
+use comfreymux_lib::serve::choose::Chooser;
 
 const fn ms(ms: u64) -> Moment {
     Duration::from_millis(ms)
@@ -158,3 +164,27 @@
     assert!(directory.get("a").expect("listed").leaving);
     assert_eq!(directory.remove("a", ms(100)), Change::Removed);
 }
+
+/// Callers of a model are refused at once because its engine's entry was written over for a moment: the
+/// service seemed to have no server, and the model no copy.
+#[test]
+fn suspended_awaited() {
+    let mut directory = Directory::default();
+    let copies = Copies { memory: Vec::new(), disk: vec!["m1".into()] };
+    let engine = Server { copies, ..server("a", 1, false) };
+    directory.put(engine, Bytes::new(), ms(0));
+    directory.suspend("a", ms(0));
+    let chooser = Chooser {
+        directory: &directory,
+        holdings: &Holdings::default(),
+        loads: &Loads::default(),
+        health: &Health::default(),
+        centre: &"north".into(),
+        now: ms(100),
+    };
+    let item = Item { service: "draft".into(), model: "m1".into(), adapter: None };
+    assert!(matches!(chooser.engine(&item, &[]), Choice::Missing));
+    assert!(chooser.has_copy(&item));
+    let other = Item { model: "m2".into(), ..item };
+    assert!(!chooser.has_copy(&other));
+}
