--- a/lib/src/picture/directory.rs
+++ b/lib/src/picture/directory.rs
@@ -24,8 +24,8 @@
 /// For this long peers are told which servers left: longer than any daemon goes without a read.
 const TELL_LEFT: Duration = Duration::from_secs(4);
 
-/// A server whose entry was written over is forgotten after this long without a readable one: longer
-/// than the three heartbeats of silence after which the platform removes an entry.
+/// A server whose entry was written over is forgotten after this long without a readable one. The
+/// platform removes the entry of a silent server after three heartbeats, of 1.2 s each.
 const SUSPENDED_FOR: Duration = Duration::from_secs(4);
 
 /// A model that a backend server holds.
