follow_config: no call that began behind is given up for a peer's version

Cause: a call that began after a peer's later version was heard brings that version, but it was given up for it as soon as it was half a second old. Ruled out: only a longer half second; any limit below the store's own is met by a slower answer.

--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -38,7 +38,7 @@
 /// For this long a daemon waits for its own call's answer when a peer has a later version: usually both
 /// hear of it in the same instant.
 const NEWS_PAUSE: Duration = Duration::from_millis(100);
-/// A call younger than this is not given up for a peer's later version; a slow store takes 0.4 s.
+/// A call younger than this is not given up for a peer's later version.
 const YOUNG: Duration = Duration::from_millis(500);
 /// Least time from a call that failed to the next.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -76,12 +76,13 @@
 /// Waits for the next version.
 async fn read_on(entry: &Entry, from: Offset) -> Result<Batch, StoreError> {
     let begun = entry.now();
-    let wait = if entry.reads_often() { OFTEN_WAIT } else { SELDOM_WAIT };
+    let was_behind = entry.is_behind();
+    let wait = if was_behind || entry.reads_often() { OFTEN_WAIT } else { SELDOM_WAIT };
     let call = entry.store.read(Feed::Configuration, from, wait);
     tokio::select! {
         biased;
         result = noted(entry, Feed::Configuration, call) => result,
-        reason = given_up(entry) => {
+        reason = given_up(entry, was_behind) => {
             entry.metrics.called_store(Feed::Configuration.name(), "given up");
             slog::info!(entry.log, "store-call-given-up"; "feed" => %Feed::Configuration,
                 "reason" => reason, "config" => entry.config_version(),
@@ -92,17 +93,21 @@
 }
 
 /// Waits until a call that has just begun is to be given up; returns why.
-async fn given_up(entry: &Entry) -> &'static str {
+///
+/// A call that began while this daemon was behind brings what peers have already, however slow the store or
+/// the link is; given up for that, it would be given up again and again and never be answered. It has
+/// the short limit instead.
+async fn given_up(entry: &Entry, was_behind: bool) -> &'static str {
     let begun = Instant::now();
     loop {
         if timeout(LOOK_EVERY, entry.config_news.notified()).await.is_ok() {
             sleep(NEWS_PAUSE).await;
         }
         let out = begun.elapsed();
-        if out >= YOUNG && entry.is_behind() {
+        if out >= YOUNG && !was_behind && entry.is_behind() {
             return "a peer has a later version";
         }
-        if out >= OFTEN_LIMIT && entry.reads_often() {
+        if out >= OFTEN_LIMIT && (was_behind || entry.reads_often()) {
             return "no answer in time";
         }
     }
