call: one that is dropped closes idle connections too

Cause: idle connections to the same address were closed when a call's own limit ran out, not when its caller dropped it before.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -21,6 +21,7 @@
 pub mod life;
 pub mod observe;
 pub mod orders;
+pub mod outstanding;
 pub mod picture_relay;
 pub mod pool;
 pub mod relay;
--- a/lib/src/serve/call.rs
+++ b/lib/src/serve/call.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::serve::outstanding::Outstanding;
 use crate::serve::pool::Pool;
 
 /// How long connections for calls stay open between them.
@@ -30,8 +31,8 @@
 
 /// Makes a call that must be answered within `limit`.
 ///
-/// A connection whose call had no answer is closed: nothing more comes on it. So are the idle ones to the
-/// same address: what lost track of one has often lost them all, and each would cost another `limit`.
+/// A connection whose call had no answer, or was dropped before, is closed: nothing more comes on it. So are
+/// the idle ones to the same address.
 ///
 /// # Errors
 ///
@@ -62,13 +63,10 @@
         let body = body.map_err(|_broken| CallError::Unanswered)?.to_bytes();
         Ok((status, body))
     };
-    let answer = match timeout(limit, exchange).await {
-        Ok(answer) => answer?,
-        Err(_elapsed) => {
-            pool.forget(name);
-            return Err(CallError::Unanswered);
-        }
-    };
+    let mut outstanding = Outstanding::new(pool, name);
+    let answer = timeout(limit, exchange).await.map_err(|_elapsed| CallError::Unanswered)?;
+    outstanding.answered();
+    let answer = answer?;
     pool.give_back(connection, Some(KEEP));
     Ok(answer)
 }
--- /dev/null
+++ b/lib/src/serve/outstanding.rs
@@ -0,0 +1,36 @@
+//! A call that is out.
+
+use smol_str::SmolStr;
+
+use crate::serve::pool::Pool;
+
+/// A call that is out. It closes the idle connections to the same address when it ends without an answer,
+/// be it that its time is over or that its caller drops it.
+///
+/// What lost track of one connection has often lost them all, and each would cost another time limit.
+#[derive(Debug)]
+pub struct Outstanding<'a> {
+    pool: &'a Pool,
+    name: &'a SmolStr,
+    answered: bool,
+}
+
+impl<'a> Outstanding<'a> {
+    /// Begins a call.
+    pub fn new(pool: &'a Pool, name: &'a SmolStr) -> Self {
+        Self { pool, name, answered: false }
+    }
+
+    /// Takes in an answer, or a failure that showed at once.
+    pub fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.pool.forget(self.name);
+        }
+    }
+}
