--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -76,6 +76,26 @@
     assert!(!peers.reads_often("d4", "near", later), "the first and the third do");
 }
 
+/// In a fleet of hundreds, digests come seconds apart. All daemons take those that ask for the configuration on
+/// their behalf for dead between two digests, ask themselves, and give up calls that wait well: the
+/// store is asked five times as often as it need be.
+#[rstest]
+#[case::small(12)]
+#[case::large(72)]
+#[case::largest(300)]
+fn readers_kept(#[case] count: u16) {
+    let mut peers = PeerTable::default();
+    let age = Duration::from_secs(1);
+    for n in 3..count {
+        hear(&mut peers, n, "far", age, NOW);
+    }
+    hear(&mut peers, 1, "near", age, NOW);
+    hear(&mut peers, 2, "near", age, NOW);
+    let gap = peers.digest_gap();
+    assert!(!peers.reads_often("d3", "near", NOW + gap), "before the next digest");
+    assert!(peers.reads_often("d3", "near", NOW + gap * 3 + Duration::from_secs(2)));
+}
+
 /// Bytes between data centres are paid for; in a large fleet most of them were digests.
 #[rstest]
 #[case::small(8, 0, 8)]
