peer_table: wait for two digests before a reader counts as gone

Cause: fixed times beside digests whose pace follows the size of the fleet. Change: a reader counts for two of its digests at least, and one second more for what the store told it. Up to 90 daemons nothing changes.

--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -27,11 +27,16 @@
 /// Daemons of a data centre that ask for the configuration often, so that the others need not. Two, so that
 /// the loss of one is none of the others' concern.
 const CONFIG_READERS: usize = 2;
-/// A peer that was heard longer ago than this is not counted on to read the configuration.
+/// A peer that was heard longer ago than this is not counted on to read the configuration, except where
+/// digests are rarer.
 const READER_SILENT: Duration = Duration::from_millis(1500);
+/// Digests that may be missing before a reader counts as gone, where they are rarer than that.
+const READER_MISSED: u32 = 2;
 /// Nor is one to which the store said nothing of the configuration for longer than this: more than the
 /// second between its reads, less than callers are let to notice.
 const READER_BLIND: Duration = Duration::from_millis(2500);
+/// Time between a reader's answers from the store: longest wait and answer.
+const READER_PACE: Duration = Duration::from_secs(1);
 /// A peer that was silent for this long is forgotten; a daemon that stays away was replaced.
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
@@ -164,9 +169,13 @@
     /// takes its part; where the store is away for all, all ask often. Readers that are counted wrongly cost
     /// calls, never time.
     pub fn reads_often(&self, id: &str, centre: &str, now: Moment) -> bool {
+        let missed = self.digest_gap() * READER_MISSED;
+        let silent = missed.max(READER_SILENT);
+        let blind = (missed + READER_PACE).max(READER_BLIND);
         let before = self.peers.iter().take_while(|(peer, _)| peer.as_str() < id);
-        let readers = before.filter(|(_, p)| p.centre == centre && p.follows_config(now));
-        readers.count() < CONFIG_READERS
+        let readers = before.filter(|(_, p)| p.centre == centre);
+        let known = readers.filter(|(_, p)| p.follows_config(now, silent, blind));
+        known.count() < CONFIG_READERS
     }
 
     /// Returns how many daemons share what all may do together, this one included.
@@ -221,9 +230,10 @@
 }
 
 impl Peer {
-    /// Returns whether it can be counted on to hear of a change of the configuration.
-    fn follows_config(&self, now: Moment) -> bool {
-        self.is_near(now, READER_SILENT) && now <= self.config_seen + READER_BLIND
+    /// Returns whether it can be counted on to hear of a change of the configuration: it was heard less than
+    /// `silent` ago, and the store told it whether there is one less than `blind` ago.
+    fn follows_config(&self, now: Moment, silent: Duration, blind: Duration) -> bool {
+        self.is_near(now, silent) && now <= self.config_seen + blind
     }
 
     /// Returns whether it was heard lately: less than `silent` ago.
