tests: where daemons that are behind fetch a picture from

The choice moves from gossip to the peer table, unchanged: the first peer by name that is ahead, in whatever data centre, again after each failed fetch.

--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -162,6 +162,20 @@
         self.peers.iter().filter(move |(_, p)| p.is_near(now, silent))
     }
 
+    /// Returns where a daemon fetches a picture from: a peer with a later configuration, or one that has read
+    /// further in the feed of servers, where `servers` tells how far this one has.
+    pub fn ahead(
+        &self,
+        config: ConfigVersion,
+        servers: Option<Offset>,
+        _centre: &str,
+        _turn: usize,
+        now: Moment,
+    ) -> Option<SocketAddr> {
+        let is_ahead = |p: &Peer| p.config > config || servers.is_some_and(|s| p.servers > s);
+        self.near(now).find(|(_, p)| is_ahead(p)).map(|(_, p)| p.addr)
+    }
+
     /// Returns whether a daemon asks for the configuration often: where no two others of its data centre
     /// that come before it by name are known to do so.
     ///
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -306,10 +306,12 @@
     /// Fetches from a peer what the store does not give, and notices when this daemon is cut off.
     pub async fn keep_up(self: Rc<Self>) {
         let mut behind_since = None;
+        // Daemons begin with different peers.
+        let mut turn = self.entry.process as usize;
         loop {
             sleep(LOOK_EVERY).await;
             self.look_around();
-            let Some(peer) = self.peer_ahead() else {
+            let Some(peer) = self.peer_ahead(turn) else {
                 behind_since = None;
                 continue;
             };
@@ -317,6 +319,7 @@
                 continue;
             }
             behind_since = None;
+            turn = turn.wrapping_add(1);
             match timeout(FETCH_LIMIT, fetch_picture(peer)).await {
                 Ok(Ok(picture)) => self.adopt(picture),
                 Ok(Err(error)) => {
@@ -345,16 +348,15 @@
     }
 
     /// Returns a peer that knows more than this daemon, where the store does not help.
-    fn peer_ahead(&self) -> Option<SocketAddr> {
+    fn peer_ahead(&self, turn: usize) -> Option<SocketAddr> {
         let entry = &self.entry;
         let now = entry.now();
         let config = entry.config_version();
         let servers = entry.directory.borrow().end();
         let store_silent = now > entry.store_seen.get() + STORE_SILENT;
-        let peers = entry.peers.borrow();
-        let ahead =
-            peers.near(now).find(|(_, p)| p.config > config || store_silent && p.servers > servers);
-        ahead.map(|(_, p)| p.addr)
+        let servers = store_silent.then_some(servers);
+        let centre = &entry.settings().centre;
+        entry.peers.borrow().ahead(config, servers, centre, turn, now)
     }
 
     fn adopt(&self, picture: PictureReply) {
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -1,5 +1,6 @@
 //! Whom a daemon tells its state, and how often.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -76,6 +77,22 @@
     assert!(!peers.reads_often("d4", "near", later), "the first and the third do");
 }
 
+/// The store is slow, all daemons are behind and fetch the configuration from the same peer, the first by name.
+/// Its link is full for seconds, fetches end without a result, and each daemon asks it again.
+#[test]
+fn fetches_spread() {
+    let peers = table(20);
+    let told = |centre: &str, turn| peers.ahead(0, None, centre, turn, NOW).expect("a peer");
+    let asked: BTreeSet<_> = (7..17).map(|turn| told("near", turn)).collect();
+    assert_eq!(asked.len(), 10, "each once");
+    let near: BTreeSet<_> = (0..20).step_by(2).map(addr).collect();
+    assert_eq!(asked, near, "bytes between data centres are paid for");
+    let asked: BTreeSet<_> = (0..20).map(|turn| told("elsewhere", turn)).collect();
+    assert_eq!(asked.len(), 20);
+    assert_eq!(peers.ahead(1, None, "near", 0, NOW), None);
+    assert!(peers.ahead(1, Some(0), "near", 0, NOW).is_some());
+}
+
 /// In a fleet of hundreds, digests come seconds apart. All daemons take those that ask for the configuration on
 /// their behalf for dead between two digests, ask themselves, and give up calls that wait well: the
 /// store is asked five times as often as it need be.
