gossip: daemons that are behind fetch from different peers

Cause: the first peer by name that was ahead was asked, by all, again after each failure, also across data centres.

--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -164,16 +164,23 @@
 
     /// Returns where a daemon fetches a picture from: a peer with a later configuration, or one that has read
     /// further in the feed of servers, where `servers` tells how far this one has.
+    ///
+    /// Many daemons may be behind at once, and one peer's link does not carry pictures for all: they take turns
+    /// that begin apart, and with each fetch go on to the next. Peers of the own data centre come first, since
+    /// bytes between data centres are paid for.
     pub fn ahead(
         &self,
         config: ConfigVersion,
         servers: Option<Offset>,
-        _centre: &str,
-        _turn: usize,
+        centre: &str,
+        turn: usize,
         now: Moment,
     ) -> Option<SocketAddr> {
         let is_ahead = |p: &Peer| p.config > config || servers.is_some_and(|s| p.servers > s);
-        self.near(now).find(|(_, p)| is_ahead(p)).map(|(_, p)| p.addr)
+        let ahead: Vec<_> = self.near(now).map(|(_, p)| p).filter(|p| is_ahead(p)).collect();
+        let own: Vec<_> = ahead.iter().copied().filter(|p| p.centre == centre).collect();
+        let list = if own.is_empty() { ahead } else { own };
+        list.get(turn % list.len().max(1)).map(|p| p.addr)
     }
 
     /// Returns whether a daemon asks for the configuration often: where no two others of its data centre
