--- a/lib/src/picture/contact.rs
+++ b/lib/src/picture/contact.rs
@@ -8,7 +8,7 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct FeedContact {
-    /// When a call on the feed was last answered; the daemon's start before the first.
+    /// When a call on the feed was last answered; the host's start before the first.
     heard: Moment,
     /// Whether the last call failed.
     lost: bool,
