--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -27,11 +27,16 @@
 /// Daemons of a data centre that ask for the configuration often, so that the others need not. Two, so that
 /// the loss of one is none of the others' concern.
 const CONFIG_READERS: usize = 2;
-/// A peer that was heard longer ago than this is not counted on to read the configuration.
+/// A peer that was heard longer ago than this is not counted on to read the configuration, except where
+/// digests are rarer.
 const READER_SILENT: Duration = Duration::from_millis(1500);
+/// Digests that may be missing before a reader counts as gone, where they are rarer than that.
+const READER_MISSED: u32 = 2;
 /// Nor is one to which the store said nothing of the configuration for longer than this: more than the
 /// second between its reads, less than callers are let to notice.
 const READER_BLIND: Duration = Duration::from_millis(2500);
+/// Time between a reader's answers from the store: longest wait and answer.
+const READER_PACE: Duration = Duration::from_secs(1);
 /// A peer that was silent for this long is forgotten; a daemon that stays away was replaced.
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
@@ -157,6 +162,27 @@
         self.peers.iter().filter(move |(_, p)| p.is_near(now, silent))
     }
 
+    /// Returns where a daemon fetches a picture from: a peer with a later configuration, or one that has read
+    /// further in the feed of servers, where `servers` tells how far this one has.
+    ///
+    /// Many daemons may be behind at once, and one peer's link does not carry pictures for all: they take turns
+    /// that begin apart, and with each fetch go on to the next. Peers of the own data centre come first, since
+    /// bytes between data centres are paid for.
+    pub fn ahead(
+        &self,
+        config: ConfigVersion,
+        servers: Option<Offset>,
+        centre: &str,
+        turn: usize,
+        now: Moment,
+    ) -> Option<SocketAddr> {
+        let is_ahead = |p: &Peer| p.config > config || servers.is_some_and(|s| p.servers > s);
+        let ahead: Vec<_> = self.near(now).map(|(_, p)| p).filter(|p| is_ahead(p)).collect();
+        let own: Vec<_> = ahead.iter().copied().filter(|p| p.centre == centre).collect();
+        let list = if own.is_empty() { ahead } else { own };
+        list.get(turn % list.len().max(1)).map(|p| p.addr)
+    }
+
     /// Returns whether a daemon asks for the configuration often: where no two others of its data centre
     /// that come before it by name are known to do so.
     ///
@@ -164,9 +190,13 @@
     /// takes its part; where the store is away for all, all ask often. Readers that are counted wrongly cost
     /// calls, never time.
     pub fn reads_often(&self, id: &str, centre: &str, now: Moment) -> bool {
+        let missed = self.digest_gap() * READER_MISSED;
+        let silent = missed.max(READER_SILENT);
+        let blind = (missed + READER_PACE).max(READER_BLIND);
         let before = self.peers.iter().take_while(|(peer, _)| peer.as_str() < id);
-        let readers = before.filter(|(_, p)| p.centre == centre && p.follows_config(now));
-        readers.count() < CONFIG_READERS
+        let readers = before.filter(|(_, p)| p.centre == centre);
+        let known = readers.filter(|(_, p)| p.follows_config(now, silent, blind));
+        known.count() < CONFIG_READERS
     }
 
     /// Returns how many daemons share what all may do together, this one included.
@@ -221,9 +251,10 @@
 }
 
 impl Peer {
-    /// Returns whether it can be counted on to hear of a change of the configuration.
-    fn follows_config(&self, now: Moment) -> bool {
-        self.is_near(now, READER_SILENT) && now <= self.config_seen + READER_BLIND
+    /// Returns whether it can be counted on to hear of a change of the configuration: it was heard less than
+    /// `silent` ago, and the store told it whether there is one less than `blind` ago.
+    fn follows_config(&self, now: Moment, silent: Duration, blind: Duration) -> bool {
+        self.is_near(now, silent) && now <= self.config_seen + blind
     }
 
     /// Returns whether it was heard lately: less than `silent` ago.
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -24,6 +24,7 @@
 pub mod life;
 pub mod observe;
 pub mod orders;
+pub mod outstanding;
 pub mod picture_relay;
 pub mod planned_stop;
 pub mod pool;
