serve: leave a silent server only for one that can take the request

Cause of the streams that were cut while their server was at work: a server was given up after a fixed silence (five punctual pauses within a stream, 0.6 of the patience before its first event, three goals for a whole answer), and only then it was asked whether the request could go on elsewhere. Where its attempts or the budget for repeats were spent, or no other server could take it, the answer ended there.

Change: `silence::hear` waits for a server's answer. After the silence it looks for another server, at once and then every 200 ms or when engines hold something new: attempts left, budget left, server sound, a place free, holding the model, a connection to it open. Only when all of this holds is the repeat taken out of the budget and the silent server's connection dropped, and the request is sent to just that server. Otherwise the answer is waited for until the deadline. Streams before and after their first event and requests with one answer share it. A stream that left a server by itself looks for another until its deadline where the chosen one fails; where the server broke off, for 1.2 s as before.

Ruled out: orders to engines (no caller waits for their answer), waits for a model (nothing was sent, the refusal is true), requests that may not be repeated (they had no limit but the deadline).

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -25,5 +25,6 @@
 pub mod relay;
 pub mod reply;
 pub mod send;
+pub mod silence;
 pub mod socket;
 pub mod waits;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -26,9 +26,11 @@
 
 /// Highest rank number that engines know.
 const LAST_PRIORITY: u8 = 9;
-/// A send of a request that may be repeated is given up after this many goals, so that another
-/// server can still answer; a goal is several times the usual work.
+/// A server is silent when a whole answer takes this many goals; a goal is several times the usual work.
 const SEND_GOALS: u32 = 3;
+/// A server is silent when a first event takes this part of the caller's patience: another one still has
+/// the rest of it.
+const FIRST_PART: f64 = 0.6;
 
 /// A request that was read whole and has a route.
 #[derive(Debug)]
@@ -53,6 +55,10 @@
     pub verdict: Verdict,
     /// Servers that it was sent to in vain.
     pub tried: Vec<ServerId>,
+    /// The server that it goes on at after a silent one, chosen and paid for.
+    pub next: Option<Chosen>,
+    /// Whether it has left a silent server, which would have gone on.
+    pub has_left: bool,
     /// Servers that may have run it.
     pub runs: u32,
     /// Sends so far.
@@ -113,17 +119,30 @@
         request
     }
 
-    /// Returns the time for a send's answer: less than all where another server could still help.
-    pub fn send_limit(&self, now: Moment) -> Duration {
-        let left = self.deadline.saturating_sub(now);
-        let can_repeat = self.route.is_repeatable() && self.runs + 1 < self.route.attempts;
+    /// Returns whether it may run at another server though the one that has it now may run it too.
+    pub fn may_leave(&self) -> bool {
+        self.route.is_repeatable() && self.runs + 1 < self.route.attempts
+    }
+
+    /// Returns how long the answer to a send is waited for before the server counts as silent.
+    pub fn patience(&self) -> Duration {
         match self.route.kind {
-            RouteKind::Idempotent if can_repeat => left.min(self.route.goal * SEND_GOALS),
-            RouteKind::Streaming if can_repeat => left.min(self.route.patience().mul_f64(0.6)),
-            _ => left,
+            RouteKind::Streaming => self.route.patience().mul_f64(FIRST_PART),
+            _ => self.route.goal * SEND_GOALS,
         }
     }
 
+    /// Returns the servers that it was sent to, the last one too.
+    pub fn all_tried(&self) -> Vec<ServerId> {
+        self.tried.iter().chain(&self.last).cloned().collect()
+    }
+
+    /// Notes the server that it goes on at, which leaves a silent one.
+    pub fn leave(&mut self, next: Chosen) {
+        self.next = Some(next);
+        self.has_left = true;
+    }
+
     /// Notes a send to a chosen server.
     pub fn sent(&mut self, chosen: &Chosen) {
         self.sends += 1;
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -67,13 +67,22 @@
 impl Chooser<'_> {
     /// Chooses a server of a plain service, other than those in `tried`.
     pub fn plain(&self, service: &str, tried: &[ServerId]) -> Option<Chosen> {
-        let cost = |server: &Server, work: Work| {
-            let over = (work.running + 1).saturating_sub(server.slots);
-            f64::from(work.running)
-                + f64::from(over) * PLAIN_WORK
-                + self.distance(server, PLAIN_DISTANCE)
-        };
-        self.cheapest(service, tried, |_| true, cost)
+        self.cheapest(service, tried, |_| true, |s, w| self.plain_cost(s, w))
+    }
+
+    fn plain_cost(&self, server: &Server, work: Work) -> f64 {
+        let over = (work.running + 1).saturating_sub(server.slots);
+        f64::from(work.running)
+            + f64::from(over) * PLAIN_WORK
+            + self.distance(server, PLAIN_DISTANCE)
+    }
+
+    fn engine_cost(&self, server: &Server, work: Work) -> f64 {
+        let over = (work.running + 1).saturating_sub(server.slots);
+        f64::from(work.running) * PER_RUNNING
+            + f64::from(work.prompt) / PROMPT_PER_MS
+            + f64::from(over) * 100.0
+            + self.distance(server, DISTANCE)
     }
 
     /// Chooses an engine that holds what `item` names.
@@ -84,20 +93,28 @@
             !self.health.is_dark(&s.id, self.now)
                 && self.holdings.holds(s, &item.model, item.adapter.as_deref())
         };
-        let cost = |server: &Server, work: Work| {
-            let over = (work.running + 1).saturating_sub(server.slots);
-            f64::from(work.running) * PER_RUNNING
-                + f64::from(work.prompt) / PROMPT_PER_MS
-                + f64::from(over) * 100.0
-                + self.distance(server, DISTANCE)
-        };
-        match self.cheapest(&item.service, tried, holds, cost) {
+        match self.cheapest(&item.service, tried, holds, |s, w| self.engine_cost(s, w)) {
             Some(chosen) => Choice::Server(chosen),
             None if self.directory.servers().any(|s| s.service == item.service) => Choice::Missing,
             None => Choice::NoServer,
         }
     }
 
+    /// Chooses a server that can take a request at once: sound, with a place free, and holding what
+    /// `item` names where its service has engines.
+    pub fn spare(&self, service: &str, item: Option<&Item>, tried: &[ServerId]) -> Option<Chosen> {
+        let fits = |s: &Server| {
+            let holds = |i: &Item| self.holdings.holds(s, &i.model, i.adapter.as_deref());
+            !self.health.is_avoided(&s.id, self.now)
+                && item.is_none_or(holds)
+                && self.loads.at(&s.id, self.now).running < s.slots
+        };
+        self.cheapest(service, tried, fits, |s, w| match item {
+            None => self.plain_cost(s, w),
+            Some(_) => self.engine_cost(s, w),
+        })
+    }
+
     /// Returns whether a model is held by an engine, or its weights lie on the host of one.
     ///
     /// Where no engine of the service tells of copies, every model may have some.
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -266,6 +266,12 @@
         self.tenure.borrow().standing()
     }
 
+    /// Returns whether the budget has a repeated send left.
+    pub fn has_repeat(&self, service: &ServiceName) -> bool {
+        let daemons = self.peers.borrow().daemons();
+        self.budget.borrow_mut().has_repeat(service, self.now(), daemons)
+    }
+
     /// Takes one repeated send out of the budget.
     pub fn take_repeat(&self, service: &ServiceName) -> bool {
         let daemons = self.peers.borrow().daemons();
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::Response;
 use http::response;
-use tokio::time::timeout;
 
 use crate::picture::configuration::RouteKind;
 use crate::picture::health::Evidence;
@@ -20,6 +19,8 @@
 use crate::serve::reply::pass_on;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
+use crate::serve::silence::Heard;
+use crate::serve::silence::hear;
 use crate::verdict::Verdict;
 
 /// Largest answer that is read whole before it is passed on.
@@ -40,7 +41,9 @@
         if now >= attempt.deadline {
             return Err(Refusal::timeout(attempt.verdict, "out of time", FULL));
         }
-        let Some(chosen) = choose(entry, attempt) else {
+        let next = attempt.next.take();
+        let is_paid = next.is_some();
+        let Some(chosen) = next.or_else(|| choose(entry, attempt)) else {
             if attempt.tried.is_empty() {
                 return Err(Refusal::failed(attempt.verdict, "no server", FULL));
             }
@@ -55,7 +58,7 @@
             attempt.tried.clear();
             continue;
         };
-        if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
+        if attempt.arrivals > 0 && !is_paid && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", FULL));
         }
         match send_once(entry, attempt, &chosen).await {
@@ -109,12 +112,7 @@
     attempt.tried.push(server);
     let is_open = attempt.may_repeat(entry.now()) && choose(entry, attempt).is_some();
     // The next round takes the repeat out of the budget; a server's own answer is better than ours.
-    is_open
-        && entry.budget.borrow_mut().has_repeat(
-            &attempt.service,
-            entry.now(),
-            entry.peers.borrow().daemons(),
-        )
+    is_open && entry.has_repeat(&attempt.service)
 }
 
 async fn send_once(
@@ -134,8 +132,10 @@
         }
         send::read_whole(&entry.pool, answer, ANSWER_LIMIT).await
     };
-    let limit = attempt.send_limit(entry.now());
-    timeout(limit, exchange)
-        .await
-        .unwrap_or_else(|_elapsed| Err(SendFailure::doubtful("no answer in time")))
+    match hear(entry, attempt, attempt.patience(), exchange).await {
+        Heard::Answer(answer) => return answer,
+        Heard::Elsewhere(next) => attempt.leave(next),
+        Heard::OutOfTime => {}
+    }
+    Err(SendFailure::doubtful("no answer in time"))
 }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -7,7 +7,6 @@
 use http::StatusCode;
 use http::response;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
 use crate::serve::attempt::Attempt;
@@ -25,6 +24,8 @@
 use crate::serve::reply::pass_on;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
+use crate::serve::silence::Heard;
+use crate::serve::silence::hear;
 use crate::verdict::Verdict;
 
 /// Largest answer other than a stream.
@@ -75,8 +76,13 @@
 async fn open(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Opened, Refusal> {
     let resume = attempt.terms.last_event;
     loop {
-        let chosen = find_server(entry, attempt).await?;
-        if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
+        let next = attempt.next.take();
+        let is_paid = next.is_some();
+        let chosen = match next {
+            Some(next) => next,
+            None => find_server(entry, attempt).await?,
+        };
+        if attempt.arrivals > 0 && !is_paid && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", COME_BACK));
         }
         match send_first(entry, attempt, &chosen, resume).await {
@@ -120,7 +126,6 @@
     let request = attempt.request(entry, server, resume);
     let work = entry.loads.begin(attempt.place(&server.id), attempt.terms.prompt);
     let id = attempt.terms.attempt.as_ref();
-    let limit = attempt.send_limit(entry.now());
     let exchange = async {
         let answer = send::send(&entry.pool, &*entry.protocol, server, id, request).await?;
         if let Some(word) = answer.terms.load {
@@ -141,8 +146,12 @@
         flow.work.first_event();
         Ok(Opened::Stream(Box::new(Started { head, flow, events, first: entry.now() })))
     };
-    let opened = timeout(limit, exchange).await;
-    opened.unwrap_or_else(|_elapsed| Err(SendFailure::doubtful("no event in time")))
+    match hear(entry, attempt, attempt.patience(), exchange).await {
+        Heard::Answer(opened) => return opened,
+        Heard::Elsewhere(next) => attempt.leave(next),
+        Heard::OutOfTime => {}
+    }
+    Err(SendFailure::doubtful("no event in time"))
 }
 
 /// Begins the answer to the caller and leaves the rest to a task.
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -25,7 +25,7 @@
 /// Pause before engines that all refused a request are asked again.
 const FULL_PAUSE: Duration = Duration::from_millis(80);
 /// Time in which another engine must be found for a stream that broke off.
-const AGAIN: Duration = Duration::from_millis(1200);
+pub const AGAIN: Duration = Duration::from_millis(1200);
 
 /// Chooses a server, waiting for a model or adapter to be loaded where none has it.
 ///
@@ -67,7 +67,7 @@
                 item.clone(),
                 (attempt.arrived + attempt.route.goal).saturating_sub(FIRST_EVENT),
                 give_up,
-                unusable(entry, attempt),
+                unusable(entry, &attempt.service, &attempt.tried),
             ));
         }
         // Engines that refused it may have room again.
@@ -79,9 +79,9 @@
 }
 
 /// Engines that this request cannot use: those that failed it, and those out of reach.
-fn unusable(entry: &Entry, attempt: &Attempt) -> Vec<ServerId> {
-    let mut list = entry.choose(|c| c.dark(&attempt.service));
-    list.extend(attempt.tried.iter().cloned());
+pub fn unusable(entry: &Entry, service: &str, tried: &[ServerId]) -> Vec<ServerId> {
+    let mut list = entry.choose(|c| c.dark(service));
+    list.extend_from_slice(tried);
     list
 }
 
@@ -142,7 +142,8 @@
 /// Chooses another server for a stream that broke off; callers wait for events, so not for long.
 pub async fn find_again(entry: &Rc<Entry>, attempt: &mut Attempt) -> Option<Chosen> {
     let item = attempt.item()?;
-    let until = entry.now() + AGAIN;
+    // A stream that left a server by itself would still have one: it is not broken off before its time.
+    let until = if attempt.has_left { attempt.deadline } else { entry.now() + AGAIN };
     let mut guard = None;
     loop {
         let changed = entry.waits.changed.notified();
@@ -154,7 +155,8 @@
             return None;
         }
         guard.get_or_insert_with(|| {
-            entry.waits.begin(item.clone(), until, until, unusable(entry, attempt))
+            let avoid = unusable(entry, &attempt.service, &attempt.tried);
+            entry.waits.begin(item.clone(), until, until, avoid)
         });
         let _notified = timeout(left.min(FULL_PAUSE * 2), changed).await;
     }
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -131,6 +131,8 @@
         deadline: arrived + time,
         verdict: Verdict::DidNotRun,
         tried: Vec::new(),
+        next: None,
+        has_left: false,
         runs: 0,
         sends: 0,
         arrivals: 0,
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -99,6 +99,28 @@
         Ok(Connection { sender, server: server.clone() })
     }
 
+    /// Makes sure that a sound connection to a server lies ready.
+    ///
+    /// # Errors
+    ///
+    /// The server cannot be reached.
+    pub async fn prepare(&self, server: &ServerId, addr: SocketAddr) -> std::io::Result<()> {
+        if self.has_idle(server) {
+            return Ok(());
+        }
+        let Connection { mut sender, server } = self.fresh(server, addr).await?;
+        sender.ready().await.map_err(std::io::Error::other)?;
+        let until = Instant::now() + DEFAULT_KEEP.mul_f64(KEEP_PART);
+        self.idle.borrow_mut().entry(server).or_default().push(Idle { sender, until });
+        Ok(())
+    }
+
+    fn has_idle(&self, server: &ServerId) -> bool {
+        let now = Instant::now();
+        let idle = self.idle.borrow();
+        idle.get(server).is_some_and(|l| l.iter().any(|i| now < i.until && i.sender.is_ready()))
+    }
+
     /// Takes a connection back after a complete answer to its request.
     ///
     /// It is offered again only when its request, too, is written whole and nothing followed the
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -12,6 +12,7 @@
 use crate::serve::attempt::Attempt;
 use crate::serve::body::BrokenOff;
 use crate::serve::body::ChunkSender;
+use crate::serve::choose::Chosen;
 use crate::serve::entry::Entry;
 use crate::serve::exchange_stream::Opened;
 use crate::serve::exchange_stream::Started;
@@ -21,9 +22,11 @@
 use crate::serve::flow::Progress;
 use crate::serve::handle::log_answer;
 use crate::serve::send::SendFailure;
+use crate::serve::silence::Heard;
+use crate::serve::silence::hear;
 use crate::verdict::Verdict;
 
-/// A stream that can go on elsewhere is silent for this many punctual pauses before it does.
+/// A server is silent after this many punctual pauses without an event.
 const SILENT_GAPS: u32 = 5;
 
 /// Passes the events of a stream on to its caller.
@@ -101,35 +104,43 @@
     }
 
     /// Passes events on until the stream stops.
-    async fn pass(&self, flow: &mut Flow, mut chunk: Bytes) -> Stop {
+    async fn pass(&mut self, flow: &mut Flow, mut chunk: Bytes) -> Stop {
         let gap = self.attempt.route.gap.unwrap_or(Duration::from_secs(1));
         loop {
             if !chunk.is_empty() && self.sender.send(Ok(chunk)).await.is_err() {
                 return Stop::CallerLeft;
             }
-            let left = self.attempt.deadline.saturating_sub(self.entry.now());
-            if left.is_zero() {
+            if self.entry.now() >= self.attempt.deadline {
                 return Stop::OutOfTime;
             }
-            let can_resume = self.attempt.route.resumable;
-            let limit = if can_resume { left.min(gap * SILENT_GAPS) } else { left };
-            let next = tokio::select! {
+            let heard = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Stop::CallerLeft,
-                next = timeout(limit, flow.next()) => next,
+                heard = hear(&self.entry, &self.attempt, gap * SILENT_GAPS, flow.next()) => heard,
             };
-            match next {
-                Ok(Ok(Progress::Events(events))) => chunk = events,
-                Ok(Ok(Progress::End)) => return Stop::Complete,
-                Ok(Err(failure)) => return Stop::Broken(failure),
-                Err(_elapsed) if limit < left => {
+            match heard {
+                Heard::Answer(Ok(Progress::Events(events))) => chunk = events,
+                Heard::Answer(Ok(Progress::End)) => return Stop::Complete,
+                Heard::Answer(Err(failure)) => return Stop::Broken(failure),
+                Heard::Elsewhere(next) => {
+                    self.attempt.leave(next);
                     return Stop::Broken(SendFailure::doubtful("the stream fell silent"));
                 }
-                Err(_elapsed) => return Stop::OutOfTime,
+                Heard::OutOfTime => return Stop::OutOfTime,
             }
         }
     }
 
+    /// Finds another server, and takes the repeat out of the budget.
+    async fn find_paid(&mut self) -> Option<Chosen> {
+        let chosen = tokio::select! {
+            biased;
+            () = self.sender.closed() => return None,
+            chosen = find_again(&self.entry, &mut self.attempt) => chosen?,
+        };
+        self.entry.take_repeat(&self.attempt.service).then_some(chosen)
+    }
+
     /// Goes on with the stream at another server.
     async fn resume(&mut self, last: Option<u64>) -> Option<(Flow, Bytes)> {
         loop {
@@ -137,14 +148,10 @@
             if !self.attempt.route.resumable || last.is_none() || !self.attempt.may_repeat(now) {
                 return None;
             }
-            let chosen = tokio::select! {
-                biased;
-                () = self.sender.closed() => return None,
-                chosen = find_again(&self.entry, &mut self.attempt) => chosen?,
+            let chosen = match self.attempt.next.take() {
+                Some(next) => next,
+                None => self.find_paid().await?,
             };
-            if !self.entry.take_repeat(&self.attempt.service) {
-                return None;
-            }
             self.entry.metrics.retried();
             let opened = tokio::select! {
                 biased;
