relay: log a caller who left while a stream looked for another server

A stream whose caller left during the search for another server was logged with the reason of the first server's failure, so that streams cut by the daemon and streams left by their callers could not be told apart in the log.

--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -29,6 +29,9 @@
 /// A server is silent after this many punctual pauses without an event.
 const SILENT_GAPS: u32 = 5;
 
+/// The reason in the log where nobody waits for the answer any more.
+const CALLER_LEFT: &str = "the caller left";
+
 /// Passes the events of a stream on to its caller.
 #[derive(Debug)]
 pub struct Relay {
@@ -63,7 +66,7 @@
                     self.entry.pool.give_back(flow.answer.connection, flow.answer.terms.keep);
                     return;
                 }
-                Stop::CallerLeft => "the caller left",
+                Stop::CallerLeft => CALLER_LEFT,
                 Stop::OutOfTime => "out of time",
                 Stop::Broken(failure) => {
                     self.attempt.failed(&self.entry, &failure);
@@ -75,7 +78,9 @@
                         chunk = events;
                         continue;
                     }
-                    self.break_off(head.status, failure.reason, first, last).await;
+                    let has_left = self.sender.is_closed();
+                    let reason = if has_left { CALLER_LEFT } else { failure.reason };
+                    self.break_off(head.status, reason, first, last).await;
                     return;
                 }
             };
