serve: keep a silent server until the other one has taken the request

Cause: the silent server was let go before the other one had answered the offer. In a large fleet the other's free places are known seconds late, so it often refused unrun, and with the budget for repeats spent the answer was cut or replaced by a 502.

Change: `silence::offer` sends the request to the other server while the silent one still has it, for 150 ms at most (a request may be at two servers for 400 ms). A refusal, or no connection, leaves it where it is: runs, verdict and server are put back, the refuser is not asked again, and the next offer comes after a further silence. Otherwise the silent server's connection is dropped at once; what it says during the offer is not read, so pieces of two runs are never joined. `Exchange` is a send that owns what it needs, so that two can be under way.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -27,4 +27,5 @@
 pub mod send;
 pub mod silence;
 pub mod socket;
+pub mod standing;
 pub mod waits;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -22,6 +22,7 @@
 use crate::serve::entry::Entry;
 use crate::serve::headers::strip_connection;
 use crate::serve::send::SendFailure;
+use crate::serve::standing::Standing;
 use crate::verdict::Verdict;
 
 /// Highest rank number that engines know.
@@ -55,8 +56,6 @@
     pub verdict: Verdict,
     /// Servers that it was sent to in vain.
     pub tried: Vec<ServerId>,
-    /// The server that it goes on at after a silent one, chosen and paid for.
-    pub next: Option<Chosen>,
     /// Whether it has left a silent server, which would have gone on.
     pub has_left: bool,
     /// Servers that may have run it.
@@ -137,10 +136,24 @@
         self.tried.iter().chain(&self.last).cloned().collect()
     }
 
-    /// Notes the server that it goes on at, which leaves a silent one.
-    pub fn leave(&mut self, next: Chosen) {
-        self.next = Some(next);
+    /// Notes that it leaves a silent server, and returns how it stood there.
+    pub fn leave(&mut self, entry: &Entry) -> Standing {
+        let (server, verdict, has_left) = (self.last.clone(), self.verdict, self.has_left);
+        let standing = Standing { server, verdict, has_left };
+        self.failed(entry, &SendFailure::doubtful("the server fell silent"));
         self.has_left = true;
+        standing
+    }
+
+    /// Takes in that the next server refused it, so that it stays with the silent one.
+    pub fn stay(&mut self, entry: &Entry, failure: &SendFailure, standing: Standing) {
+        self.failed(entry, failure);
+        self.has_left = standing.has_left;
+        self.runs -= 1;
+        self.arrivals -= 1;
+        self.verdict = standing.verdict;
+        self.tried.retain(|s| Some(s) != standing.server.as_ref());
+        self.last = standing.server;
     }
 
     /// Notes a send to a chosen server.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -18,9 +18,8 @@
 use crate::serve::reply::Refusal;
 use crate::serve::reply::pass_on;
 use crate::serve::send;
-use crate::serve::send::SendFailure;
-use crate::serve::silence::Heard;
-use crate::serve::silence::hear;
+use crate::serve::silence::Exchange;
+use crate::serve::silence::ask;
 use crate::verdict::Verdict;
 
 /// Largest answer that is read whole before it is passed on.
@@ -41,9 +40,7 @@
         if now >= attempt.deadline {
             return Err(Refusal::timeout(attempt.verdict, "out of time", FULL));
         }
-        let next = attempt.next.take();
-        let is_paid = next.is_some();
-        let Some(chosen) = next.or_else(|| choose(entry, attempt)) else {
+        let Some(chosen) = choose(entry, attempt) else {
             if attempt.tried.is_empty() {
                 return Err(Refusal::failed(attempt.verdict, "no server", FULL));
             }
@@ -58,10 +55,11 @@
             attempt.tried.clear();
             continue;
         };
-        if attempt.arrivals > 0 && !is_paid && !entry.take_repeat(&attempt.service) {
+        if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", FULL));
         }
-        match send_once(entry, attempt, &chosen).await {
+        let sent = send_once(entry, attempt, &chosen);
+        match ask(entry, attempt, sent, send_once).await {
             Ok((head, body)) => {
                 if is_retried(entry, attempt, &head) {
                     continue;
@@ -115,27 +113,25 @@
     is_open && entry.has_repeat(&attempt.service)
 }
 
-async fn send_once(
+/// Sends the request; the answer is read whole.
+fn send_once(
     entry: &Rc<Entry>,
     attempt: &mut Attempt,
     chosen: &Chosen,
-) -> Result<(response::Parts, Bytes), SendFailure> {
-    let server = &chosen.server;
+) -> Exchange<(response::Parts, Bytes)> {
+    let server = Rc::clone(&chosen.server);
     attempt.sent(chosen);
-    let request = attempt.request(entry, server, None);
-    let _work = entry.loads.begin(attempt.place(&server.id), attempt.terms.prompt);
-    let id = attempt.terms.attempt.as_ref();
-    let exchange = async {
-        let answer = send::send(&entry.pool, &*entry.protocol, server, id, request).await?;
+    let request = attempt.request(entry, &server, None);
+    let work = entry.loads.begin(attempt.place(&server.id), attempt.terms.prompt);
+    let id = attempt.terms.attempt.clone();
+    let entry = Rc::clone(entry);
+    Box::pin(async move {
+        let _work = work;
+        let (pool, protocol) = (&entry.pool, &*entry.protocol);
+        let answer = send::send(pool, protocol, &server, id.as_ref(), request).await?;
         if let Some(word) = answer.terms.load {
             entry.loads.told(&server.id, entry.now(), word);
         }
         send::read_whole(&entry.pool, answer, ANSWER_LIMIT).await
-    };
-    match hear(entry, attempt, attempt.patience(), exchange).await {
-        Heard::Answer(answer) => return answer,
-        Heard::Elsewhere(next) => attempt.leave(next),
-        Heard::OutOfTime => {}
-    }
-    Err(SendFailure::doubtful("no answer in time"))
+    })
 }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -24,8 +24,8 @@
 use crate::serve::reply::pass_on;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
-use crate::serve::silence::Heard;
-use crate::serve::silence::hear;
+use crate::serve::silence::Exchange;
+use crate::serve::silence::ask;
 use crate::verdict::Verdict;
 
 /// Largest answer other than a stream.
@@ -76,16 +76,12 @@
 async fn open(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Opened, Refusal> {
     let resume = attempt.terms.last_event;
     loop {
-        let next = attempt.next.take();
-        let is_paid = next.is_some();
-        let chosen = match next {
-            Some(next) => next,
-            None => find_server(entry, attempt).await?,
-        };
-        if attempt.arrivals > 0 && !is_paid && !entry.take_repeat(&attempt.service) {
+        let chosen = find_server(entry, attempt).await?;
+        if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", COME_BACK));
         }
-        match send_first(entry, attempt, &chosen, resume).await {
+        let sent = begin(entry, attempt, &chosen, resume);
+        match ask(entry, attempt, sent, |e, a, c| begin(e, a, c, resume)).await {
             Ok(Opened::Other(head, body)) => {
                 if !head.status.is_server_error() || !attempt.route.resumable {
                     return Ok(Opened::Other(head, body));
@@ -110,24 +106,22 @@
     }
 }
 
-/// Sends the request and waits for the first event.
-///
-/// # Errors
-///
-/// There is no usable answer.
-pub async fn send_first(
+/// Sends the request; the answer is read until the first event.
+pub fn begin(
     entry: &Rc<Entry>,
     attempt: &mut Attempt,
     chosen: &Chosen,
     resume: Option<u64>,
-) -> Result<Opened, SendFailure> {
-    let server = &chosen.server;
+) -> Exchange<Opened> {
+    let server = Rc::clone(&chosen.server);
     attempt.sent(chosen);
-    let request = attempt.request(entry, server, resume);
+    let request = attempt.request(entry, &server, resume);
     let work = entry.loads.begin(attempt.place(&server.id), attempt.terms.prompt);
-    let id = attempt.terms.attempt.as_ref();
-    let exchange = async {
-        let answer = send::send(&entry.pool, &*entry.protocol, server, id, request).await?;
+    let id = attempt.terms.attempt.clone();
+    let entry = Rc::clone(entry);
+    Box::pin(async move {
+        let (pool, protocol) = (&entry.pool, &*entry.protocol);
+        let answer = send::send(pool, protocol, &server, id.as_ref(), request).await?;
         if let Some(word) = answer.terms.load {
             entry.loads.told(&server.id, entry.now(), word);
         }
@@ -145,13 +139,7 @@
         };
         flow.work.first_event();
         Ok(Opened::Stream(Box::new(Started { head, flow, events, first: entry.now() })))
-    };
-    match hear(entry, attempt, attempt.patience(), exchange).await {
-        Heard::Answer(opened) => return opened,
-        Heard::Elsewhere(next) => attempt.leave(next),
-        Heard::OutOfTime => {}
-    }
-    Err(SendFailure::doubtful("no event in time"))
+    })
 }
 
 /// Begins the answer to the caller and leaves the rest to a task.
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -131,7 +131,6 @@
         deadline: arrived + time,
         verdict: Verdict::DidNotRun,
         tried: Vec::new(),
-        next: None,
         has_left: false,
         runs: 0,
         sends: 0,
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -16,14 +16,17 @@
 use crate::serve::entry::Entry;
 use crate::serve::exchange_stream::Opened;
 use crate::serve::exchange_stream::Started;
-use crate::serve::exchange_stream::send_first;
+use crate::serve::exchange_stream::begin;
 use crate::serve::find::find_again;
 use crate::serve::flow::Flow;
 use crate::serve::flow::Progress;
 use crate::serve::handle::log_answer;
 use crate::serve::send::SendFailure;
+use crate::serve::silence::Exchange;
 use crate::serve::silence::Heard;
+use crate::serve::silence::ask;
 use crate::serve::silence::hear;
+use crate::serve::silence::offer;
 use crate::verdict::Verdict;
 
 /// A server is silent after this many punctual pauses without an event.
@@ -48,7 +51,8 @@
     Complete,
     CallerLeft,
     OutOfTime,
-    Broken(SendFailure),
+    /// The server broke off, or another one has taken the request after a silence.
+    Broken(Option<Exchange<Opened>>),
 }
 
 impl Relay {
@@ -68,18 +72,17 @@
                 }
                 Stop::CallerLeft => CALLER_LEFT,
                 Stop::OutOfTime => "out of time",
-                Stop::Broken(failure) => {
-                    self.attempt.failed(&self.entry, &failure);
+                Stop::Broken(taken) => {
                     let last = flow.last();
                     // The old connection is closed before the stream goes on elsewhere.
                     drop(flow);
-                    if let Some((next, events)) = self.resume(last).await {
+                    if let Some((next, events)) = self.resume(last, taken).await {
                         flow = next;
                         chunk = events;
                         continue;
                     }
                     let has_left = self.sender.is_closed();
-                    let reason = if has_left { CALLER_LEFT } else { failure.reason };
+                    let reason = if has_left { CALLER_LEFT } else { self.attempt.reason };
                     self.break_off(head.status, reason, first, last).await;
                     return;
                 }
@@ -126,47 +129,67 @@
             match heard {
                 Heard::Answer(Ok(Progress::Events(events))) => chunk = events,
                 Heard::Answer(Ok(Progress::End)) => return Stop::Complete,
-                Heard::Answer(Err(failure)) => return Stop::Broken(failure),
+                Heard::Answer(Err(failure)) => {
+                    self.attempt.failed(&self.entry, &failure);
+                    return Stop::Broken(None);
+                }
                 Heard::Elsewhere(next) => {
-                    self.attempt.leave(next);
-                    return Stop::Broken(SendFailure::doubtful("the stream fell silent"));
+                    let last = flow.last();
+                    let again = |e: &Rc<Entry>, a: &mut Attempt, c: &Chosen| begin(e, a, c, last);
+                    let offered = tokio::select! {
+                        biased;
+                        () = self.sender.closed() => return Stop::CallerLeft,
+                        offered = offer(&self.entry, &mut self.attempt, &next, again) => offered,
+                    };
+                    match offered {
+                        None => chunk = Bytes::new(),
+                        Some(taken) => return Stop::Broken(Some(taken)),
+                    }
                 }
                 Heard::OutOfTime => return Stop::OutOfTime,
             }
         }
     }
 
-    /// Finds another server, and takes the repeat out of the budget.
-    async fn find_paid(&mut self) -> Option<Chosen> {
+    /// Sends the request to another server, where that is allowed.
+    async fn send_again(&mut self, last: Option<u64>) -> Option<Exchange<Opened>> {
+        let now = self.entry.now();
+        if !self.attempt.route.resumable || last.is_none() || !self.attempt.may_repeat(now) {
+            return None;
+        }
         let chosen = tokio::select! {
             biased;
             () = self.sender.closed() => return None,
             chosen = find_again(&self.entry, &mut self.attempt) => chosen?,
         };
-        self.entry.take_repeat(&self.attempt.service).then_some(chosen)
+        if !self.entry.take_repeat(&self.attempt.service) {
+            return None;
+        }
+        Some(begin(&self.entry, &mut self.attempt, &chosen, last))
     }
 
-    /// Goes on with the stream at another server.
-    async fn resume(&mut self, last: Option<u64>) -> Option<(Flow, Bytes)> {
+    /// Goes on with the stream at another server, one that has taken it or one to be found.
+    async fn resume(
+        &mut self,
+        last: Option<u64>,
+        mut taken: Option<Exchange<Opened>>,
+    ) -> Option<(Flow, Bytes)> {
+        let again = |e: &Rc<Entry>, a: &mut Attempt, c: &Chosen| begin(e, a, c, last);
         loop {
-            let now = self.entry.now();
-            if !self.attempt.route.resumable || last.is_none() || !self.attempt.may_repeat(now) {
-                return None;
-            }
-            let chosen = match self.attempt.next.take() {
-                Some(next) => next,
-                None => self.find_paid().await?,
+            let sent = match taken.take() {
+                Some(taken) => taken,
+                None => self.send_again(last).await?,
             };
             self.entry.metrics.retried();
             let opened = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
-                opened = send_first(&self.entry, &mut self.attempt, &chosen, last) => opened,
+                opened = ask(&self.entry, &mut self.attempt, sent, again) => opened,
             };
             match opened {
                 Ok(Opened::Stream(started)) => {
                     slog::info!(self.entry.log, "stream-resumed"; "attempt" => self.attempt.id(),
-                        "server" => %chosen.server.id, "after" => last.unwrap_or(0));
+                        "server" => self.attempt.last.as_deref().unwrap_or("-"), "after" => last.unwrap_or(0));
                     return Some((started.flow, started.events));
                 }
                 Ok(Opened::Other(..)) => {
--- a/lib/src/serve/silence.rs
+++ b/lib/src/serve/silence.rs
@@ -1,6 +1,8 @@
-//! Silence of a server: the request leaves it only for another server that can take it at once.
+//! Silence of a server: the request leaves it only for another server that takes it.
 
 use std::future::pending;
+use std::future::ready;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,12 +17,21 @@
 use crate::serve::entry::Entry;
 use crate::serve::find::AGAIN;
 use crate::serve::find::unusable;
+use crate::serve::send::SendFailure;
 use crate::serve::waits::WaitGuard;
+use crate::verdict::Verdict;
 
 /// Time between looks for another server, where nothing is told meanwhile: some steps of a batch, after
 /// which a full server may have a free place.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
+/// Time in which a server that refuses a request says so: some steps of a busy host's event loop. A request
+/// may be at two servers for 400 ms at most.
+const OFFER_TIME: Duration = Duration::from_millis(150);
+
+/// A send that is under way, with its connection.
+pub type Exchange<T> = Pin<Box<dyn Future<Output = Result<T, SendFailure>>>>;
+
 /// What a wait for a server's answer came to.
 #[derive(Debug)]
 pub enum Heard<T> {
@@ -33,7 +44,56 @@
     OutOfTime,
 }
 
-/// Waits for `answer` of the server of the last send, which is dropped with its connection on return.
+/// Waits for the answer to a send, and goes on at other servers where one is silent; `begin` sends anew.
+///
+/// # Errors
+///
+/// There is no usable answer.
+pub async fn ask<T: 'static>(
+    entry: &Rc<Entry>,
+    attempt: &mut Attempt,
+    sent: Exchange<T>,
+    begin: impl Fn(&Rc<Entry>, &mut Attempt, &Chosen) -> Exchange<T>,
+) -> Result<T, SendFailure> {
+    let mut current = sent;
+    loop {
+        match hear(entry, attempt, attempt.patience(), &mut current).await {
+            Heard::Answer(answer) => return answer,
+            Heard::OutOfTime => return Err(SendFailure::doubtful("no answer in time")),
+            Heard::Elsewhere(next) => {
+                if let Some(taken) = offer(entry, attempt, &next, &begin).await {
+                    current = taken;
+                }
+            }
+        }
+    }
+}
+
+/// Offers a request to another server while the silent one still has it. Returns the send there, for which
+/// the silent one must be let go at once; nothing where the other one refused.
+///
+/// What is known of another server's free places is up to seconds old in a large fleet. When the silent one
+/// was let go first, a refusal left the request nowhere, and its answer was cut or replaced by a failure. A
+/// refusal comes at once, so the silent one is kept until then.
+pub async fn offer<T: 'static>(
+    entry: &Rc<Entry>,
+    attempt: &mut Attempt,
+    next: &Chosen,
+    begin: impl Fn(&Rc<Entry>, &mut Attempt, &Chosen) -> Exchange<T>,
+) -> Option<Exchange<T>> {
+    let standing = attempt.leave(entry);
+    let mut offered = begin(entry, attempt, next);
+    match timeout(OFFER_TIME, &mut offered).await {
+        Ok(Err(failure)) if failure.verdict == Verdict::DidNotRun => {
+            attempt.stay(entry, &failure, standing);
+            None
+        }
+        Ok(ended) => Some(Box::pin(ready(ended))),
+        Err(_elapsed) => Some(offered),
+    }
+}
+
+/// Waits for `answer` of the server of the last send.
 ///
 /// A server that is silent for `patience` is left when, and only when, the request can go on elsewhere.
 /// Given up for nothing, it cut answers that were coming: the caller saw a broken stream or a failure, and
@@ -76,7 +136,7 @@
             is_noted = true;
         }
         if entry.now() < until {
-            guard = guard.or_else(|| ask(entry, attempt, until));
+            guard = guard.or_else(|| want(entry, attempt, until));
         } else {
             guard = None;
         }
@@ -110,7 +170,7 @@
 }
 
 /// Asks for the model at another engine, where no other holds it.
-fn ask(entry: &Entry, attempt: &Attempt, until: Moment) -> Option<WaitGuard> {
+fn want(entry: &Entry, attempt: &Attempt, until: Moment) -> Option<WaitGuard> {
     let item = attempt.item()?;
     let tried = attempt.all_tried();
     if matches!(entry.choose(|c| c.engine(&item, &tried)), Choice::Server(_)) {
--- /dev/null
+++ b/lib/src/serve/standing.rs
@@ -0,0 +1,15 @@
+//! How a request stands at a server that it leaves.
+
+use crate::ids::ServerId;
+use crate::verdict::Verdict;
+
+/// How a request stands at a silent server that it leaves, in case the next one refuses it.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    /// The server.
+    pub server: Option<ServerId>,
+    /// What was known of the request running elsewhere before.
+    pub verdict: Verdict,
+    /// Whether it had left another silent server before.
+    pub has_left: bool,
+}
