--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -31,6 +31,8 @@
 pub mod relay;
 pub mod reply;
 pub mod send;
+pub mod silence;
 pub mod socket;
+pub mod standing;
 pub mod store_calls;
 pub mod waits;
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::response;
-use tokio::time::timeout;
 
 use crate::picture::configuration::RouteKind;
 use crate::picture::health::Evidence;
@@ -15,7 +14,8 @@
 use crate::serve::entry::Entry;
 use crate::serve::reply::Refusal;
 use crate::serve::send;
-use crate::serve::send::SendFailure;
+use crate::serve::silence::Exchange;
+use crate::serve::silence::ask;
 use crate::verdict::Verdict;
 
 /// Largest answer that is read whole before it is passed on.
@@ -57,7 +57,8 @@
         if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", FULL));
         }
-        match send_once(entry, attempt, &chosen).await {
+        let sent = send_once(entry, attempt, &chosen);
+        match ask(entry, attempt, sent, send_once).await {
             Ok((head, body)) => {
                 if is_retried(entry, attempt, &head) {
                     continue;
@@ -107,33 +108,28 @@
     attempt.tried.push(server);
     let is_open = attempt.may_repeat(entry.now()) && choose(entry, attempt).is_some();
     // The next round takes the repeat out of the budget; a server's own answer is better than ours.
-    is_open
-        && entry.budget.borrow_mut().has_repeat(
-            &attempt.service,
-            entry.now(),
-            entry.peers.borrow().daemons(),
-        )
+    is_open && entry.has_repeat(&attempt.service)
 }
 
-async fn send_once(
+/// Sends the request; the answer is read whole.
+fn send_once(
     entry: &Rc<Entry>,
     attempt: &mut Attempt,
     chosen: &Chosen,
-) -> Result<(response::Parts, Bytes), SendFailure> {
-    let server = &chosen.server;
+) -> Exchange<(response::Parts, Bytes)> {
+    let server = Rc::clone(&chosen.server);
     attempt.sent(chosen);
-    let request = attempt.request(entry, server, None);
-    let _work = entry.loads.begin(attempt.place(server), attempt.terms.prompt);
-    let id = attempt.terms.attempt.as_ref();
-    let exchange = async {
-        let answer = send::send(&entry.pool, &*entry.protocol, server, id, request).await?;
+    let request = attempt.request(entry, &server, None);
+    let work = entry.loads.begin(attempt.place(&server), attempt.terms.prompt);
+    let id = attempt.terms.attempt.clone();
+    let entry = Rc::clone(entry);
+    Box::pin(async move {
+        let _work = work;
+        let (pool, protocol) = (&entry.pool, &*entry.protocol);
+        let answer = send::send(pool, protocol, &server, id.as_ref(), request).await?;
         if let Some(word) = answer.terms.load {
             entry.loads.told(&server.start(), entry.now(), word);
         }
         send::read_whole(&entry.pool, answer, ANSWER_LIMIT).await
-    };
-    let limit = attempt.send_limit(entry.now());
-    timeout(limit, exchange)
-        .await
-        .unwrap_or_else(|_elapsed| Err(SendFailure::doubtful("no answer in time")))
+    })
 }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -7,7 +7,6 @@
 use http::StatusCode;
 use http::response;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
 use crate::serve::attempt::Attempt;
@@ -23,6 +22,8 @@
 use crate::serve::reply::Refusal;
 use crate::serve::send;
 use crate::serve::send::SendFailure;
+use crate::serve::silence::Exchange;
+use crate::serve::silence::ask;
 
 /// Largest answer other than a stream.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
@@ -61,7 +62,8 @@
         if attempt.arrivals > 0 && !entry.take_repeat(&attempt.service) {
             return Err(Refusal::failed(attempt.verdict, "the retry budget is spent", COME_BACK));
         }
-        match send_first(entry, attempt, &chosen, resume).await {
+        let sent = begin(entry, attempt, &chosen, resume);
+        match ask(entry, attempt, sent, |e, a, c| begin(e, a, c, resume)).await {
             Ok(Opened::Other(head, body)) => {
                 if !head.status.is_server_error() || !attempt.route.resumable {
                     return Ok(Opened::Other(head, body));
@@ -86,25 +88,22 @@
     }
 }
 
-/// Sends the request and waits for the first event.
-///
-/// # Errors
-///
-/// There is no usable answer.
-pub async fn send_first(
+/// Sends the request; the answer is read until the first event.
+pub fn begin(
     entry: &Rc<Entry>,
     attempt: &mut Attempt,
     chosen: &Chosen,
     resume: Option<u64>,
-) -> Result<Opened, SendFailure> {
-    let server = &chosen.server;
+) -> Exchange<Opened> {
+    let server = Rc::clone(&chosen.server);
     attempt.sent(chosen);
-    let request = attempt.request(entry, server, resume);
-    let work = entry.loads.begin(attempt.place(server), attempt.terms.prompt);
-    let id = attempt.terms.attempt.as_ref();
-    let limit = attempt.send_limit(entry.now());
-    let exchange = async {
-        let answer = send::send(&entry.pool, &*entry.protocol, server, id, request).await?;
+    let request = attempt.request(entry, &server, resume);
+    let work = entry.loads.begin(attempt.place(&server), attempt.terms.prompt);
+    let id = attempt.terms.attempt.clone();
+    let entry = Rc::clone(entry);
+    Box::pin(async move {
+        let (pool, protocol) = (&entry.pool, &*entry.protocol);
+        let answer = send::send(pool, protocol, &server, id.as_ref(), request).await?;
         if let Some(word) = answer.terms.load {
             entry.loads.told(&server.start(), entry.now(), word);
         }
@@ -122,9 +121,7 @@
         };
         flow.work.first_event();
         Ok(Opened::Stream(Box::new(Started { head, flow, events, first: entry.now() })))
-    };
-    let opened = timeout(limit, exchange).await;
-    opened.unwrap_or_else(|_elapsed| Err(SendFailure::doubtful("no event in time")))
+    })
 }
 
 /// Begins the answer to the caller and leaves the rest to a task.
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -130,6 +130,7 @@
         verdict: Verdict::DidNotRun,
         sending: false,
         tried: Vec::new(),
+        has_left: false,
         runs: 0,
         sends: 0,
         arrivals: 0,
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -12,21 +12,30 @@
 use crate::serve::attempt::Attempt;
 use crate::serve::body::BrokenOff;
 use crate::serve::body::ChunkSender;
+use crate::serve::choose::Chosen;
 use crate::serve::entry::Entry;
 use crate::serve::exchange_stream::Opened;
 use crate::serve::exchange_stream::Started;
-use crate::serve::exchange_stream::send_first;
+use crate::serve::exchange_stream::begin;
 use crate::serve::find::find_again;
 use crate::serve::flow::Flow;
 use crate::serve::flow::Progress;
 use crate::serve::handle::STOPS;
 use crate::serve::handle::log_answer;
 use crate::serve::send::SendFailure;
+use crate::serve::silence::Exchange;
+use crate::serve::silence::Heard;
+use crate::serve::silence::ask;
+use crate::serve::silence::hear;
+use crate::serve::silence::offer;
 use crate::verdict::Verdict;
 
-/// A stream that can go on elsewhere is silent for this many punctual pauses before it does.
+/// A server is silent after this many punctual pauses without an event.
 const SILENT_GAPS: u32 = 5;
 
+/// The reason in the log where nobody waits for the answer any more.
+const CALLER_LEFT: &str = "the caller left";
+
 /// Passes the events of a stream on to its caller.
 #[derive(Debug)]
 pub struct Relay {
@@ -44,7 +53,8 @@
     CallerLeft,
     OutOfTime,
     DaemonEnds,
-    Broken(SendFailure),
+    /// The server broke off, or another one has taken the request after a silence.
+    Broken(Option<Exchange<Opened>>),
 }
 
 impl Relay {
@@ -62,20 +72,21 @@
                     self.entry.pool.give_back(flow.answer.connection, flow.answer.terms.keep);
                     return;
                 }
-                Stop::CallerLeft => "the caller left",
+                Stop::CallerLeft => CALLER_LEFT,
                 Stop::OutOfTime => "out of time",
                 Stop::DaemonEnds => STOPS,
-                Stop::Broken(failure) => {
-                    self.attempt.failed(&self.entry, &failure);
+                Stop::Broken(taken) => {
                     let last = flow.last();
                     // The old connection is closed before the stream goes on elsewhere.
                     drop(flow);
-                    if let Some((next, events)) = self.resume(last).await {
+                    if let Some((next, events)) = self.resume(last, taken).await {
                         flow = next;
                         chunk = events;
                         continue;
                     }
-                    self.break_off(head.status, failure.reason, first, last).await;
+                    let has_left = self.sender.is_closed();
+                    let reason = if has_left { CALLER_LEFT } else { self.attempt.reason };
+                    self.break_off(head.status, reason, first, last).await;
                     return;
                 }
             };
@@ -104,63 +115,89 @@
     }
 
     /// Passes events on until the stream stops.
-    async fn pass(&self, flow: &mut Flow, mut chunk: Bytes) -> Stop {
+    async fn pass(&mut self, flow: &mut Flow, mut chunk: Bytes) -> Stop {
         let gap = self.attempt.route.gap.unwrap_or(Duration::from_secs(1));
         loop {
             if !chunk.is_empty() && self.sender.send(Ok(chunk)).await.is_err() {
                 return Stop::CallerLeft;
             }
-            let left = self.attempt.deadline.saturating_sub(self.entry.now());
-            if left.is_zero() {
+            if self.entry.now() >= self.attempt.deadline {
                 return Stop::OutOfTime;
             }
-            let can_resume = self.attempt.route.resumable;
-            let limit = if can_resume { left.min(gap * SILENT_GAPS) } else { left };
-            let next = tokio::select! {
+            let heard = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Stop::CallerLeft,
                 () = self.entry.ended() => return Stop::DaemonEnds,
-                next = timeout(limit, flow.next()) => next,
+                heard = hear(&self.entry, &self.attempt, gap * SILENT_GAPS, flow.next()) => heard,
             };
-            match next {
-                Ok(Ok(Progress::Events(events))) => chunk = events,
-                Ok(Ok(Progress::End)) => return Stop::Complete,
-                Ok(Err(failure)) => return Stop::Broken(failure),
-                Err(_elapsed) if limit < left => {
-                    return Stop::Broken(SendFailure::doubtful("the stream fell silent"));
+            match heard {
+                Heard::Answer(Ok(Progress::Events(events))) => chunk = events,
+                Heard::Answer(Ok(Progress::End)) => return Stop::Complete,
+                Heard::Answer(Err(failure)) => {
+                    self.attempt.failed(&self.entry, &failure);
+                    return Stop::Broken(None);
+                }
+                Heard::Elsewhere(next) => {
+                    let last = flow.last();
+                    let again = |e: &Rc<Entry>, a: &mut Attempt, c: &Chosen| begin(e, a, c, last);
+                    let offered = tokio::select! {
+                        biased;
+                        () = self.sender.closed() => return Stop::CallerLeft,
+                        () = self.entry.ended() => return Stop::DaemonEnds,
+                        offered = offer(&self.entry, &mut self.attempt, &next, again) => offered,
+                    };
+                    match offered {
+                        None => chunk = Bytes::new(),
+                        Some(taken) => return Stop::Broken(Some(taken)),
+                    }
                 }
-                Err(_elapsed) => return Stop::OutOfTime,
+                Heard::OutOfTime => return Stop::OutOfTime,
             }
         }
     }
 
-    /// Goes on with the stream at another server.
-    async fn resume(&mut self, last: Option<u64>) -> Option<(Flow, Bytes)> {
+    /// Sends the request to another server, where that is allowed.
+    async fn send_again(&mut self, last: Option<u64>) -> Option<Exchange<Opened>> {
+        let now = self.entry.now();
+        if !self.attempt.route.resumable || last.is_none() || !self.attempt.may_repeat(now) {
+            return None;
+        }
+        let chosen = tokio::select! {
+            biased;
+            () = self.sender.closed() => return None,
+            () = self.entry.ended() => return None,
+            chosen = find_again(&self.entry, &mut self.attempt) => chosen?,
+        };
+        if !self.entry.take_repeat(&self.attempt.service) {
+            return None;
+        }
+        Some(begin(&self.entry, &mut self.attempt, &chosen, last))
+    }
+
+    /// Goes on with the stream at another server, one that has taken it or one to be found.
+    async fn resume(
+        &mut self,
+        last: Option<u64>,
+        mut taken: Option<Exchange<Opened>>,
+    ) -> Option<(Flow, Bytes)> {
+        let again = |e: &Rc<Entry>, a: &mut Attempt, c: &Chosen| begin(e, a, c, last);
         loop {
-            let now = self.entry.now();
-            if !self.attempt.route.resumable || last.is_none() || !self.attempt.may_repeat(now) {
-                return None;
-            }
-            let chosen = tokio::select! {
-                biased;
-                () = self.sender.closed() => return None,
-                () = self.entry.ended() => return None,
-                chosen = find_again(&self.entry, &mut self.attempt) => chosen?,
+            let sent = match taken.take() {
+                Some(taken) => taken,
+                None => self.send_again(last).await?,
             };
-            if !self.entry.take_repeat(&self.attempt.service) {
-                return None;
-            }
             self.entry.metrics.retried();
             let opened = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
                 () = self.entry.ended() => return None,
-                opened = send_first(&self.entry, &mut self.attempt, &chosen, last) => opened,
+                opened = ask(&self.entry, &mut self.attempt, sent, again) => opened,
             };
             match opened {
                 Ok(Opened::Stream(started)) => {
                     slog::info!(self.entry.log, "stream-resumed"; "attempt" => self.attempt.id(),
-                        "server" => %chosen.server.id, "after" => last.unwrap_or(0));
+                        "server" => self.attempt.last.as_ref().map_or("-", |s| s.id.as_str()),
+                        "after" => last.unwrap_or(0));
                     return Some((started.flow, started.events));
                 }
                 Ok(Opened::Other(..)) => {
--- /dev/null
+++ b/lib/src/serve/silence.rs
@@ -0,0 +1,180 @@
+//! Silence of a server: the request leaves it only for another server that takes it.
+
+use std::future::pending;
+use std::future::ready;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::boot_clock::Moment;
+use crate::picture::health::Evidence;
+use crate::serve::attempt::Attempt;
+use crate::serve::choose::Choice;
+use crate::serve::choose::Chosen;
+use crate::serve::entry::Entry;
+use crate::serve::find::AGAIN;
+use crate::serve::find::unusable;
+use crate::serve::send::SendFailure;
+use crate::serve::waits::WaitGuard;
+use crate::verdict::Verdict;
+
+/// Time between looks for another server, where nothing is told meanwhile: some steps of a batch, after
+/// which a full server may have a free place.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
+/// Time in which a server that refuses a request says so: some steps of a busy host's event loop. A request
+/// may be at two servers for 400 ms at most.
+const OFFER_TIME: Duration = Duration::from_millis(150);
+
+/// A send that is under way, with its connection.
+pub type Exchange<T> = Pin<Box<dyn Future<Output = Result<T, SendFailure>>>>;
+
+/// What a wait for a server's answer came to.
+#[derive(Debug)]
+pub enum Heard<T> {
+    /// The server answered, or broke off.
+    Answer(T),
+    /// The server is silent, and this one can take the request: its repeat is taken out of the budget,
+    /// and a connection to it is open.
+    Elsewhere(Chosen),
+    /// The deadline has passed.
+    OutOfTime,
+}
+
+/// Waits for the answer to a send, and goes on at other servers where one is silent; `begin` sends anew.
+///
+/// # Errors
+///
+/// There is no usable answer.
+pub async fn ask<T: 'static>(
+    entry: &Rc<Entry>,
+    attempt: &mut Attempt,
+    sent: Exchange<T>,
+    begin: impl Fn(&Rc<Entry>, &mut Attempt, &Chosen) -> Exchange<T>,
+) -> Result<T, SendFailure> {
+    let mut current = sent;
+    loop {
+        match hear(entry, attempt, attempt.patience(), &mut current).await {
+            Heard::Answer(answer) => return answer,
+            Heard::OutOfTime => return Err(SendFailure::doubtful("no answer in time")),
+            Heard::Elsewhere(next) => {
+                if let Some(taken) = offer(entry, attempt, &next, &begin).await {
+                    current = taken;
+                }
+            }
+        }
+    }
+}
+
+/// Offers a request to another server while the silent one still has it. Returns the send there, for which
+/// the silent one must be let go at once; nothing where the other one refused.
+///
+/// What is known of another server's free places is up to seconds old in a large fleet. When the silent one
+/// was let go first, a refusal left the request nowhere, and its answer was cut or replaced by a failure. A
+/// refusal comes at once, so the silent one is kept until then.
+pub async fn offer<T: 'static>(
+    entry: &Rc<Entry>,
+    attempt: &mut Attempt,
+    next: &Chosen,
+    begin: impl Fn(&Rc<Entry>, &mut Attempt, &Chosen) -> Exchange<T>,
+) -> Option<Exchange<T>> {
+    let standing = attempt.leave(entry);
+    let mut offered = begin(entry, attempt, next);
+    match timeout(OFFER_TIME, &mut offered).await {
+        Ok(Err(failure)) if failure.verdict == Verdict::DidNotRun => {
+            attempt.stay(entry, &failure, standing);
+            None
+        }
+        Ok(ended) => Some(Box::pin(ready(ended))),
+        Err(_elapsed) => Some(offered),
+    }
+}
+
+/// Waits for `answer` of the server of the last send.
+///
+/// A server that is silent for `patience` is left when, and only when, the request can go on elsewhere.
+/// Given up for nothing, it cut answers that were coming: the caller saw a broken stream or a failure, and
+/// the server's log a run that would have ended well. So attempts, budget, place and connection come first.
+pub async fn hear<T>(
+    entry: &Rc<Entry>,
+    attempt: &Attempt,
+    patience: Duration,
+    answer: impl Future<Output = T>,
+) -> Heard<T> {
+    let left = attempt.deadline.saturating_sub(entry.now());
+    tokio::select! {
+        biased;
+        answer = answer => Heard::Answer(answer),
+        () = sleep(left) => Heard::OutOfTime,
+        chosen = elsewhere(entry, attempt, patience) => Heard::Elsewhere(chosen),
+    }
+}
+
+/// Returns once the request can go on at another server; never, where it may not.
+async fn elsewhere(entry: &Rc<Entry>, attempt: &Attempt, patience: Duration) -> Chosen {
+    if !attempt.route.is_repeatable() {
+        return pending().await;
+    }
+    sleep(patience).await;
+    if !attempt.may_leave() {
+        note(entry, attempt);
+        return pending().await;
+    }
+    let mut guard = None;
+    let until = entry.now() + AGAIN;
+    let mut is_noted = false;
+    loop {
+        let changed = entry.waits.changed.notified();
+        if let Some(chosen) = able(entry, attempt).await {
+            return chosen;
+        }
+        if !is_noted {
+            note(entry, attempt);
+            is_noted = true;
+        }
+        if entry.now() < until {
+            guard = guard.or_else(|| want(entry, attempt, until));
+        } else {
+            guard = None;
+        }
+        let _notified = timeout(LOOK_EVERY, changed).await;
+    }
+}
+
+/// Returns another server that can take the request now, its repeat taken out of the budget.
+async fn able(entry: &Entry, attempt: &Attempt) -> Option<Chosen> {
+    if !entry.has_repeat(&attempt.service) {
+        return None;
+    }
+    let item = attempt.item();
+    let tried = attempt.all_tried();
+    let chosen = entry.choose(|c| c.spare(&attempt.service, item.as_ref(), &tried))?;
+    let server = &chosen.server;
+    if entry.pool.prepare(&server.start(), server.addr).await.is_err() {
+        entry.note_health(&attempt.service, &server.start(), Evidence::Unreachable);
+        return None;
+    }
+    // Nothing is awaited from here until the caller of `hear` has the server.
+    entry.take_repeat(&attempt.service).then_some(chosen)
+}
+
+/// Tells of a silent server that cannot be left yet, and lets other requests avoid it.
+fn note(entry: &Entry, attempt: &Attempt) {
+    let Some(server) = &attempt.last else { return };
+    slog::info!(entry.log, "server-silent"; "attempt" => attempt.id(), "server" => %server,
+        "ms" => entry.now().saturating_sub(attempt.arrived).as_millis());
+    entry.note_health(&attempt.service, server, Evidence::Failed);
+}
+
+/// Asks for the model at another engine, where no other holds it.
+fn want(entry: &Entry, attempt: &Attempt, until: Moment) -> Option<WaitGuard> {
+    let item = attempt.item()?;
+    let tried = attempt.all_tried();
+    if matches!(entry.choose(|c| c.engine(&item, &tried)), Choice::Server(_)) {
+        return None;
+    }
+    Some(entry.waits.begin(item, until, until, unusable(entry, &attempt.service, &tried)))
+}
