--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -121,7 +121,7 @@
 /// An engine's own report; some hundred milliseconds old.
 #[derive(Clone, Debug)]
 pub struct EngineReport {
-    /// What it holds.
+    /// What it holds, adapters on their way included: `sequence` counts their orders.
     pub models: Vec<HeldModel>,
     /// Copies of weights near its accelerator.
     pub copies: Copies,
