--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -5,13 +5,16 @@
 
 use bytes::Bytes;
 use smol_str::SmolStr;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::ids::ServerId;
 use crate::picture::directory::Change;
 use crate::place::entries;
 use crate::place::entries::DaemonEntry;
 use crate::serve::entry::Entry;
+use crate::serve::store_calls::noted;
 use crate::store::Batch;
 use crate::store::Feed;
 use crate::store::FeedRecord;
@@ -20,42 +23,22 @@
 /// Key of the configuration's record.
 const CONFIG_KEY: &str = "config";
 /// Longest wait for a change of the configuration in one call.
-const CONFIG_WAIT: Duration = Duration::from_secs(5);
+///
+/// A call that met a store that was silent, or a connection that was lost without a reset, is never
+/// answered, and what operators write after the store's return is not seen until it is given up: this wait
+/// and one second later. Users allow three seconds, of which one is left to ask again. With a wait of five
+/// seconds all daemons of a fleet went on with an old version for up to six seconds after an outage.
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
 /// Part of the time within which a leaving server must get nothing more that lies between two reads
 /// of the servers' feed. Peers read at other moments and tell who left.
 const READ_PART: f64 = 0.55;
-/// Pause after a call that failed.
+/// Least time from a call that failed to the next.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Times of the looks at the list of daemons after the start; later ones hear of new daemons from
 /// these themselves.
 const DAEMON_LOOKS: [Duration; 4] =
     [Duration::ZERO, Duration::from_millis(700), Duration::from_secs(2), Duration::from_secs(10)];
 
-/// Notes whether the store answered, and logs when that changes.
-pub fn note_store(entry: &Entry, feed: Feed, failed: Option<&StoreError>) {
-    let now = entry.now();
-    let had = entry.store_seen.get();
-    entry.metrics.called_store(feed.name(), failed.map_or("done", StoreError::name));
-    match failed {
-        None => {
-            let was_lost = entry.store_lost.replace(false);
-            entry.store_seen.set(now);
-            if was_lost {
-                slog::info!(entry.log, "dependency-regained"; "dependency" => "store",
-                    "feed" => %feed, "away_ms" => now.saturating_sub(had).as_millis());
-            }
-        }
-        Some(StoreError::Expired | StoreError::Moved) => {}
-        Some(error) => {
-            if !entry.store_lost.replace(true) {
-                slog::warn!(entry.log, "dependency-lost"; "dependency" => "store",
-                    "feed" => %feed, "error" => %error,
-                    "seen_ms_ago" => now.saturating_sub(had).as_millis());
-            }
-        }
-    }
-}
-
 /// Takes in a configuration; an older one than that in force changes nothing.
 pub fn adopt_config(entry: &Entry, raw: &Bytes, from: &str) {
     let config = match entry.protocol.configuration(raw) {
@@ -81,25 +64,25 @@
     if let Some(raw) = newest.and_then(|r| r.value.as_ref()) {
         adopt_config(entry, raw, "store");
     }
-    entry.config_seen.set(entry.now());
 }
 
 /// Follows the operators' configuration.
 pub async fn follow_config(entry: Rc<Entry>) {
     let mut from = None;
     loop {
-        let result = match from {
-            None => entry.store.newest(Feed::Configuration).await,
-            Some(offset) => entry.store.read(Feed::Configuration, offset, CONFIG_WAIT).await,
+        let begun = Instant::now();
+        let call = match from {
+            None => entry.store.newest(Feed::Configuration),
+            Some(offset) => entry.store.read(Feed::Configuration, offset, CONFIG_WAIT),
         };
-        note_store(&entry, Feed::Configuration, result.as_ref().err());
-        match result {
+        match noted(&entry, Feed::Configuration, call).await {
             Ok(batch) => {
                 take_config(&entry, &batch);
                 from = Some(batch.end);
             }
             Err(StoreError::Expired) => from = None,
-            Err(_failed) => sleep(PAUSE).await,
+            // A call that was given up late was pause enough.
+            Err(_failed) => sleep_until(begun + PAUSE).await,
         }
     }
 }
@@ -178,12 +161,11 @@
 pub async fn follow_servers(entry: Rc<Entry>) {
     let mut from = None;
     loop {
-        let result = match from {
-            None => entry.store.newest(Feed::Servers).await,
-            Some(offset) => entry.store.read(Feed::Servers, offset, Duration::ZERO).await,
+        let call = match from {
+            None => entry.store.newest(Feed::Servers),
+            Some(offset) => entry.store.read(Feed::Servers, offset, Duration::ZERO),
         };
-        note_store(&entry, Feed::Servers, result.as_ref().err());
-        match result {
+        match noted(&entry, Feed::Servers, call).await {
             Ok(batch) => {
                 take_servers(&entry, &batch, from.is_none());
                 from = Some(batch.end);
@@ -202,9 +184,8 @@
     let me = DaemonEntry { addr: settings.peer, process: entry.process };
     let record = || FeedRecord { key: settings.id.clone(), value: Some(entries::write(&me)) };
     loop {
-        let result = entry.store.append(Feed::Daemons, record(), None).await;
-        note_store(&entry, Feed::Daemons, result.as_ref().err());
-        if result.is_ok() {
+        let call = entry.store.append(Feed::Daemons, record(), None);
+        if noted(&entry, Feed::Daemons, call).await.is_ok() {
             break;
         }
         sleep(PAUSE * 2).await;
@@ -214,9 +195,8 @@
         sleep(look.saturating_sub(before)).await;
         before = look;
         loop {
-            let result = entry.store.newest(Feed::Daemons).await;
-            note_store(&entry, Feed::Daemons, result.as_ref().err());
-            if let Ok(batch) = result {
+            let call = entry.store.newest(Feed::Daemons);
+            if let Ok(batch) = noted(&entry, Feed::Daemons, call).await {
                 take_daemons(&entry, &batch);
                 break;
             }
