--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -68,7 +68,7 @@
     /// Configuration that it follows; 0 before the first.
     pub config: ConfigVersion,
     /// For how long the store has not told it whether the configuration changed, in milliseconds.
-    pub config_age_ms: u32,
+    pub config_age: u32,
     /// Place in the platform's feed of servers that it has read up to.
     pub servers: Offset,
     /// Servers that it saw leave in the last seconds.
--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -128,7 +128,7 @@
         peer.heard = Some(now);
         peer.centre = digest.centre.clone();
         peer.config = digest.config;
-        let age = Duration::from_millis(digest.config_age_ms.into());
+        let age = Duration::from_millis(digest.config_age.into());
         peer.config_seen = now.saturating_sub(age);
         peer.servers = digest.servers;
         peer.tenure = digest.tenure.map(|t| HeardTenure {
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -106,7 +106,7 @@
         Digest {
             centre: entry.settings().centre.clone(),
             config: entry.config_version(),
-            config_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            config_age: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             servers,
             left,
             ready: entry.is_ready(),
--- a/lib/tests/test_digest.rs
+++ b/lib/tests/test_digest.rs
@@ -13,7 +13,7 @@
     let digest = Digest {
         centre: "north".into(),
         config: 7,
-        config_age_ms: 0,
+        config_age: 0,
         servers: 90,
         left: vec![LeftNote { server: server.clone(), beat: 12 }],
         ready: true,
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -31,7 +31,7 @@
     Digest {
         centre: centre.into(),
         config: 1,
-        config_age_ms: config_age.as_millis() as u32,
+        config_age: config_age.as_millis() as u32,
         servers: 1,
         left: Vec::new(),
         ready: true,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -87,11 +87,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut broken = ChaCha8Rng::seed_from_u64(!seed);
     let mut foreign = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let mut again = ChaCha8Rng::seed_from_u64(!seed.rotate_left(32));
     let began = Instant::now();
     while began.elapsed() < time {
         plan::strike(&world, &mut rng).await;
         plan::sprinkle(&world, &mut broken);
         plan::litter(&world, &mut foreign);
+        plan::restart(&world, &mut again).await;
         let pause = Duration::from_millis(rng.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -73,6 +73,20 @@
     world.store.put_raw(&format!("keyed.{topic}"), key, value);
 }
 
+/// Part of the troubles beside which a server starts again under its id.
+const RESTARTS: f64 = 0.3;
+
+/// Lets a server start again under its id, now and then.
+///
+/// It draws from a course of its own, as broken answers do.
+pub async fn restart(world: &World, rng: &mut ChaCha8Rng) {
+    let server = rng.random_range(0..world.servers.borrow().len());
+    if rng.random_bool(RESTARTS) {
+        world.note(&format!("restart server={server}"));
+        world.restart(server).await;
+    }
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -143,8 +143,16 @@
         let server = ServerStandin::start(&id, service, "north", engine, &self.runs).await?;
         let proxy = Proxy::start(server.addr).await?;
         server.listed.set(proxy.addr);
+        self.list(&server);
+        self.servers.borrow_mut().push(server);
+        self.server_proxies.borrow_mut().push(proxy);
+        Ok(())
+    }
+
+    /// Lists a server in the store for as long as it lives.
+    fn list(&self, server: &Rc<ServerStandin>) {
         server.register(&self.store);
-        let (beating, store) = (Rc::clone(&server), Rc::clone(&self.store));
+        let (beating, store) = (Rc::clone(server), Rc::clone(&self.store));
         spawn_local(async move {
             while !beating.is_crashed() {
                 sleep(BEAT).await;
@@ -153,9 +161,6 @@
                 }
             }
         });
-        self.servers.borrow_mut().push(server);
-        self.server_proxies.borrow_mut().push(proxy);
-        Ok(())
     }
 
     fn take(&self, index: usize) -> Rc<ServerStandin> {
@@ -183,6 +188,26 @@
         });
     }
 
+    /// Crashes a server, which starts again at once under its id and at its address, empty.
+    pub async fn restart(&self, index: usize) {
+        let server = Rc::clone(&self.servers.borrow()[index]);
+        server.crash();
+        match server.start_again(server.addr).await {
+            Ok(again) => {
+                again.listed.set(server.listed.get());
+                self.list(&again);
+                // Others may have come and gone while its port was awaited.
+                let mut servers = self.servers.borrow_mut();
+                match servers.iter_mut().find(|s| Rc::ptr_eq(s, &server)) {
+                    Some(place) => *place = again,
+                    None => again.crash(),
+                }
+                self.gone.borrow_mut().push(server);
+            }
+            Err(error) => self.note(&format!("not started again: {error}")),
+        }
+    }
+
     /// Replaces a server that gives notice and serves on for a while.
     pub async fn leave(self: &Rc<Self>, index: usize) {
         let server = self.take(index);
