--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use comfreymux_platform_testutils::foreign;
 use comfreymux_platform_testutils::rig::configuration;
 use comfreymux_platform_testutils::server_standin::Behaviour;
 use comfreymux_platform_testutils::store_standin::Mood;
@@ -52,25 +53,12 @@
         let servers = world.servers.borrow();
         servers[rng.random_range(0..servers.len())].id.clone()
     };
-    let keys = [
-        ("servers", server.as_str()),
-        ("op", "config"),
-        ("leases", "placement"),
-        ("daemons", "d0"),
-    ];
-    let (topic, taken) = keys[rng.random_range(0..keys.len())];
-    let key = if rng.random_bool(0.3) { taken.as_bytes() } else { b"\xffforeign" };
-    let values: [&[u8]; 6] = [
-        b"\xff\xfe",
-        b"[]",
-        b"{\"service\":7}",
-        b"{\"service\":\"booking\",\"address\":\"127.0.0.1:1\",\"state\":\"retired\"}",
-        b"{\"service\":\"nobody\",\"address\":\"127.0.0.1:1\",\"state\":\"ready\",\"sequence\":99999}",
-        b"{\"version\":\"seven\"}",
-    ];
-    let value = values[rng.random_range(0..values.len())];
+    let places = foreign::places(&server);
+    let (topic, taken) = places[rng.random_range(0..places.len())];
+    let key = if rng.random_bool(0.3) { taken.as_bytes() } else { foreign::ODD_KEY };
+    let value = foreign::VALUES[rng.random_range(0..foreign::VALUES.len())];
     world.note(&format!("foreign topic={topic} key={}", key.escape_ascii()));
-    world.store.put_raw(&format!("keyed.{topic}"), key, value);
+    world.store.put_raw(topic, key, value);
 }
 
 /// Part of the troubles beside which a server starts again under its id.
