pool: use an idle connection again for 1.2 s at most

Cause: where a partition has begun, the kernel ends an idle connection three seconds after its last sign of life. Ruled out: a second send of the daemon (none in its log). Change: an idle connection is used for 1.2 s at most, so that a request has left a silent server by itself, with a reset, before the kernel ends its connection.

--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -24,6 +24,13 @@
 /// Part of the time that a server keeps a connection for which it is reused: a request that
 /// crosses the server's close may or may not have run.
 const KEEP_PART: f64 = 0.7;
+/// An idle connection is used again for this long at most.
+///
+/// Where a partition began meanwhile, the kernel ends it three seconds after its last sign of life. What was
+/// sent on it just before is then not taken back, as a reset of our own would, and reached its server
+/// three seconds after the partition had healed, when that had given notice. Within this time a request has left
+/// a silent server by itself before, and its connection is reset. Long enough for reads of the servers' feed.
+const REUSE_WITHIN: Duration = Duration::from_millis(1200);
 /// Most idle connections kept to one server.
 const MAX_IDLE: usize = 32;
 
@@ -134,7 +141,8 @@
         if sender.is_closed() {
             return;
         }
-        let until = Instant::now() + keep.unwrap_or(DEFAULT_KEEP).mul_f64(KEEP_PART);
+        let keep = keep.unwrap_or(DEFAULT_KEEP).mul_f64(KEEP_PART).min(REUSE_WITHIN);
+        let until = Instant::now() + keep;
         let idle = Rc::clone(&self.idle);
         spawn_local(async move {
             if sender.ready().await.is_err() {
