orders: tell apart whose unanswered order an engine carried out; loads end when they should

Two changes in one commit, since both stand in the same lines of orders.rs.

Cause: an engine that answers no orders (applied_late) carried out the load of an adapter 2 to 12 s after its change was given up. The next change's unloading expected the same number of orders; the report showed that number plus one, so the unloading counted as done, and another adapter was loaded into places that were all taken. Mend: while orders of given-up changes, or of an earlier holder where engines check no fences, may still be carried out (15 s), a report must show the order's own effect.

Cause: reports are up to 0.3 s old, so each load lasted 0.2 to 0.3 s longer for callers and for the next load than at the engine. Ruled out: asking by a repeated order (an order more for each load, and a successor would leave those engines alone for longer). Change: a load from a host's copy is taken to end when the configuration says, once one was seen to do so; a report confirms it afterwards, and after a late one reports are waited for again for 10 s.

--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -95,6 +95,8 @@
     pub used: BTreeMap<ModelName, Moment>,
     /// No new change before this, after one that failed.
     pub rest_until: Moment,
+    /// Until when orders of changes that were given up may still be carried out.
+    pub stray_until: Moment,
 }
 
 /// The engines by server id.
@@ -102,6 +104,8 @@
 pub struct Ledger {
     /// The engines.
     pub engines: BTreeMap<ServerId, Engine>,
+    /// Until when engines may carry out orders of earlier holders.
+    pub stray_until: Moment,
 }
 
 impl Engine {
@@ -118,6 +122,7 @@
             adapters: Vec::new(),
             used: BTreeMap::new(),
             rest_until: Moment::ZERO,
+            stray_until: Moment::ZERO,
         }
     }
 
@@ -270,8 +275,15 @@
         self.engines.get_mut(&start.id).filter(|e| e.server.born == start.born)
     }
 
-    /// Forgets what orders under an older lease led to believe.
-    pub fn doubt_all(&mut self) {
+    /// Returns whether an engine may carry out an order now that its change has not waited for.
+    pub fn has_strays(&self, id: &ServerId, now: Moment) -> bool {
+        let own = self.engines.get(id).map_or(Moment::ZERO, |e| e.stray_until);
+        now < own.max(self.stray_until)
+    }
+
+    /// Forgets what orders under an older lease led to believe; some of them may be carried out until `strays`.
+    pub fn doubt_all(&mut self, strays: Moment) {
+        self.stray_until = strays;
         for engine in self.engines.values_mut() {
             engine.confirmed = false;
         }
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -14,6 +14,7 @@
 use crate::picture::server_start::ServerStart;
 use crate::picture::starts::StartOrder;
 use crate::place::ledger::Engine;
+use crate::place::order_effect::is_carried_out;
 use crate::place::recent_orders::engine_key;
 use crate::protocol::EngineOrder;
 use crate::protocol::EngineReport;
@@ -38,6 +39,8 @@
 const SILENT_TRIES: usize = 3;
 /// Times that the report is read before an order is given up.
 const REPORTS: usize = 10;
+/// Longest time after which an engine carries out an order that it did not answer.
+pub const STRAY: Duration = Duration::from_secs(15);
 /// An engine's report is some hundred milliseconds old.
 pub const REPORT_LAG: Duration = Duration::from_millis(100);
 
@@ -109,10 +112,27 @@
         model: &ModelName,
         adapter: Option<&SmolStr>,
         fence: Fence,
+    ) -> Result<(), OrderFailure> {
+        let mut unanswered = false;
+        let result = self.try_order(server, kind, model, adapter, fence, &mut unanswered).await;
+        if unanswered && result.is_err() {
+            let until = self.entry.now() + STRAY;
+            self.with_engine(server, |engine| engine.stray_until = until);
+        }
+        result
+    }
+
+    async fn try_order(
+        &self,
+        server: &ServerStart,
+        kind: OrderKind,
+        model: &ModelName,
+        adapter: Option<&SmolStr>,
+        fence: Fence,
+        unanswered: &mut bool,
     ) -> Result<(), OrderFailure> {
         let entry = &self.entry;
         let expect = self.with_engine(server, |e| e.sequence).ok_or(OrderFailure::Ended)?;
-        let mut unanswered = false;
         let mut silent = 0;
         let mut pause = BUSY_PAUSE;
         for tries in 0..TRIES * REPORTS {
@@ -141,7 +161,7 @@
                     silent += 1;
                     slog::info!(entry.log, "order-unanswered"; "server" => %server,
                         "model" => model.as_str(), "expect" => expect, "error" => %error);
-                    unanswered |= error == CallError::Unanswered;
+                    *unanswered |= error == CallError::Unanswered;
                     sleep(BUSY_PAUSE).await;
                     continue;
                 }
@@ -161,7 +181,7 @@
                     pause = (pause * 2).min(LONGEST_PAUSE);
                 }
                 OrderReply::Conflict => {
-                    self.settle_conflict(server, expect, unanswered).await?;
+                    self.settle_conflict(server, &order, *unanswered).await?;
                     if self.with_engine(server, |e| e.sequence) != Some(expect) {
                         return Ok(());
                     }
@@ -210,9 +230,10 @@
     async fn settle_conflict(
         &self,
         server: &ServerStart,
-        expect: u64,
+        order: &EngineOrder,
         unanswered: bool,
     ) -> Result<(), OrderFailure> {
+        let expect = order.expect;
         sleep(REPORT_LAG).await;
         let report = self.report(server).await;
         self.check_start(server)?;
@@ -223,7 +244,11 @@
             // Busy with the order before; the next try may find it idle.
             return Ok(());
         }
-        if unanswered && report.sequence == expect + 1 {
+        let now = self.entry.now();
+        let has_strays = self.entry.ledger.borrow().has_strays(&server.id, now);
+        let is_shown =
+            || is_carried_out(&report, &order.kind, &order.model, order.adapter.as_ref());
+        if unanswered && report.sequence == expect + 1 && (!has_strays || is_shown()) {
             self.accepted(server, report.sequence);
             return Ok(());
         }
--- a/lib/src/serve/model_orders.rs
+++ b/lib/src/serve/model_orders.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::boot_clock::Moment;
@@ -15,6 +16,8 @@
 use crate::place::ledger::Engine;
 use crate::place::ledger::Job;
 use crate::place::ledger::Source;
+use crate::place::load_trust::LoadTrust;
+use crate::protocol::EngineReport;
 use crate::protocol::OrderKind;
 use crate::serve::engine_orders::OrderFailure;
 use crate::serve::engine_orders::REPORT_LAG;
@@ -36,6 +39,10 @@
 /// Time between looks at what daemons tell of them.
 const DRAIN_LOOK: Duration = Duration::from_millis(30);
 
+fn holds(report: &EngineReport, model: &ModelName) -> bool {
+    report.models.iter().any(|held| held.name == *model)
+}
+
 impl Orders {
     /// Loads a model, and notes what came of it.
     pub(super) async fn run_load(self: Rc<Self>, server: ServerStart, job: Job, fence: Fence) {
@@ -63,7 +70,7 @@
 
     /// Unloads the victims, loads the model, and waits until it is there.
     async fn carry_out(
-        &self,
+        self: &Rc<Self>,
         server: &ServerStart,
         job: &Job,
         fence: Fence,
@@ -88,14 +95,26 @@
         });
         self.publish(server, &job.model, fence);
         self.doze(server, accepted + time.saturating_sub(REPORT_LAG)).await?;
+        let known = accepted + self.copy_time(server, job).unwrap_or(time + OVERDUE);
         loop {
             if self.entry.standing() != Some(fence) {
                 return Err(OrderFailure::LeaseLost);
             }
+            let is_trusted = self.desk.borrow().trust.is_given(self.entry.now());
+            if is_trusted && self.entry.now() >= known {
+                self.verify(server, &job.model, known);
+                return Ok(());
+            }
+            if is_trusted && job.source == Source::Disk {
+                // Until then a report could only tell of the time before.
+                self.doze(server, known).await?;
+                continue;
+            }
             if let Some(report) = self.engines.report(server).await
                 && !report.busy
-                && report.models.iter().any(|m| m.name == job.model)
+                && holds(&report, &job.model)
             {
+                self.note_end(job.source, known);
                 return Ok(());
             }
             if self.entry.now() > eta + OVERDUE {
@@ -106,6 +125,50 @@
         }
     }
 
+    /// Takes in that a report told of a load's end.
+    fn note_end(&self, source: Source, due: Moment) {
+        if source == Source::Disk {
+            let now = self.entry.now();
+            self.desk.borrow_mut().trust.ended(now.saturating_sub(due), now);
+        }
+    }
+
+    /// Looks in reports whether a load that was taken to have ended has done so; the engine is doubted where not.
+    fn verify(self: &Rc<Self>, server: &ServerStart, model: &ModelName, due: Moment) {
+        let (orders, server, model) = (Rc::clone(self), server.clone(), model.clone());
+        spawn_local(async move {
+            let until = due + LoadTrust::limit();
+            sleep(REPORT_LAG).await;
+            loop {
+                let report = orders.engines.report(&server).await;
+                let now = orders.entry.now();
+                let is_there = report.as_ref().is_some_and(|r| holds(r, &model));
+                let is_wanted = orders.with_engine(&server, |e| e.holds(&model)).unwrap_or(false);
+                if is_there {
+                    orders.desk.borrow_mut().trust.ended(Duration::ZERO, now);
+                }
+                if is_there || !is_wanted {
+                    return;
+                }
+                if now > until && report.is_some() {
+                    slog::info!(orders.entry.log, "load-late"; "server" => %server,
+                        "model" => model.as_str(), "ms" => now.saturating_sub(due).as_millis());
+                    orders.desk.borrow_mut().trust.ended(now.saturating_sub(due), now);
+                    orders.with_engine(&server, |engine| {
+                        engine.unloaded(&model);
+                        engine.confirmed = false;
+                    });
+                    orders.entry.plan.notify_one();
+                    return;
+                }
+                if now > until + OVERDUE {
+                    return;
+                }
+                sleep(LOOK_EVERY).await;
+            }
+        });
+    }
+
     /// Waits until an engine can be expected to have dropped the models that make way: it does so when their last
     /// request has ended, and refuses the next order until then.
     async fn drained(&self, server: &ServerStart, victims: &[ModelName]) {
@@ -147,6 +210,16 @@
         self.model_spec(service, model).map_or(Duration::ZERO, |spec| spec.load)
     }
 
+    /// The time of a load from a copy on the host, of which nothing else takes a part; none where there is no copy. A
+    /// copy in the host's memory may have made way by now, while that on its disk is still there.
+    fn copy_time(&self, server: &ServerStart, job: &Job) -> Option<Duration> {
+        if job.source == Source::Store {
+            return None;
+        }
+        let service = self.with_engine(server, |e| e.server.service.clone())?;
+        self.model_spec(&service, &job.model).map(|spec| spec.disk)
+    }
+
     fn fetching(&self) -> usize {
         let is_fetch =
             |e: &&Engine| e.job.as_ref().map_or(e.occupied, |j| j.source == Source::Store);
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -20,12 +20,14 @@
 use crate::place::ledger::Engine;
 use crate::place::ledger::Job;
 use crate::place::ledger::Source;
+use crate::place::load_trust::LoadTrust;
 use crate::place::planner::Action;
 use crate::place::planner::Scene;
 use crate::place::recent_orders::engine_key;
 use crate::place::store_pace::StorePace;
 use crate::protocol::EngineReport;
 use crate::serve::engine_orders::EngineOrders;
+use crate::serve::engine_orders::STRAY;
 use crate::serve::entry::Entry;
 use crate::serve::gossip::Gossip;
 
@@ -52,6 +54,8 @@
     fence: Option<Fence>,
     /// Loads from the weight store.
     pub(super) pace: StorePace,
+    /// Whether loads from hosts' copies end on time.
+    pub(super) trust: LoadTrust,
     /// How often each engine's holding is still to be told.
     untold: BTreeMap<ServerId, u8>,
     /// When holdings were last told to all.
@@ -75,6 +79,7 @@
         let desk = Desk {
             fence: None,
             pace: StorePace::new(Moment::ZERO),
+            trust: LoadTrust::default(),
             untold: BTreeMap::new(),
             told: Moment::ZERO,
             reading: Vec::new(),
@@ -103,7 +108,10 @@
             if desk.fence != standing {
                 desk.fence = standing;
                 desk.pace.restart(entry.now(), entry.tenure.borrow().share());
-                entry.ledger.borrow_mut().doubt_all();
+                // Engines that check fencing numbers refuse what the holder before ordered.
+                let is_fenced = entry.settings().fenced;
+                let strays = if is_fenced { Moment::ZERO } else { entry.now() + STRAY };
+                entry.ledger.borrow_mut().doubt_all(strays);
                 *entry.demand.borrow_mut() = Demand::default();
             }
         }
--- /dev/null
+++ b/lib/tests/test_order_effect.rs
@@ -0,0 +1,41 @@
+//! Whose order an engine carried out, by its report.
+
+use comfreymux_lib::ids::ModelName;
+use comfreymux_lib::picture::directory::Copies;
+use comfreymux_lib::picture::directory::HeldModel;
+use comfreymux_lib::place::order_effect::is_carried_out;
+use comfreymux_lib::protocol::EngineReport;
+use comfreymux_lib::protocol::OrderKind;
+use rstest::rstest;
+
+fn report(held: &[(&str, &[&str])]) -> EngineReport {
+    let model = |(name, adapters): &(&str, &[&str])| HeldModel {
+        name: (*name).into(),
+        adapters: adapters.iter().map(|a| (*a).into()).collect(),
+    };
+    let models = held.iter().map(model).collect();
+    EngineReport { models, copies: Copies::default(), busy: false, sequence: 26, born: None }
+}
+
+/// An engine answers no orders and carries them out seconds later. The load of adapter a24 was given up; the next change
+/// unloads a31 to make place for a22. The engine then loads a24 after all: its count of orders is what the unloading
+/// would have made it. Taken for that, a22 was loaded into places that were all taken, and the engine crashed.
+#[rstest]
+#[case::late_load(&[("m", &["a24", "a31"][..])], OrderKind::Unload, Some("a31"), false)]
+#[case::own_unload(&[("m", &["a24"][..])], OrderKind::Unload, Some("a31"), true)]
+#[case::own_load(&[("m", &["a22"][..])], OrderKind::Load, Some("a22"), true)]
+#[case::other_load(&[("m", &["a24"][..])], OrderKind::Load, Some("a22"), false)]
+#[case::model_there(&[("m", &[][..])], OrderKind::Unload, None, false)]
+#[case::model_gone(&[("n", &[][..])], OrderKind::Unload, None, true)]
+#[case::model_loaded(&[("m", &[][..])], OrderKind::Load, None, true)]
+#[case::model_missing(&[("n", &[][..])], OrderKind::Load, None, false)]
+fn late_attributed(
+    #[case] held: &[(&str, &[&str])],
+    #[case] kind: OrderKind,
+    #[case] adapter: Option<&str>,
+    #[case] expected: bool,
+) {
+    let model: ModelName = "m".into();
+    let adapter = adapter.map(Into::into);
+    assert_eq!(is_carried_out(&report(held), &kind, &model, adapter.as_ref()), expected);
+}
