lease_keeper: give the lease up again at once where a renewal came first

Change: up to three tries 20 ms apart, and no renewal while the lease is being given up. Test: leaving_silent states it.

--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -32,6 +32,8 @@
 const ORDER_SLACK: Duration = Duration::from_millis(150);
 /// Time between looks at a lease that a peer holds.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Time between looks while the lease is being given up: a renewal would come before that.
+const LEAVE_LOOK: Duration = Duration::from_millis(20);
 /// A failed renewal shows for this long that the store is away: a silent store shows it once a call's
 /// time limit of a second, and a slow host takes its time in between.
 const OUTAGE_SHOWN: Duration = Duration::from_secs(3);
@@ -248,6 +250,9 @@
             return Step::Read;
         };
         if let Some(held) = self.held {
+            if held.leaving {
+                return Step::Sleep(now + LEAVE_LOOK);
+            }
             let due = held.sent + RENEW_EVERY;
             // A record says nothing of orders while those before are unknown.
             let is_due = !self.fenced && now >= held.orders_from && self.recent.is_due();
--- a/lib/src/serve/lease_keeper.rs
+++ b/lib/src/serve/lease_keeper.rs
@@ -21,6 +21,11 @@
 /// Time between looks while this daemon may not bid.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// Tries to give the lease up in a row, where renewals that are on their way come first.
+const RELEASE_TRIES: usize = 3;
+/// Time between them: a renewal's answer takes some milliseconds.
+const RELEASE_PAUSE: Duration = Duration::from_millis(20);
+
 /// Carries out what the tenure decides.
 #[derive(Debug)]
 pub struct LeaseKeeper {
@@ -157,8 +162,19 @@
     /// Gives the lease up, so that another daemon can take it at once; does nothing where it is not
     /// held or the store does not answer.
     pub async fn release(&self) {
+        for _ in 0..RELEASE_TRIES {
+            if !self.try_release().await {
+                return;
+            }
+            sleep(RELEASE_PAUSE).await;
+        }
+    }
+
+    /// Returns whether another try is worth it: a renewal that was on its way came first.
+    async fn try_release(&self) -> bool {
         let entry = &self.entry;
-        let Some((at, record)) = entry.tenure.borrow_mut().release(entry.now()) else { return };
+        let released = entry.tenure.borrow_mut().release(entry.now());
+        let Some((at, record)) = released else { return false };
         let value = Some(entries::write(&record));
         let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT), value };
         let call = entry.store.append(Feed::Leases, feed_record, Some(at));
@@ -171,5 +187,6 @@
             entry.tenure.borrow_mut().kept();
         }
         self.gossip.tell_digest();
+        matches!(result, Err(StoreError::Moved))
     }
 }
--- a/lib/tests/test_handover.rs
+++ b/lib/tests/test_handover.rs
@@ -162,6 +162,7 @@
     fleet.change(&mut a, ORDERED, ms(100));
     a.release(ms(200)).expect("held");
     assert_eq!(a.fence_for(ORDERED, ms(200)), None);
+    assert!(matches!(a.next(ms(900), None), Step::Sleep(_)), "a renewal would come first");
     a.kept();
     assert_eq!(a.fence_for(ORDERED, ms(300)), Some(1));
 }
