--- a/lib/src/picture/directory.rs
+++ b/lib/src/picture/directory.rs
@@ -36,8 +36,7 @@
 const SUSPENDED_FOR: Duration = Duration::from_secs(4);
 /// A server whose entry ended and came back is used again after the entry has stood for this long. It may
 /// be a last heartbeat that reached a slow store after the server had left. Such an entry ends after three
-/// heartbeats without another, 4.5 s after it came in where that was measured, and no request must reach
-/// that server.
+/// heartbeats without another, and no request must reach that server.
 const BACK_AFTER: Duration = Duration::from_secs(6);
 
 /// A model that a backend server holds.
--- a/lib/src/place.rs
+++ b/lib/src/place.rs
@@ -5,6 +5,7 @@
 pub mod demand;
 pub mod entries;
 mod fetching;
+mod lease_feed;
 pub mod ledger;
 pub mod load_trust;
 pub mod offers;
--- a/lib/src/place/offers.rs
+++ b/lib/src/place/offers.rs
@@ -20,8 +20,8 @@
 /// Arrivals a second of a model from which it counts as busy: it is then asked for about as often
 /// as a load takes, so it must stay loaded.
 pub const BUSY_RATE: f64 = 0.5;
-/// Arrivals a second that one replica of a busy model serves before another is added. Reading a
-/// prompt keeps an engine's batch busy for some 75 ms; at four a second a third of its time.
+/// Arrivals a second that one replica of a busy model serves before another is added: reading their prompts takes a
+/// third of its time.
 const RATE_PER_REPLICA: f64 = 4.0;
 /// Part of an engine's slots that a model's requests may fill before another replica is added: a full
 /// batch makes new requests wait for a slot, and the load of a replica takes as long as some requests.
@@ -34,7 +34,7 @@
 /// Worth of a second of waiting, compared with an eviction's expected loss in requests a second.
 const LOSS_SECONDS: f64 = 8.0;
 /// Worth of a second of waiting, compared with one arrival a second at the engine. Each prompt stops the streams there
-/// for some 60 ms: at three arrivals a second 6 of 100 streams had a pause that makes them late, at five 24.
+/// for a while, and pauses make them late.
 const CROWD_SECONDS: f64 = 0.3;
 /// Part of its rate that a model loses with one of several replicas.
 const SPARE_PART: f64 = 0.1;
@@ -165,7 +165,7 @@
 
     /// What a load that begins later at an engine costs beside its time: something makes way there as well, though it
     /// is not known yet what. Taken for nothing, it let models wait for a host at work while another one with a copy
-    /// could begin: at 100 loads under way some 45 further models waited so.
+    /// could begin.
     fn later_price(
         &self,
         engine: &Engine,
--- a/lib/src/place/store_pace.rs
+++ b/lib/src/place/store_pace.rs
@@ -16,8 +16,8 @@
 
 /// Loads at once at most: more would take engines out of service for callers who wait elsewhere.
 const MOST: usize = 4;
-/// Loads at once beside those that are proven, as a trial: one alone would show nothing, and more would all take
-/// longer where the store serves no more, up to half a minute each.
+/// Loads at once beside those that are proven, to find out whether the store serves more: each further one would make
+/// all of them longer where it does not.
 const TRIAL: usize = 1;
 /// Part of a load's time after which an end counts as punctual: loads of one size differ a little.
 const DONE: f64 = 0.85;
@@ -45,7 +45,7 @@
 }
 
 impl StoreShare {
-    /// Returns how many loads at once to run: all that are proven, and one more as a trial.
+    /// Returns how many loads at once to run: all that are proven, and one more to find out.
     pub fn parallel(self) -> usize {
         (self.proven + TRIAL).min(self.limit).max(1)
     }
--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -25,7 +25,7 @@
 /// Time between renewals: two may fail before the lease ends.
 const RENEW_EVERY: Duration = Duration::from_millis(500);
 /// Time between tries while the store does not answer.
-const RETRY_EVERY: Duration = Duration::from_millis(300);
+pub(super) const RETRY_EVERY: Duration = Duration::from_millis(300);
 /// Added to a holder's validity before another daemon bids, for clocks that differ in rate.
 const MARGIN: Duration = Duration::from_millis(150);
 /// Added to the time between two holders' orders to one engine: an order takes a while to arrive.
@@ -40,17 +40,17 @@
 
 /// What the holder of the lease has.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Held {
-    fence: Fence,
+pub(super) struct Held {
+    pub(super) fence: Fence,
     /// When the newest acknowledged append was sent.
-    sent: Moment,
+    pub(super) sent: Moment,
     /// Where the feed ended after it.
-    end: Offset,
+    pub(super) end: Offset,
     /// No order at all before this: the last holder did not say which engines it ordered.
-    orders_from: Moment,
+    pub(super) orders_from: Moment,
     /// Whether it is being given up where engines check no fences: another daemon may hold it and order already,
     /// before the store's answer comes.
-    leaving: bool,
+    pub(super) leaving: bool,
 }
 
 /// What a holder tells its peers of its lease.
@@ -75,39 +75,39 @@
     Sleep(Moment),
 }
 
-/// One daemon's view of the lease.
+/// One daemon's view of the lease. `lease_feed` takes in what it reads of the feed.
 #[derive(Debug)]
 pub struct Tenure {
     me: DaemonId,
-    process: ProcessId,
+    pub(super) process: ProcessId,
     /// Where this daemon takes messages, and when its process began to.
     seat: Option<(SocketAddr, Moment)>,
     /// Whether engines refuse orders under an old fencing number.
-    fenced: bool,
+    pub(super) fenced: bool,
     /// How long orders of two holders must lie apart where engines do not check.
-    apart: Duration,
+    pub(super) apart: Duration,
     /// How much longer this daemon waits than others before it bids.
     patience: Duration,
     /// Where the feed ends, as far as read; none where it has to be read.
-    end: Option<Offset>,
+    pub(super) end: Option<Offset>,
     /// The newest record.
-    entry: Option<LeaseEntry>,
+    pub(super) entry: Option<LeaseEntry>,
     /// Until when another's lease may be valid.
-    others_until: Moment,
+    pub(super) others_until: Moment,
     /// The newest claim of another daemon.
-    heard: Option<HeardTenure>,
+    pub(super) heard: Option<HeardTenure>,
     /// Whether the last look found a holder among the peers.
     followed: bool,
-    held: Option<Held>,
+    pub(super) held: Option<Held>,
     /// An append without a clear answer: when it was sent first, and the end that it named.
-    unsettled: Option<(Moment, Offset)>,
+    pub(super) unsettled: Option<(Moment, Offset)>,
     /// When the store last failed to answer.
-    outage: Option<Moment>,
-    retry_at: Moment,
+    pub(super) outage: Option<Moment>,
+    pub(super) retry_at: Moment,
     /// What is known of the weight store: the holder's own word, else that of the newest record.
-    share: StoreShare,
+    pub(super) share: StoreShare,
     /// Engines that were ordered lately; kept where engines do not check fencing numbers.
-    recent: RecentOrders,
+    pub(super) recent: RecentOrders,
     /// Whether the last bid knew which engines the holder before had ordered.
     is_handed: bool,
 }
@@ -368,91 +368,6 @@
         self.entry = Some(self.record(Some(fence), offset, now));
     }
 
-    /// Takes in that the feed ended elsewhere: somebody else, or an older append of ours, was first.
-    pub fn moved(&mut self) {
-        self.outage = None;
-        self.end = None;
-    }
-
-    /// Takes in that the store did nothing.
-    pub fn refused(&mut self, now: Moment) {
-        self.outage = Some(now);
-        self.retry_at = now + RETRY_EVERY;
-    }
-
-    /// Takes in that an append sent at `sent` had no answer: only reading tells what happened.
-    pub fn doubtful(&mut self, sent: Moment, now: Moment) {
-        self.refused(now);
-        if let Some(end) = self.end.take() {
-            // Of several appends at one end the first may be the one that landed.
-            self.unsettled = self.unsettled.filter(|(_, at)| *at == end).or(Some((sent, end)));
-        }
-    }
-
-    /// Takes in the newest record that can be read and the feed's end.
-    pub fn read(&mut self, now: Moment, entry: Option<LeaseEntry>, end: Offset) {
-        self.outage = None;
-        let grew = self.end != Some(end);
-        self.end = Some(end);
-        // An append lands where the feed ended or never: it has done so, or the feed has grown past it.
-        let settled = self.unsettled.take_if(|(_, at)| end > *at);
-        match &entry {
-            None if end > 0 => self.read_hidden(now, grew),
-            Some(e) if e.process == self.process && !e.released => {
-                // Without the same offset the record is an older one of this daemon.
-                if let Some((sent, at)) = settled.filter(|(_, at)| e.at == Some(*at)) {
-                    self.settle(e.fence, sent, now, at + 1);
-                }
-            }
-            _ => self.read_other(now, entry.as_ref(), end, grew),
-        }
-        self.entry = entry;
-    }
-
-    /// The newest record is another's or there is none.
-    fn read_other(&mut self, now: Moment, entry: Option<&LeaseEntry>, end: Offset, grew: bool) {
-        self.lost();
-        self.share = entry.map_or(self.share, |e| e.share);
-        let at = entry.and_then(|e| e.at);
-        let before = self.entry.as_ref().and_then(|e| e.at);
-        // Records of other keys do not renew the lease.
-        let is_new = if at.is_some() && before.is_some() { at != before } else { grew };
-        // The holder told until when the record is valid, unless it wrote a later one, perhaps just
-        // before this read.
-        let is_told = self.heard.is_some_and(|h| h.end == at.map_or(end, |at| at + 1));
-        if entry.is_some_and(|e| !e.released) && is_new && !is_told {
-            self.others_until = self.others_until.max(now + VALID);
-        }
-    }
-
-    /// Another writer's record hides that of the lease: anybody may have it.
-    ///
-    /// While this daemon's own renewal is valid nobody else has bid, so it goes on. After that it must
-    /// not: another may have taken over. Who does not hold the lease waits as if it had been renewed.
-    fn read_hidden(&mut self, now: Moment, grew: bool) {
-        self.held = self.held.filter(|h| now < h.sent + VALID);
-        if self.held.is_none() && grew {
-            self.others_until = self.others_until.max(now + VALID);
-        }
-    }
-
-    /// An append of ours that had no answer did land; the feed ended at `end` after it.
-    fn settle(&mut self, fence: Option<Fence>, sent: Moment, now: Moment, end: Offset) {
-        let fence = fence.unwrap_or(end);
-        match &mut self.held {
-            Some(held) if held.fence == fence => {
-                held.sent = held.sent.max(sent);
-                held.end = end;
-            }
-            _ => {
-                let wait = if self.fenced { Duration::ZERO } else { self.apart };
-                self.recent.forget();
-                self.held =
-                    Some(Held { fence, sent, end, orders_from: now + wait, leaving: false });
-            }
-        }
-    }
-
     /// Takes in proof that another daemon has a later lease.
     pub fn lost(&mut self) {
         if self.held.take().is_some() {
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -50,11 +50,10 @@
 use crate::store::Feed;
 use crate::store::Store;
 
-/// Megabits a second from which a host's link carries the lease holder's word to a fleet of 72
-/// daemons: it was measured at 5, in bursts, beside the reports of 90 engines and callers' streams.
+/// Megabits a second from which a host's link carries the lease holder's word to a fleet of many daemons, which comes
+/// in bursts, beside engines' reports and callers' streams.
 const HOLDER_LINK: f64 = 50.0;
-/// Part of a core that the holder of such a fleet has to spare for plans: 0.05 was measured in its
-/// heaviest seconds, beside callers' requests.
+/// Part of a core from which a host can hold the lease of such a fleet: its plans come beside callers' requests.
 const HOLDER_CORE: f64 = 0.2;
 /// Numbers that a process's identity is drawn from, where it stands for chance.
 const DRAWS: u64 = 1000;
