--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -275,7 +275,7 @@
         self.engines.get_mut(&start.id).filter(|e| e.server.born == start.born)
     }
 
-    /// Returns whether an engine may carry out an order now that its change has not waited for.
+    /// Returns whether an engine may still carry out an order of a change that was given up.
     pub fn has_strays(&self, id: &ServerId, now: Moment) -> bool {
         let own = self.engines.get(id).map_or(Moment::ZERO, |e| e.stray_until);
         now < own.max(self.stray_until)
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -99,8 +99,8 @@
 
     /// Gives one order until it is accepted.
     ///
-    /// The change that it belongs to must have been announced. Every try expects the same number of accepted orders, so that only one of them can be carried
-    /// out, however late an unanswered one arrives.
+    /// The change that it belongs to must have been announced. Every try expects the same number of accepted
+    /// orders, so that only one of them can be carried out, however late an unanswered one arrives.
     ///
     /// # Errors
     ///
--- a/lib/src/serve/model_orders.rs
+++ b/lib/src/serve/model_orders.rs
@@ -95,26 +95,45 @@
         });
         self.publish(server, &job.model, fence);
         self.doze(server, accepted + time.saturating_sub(REPORT_LAG)).await?;
-        let known = accepted + self.copy_time(server, job).unwrap_or(time + OVERDUE);
+        let known = self.copy_time(server, job).map(|time| accepted + time);
+        self.await_end(server, job, known, fence).await
+    }
+
+    /// Waits until a load has ended: as a report tells, or at the moment that is known where loads end on time.
+    async fn await_end(
+        self: &Rc<Self>,
+        server: &ServerStart,
+        job: &Job,
+        known: Option<Moment>,
+        fence: Fence,
+    ) -> Result<(), OrderFailure> {
+        let eta = self.with_engine(server, |e| e.job.as_ref().map(|job| job.eta)).flatten();
+        let eta = eta.unwrap_or(job.eta);
         loop {
             if self.entry.standing() != Some(fence) {
                 return Err(OrderFailure::LeaseLost);
             }
-            let is_trusted = self.desk.borrow().trust.is_given(self.entry.now());
-            if is_trusted && self.entry.now() >= known {
-                self.verify(server, &job.model, known);
-                return Ok(());
-            }
-            if is_trusted && job.source == Source::Disk {
-                // Until then a report could only tell of the time before.
-                self.doze(server, known).await?;
-                continue;
+            if let Some(known) = known
+                && self.desk.borrow().trust.is_given(self.entry.now())
+            {
+                if self.entry.now() >= known {
+                    self.verify(server, &job.model, known, fence);
+                    return Ok(());
+                }
+                if job.source == Source::Disk {
+                    // Until then a report could only tell of the time before.
+                    self.doze(server, known).await?;
+                    continue;
+                }
             }
             if let Some(report) = self.engines.report(server).await
                 && !report.busy
                 && holds(&report, &job.model)
             {
-                self.note_end(job.source, known);
+                if job.source == Source::Disk {
+                    let now = self.entry.now();
+                    self.desk.borrow_mut().trust.ended(now.saturating_sub(eta), now);
+                }
                 return Ok(());
             }
             if self.entry.now() > eta + OVERDUE {
@@ -125,21 +144,13 @@
         }
     }
 
-    /// Takes in that a report told of a load's end.
-    fn note_end(&self, source: Source, due: Moment) {
-        if source == Source::Disk {
-            let now = self.entry.now();
-            self.desk.borrow_mut().trust.ended(now.saturating_sub(due), now);
-        }
-    }
-
     /// Looks in reports whether a load that was taken to have ended has done so; the engine is doubted where not.
-    fn verify(self: &Rc<Self>, server: &ServerStart, model: &ModelName, due: Moment) {
+    fn verify(self: &Rc<Self>, server: &ServerStart, model: &ModelName, due: Moment, fence: Fence) {
         let (orders, server, model) = (Rc::clone(self), server.clone(), model.clone());
         spawn_local(async move {
             let until = due + LoadTrust::limit();
             sleep(REPORT_LAG).await;
-            loop {
+            while orders.entry.standing() == Some(fence) {
                 let report = orders.engines.report(&server).await;
                 let now = orders.entry.now();
                 let is_there = report.as_ref().is_some_and(|r| holds(r, &model));
@@ -158,7 +169,7 @@
                         engine.unloaded(&model);
                         engine.confirmed = false;
                     });
-                    orders.entry.plan.notify_one();
+                    orders.publish(&server, &model, fence);
                     return;
                 }
                 if now > until + OVERDUE {
