--- a/lib/tests/test_handover.rs
+++ b/lib/tests/test_handover.rs
@@ -167,6 +167,24 @@
     assert_eq!(a.fence_for(ORDERED, ms(300)), Some(1));
 }
 
+/// A renewal is on its way when the holder gives the lease up, and comes first. An engine whose change began in between is in
+/// no record of the feed: ordered all the same, it would get the successor's orders a moment later.
+#[test]
+fn release_unlists() {
+    let mut fleet = Fleet::default();
+    let mut a = Fleet::daemon(1, false);
+    fleet.settle(&mut a, ms(0));
+    let Step::Append(_, renewal) = a.next(ms(600), None) else { panic!("a renewal was due") };
+    a.begin_orders(1, ORDERED, ms(601));
+    a.release(ms(602)).expect("held");
+    let offset = fleet.append(renewal);
+    a.appended(ms(600), ms(603), offset);
+    a.kept();
+    assert_eq!(a.fence_for(ORDERED, ms(604)), None);
+    fleet.settle(&mut a, ms(610));
+    assert_eq!(a.fence_for(ORDERED, ms(610)), Some(1));
+}
+
 /// A daemon of an older version held the lease: its records say nothing of orders, so all engines are left alone.
 #[test]
 fn unsaid_awaited() {
