recent_orders: giving the lease up proposes nothing to a renewal that is on its way

Cause: the release's record replaced what the renewal in flight had proposed to list. The renewal's answer then let engines be ordered that no record in the feed listed, where the release was refused and the lease kept for another 20 ms: a successor that followed at once would not have left them alone. Mend: the release withdraws the proposal, so the next record lists them first (release_unlists fails before, holds now).

--- a/lib/src/place/recent_orders.rs
+++ b/lib/src/place/recent_orders.rs
@@ -171,6 +171,11 @@
         Some(own.chain(inherited).collect())
     }
 
+    /// Takes back what the newest record proposed: it is no renewal, and a renewal on its way may not list the same.
+    pub fn withdraw(&mut self) {
+        self.proposed = Some(HashSet::new());
+    }
+
     /// Takes in that the record of the newest notes is in the feed.
     pub fn acknowledged(&mut self) {
         self.listed.clone_from(&self.proposed);
--- a/lib/src/place/tenure.rs
+++ b/lib/src/place/tenure.rs
@@ -330,6 +330,7 @@
         let held = self.held.filter(|h| now < h.sent + VALID)?;
         let end = self.end?;
         let entry = LeaseEntry { released: true, ..self.record(Some(held.fence), end, now) };
+        self.recent.withdraw();
         self.held = Some(Held { leaving: !self.fenced, ..held });
         Some((end, entry))
     }
