engine_orders: log each reply to an order, and what a report says

What callers saw: an overfilled engine. The log could not tell an unloading that the engine carried out from one that it found done, nor which order of a change was unanswered, nor what a report said when the holder took it over. Each reply and each read of an engine in doubt is now a line (order-answered, order-given-up, engine-read); order-unanswered names the order. No change of behaviour.

--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -85,6 +85,16 @@
     Unload,
 }
 
+impl OrderKind {
+    /// Returns its name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+        }
+    }
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug)]
 pub struct EngineOrder {
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -151,16 +151,24 @@
             let reply = match answer {
                 Ok((status, _)) => {
                     silent = 0;
-                    entry.protocol.order_reply(status)
+                    let reply = entry.protocol.order_reply(status);
+                    self.log_reply(server, &order, tries, reply);
+                    reply
                 }
-                Err(_) if silent + 1 >= SILENT_TRIES => {
+                Err(error) if silent + 1 >= SILENT_TRIES => {
+                    slog::info!(entry.log, "order-given-up"; "server" => %server,
+                        "op" => kind.name(), "model" => model.as_str(),
+                        "adapter" => adapter.map_or("-", SmolStr::as_str), "expect" => expect,
+                        "error" => %error);
                     entry.note_health(&target.service, server, Evidence::Unreachable);
                     return Err(OrderFailure::Silent);
                 }
                 Err(error) => {
                     silent += 1;
                     slog::info!(entry.log, "order-unanswered"; "server" => %server,
-                        "model" => model.as_str(), "expect" => expect, "error" => %error);
+                        "op" => kind.name(), "model" => model.as_str(),
+                        "adapter" => adapter.map_or("-", SmolStr::as_str), "expect" => expect,
+                        "error" => %error);
                     *unanswered |= error == CallError::Unanswered;
                     sleep(BUSY_PAUSE).await;
                     continue;
@@ -201,6 +209,19 @@
         Err(OrderFailure::Silent)
     }
 
+    fn log_reply(
+        &self,
+        server: &ServerStart,
+        order: &EngineOrder,
+        tries: usize,
+        reply: OrderReply,
+    ) {
+        slog::info!(self.entry.log, "order-answered"; "server" => %server, "op" => order.kind.name(),
+            "model" => order.model.as_str(), "adapter" => order.adapter.as_deref().unwrap_or("-"),
+            "expect" => order.expect, "fence" => order.fence, "tries" => tries + 1,
+            "reply" => ?reply);
+    }
+
     /// Announces a change at an engine: its orders are given while the guard lives.
     pub fn announce(&self, server: &ServerStart, fence: Fence) -> ChangeGuard {
         ChangeGuard::new(&self.entry, engine_key(&server.id), fence)
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -14,6 +14,7 @@
 use crate::ids::ModelName;
 use crate::ids::ServerId;
 use crate::picture::configuration::Configuration;
+use crate::picture::directory::HeldModel;
 use crate::picture::server_start::ServerStart;
 use crate::place::demand::Demand;
 use crate::place::ledger::AdapterJob;
@@ -47,6 +48,12 @@
 /// Part of the time that plans may take.
 const PLAN_PART: u32 = 4;
 
+/// Writes models and their adapters for the log.
+fn held_names(models: &[HeldModel]) -> String {
+    let name = |m: &HeldModel| format!("{}[{}]", m.name, m.adapters.join(","));
+    models.iter().map(name).collect::<Vec<_>>().join(",")
+}
+
 /// The holder's own state.
 #[derive(Debug)]
 pub(super) struct Desk {
@@ -218,6 +225,11 @@
         if engine.job.is_some() || !engine.adapters.is_empty() {
             return;
         }
+        if let Some(report) = report {
+            slog::info!(entry.log, "engine-read"; "server" => %start, "sequence" => report.sequence,
+                "believed" => engine.sequence, "busy" => report.busy,
+                "holds" => held_names(&report.models));
+        }
         match report {
             Some(report) if !report.busy && report.sequence >= engine.sequence => {
                 engine.confirm(report);
