serve: calls to engines and the host's clock stand behind traits

No change of behaviour. Ruled out: a model of the orders beside the code, which would have had to be kept like it.

--- a/cli/src/entry.rs
+++ b/cli/src/entry.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+use comfreymux_lib::boot_clock::BootClock;
 use comfreymux_lib::logging;
 use comfreymux_lib::serve::entry::Entry;
 use comfreymux_lib::serve::entry::EntrySettings;
@@ -39,8 +40,10 @@
     let store = Rc::new(PlatformStore::new(file.store()));
     let log = logging::to_stdout();
     let protocol = Rc::new(PlatformProtocol);
+    let process = rand::random();
+    let clock = Rc::new(BootClock);
     let entry =
-        Entry::new(settings, rand::random(), protocol, store, Pool::default(), log.logger());
+        Entry::new(settings, process, protocol, store, Pool::default(), log.logger(), clock);
     let result = LocalSet::new().block_on(&runtime, life::run(entry, Rc::new(file)));
     log.flush();
     result
--- a/lib/src/boot_clock.rs
+++ b/lib/src/boot_clock.rs
@@ -5,6 +5,8 @@
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 
+use crate::host_clock::HostClock;
+
 /// Time since this host started, time in suspension included.
 pub type Moment = Duration;
 
@@ -15,9 +17,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BootClock;
 
-impl BootClock {
-    /// Returns the time since this host's start.
-    pub fn now(self) -> Moment {
+impl HostClock for BootClock {
+    fn now(&self) -> Moment {
         let time = clock_gettime(ClockId::Boottime);
         Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod gateway;
 pub mod hints;
 pub mod host;
+pub mod host_clock;
 pub mod host_list;
 pub mod ids;
 pub mod job;
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -21,8 +21,8 @@
 use crate::protocol::OrderKind;
 use crate::protocol::OrderReply;
 use crate::serve::call::CallError;
-use crate::serve::call::call;
 use crate::serve::change_guard::ChangeGuard;
+use crate::serve::engine_calls::EngineCalls;
 use crate::serve::entry::Entry;
 use crate::serve::observe;
 
@@ -61,12 +61,13 @@
 #[derive(Debug)]
 pub struct EngineOrders {
     entry: Rc<Entry>,
+    calls: Rc<dyn EngineCalls>,
 }
 
 impl EngineOrders {
     /// Gives orders for a daemon.
-    pub fn new(entry: Rc<Entry>) -> Self {
-        Self { entry }
+    pub fn new(entry: Rc<Entry>, calls: Rc<dyn EngineCalls>) -> Self {
+        Self { entry, calls }
     }
 
     /// Calls `f` with the ledger's page on one start of an engine, where there is one.
@@ -147,7 +148,7 @@
                 fence,
             };
             let request = entry.protocol.order(&target, &order);
-            let answer = call(&entry.pool, server, target.addr, request, ANSWER_LIMIT).await;
+            let answer = self.calls.call(server, target.addr, request, ANSWER_LIMIT).await;
             let reply = match answer {
                 Ok((status, _)) => {
                     silent = 0;
@@ -281,7 +282,7 @@
         let entry = &self.entry;
         let server = self.target(start).ok()?;
         let request = entry.protocol.report(&server);
-        let answer = call(&entry.pool, start, server.addr, request, ANSWER_LIMIT).await;
+        let answer = self.calls.call(start, server.addr, request, ANSWER_LIMIT).await;
         match answer {
             Ok((status, body)) if status.is_success() => {
                 let report = entry.protocol.read_report(&body);
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -11,8 +11,8 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
-use crate::boot_clock::BootClock;
 use crate::boot_clock::Moment;
+use crate::host_clock::HostClock;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
 use crate::ids::Fence;
@@ -122,7 +122,7 @@
     /// This process.
     pub process: ProcessId,
     /// The clock.
-    pub clock: BootClock,
+    clock: Rc<dyn HostClock>,
     /// What callers, servers and the platform speak.
     pub protocol: Rc<dyn Protocol>,
     /// The platform's store.
@@ -206,6 +206,7 @@
         store: Rc<dyn Store>,
         pool: Pool,
         log: Logger,
+        clock: Rc<dyn HostClock>,
     ) -> Rc<Self> {
         let peers = PeerTable::new(settings.readers_from);
         // Set anew before each bid.
@@ -216,7 +217,7 @@
             budget: RefCell::new(Budget::new(settings.budget)),
             settings: RefCell::new(Rc::new(settings)),
             process,
-            clock: BootClock,
+            clock,
             protocol,
             store,
             pool,
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -22,6 +22,7 @@
 use crate::serve::orders::Orders;
 use crate::serve::picture_relay;
 use crate::serve::planned_stop::PlannedStop;
+use crate::serve::pooled_calls::PooledCalls;
 use crate::serve::socket;
 
 /// Time between looks at what is in progress.
@@ -57,7 +58,8 @@
     let peers = socket::listen(settings.peer)?;
     entry.tenure.borrow_mut().sit(settings.peer, entry.now());
     let gossip = Gossip::new(Rc::clone(entry), socket::datagrams(settings.peer)?);
-    let orders = Orders::new(Rc::clone(entry), Rc::clone(&gossip));
+    let calls = Rc::new(PooledCalls::new(Rc::clone(entry)));
+    let orders = Orders::new(Rc::clone(entry), Rc::clone(&gossip), calls);
     let lease = LeaseKeeper::new(Rc::clone(entry), Rc::clone(&gossip));
     slog::info!(entry.log, "start"; "id" => settings.id.as_str(), "process" => entry.process,
         "centre" => settings.centre.as_str(), "front" => %settings.front,
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -27,6 +27,7 @@
 use crate::place::recent_orders::engine_key;
 use crate::place::store_pace::StorePace;
 use crate::protocol::EngineReport;
+use crate::serve::engine_calls::EngineCalls;
 use crate::serve::engine_orders::EngineOrders;
 use crate::serve::engine_orders::STRAY;
 use crate::serve::entry::Entry;
@@ -82,7 +83,7 @@
 
 impl Orders {
     /// Starts without the lease.
-    pub fn new(entry: Rc<Entry>, gossip: Rc<Gossip>) -> Rc<Self> {
+    pub fn new(entry: Rc<Entry>, gossip: Rc<Gossip>, calls: Rc<dyn EngineCalls>) -> Rc<Self> {
         let desk = Desk {
             fence: None,
             pace: StorePace::new(Moment::ZERO),
@@ -91,7 +92,7 @@
             told: Moment::ZERO,
             reading: Vec::new(),
         };
-        let engines = EngineOrders::new(Rc::clone(&entry));
+        let engines = EngineOrders::new(Rc::clone(&entry), calls);
         Rc::new(Self { entry, gossip, engines, desk: RefCell::new(desk) })
     }
 
--- /dev/null
+++ b/lib/src/serve/pooled_calls.rs
@@ -0,0 +1,40 @@
+//! Calls to engines over a daemon's kept connections.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+
+use crate::picture::server_start::ServerStart;
+use crate::serve::call::call;
+use crate::serve::engine_calls::CallResult;
+use crate::serve::engine_calls::EngineCalls;
+use crate::serve::entry::Entry;
+use crate::store::LocalFuture;
+
+/// Calls engines over the connections of a daemon.
+#[derive(Debug)]
+pub struct PooledCalls {
+    entry: Rc<Entry>,
+}
+
+impl PooledCalls {
+    /// Uses the connections of a daemon.
+    pub fn new(entry: Rc<Entry>) -> Self {
+        Self { entry }
+    }
+}
+
+impl EngineCalls for PooledCalls {
+    fn call<'a>(
+        &'a self,
+        engine: &'a ServerStart,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> LocalFuture<'a, CallResult> {
+        Box::pin(call(&self.entry.pool, engine, addr, request, limit))
+    }
+}
