planner: changes of an engine under way have victims of their own

Cause: the choice of an adapter that makes way did not know the victims of changes that wait for their turn at the engine. Change: an adapter under way names its victim, and the choice passes over these. victims_distinct failed before (a1 twice).

--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -64,6 +64,8 @@
     pub model: ModelName,
     /// The adapter.
     pub adapter: SmolStr,
+    /// Model and adapter that make way.
+    pub victim: Option<(ModelName, SmolStr)>,
     /// When it should be done.
     pub eta: Moment,
 }
@@ -142,6 +144,12 @@
         self.adapters.iter().any(|a| a.model == model && a.adapter == adapter)
     }
 
+    /// Returns whether an adapter makes way for one that is under way.
+    pub fn is_leaving(&self, model: &str, adapter: &str) -> bool {
+        let mut victims = self.adapters.iter().filter_map(|job| job.victim.as_ref());
+        victims.any(|(m, a)| m == model && a == adapter)
+    }
+
     /// Returns where it would load a model from.
     pub fn source(&self, model: &str) -> Source {
         if self.memory.iter().any(|m| m == model) {
--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -271,10 +271,11 @@
         })
     }
 
-    /// The adapter of an engine that is asked for least.
+    /// The adapter of an engine that is asked for least, of those that no change under way takes.
     fn adapter_victim(&self, engine: &Engine) -> Option<(ModelName, SmolStr)> {
         let all = engine.models.iter().flat_map(|m| {
-            m.adapters.iter().map(move |a| Item {
+            let stays = |a: &&SmolStr| !engine.is_leaving(&m.name, a);
+            m.adapters.iter().filter(stays).map(move |a| Item {
                 service: engine.server.service.clone(),
                 model: m.name.clone(),
                 adapter: Some(a.clone()),
--- a/lib/src/serve/adapter_orders.rs
+++ b/lib/src/serve/adapter_orders.rs
@@ -3,11 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use smol_str::SmolStr;
 use tokio::time::sleep;
 
 use crate::ids::Fence;
-use crate::ids::ModelName;
 use crate::picture::server_start::ServerStart;
 use crate::place::ledger::AdapterJob;
 use crate::protocol::OrderKind;
@@ -22,15 +20,14 @@
         self: Rc<Self>,
         server: ServerStart,
         job: AdapterJob,
-        victim: Option<(ModelName, SmolStr)>,
         fence: Fence,
     ) {
-        let result = self.carry_out_adapter(&server, &job, victim.as_ref(), fence).await;
+        let result = self.carry_out_adapter(&server, &job, fence).await;
         let entry = &self.entry;
         let now = entry.now();
         slog::info!(entry.log, "adapter"; "server" => %server, "model" => job.model.as_str(),
             "adapter" => job.adapter.as_str(), "result" => ?result,
-            "victim" => victim.as_ref().map_or("-", |(_, a)| a.as_str()));
+            "victim" => job.victim.as_ref().map_or("-", |(_, a)| a.as_str()));
         self.with_engine(&server, |engine| {
             engine.adapters.retain(|a| *a != job);
             match result {
@@ -55,7 +52,6 @@
         &self,
         server: &ServerStart,
         job: &AdapterJob,
-        victim: Option<&(ModelName, SmolStr)>,
         fence: Fence,
     ) -> Result<(), OrderFailure> {
         // Orders to one engine go one after the other: each expects the number of those before.
@@ -66,7 +62,7 @@
             sleep(Duration::from_millis(3)).await;
         }
         let change = self.engines.announce(server, fence);
-        if let Some((model, adapter)) = victim {
+        if let Some((model, adapter)) = &job.victim {
             self.engines.order(server, OrderKind::Unload, model, Some(adapter), fence).await?;
             self.with_engine(server, |engine| {
                 for held in engine.models.iter_mut().filter(|m| m.name == *model) {
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -273,12 +273,12 @@
             Action::Adapter { server, model, adapter, victim } => {
                 let Some(engine) = ledger.engines.get_mut(&server) else { return };
                 let eta = now + ADAPTER_TIME;
-                let job = AdapterJob { model, adapter, eta };
+                let job = AdapterJob { model, adapter, victim, eta };
                 engine.adapters.push(job.clone());
                 let start = engine.server.start();
                 self.desk.borrow_mut().untold.insert(server, TELLINGS);
                 let orders = Rc::clone(self);
-                spawn_local(async move { orders.run_adapter(start, job, victim, fence).await });
+                spawn_local(async move { orders.run_adapter(start, job, fence).await });
             }
         }
     }
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -5,6 +5,7 @@
 use comfreymux_lib::picture::digest::DemandNote;
 use comfreymux_lib::picture::digest::WantNote;
 use comfreymux_lib::picture::loads::Place;
+use comfreymux_lib::place::ledger::AdapterJob;
 use comfreymux_lib::place::ledger::Job;
 use comfreymux_lib::place::ledger::Source;
 use comfreymux_lib::place::planner::Action;
@@ -62,6 +63,26 @@
     assert_eq!(load_of(&site.plan(), "rare"), None);
 }
 
+/// Guards against two changes of an engine in place of the same adapter: the second one found it gone, and had no place.
+#[test]
+fn victims_distinct() {
+    let mut site = Site::new(&[("a", 70_000, 12)]);
+    let engine = site.engine("e1", &["a"], &[]);
+    engine.models[0].adapters = (1..=8).map(|n| format!("a{n}").into()).collect();
+    engine.adapters = vec![AdapterJob {
+        model: "a".into(),
+        adapter: "a9".into(),
+        victim: Some(("a".into(), "a1".into())),
+        eta: NOW,
+    }];
+    site.want("a", Some("a10"));
+    let plan = site.plan();
+    let Some(Action::Adapter { victim: Some((_, victim)), .. }) = plan.first() else {
+        panic!("an adapter in place of another: {plan:?}");
+    };
+    assert_ne!(victim, "a1");
+}
+
 /// Requests run on one of two possible victims; its unloading would wait for them.
 #[test]
 fn idle_victim() {
--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -296,8 +296,12 @@
     engine.sequence = 12;
     engine.confirmed = true;
     engine.job = Some(job);
-    engine.adapters =
-        vec![AdapterJob { model: "hem".into(), adapter: "a1".into(), eta: ms(6_000) }];
+    engine.adapters = vec![AdapterJob {
+        model: "hem".into(),
+        adapter: "a1".into(),
+        victim: None,
+        eta: ms(6_000),
+    }];
     engine.used.insert("hem".into(), ms(0));
     put(&mut directory, server(Some(SECOND), 1, &[]), 1_000);
     assert_eq!(site.ledger.follow(&directory, &site.config), [start(FIRST)]);
