engine_orders: no order without a known state of the engine that it fits

Cause, the main one: an unloading that finds nothing to unload is answered like one that was carried out (200), and is not counted by the engine; the holder counted it. It came to that since changes that wait for their turn at an engine went on after the one ahead of them was given up, with a victim that was gone. From then on the holder's number was one ahead of the engine's, and a late order of the earlier change made it come true with another adapter loaded.

Change: an order is given only while number and holdings are known to stand together, an unloading only of what is there, a load only of what fits beside it.

--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -135,6 +135,23 @@
         held.is_some_and(|m| m.adapters.iter().any(|a| a == adapter))
     }
 
+    /// Returns whether it holds a model, or an adapter of it where one is named.
+    pub fn has(&self, model: &str, adapter: Option<&SmolStr>) -> bool {
+        adapter.map_or_else(|| self.holds(model), |adapter| self.holds_adapter(model, adapter))
+    }
+
+    /// Returns whether a model, or an adapter of a model that it holds, fits beside what it holds.
+    pub fn has_room(&self, spec: &EngineSpec, model: &str, adapter: Option<&SmolStr>) -> bool {
+        let held: Mebibytes = self.models.iter().map(|m| self.weight(spec, m)).sum();
+        if adapter.is_none() {
+            return held + size(spec, model) <= spec.memory;
+        }
+        let count: usize = self.models.iter().map(|m| m.adapters.len()).sum();
+        self.holds(model)
+            && count < spec.adapter_slots
+            && held + adapters_size(spec, model, 1) <= spec.memory
+    }
+
     /// Returns whether an adapter is under way to it.
     pub fn awaits_adapter(&self, model: &str, adapter: &str) -> bool {
         self.adapters.iter().any(|a| a.model == model && a.adapter == adapter)
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -51,6 +51,8 @@
     LeaseLost,
     /// The engine is not as believed.
     Mismatch,
+    /// What the engine holds is not known, or the order does not fit it: a change before this one failed.
+    Doubted,
     /// The engine does not answer.
     Silent,
     /// The engine is gone or has started again: nothing of the order is left.
@@ -115,7 +117,7 @@
         fence: Fence,
     ) -> Result<(), OrderFailure> {
         let order = EngineOrder {
-            expect: self.with_engine(server, |e| e.sequence).ok_or(OrderFailure::Ended)?,
+            expect: self.expected(server, &kind, model, adapter)?,
             kind,
             model: model.clone(),
             adapter: adapter.cloned(),
@@ -132,6 +134,7 @@
                     self.accepted(server, &order);
                     return Ok(());
                 }
+                // An adapter that nothing runs on is unloaded at once. It was there, by the ledger.
                 Ok(OrderReply::Done) if order.kind == OrderKind::Unload => {
                     self.accepted(server, &order);
                     return Ok(());
@@ -172,6 +175,30 @@
         Err(OrderFailure::Silent)
     }
 
+    /// Returns the number of accepted orders that an order must expect.
+    ///
+    /// Only what the engine is known to hold makes that number a guard: with another state behind it, the order would
+    /// be carried out all the same. And only what is there counts as an order when it is unloaded.
+    fn expected(
+        &self,
+        server: &ServerStart,
+        kind: &OrderKind,
+        model: &ModelName,
+        adapter: Option<&SmolStr>,
+    ) -> Result<u64, OrderFailure> {
+        let config = self.entry.config().ok_or(OrderFailure::Doubted)?;
+        let expect = self.with_engine(server, |engine| {
+            let service = config.services.get(&engine.server.service);
+            let spec = service.and_then(|service| service.engine.as_ref())?;
+            let is_fit = match kind {
+                OrderKind::Load => engine.has_room(spec, model, adapter),
+                OrderKind::Unload => engine.has(model, adapter),
+            };
+            (engine.confirmed && is_fit).then_some(engine.sequence)
+        });
+        expect.ok_or(OrderFailure::Ended)?.ok_or(OrderFailure::Doubted)
+    }
+
     /// Sends an order once; the inner error says why it has no answer.
     async fn try_order(
         &self,
