orders: an engine that counts fewer orders than believed is used again

Cause: a report that counts fewer orders than were answered was taken for one of an earlier time, for ever.

--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -42,6 +42,10 @@
     }
 }
 
+/// Reports in a row that count fewer orders than believed after which they are taken in: their age is many times less
+/// than the time between so many.
+const REPORTS_BEHIND: u8 = 4;
+
 /// A change of models that is under way at an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
@@ -87,6 +91,8 @@
     /// Whether `sequence` and `models` stand together by its report and by answers that followed it. No order is
     /// given without that.
     pub confirmed: bool,
+    /// Reports in a row that counted fewer orders.
+    pub behind: u8,
     /// A change of models under way.
     pub job: Option<Job>,
     /// Whether its last report told of a change that this daemon did not order: the lease holder before did, and it
@@ -116,6 +122,7 @@
             memory: server.copies.memory.clone(),
             disk: server.copies.disk.clone(),
             confirmed: false,
+            behind: 0,
             job: None,
             occupied: false,
             adapters: Vec::new(),
@@ -205,9 +212,20 @@
         self.memory.clone_from(&report.copies.memory);
         self.disk.clone_from(&report.copies.disk);
         self.confirmed = true;
+        self.behind = 0;
         self.occupied = false;
     }
 
+    /// Returns whether a report may be taken in. One that counts fewer orders than were answered is of an earlier
+    /// time, unless the next ones count no more: then the engine has started again under its id.
+    pub fn is_credible(&mut self, report: &EngineReport) -> bool {
+        if report.sequence >= self.sequence {
+            return true;
+        }
+        self.behind += 1;
+        self.behind >= REPORTS_BEHIND
+    }
+
     /// Notes that the engine holds a model now.
     pub fn loaded(&mut self, model: &ModelName, now: Moment) {
         if !self.holds(model) {
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -228,7 +228,7 @@
                 "holds" => held_names(&report.models));
         }
         match report {
-            Some(report) if !report.busy && report.sequence >= engine.sequence => {
+            Some(report) if !report.busy && engine.is_credible(report) => {
                 engine.confirm(report);
                 self.desk.borrow_mut().untold.insert(start.id.clone(), TELLINGS);
                 drop(ledger);
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -109,6 +109,7 @@
             memory: Vec::new(),
             disk: disk.iter().chain(held).map(|m| (*m).into()).collect(),
             confirmed: true,
+            behind: 0,
             job: None,
             occupied: false,
             adapters: Vec::new(),
