planner: an adapter makes way only for one that its memory does for

Cause: the adapter that makes way was chosen without a look at its size: of two models' adapters the smaller one could make way for the larger, and the engine had no room for that (LIMIT), or, since orders must fit what is held, the order would be refused and planned again for ever. Change: only adapters that free what is short are taken. victim_large failed before (a, in place of b).

--- a/lib/src/place/planner.rs
+++ b/lib/src/place/planner.rs
@@ -13,9 +13,12 @@
 use smol_str::SmolStr;
 
 use crate::boot_clock::Moment;
+use crate::ids::Mebibytes;
 use crate::ids::ModelName;
 use crate::ids::ServerId;
 use crate::picture::configuration::Configuration;
+use crate::picture::configuration::EngineSpec;
+use crate::picture::directory::HeldModel;
 use crate::picture::run_times::RunTimes;
 use crate::picture::server_start::ServerStart;
 use crate::picture::work_table::WorkTable;
@@ -260,9 +263,9 @@
     fn adapter_action(&self, engine: &Engine, item: &Item, adapter: &SmolStr) -> Option<Action> {
         let spec = self.offers.spec(&item.service)?;
         let size = spec.models.get(&item.model)?.adapter_size;
-        let fits =
-            engine.adapter_count() < spec.adapter_slots && engine.taken(spec) + size <= spec.memory;
-        let victim = if fits { None } else { Some(self.adapter_victim(engine)?) };
+        let short = (engine.taken(spec) + size).saturating_sub(spec.memory);
+        let fits = engine.adapter_count() < spec.adapter_slots && short == 0;
+        let victim = if fits { None } else { Some(self.adapter_victim(engine, spec, short)?) };
         Some(Action::Adapter {
             server: engine.server.id.clone(),
             model: item.model.clone(),
@@ -271,9 +274,18 @@
         })
     }
 
-    /// The adapter of an engine that is asked for least, of those that no change under way takes.
-    fn adapter_victim(&self, engine: &Engine) -> Option<(ModelName, SmolStr)> {
-        let all = engine.models.iter().flat_map(|m| {
+    /// The adapter of an engine that is asked for least, of those that no change under way takes and that free as much
+    /// memory as is short.
+    fn adapter_victim(
+        &self,
+        engine: &Engine,
+        spec: &EngineSpec,
+        short: Mebibytes,
+    ) -> Option<(ModelName, SmolStr)> {
+        let frees = |m: &&HeldModel| {
+            spec.models.get(&m.name).is_some_and(|model| model.adapter_size >= short)
+        };
+        let all = engine.models.iter().filter(frees).flat_map(|m| {
             let stays = |a: &&SmolStr| !engine.is_leaving(&m.name, a);
             m.adapters.iter().filter(stays).map(move |a| Item {
                 service: engine.server.service.clone(),
--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -83,6 +83,25 @@
     assert_ne!(victim, "a1");
 }
 
+/// Guards against an adapter that makes way for a larger one: its memory did not do, and the engine had no room.
+#[test]
+fn victim_large() {
+    let mut site = Site::new(&[("a", 99_900, 4), ("b", 99_800, 4)]);
+    let engine_spec = site.config.services.get_mut(SERVICE).expect("a service").engine.as_mut();
+    let models = &mut engine_spec.expect("an engine").models;
+    models.get_mut("a").expect("a model").adapter_size = 20;
+    models.get_mut("b").expect("a model").adapter_size = 250;
+    let engine = site.engine("e1", &["a", "b"], &[]);
+    engine.models[0].adapters = vec!["a1".into()];
+    engine.models[1].adapters = vec!["a1".into()];
+    site.want("b", Some("a2"));
+    let plan = site.plan();
+    let Some(Action::Adapter { victim: Some((model, _)), .. }) = plan.first() else {
+        panic!("an adapter in place of another: {plan:?}");
+    };
+    assert_eq!(model, "b");
+}
+
 /// Requests run on one of two possible victims; its unloading would wait for them.
 #[test]
 fn idle_victim() {
