engine_orders: an unloading that another order may have done counts only by a report

Cause: a change that was given up unloaded a model late; the unloading of one of its adapters, next in turn and with the same number expected, found it gone and was answered "done" without being counted. The holder counted it, and believed in the rest of the model. The unloading of that model then was a second order too many, and a late load made its number come true. So it is not enough that what is unloaded was there: nobody else may have taken it. Change: an engine's page notes whether orders that expect its number may still be on their way (a change that was given up, an earlier lease holder); they are in vain once the engine has accepted one that expects it.

--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -91,6 +91,9 @@
     /// Whether `sequence` and `models` stand together by its report and by answers that followed it. No order is
     /// given without that.
     pub confirmed: bool,
+    /// Whether orders that expect `sequence` may still be on their way: of a change that was given up, or of an earlier
+    /// lease holder. Once the engine has accepted an order that expects it, they are in vain.
+    pub strays: bool,
     /// Reports in a row that counted fewer orders.
     pub behind: u8,
     /// A change of models under way.
@@ -122,6 +125,7 @@
             memory: server.copies.memory.clone(),
             disk: server.copies.disk.clone(),
             confirmed: false,
+            strays: true,
             behind: 0,
             job: None,
             occupied: false,
@@ -326,6 +330,7 @@
     pub fn doubt_all(&mut self) {
         for engine in self.engines.values_mut() {
             engine.confirmed = false;
+            engine.strays = true;
         }
     }
 }
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -41,6 +41,8 @@
 const REPORTS: usize = 10;
 /// Longest wait for an engine at work to show whether it carries out an order that it did not answer.
 const SETTLE_LIMIT: Duration = Duration::from_secs(20);
+/// Age of the oldest report that an engine gives.
+const REPORT_AGE: Duration = Duration::from_secs(1);
 /// An engine's report is some hundred milliseconds old.
 pub const REPORT_LAG: Duration = Duration::from_millis(100);
 
@@ -124,6 +126,7 @@
             holder: self.entry.settings().id.clone(),
             fence,
         };
+        let has_strays = self.with_engine(server, |e| e.strays).unwrap_or(true);
         let mut silent = 0;
         let mut unanswered = false;
         let mut pause = BUSY_PAUSE;
@@ -134,8 +137,9 @@
                     self.accepted(server, &order);
                     return Ok(());
                 }
-                // An adapter that nothing runs on is unloaded at once. It was there, by the ledger.
-                Ok(OrderReply::Done) if order.kind == OrderKind::Unload => {
+                // An adapter that nothing runs on is unloaded at once. It was there, by the ledger, and no other order can
+                // have taken it.
+                Ok(OrderReply::Done) if order.kind == OrderKind::Unload && !has_strays => {
                     self.accepted(server, &order);
                     return Ok(());
                 }
@@ -144,9 +148,9 @@
                     sleep(pause).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
                 }
-                Ok(OrderReply::Conflict | OrderReply::Done) => {
+                Ok(reply @ (OrderReply::Conflict | OrderReply::Done)) => {
                     silent = 0;
-                    if self.settle(server, &order).await? {
+                    if self.settle(server, &order, reply).await? {
                         return Ok(());
                     }
                 }
@@ -158,18 +162,22 @@
                 Ok(OrderReply::Misdirected | OrderReply::Refused) => {
                     return Err(OrderFailure::Mismatch);
                 }
-                Err(_no_answer) if silent + 1 >= SILENT_TRIES => {
+                Err(error) => {
+                    silent += 1;
+                    if error == CallError::Unanswered {
+                        unanswered = true;
+                        self.with_engine(server, |engine| engine.strays = true);
+                    }
+                    if silent < SILENT_TRIES {
+                        sleep(BUSY_PAUSE).await;
+                        continue;
+                    }
                     slog::info!(self.entry.log, "order-given-up"; "server" => %server,
                         "expect" => order.expect, "tries" => tries);
                     let target = self.target(server)?;
                     self.entry.note_health(&target.service, server, Evidence::Unreachable);
                     return Err(OrderFailure::Silent);
                 }
-                Err(error) => {
-                    silent += 1;
-                    unanswered |= error == CallError::Unanswered;
-                    sleep(BUSY_PAUSE).await;
-                }
             }
         }
         Err(OrderFailure::Silent)
@@ -245,6 +253,7 @@
     fn accepted(&self, server: &ServerStart, order: &EngineOrder) {
         self.with_engine(server, |engine| {
             engine.sequence = order.expect + 1;
+            engine.strays = false;
             if order.kind == OrderKind::Unload {
                 engine.drop_held(&order.model, order.adapter.as_ref());
             }
@@ -260,8 +269,9 @@
         &self,
         server: &ServerStart,
         order: &EngineOrder,
+        reply: OrderReply,
     ) -> Result<bool, OrderFailure> {
-        let until = self.entry.now() + SETTLE_LIMIT;
+        let began = self.entry.now();
         loop {
             sleep(REPORT_LAG).await;
             let report = self.report(server).await;
@@ -275,12 +285,16 @@
             slog::info!(self.entry.log, "order-conflict"; "server" => %server,
                 "expect" => order.expect, "sequence" => report.sequence, "busy" => report.busy,
                 "shown" => is_shown);
+            let waited = self.entry.now().saturating_sub(began);
             if report.sequence == order.expect {
+                if reply == OrderReply::Done && waited < REPORT_AGE {
+                    continue;
+                }
                 // At work on the order before; the next try may find it idle.
                 return Ok(false);
             }
             let is_next = report.sequence == order.expect + 1;
-            if is_next && report.busy && self.entry.now() < until {
+            if is_next && report.busy && waited < SETTLE_LIMIT {
                 continue;
             }
             if !is_next || report.busy || !is_shown {
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -109,6 +109,7 @@
             memory: Vec::new(),
             disk: disk.iter().chain(held).map(|m| (*m).into()).collect(),
             confirmed: true,
+            strays: false,
             behind: 0,
             job: None,
             occupied: false,
