ledger: an engine whose entry shows something else is doubted

Cause: an order that had been given up unloaded it late, after the report that followed the give-up; its number was the one believed in, so no order was refused and nothing told the holder, to whom the model counted as loaded. Change: an idle engine is compared with each of its entries once, two seconds after the last change there; where it shows other models (or other adapters, while late orders may have changed them), the engine is read anew.

--- a/lib/src/place/ledger.rs
+++ b/lib/src/place/ledger.rs
@@ -1,7 +1,9 @@
 //! What the engines hold, by their own word and by the orders that they accepted.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use smol_str::SmolStr;
 
@@ -42,6 +44,8 @@
     }
 }
 
+/// Time after a change at an engine within which its entry may still be of the time before.
+const ENTRY_LAG: Duration = Duration::from_secs(2);
 /// Reports in a row that count fewer orders than believed after which they are taken in: their age is many times less
 /// than the time between so many.
 const REPORTS_BEHIND: u8 = 4;
@@ -96,6 +100,10 @@
     pub strays: bool,
     /// Reports in a row that counted fewer orders.
     pub behind: u8,
+    /// When `models` was last changed or confirmed.
+    pub changed: Moment,
+    /// The newest heartbeat whose entry `models` was compared with.
+    pub compared: u64,
     /// A change of models under way.
     pub job: Option<Job>,
     /// Whether its last report told of a change that this daemon did not order: the lease holder before did, and it
@@ -127,6 +135,8 @@
             confirmed: false,
             strays: true,
             behind: 0,
+            changed: Moment::ZERO,
+            compared: 0,
             job: None,
             occupied: false,
             adapters: Vec::new(),
@@ -210,12 +220,13 @@
     }
 
     /// Takes in its report. One of an earlier time does no harm: orders that expect its number are refused.
-    pub fn confirm(&mut self, report: &EngineReport) {
+    pub fn confirm(&mut self, report: &EngineReport, now: Moment) {
         self.models.clone_from(&report.models);
         self.sequence = report.sequence;
         self.memory.clone_from(&report.copies.memory);
         self.disk.clone_from(&report.copies.disk);
         self.confirmed = true;
+        self.changed = now;
         self.behind = 0;
         self.occupied = false;
     }
@@ -230,6 +241,29 @@
         self.behind >= REPORTS_BEHIND
     }
 
+    /// Compares an idle engine with its entry; doubts it where that shows something else.
+    ///
+    /// An order that was given up may be carried out long after the report that followed it. Without this a model that
+    /// left so would count as loaded for ever, and callers would wait for it in vain.
+    fn compare(&mut self, now: Moment) {
+        if !self.confirmed || self.server.beat <= self.compared || now < self.changed + ENTRY_LAG {
+            return;
+        }
+        self.compared = self.server.beat;
+        self.confirmed = !self.differs(&self.server.models);
+    }
+
+    /// Returns whether an entry shows other models, or other adapters where an order may have changed them unseen.
+    fn differs(&self, entry: &[HeldModel]) -> bool {
+        let adapters = |m: &HeldModel| -> BTreeSet<SmolStr> {
+            if self.strays { m.adapters.iter().cloned().collect() } else { BTreeSet::new() }
+        };
+        let all = |models: &[HeldModel]| -> BTreeMap<ModelName, BTreeSet<SmolStr>> {
+            models.iter().map(|m| (m.name.clone(), adapters(m))).collect()
+        };
+        all(&self.models) != all(entry)
+    }
+
     /// Notes that the engine holds a model now.
     pub fn loaded(&mut self, model: &ModelName, now: Moment) {
         if !self.holds(model) {
@@ -241,6 +275,7 @@
             }
         }
         self.used.insert(model.clone(), now);
+        self.changed = now;
     }
 
     /// Notes that the engine dropped a model.
@@ -293,7 +328,12 @@
     ///
     /// The engine of a newer start begins empty and unconfirmed, with no order open and no order
     /// expected: whatever the last start had accepted would keep the next one out for ever.
-    pub fn follow(&mut self, directory: &Directory, config: &Configuration) -> Vec<ServerStart> {
+    pub fn follow(
+        &mut self,
+        directory: &Directory,
+        config: &Configuration,
+        now: Moment,
+    ) -> Vec<ServerStart> {
         let is_engine =
             |s: &Server| config.services.get(&s.service).is_some_and(|s| s.engine.is_some());
         let mut ended = Vec::new();
@@ -314,6 +354,7 @@
                 engine.models.clone_from(&server.models);
             }
             if is_idle {
+                engine.compare(now);
                 engine.memory.clone_from(&server.copies.memory);
                 engine.disk.clone_from(&server.copies.disk);
             }
--- a/lib/src/serve/adapter_orders.rs
+++ b/lib/src/serve/adapter_orders.rs
@@ -37,6 +37,7 @@
                         && !held.adapters.contains(&job.adapter)
                     {
                         held.adapters.push(job.adapter.clone());
+                        engine.changed = now;
                     }
                 }
                 Err(_failure) => {
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -251,9 +251,11 @@
     }
 
     fn accepted(&self, server: &ServerStart, order: &EngineOrder) {
+        let now = self.entry.now();
         self.with_engine(server, |engine| {
             engine.sequence = order.expect + 1;
             engine.strays = false;
+            engine.changed = now;
             if order.kind == OrderKind::Unload {
                 engine.drop_held(&order.model, order.adapter.as_ref());
             }
@@ -300,7 +302,8 @@
             if !is_next || report.busy || !is_shown {
                 return Err(OrderFailure::Mismatch);
             }
-            self.with_engine(server, |engine| engine.confirm(&report));
+            let now = self.entry.now();
+            self.with_engine(server, |engine| engine.confirm(&report, now));
             return Ok(true);
         }
     }
--- a/lib/src/serve/orders.rs
+++ b/lib/src/serve/orders.rs
@@ -133,10 +133,11 @@
     /// over: it must not count among those that share the weight store.
     fn follow(&self, config: &Configuration) {
         let entry = &self.entry;
-        let ended = entry.ledger.borrow_mut().follow(&entry.directory.borrow(), config);
+        let now = entry.now();
+        let ended = entry.ledger.borrow_mut().follow(&entry.directory.borrow(), config, now);
         let mut desk = self.desk.borrow_mut();
         for start in &ended {
-            desk.pace.end(start, false, entry.now());
+            desk.pace.end(start, false, now);
         }
         drop(desk);
         // Engines that the holder before ordered just now are left alone for a while.
@@ -229,7 +230,7 @@
         }
         match report {
             Some(report) if !report.busy && engine.is_credible(report) => {
-                engine.confirm(report);
+                engine.confirm(report, now);
                 self.desk.borrow_mut().untold.insert(start.id.clone(), TELLINGS);
                 drop(ledger);
                 entry.plan.notify_one();
--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -27,6 +27,7 @@
 use comfreymux_lib::place::ledger::Source;
 use comfreymux_lib::place::store_pace::StorePace;
 use comfreymux_lib::protocol::EngineReport;
+use comfreymux_testutils::placing_site::NOW;
 use comfreymux_testutils::placing_site::SERVICE;
 use comfreymux_testutils::placing_site::Site;
 
@@ -284,7 +285,7 @@
     let mut site = Site::new(&[("hem", 60_000, 1), ("cuff", 60_000, 0)]);
     let mut directory = Directory::default();
     put(&mut directory, server(Some(FIRST), 70, &["hem"]), 0);
-    assert!(site.ledger.follow(&directory, &site.config).is_empty());
+    assert!(site.ledger.follow(&directory, &site.config, NOW).is_empty());
     let job = Job {
         model: "cuff".into(),
         victims: Vec::new(),
@@ -304,7 +305,7 @@
     }];
     engine.used.insert("hem".into(), ms(0));
     put(&mut directory, server(Some(SECOND), 1, &[]), 1_000);
-    assert_eq!(site.ledger.follow(&directory, &site.config), [start(FIRST)]);
+    assert_eq!(site.ledger.follow(&directory, &site.config, NOW), [start(FIRST)]);
     assert!(site.ledger.engine_of(&start(FIRST)).is_none());
     let engine = site.ledger.engine_of(&start(SECOND)).expect("an engine");
     assert!(engine.models.is_empty() && engine.memory.is_empty() && engine.used.is_empty());
@@ -317,7 +318,7 @@
         sequence: 1,
         born: Some(SECOND),
     };
-    engine.confirm(&report);
+    engine.confirm(&report, NOW);
     assert_eq!((engine.sequence, engine.source("hem")), (1, Source::Disk));
 }
 
@@ -328,11 +329,11 @@
     let mut site = Site::new(&[("hem", 60_000, 0)]);
     let mut directory = Directory::default();
     put(&mut directory, server(Some(FIRST), 70, &["hem"]), 0);
-    site.ledger.follow(&directory, &site.config);
+    site.ledger.follow(&directory, &site.config, NOW);
     site.ledger.engine_of(&start(FIRST)).expect("an engine").sequence = 12;
     put(&mut directory, server(Some(SECOND), 40, &["hem"]), 60_000);
     site.ledger.doubt_all();
-    site.ledger.follow(&directory, &site.config);
+    site.ledger.follow(&directory, &site.config, NOW);
     assert_eq!(site.ledger.engine_of(&start(SECOND)).expect("an engine").sequence, 0);
 }
 
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -111,6 +111,8 @@
             confirmed: true,
             strays: false,
             behind: 0,
+            changed: NOW,
+            compared: 0,
             job: None,
             occupied: false,
             adapters: Vec::new(),
