serve: log lines name the request behind an attempt, and where its connection ended

`request` and `send-failed` lines carry a fingerprint (method, host, path, body) by which attempts at any daemon can be joined; `send-failed` says whether the answer had begun, and a refused connection differs from one that cannot be made. No behaviour changes.

--- a/lib/src/picture.rs
+++ b/lib/src/picture.rs
@@ -5,6 +5,7 @@
 pub mod contact;
 pub mod digest;
 pub mod directory;
+pub mod fingerprint;
 pub mod health;
 pub mod holdings;
 pub mod loads;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -13,6 +13,7 @@
 use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
 use crate::picture::directory::Server;
+use crate::picture::fingerprint::Fingerprint;
 use crate::picture::loads::Place;
 use crate::picture::server_start::ServerStart;
 use crate::place::demand::Item;
@@ -22,6 +23,7 @@
 use crate::serve::entry::Entry;
 use crate::serve::headers::strip_connection;
 use crate::serve::reply::Refusal;
+use crate::serve::send::Break;
 use crate::serve::send::SendFailure;
 use crate::serve::standing::Standing;
 use crate::verdict::Verdict;
@@ -44,6 +46,8 @@
     pub parts: request::Parts,
     /// The whole body.
     pub body: Bytes,
+    /// What is the same in every attempt at this request.
+    pub print: Fingerprint,
     /// What the caller said beside them.
     pub terms: CallerTerms,
     /// The configuration that was in force when it came.
@@ -206,8 +210,9 @@
             self.note_lack(entry, &server);
         }
         entry.note_health(&self.service, &server, failure.evidence);
-        slog::info!(entry.log, "send-failed"; "attempt" => self.id(), "server" => %server,
-            "reason" => failure.reason, "verdict" => %failure.verdict,
+        slog::info!(entry.log, "send-failed"; "attempt" => self.id(), "print" => %self.print,
+            "server" => %server, "reason" => failure.reason, "verdict" => %failure.verdict,
+            "broke" => failure.broke.map_or("-", Break::name),
             "ms" => entry.now().saturating_sub(self.arrived).as_millis());
         self.tried.push(server);
     }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -21,6 +21,7 @@
 use crate::serve::relay::Relay;
 use crate::serve::reply::Refusal;
 use crate::serve::send;
+use crate::serve::send::Break;
 use crate::serve::send::SendFailure;
 use crate::serve::silence::Exchange;
 use crate::serve::silence::ask;
@@ -117,7 +118,9 @@
             Progress::Events(events) => events,
             // Nothing may be left of a stream that its caller takes up again.
             Progress::End if resume.is_some() => Bytes::new(),
-            Progress::End => return Err(SendFailure::doubtful("the stream has no event")),
+            Progress::End => {
+                return Err(SendFailure::broken("the stream has no event", Break::Answering));
+            }
         };
         flow.work.first_event();
         Ok(Opened::Stream(Box::new(Started { head, flow, events, first: entry.now() })))
--- a/lib/src/serve/flow.rs
+++ b/lib/src/serve/flow.rs
@@ -8,6 +8,7 @@
 use crate::serve::events::EventOrder;
 use crate::serve::events::EventSplitter;
 use crate::serve::send::Answer;
+use crate::serve::send::Break;
 use crate::serve::send::SendFailure;
 
 /// Events of one server's answer.
@@ -71,10 +72,13 @@
             }
             match self.answer.body.frame().await {
                 None if self.splitter.has_rest() => {
-                    return Err(SendFailure::doubtful("the stream ended within an event"));
+                    let reason = "the stream ended within an event";
+                    return Err(SendFailure::broken(reason, Break::Answering));
                 }
                 None => return Ok(Progress::End),
-                Some(Err(_broken)) => return Err(SendFailure::doubtful("the stream broke off")),
+                Some(Err(_broken)) => {
+                    return Err(SendFailure::broken("the stream broke off", Break::Answering));
+                }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use http::header;
 use http::request;
+use http::uri::PathAndQuery;
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
@@ -21,6 +22,7 @@
 use crate::picture::configuration::Route;
 use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
+use crate::picture::fingerprint::Fingerprint;
 use crate::serve::active_request::ActiveRequest;
 use crate::serve::attempt::Attempt;
 use crate::serve::body::ReplyBody;
@@ -118,9 +120,12 @@
     };
     let terms = entry.protocol.caller_terms(&parts.headers);
     let time = terms.patience.map_or(route.timeout, |p| p.min(route.timeout));
+    let target = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let print = Fingerprint::new(&parts.method, host(&parts), target, &body);
     Ok(Attempt {
         parts,
         body,
+        print,
         terms,
         config: Rc::clone(&config),
         route,
@@ -244,7 +249,7 @@
     let now = entry.now();
     let ms = |t: Moment| t.saturating_sub(attempt.arrived).as_millis();
     entry.metrics.answered(&attempt.route.name, attempt.verdict);
-    slog::info!(entry.log, "request"; "attempt" => attempt.id(),
+    slog::info!(entry.log, "request"; "attempt" => attempt.id(), "print" => %attempt.print,
         "route" => attempt.route.name.as_str(), "service" => attempt.service.as_str(),
         "model" => attempt.terms.model.as_deref().unwrap_or("-"),
         "adapter" => attempt.terms.adapter.as_deref().unwrap_or("-"),
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -1,5 +1,7 @@
 //! One send of a request to one backend server, and what is known of it afterwards.
 
+use std::io;
+
 use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
@@ -30,6 +32,25 @@
     pub connection: Connection,
 }
 
+/// Where a connection ended while a server had a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Break {
+    /// Before the head of the answer.
+    Unanswered,
+    /// After it: the server had begun to answer.
+    Answering,
+}
+
+impl Break {
+    /// Returns its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unanswered => "unanswered",
+            Self::Answering => "answering",
+        }
+    }
+}
+
 /// A send without an answer that can be used.
 #[derive(Clone, Debug)]
 pub struct SendFailure {
@@ -43,35 +64,56 @@
     pub arrived: bool,
     /// Whether the server says that it does not hold the model or adapter.
     pub lacks: bool,
+    /// Where its connection ended, if that is what failed.
+    pub broke: Option<Break>,
 }
 
 impl SendFailure {
     fn unreachable(reason: &'static str) -> Self {
+        Self { evidence: Evidence::Unreachable, arrived: false, ..Self::unrun(reason) }
+    }
+
+    fn unconnected(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::unreachable("connection refused"),
+            _ => Self::unreachable("no connection"),
+        }
+    }
+
+    /// A sound server's word that the request did not run.
+    fn unrun(reason: &'static str) -> Self {
         let verdict = Verdict::DidNotRun;
-        Self { verdict, evidence: Evidence::Unreachable, reason, arrived: false, lacks: false }
+        Self {
+            verdict,
+            evidence: Evidence::Sound,
+            reason,
+            arrived: true,
+            lacks: false,
+            broke: None,
+        }
     }
 
     fn misdirected(is_other: bool) -> Self {
-        let verdict = Verdict::DidNotRun;
         if is_other {
-            let evidence = Evidence::Misdirected;
-            let reason = "another server has the address";
-            return Self { verdict, evidence, reason, arrived: true, lacks: false };
+            let other = Self::unrun("another server has the address");
+            return Self { evidence: Evidence::Misdirected, ..other };
         }
-        let reason = "the server lacks the model";
-        Self { verdict, evidence: Evidence::Sound, reason, arrived: true, lacks: true }
+        Self { lacks: true, ..Self::unrun("the server lacks the model") }
     }
 
     fn refused() -> Self {
-        let reason = "the server refused it unrun";
-        let verdict = Verdict::DidNotRun;
-        Self { verdict, evidence: Evidence::Sound, reason, arrived: true, lacks: false }
+        Self::unrun("the server refused it unrun")
     }
 
     /// A failure after which the request may have run.
     pub fn doubtful(reason: &'static str) -> Self {
         let verdict = Verdict::MayHaveRun;
-        Self { verdict, evidence: Evidence::Failed, reason, arrived: true, lacks: false }
+        Self { verdict, evidence: Evidence::Failed, ..Self::unrun(reason) }
+    }
+
+    /// A connection that ended while the server had the request.
+    pub fn broken(reason: &'static str, broke: Break) -> Self {
+        Self { broke: Some(broke), ..Self::doubtful(reason) }
     }
 }
 
@@ -92,7 +134,7 @@
     let mut connection = pool
         .connection(&start, server.addr)
         .await
-        .map_err(|_io| SendFailure::unreachable("no connection"))?;
+        .map_err(|error| SendFailure::unconnected(&error))?;
     // A connection that ended while it was idle gives the request back unsent.
     let mut tries = 0;
     let response = loop {
@@ -101,7 +143,8 @@
             Err(mut error) => {
                 tries += 1;
                 let Some(unsent) = error.take_message() else {
-                    return Err(SendFailure::doubtful("the connection ended without an answer"));
+                    let reason = "the connection ended without an answer";
+                    return Err(SendFailure::broken(reason, Break::Unanswered));
                 };
                 if tries > 2 {
                     return Err(SendFailure::unreachable("connections end at once"));
@@ -110,7 +153,7 @@
                 connection = pool
                     .fresh(&start, server.addr)
                     .await
-                    .map_err(|_io| SendFailure::unreachable("no connection"))?;
+                    .map_err(|error| SendFailure::unconnected(&error))?;
             }
         }
     };
@@ -155,7 +198,8 @@
     let Answer { head, terms, mut body, connection } = answer;
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_broken| SendFailure::doubtful("the answer broke off"))?;
+        let frame = frame
+            .map_err(|_broken| SendFailure::broken("the answer broke off", Break::Answering))?;
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
