--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -14,6 +14,7 @@
 use comfreymux_platform_testutils::engine_state::EngineState;
 use comfreymux_platform_testutils::rig::BEAT;
 use comfreymux_platform_testutils::rig::configuration;
+use comfreymux_platform_testutils::server_standin::Fatal;
 use comfreymux_platform_testutils::server_standin::Runs;
 use comfreymux_platform_testutils::server_standin::ServerStandin;
 use comfreymux_platform_testutils::store_standin::StoreStandin;
@@ -58,6 +59,8 @@
     pub daemons: Vec<RefCell<Daemon>>,
     /// Runs of all servers.
     pub runs: Runs,
+    /// Bodies of requests that crash every server that begins to run them.
+    pub fatal: Fatal,
     /// Engines that are gone, for the checks at the end.
     pub gone: RefCell<Vec<Rc<ServerStandin>>>,
     version: Cell<u64>,
@@ -105,7 +108,8 @@
             store_proxies,
             front_proxies,
             daemons,
-            runs: Rc::new(RefCell::default()),
+            runs: Rc::default(),
+            fatal: Rc::default(),
             gone: RefCell::default(),
             version: Cell::new(1),
             number: Cell::new(0),
@@ -140,7 +144,8 @@
         });
         let service = if is_engine { "drafting" } else { "booking" };
         let id = format!("s{number}");
-        let server = ServerStandin::start(&id, service, "north", engine, &self.runs).await?;
+        let (runs, fatal) = (&self.runs, &self.fatal);
+        let server = ServerStandin::start(&id, service, "north", engine, runs, fatal).await?;
         let proxy = Proxy::start(server.addr).await?;
         server.listed.set(proxy.addr);
         self.list(&server);
