quarantine: a request under which three servers crashed goes to no server

Callers saw streams cut and 502s by the tenth for 15 s at a time: one request crashed every engine that ran it, and each attempt at it was a new request to every daemon. Cause: a fault that no single daemon can see. `tried` ends with an attempt, health judges servers only, and nothing that one daemon learned of a request bound another.

A connection that breaks under a request at a server that now refuses connections, and that is not leaving, is a crash. Each daemon notes which requests the start had, and how far: an answer begun without an event first, then one whose events had just begun, then all else. Only the most suspicious count, so that queued requests and running streams are not taken for the cause. The sets of crashed starts merge with digests in any order; three starts hold a request at all daemons. A whole answer clears it. Held requests are refused at once (503, not run; 502 where this attempt ran) for an hour after they were last asked for, and are kept in the store, as all daemons may be replaced at once.

Ruled out: a count in place of the set (two daemons that see one crash count two); the attempt's own servers alone (a new attempt has none).

The daemons' digests have a new form.

--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -39,6 +39,7 @@
     unread: Counter<u64>,
     words: Counter<u64>,
     loads: Histogram<f64>,
+    held: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -113,6 +114,10 @@
                 "Records of the platform's store that cannot be read by feed, each time one is met",
             ),
             words: counter("reader_words", "Words of readers by what came of them"),
+            held: gauge(
+                "held_requests",
+                "Requests that go to no server, since several crashed under each",
+            ),
             loads: seconds("load", "Time of models' loads by source and outcome"),
             registry,
             _provider: provider,
@@ -193,6 +198,11 @@
         self.loads.record(time.as_secs_f64(), &labels);
     }
 
+    /// Notes how many requests go to no server.
+    pub fn held(&self, count: usize) {
+        self.held.record(count as u64, &[]);
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         let mut out = Vec::new();
--- a/lib/src/picture.rs
+++ b/lib/src/picture.rs
@@ -10,6 +10,8 @@
 pub mod holdings;
 pub mod loads;
 pub mod peer_table;
+pub mod quarantine;
+pub mod quarantine_note;
 pub mod reader_duty;
 pub mod reader_rank;
 pub mod readers;
--- a/lib/src/picture/fingerprint.rs
+++ b/lib/src/picture/fingerprint.rs
@@ -7,6 +7,9 @@
 use serde::Serialize;
 use sha2::Digest as _;
 use sha2::Sha256;
+use smol_str::SmolStr;
+
+use crate::protocol::FormatError;
 
 /// Bytes of a fingerprint: too many for anyone to make a request that passes for another one.
 const BYTES: usize = 16;
@@ -35,6 +38,22 @@
         bytes.copy_from_slice(&hash.finalize()[..BYTES]);
         Self(bytes)
     }
+
+    /// Returns its key in the store.
+    pub fn key(&self) -> SmolStr {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
+/// Reads a key of the store.
+impl TryFrom<&str> for Fingerprint {
+    type Error = FormatError;
+
+    fn try_from(key: &str) -> Result<Self, FormatError> {
+        let number = u128::from_str_radix(key, 16).ok().filter(|_| key.len() == 2 * BYTES);
+        let number = number.ok_or_else(|| FormatError(format!("no fingerprint: {key:?}")))?;
+        Ok(Self(number.to_be_bytes()))
+    }
 }
 
 /// Shows its first bytes, which tell requests apart in a log.
--- /dev/null
+++ b/lib/src/picture/quarantine_note.rs
@@ -0,0 +1,58 @@
+//! What daemons tell each other of requests under which servers crashed.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::picture::fingerprint::Fingerprint;
+use crate::picture::server_start::ServerStart;
+
+/// How far a server had come with a request when it crashed, the most suspicious first.
+///
+/// A request that crashes servers does so as soon as it runs. One whose answer goes on for a while, or that
+/// waits for its turn, had its server taken away by another.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Stage {
+    /// The answer had begun, without an event.
+    Begun,
+    /// Its first event had just come.
+    Young,
+    /// Its events had gone on for a while, or there was no answer yet.
+    Other,
+}
+
+impl Stage {
+    /// Returns its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Begun => "begun",
+            Self::Young => "young",
+            Self::Other => "other",
+        }
+    }
+}
+
+/// A server's crash.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashNote {
+    /// The start that ended.
+    pub server: ServerStart,
+    /// How long ago.
+    pub age: Duration,
+    /// The most suspicious stage of all its requests, listed or not.
+    pub worst: Stage,
+    /// Requests that it had.
+    pub requests: Vec<(Fingerprint, Stage)>,
+}
+
+/// A daemon's knowledge of such requests, as far as it is news; ages are those of the event.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantineNote {
+    /// Crashes.
+    pub crashes: Vec<CrashNote>,
+    /// Requests that had a whole answer since.
+    pub cleared: Vec<(Fingerprint, Duration)>,
+    /// Requests that go to no server, and when they were last asked for.
+    pub held: Vec<(Fingerprint, Duration)>,
+}
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -45,5 +45,6 @@
 pub mod socket;
 pub mod standing;
 pub mod store_calls;
+pub mod suspects;
 pub mod tell;
 pub mod waits;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -88,6 +88,8 @@
     pub reason: &'static str,
     /// How long it waited for a model.
     pub waited: Duration,
+    /// When the server of the last send gave its first event.
+    pub first: Option<Moment>,
     /// The longest pause between its events so far.
     pub pause: Duration,
 }
@@ -182,6 +184,7 @@
     pub fn sent(&mut self, chosen: &Chosen) {
         self.sends += 1;
         self.sending = true;
+        self.first = None;
         self.last = Some(chosen.server.start());
         self.queued = chosen.wait;
         self.cost = chosen.cost;
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -31,6 +31,7 @@
 use crate::picture::holdings::Holdings;
 use crate::picture::loads::Loads;
 use crate::picture::peer_table::PeerTable;
+use crate::picture::quarantine::Quarantine;
 use crate::picture::reader_duty::ReaderDuty;
 use crate::picture::reader_rank::ReaderRank;
 use crate::picture::run_times::RunTimes;
@@ -145,6 +146,8 @@
     pub run_times: RunTimes,
     /// Repeated sends.
     pub budget: RefCell<Budget>,
+    /// Requests under which servers crashed.
+    pub quarantine: RefCell<Quarantine>,
     /// The other daemons.
     pub peers: RefCell<PeerTable>,
     /// Waiting requests.
@@ -228,6 +231,7 @@
             loads: Loads::default(),
             health: RefCell::default(),
             run_times: RunTimes::default(),
+            quarantine: RefCell::default(),
             peers: RefCell::new(peers),
             waits: Waits::default(),
             acquainted: Cell::default(),
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -16,6 +16,7 @@
 use crate::serve::send;
 use crate::serve::silence::Exchange;
 use crate::serve::silence::ask;
+use crate::serve::suspects;
 use crate::verdict::Verdict;
 
 /// Largest answer that is read whole before it is passed on.
@@ -39,6 +40,9 @@
         if now >= attempt.deadline {
             return Err(Refusal::timeout(attempt.verdict, "out of time", FULL));
         }
+        if let Some(refusal) = entry.held_refusal(attempt) {
+            return Err(refusal);
+        }
         let Some(chosen) = choose(entry, attempt) else {
             if attempt.tried.is_empty() {
                 return Err(Refusal::failed(attempt.verdict, "no server", FULL));
@@ -68,6 +72,7 @@
             }
             Err(failure) => {
                 attempt.failed(entry, &failure);
+                suspects::note_failure(entry, attempt, &failure).await;
                 if !attempt.may_repeat(entry.now()) {
                     let refusal = if entry.now() >= attempt.deadline {
                         Refusal::timeout(attempt.verdict, attempt.reason, FULL)
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -25,6 +25,7 @@
 use crate::serve::send::SendFailure;
 use crate::serve::silence::Exchange;
 use crate::serve::silence::ask;
+use crate::serve::suspects;
 
 /// Largest answer other than a stream.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
@@ -74,9 +75,13 @@
                     return Ok(Opened::Other(head, body));
                 }
             }
-            Ok(opened) => return Ok(opened),
+            Ok(Opened::Stream(started)) => {
+                attempt.first = Some(started.first);
+                return Ok(Opened::Stream(started));
+            }
             Err(failure) => {
                 attempt.failed(entry, &failure);
+                suspects::note_failure(entry, attempt, &failure).await;
                 let now = entry.now();
                 if now >= attempt.deadline {
                     return Err(Refusal::timeout(attempt.verdict, attempt.reason, COME_BACK));
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -17,6 +17,7 @@
 use crate::serve::entry::Entry;
 use crate::serve::handle::ELSEWHERE;
 use crate::serve::reply::Refusal;
+use crate::serve::suspects::HELD;
 use crate::verdict::Verdict;
 
 /// When a caller should come back where nothing better is known.
@@ -36,6 +37,9 @@
 ///
 /// Returns the answer of our own where the wait is hopeless.
 pub async fn find_server(entry: &Rc<Entry>, attempt: &mut Attempt) -> Result<Chosen, Refusal> {
+    if let Some(refusal) = entry.held_refusal(attempt) {
+        return Err(refusal);
+    }
     let Some(item) = attempt.item() else {
         let chosen = entry.choose(|c| c.plain(&attempt.service, &attempt.tried));
         return chosen.ok_or_else(|| Refusal::failed(attempt.verdict, "no server", COME_BACK));
@@ -44,6 +48,9 @@
     let mut guard = None;
     loop {
         let changed = entry.waits.changed.notified();
+        if let Some(refusal) = entry.held_refusal(attempt) {
+            return Err(refusal);
+        }
         match entry.choose(|c| c.engine(&item, &attempt.tried)) {
             Choice::Server(chosen) => {
                 attempt.waited += entry.now().saturating_sub(began);
@@ -186,6 +193,10 @@
     let mut guard = None;
     loop {
         let changed = entry.waits.changed.notified();
+        if entry.is_held(&attempt.print) {
+            attempt.reason = HELD;
+            return None;
+        }
         if let Choice::Server(chosen) = entry.choose(|c| c.engine(&item, &attempt.tried)) {
             return Some(chosen);
         }
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -31,6 +31,7 @@
 use crate::picture::word::WorkScope;
 use crate::serve::entry::Entry;
 use crate::serve::observe;
+use crate::serve::suspects;
 
 /// Pause after a datagram could not be received.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
@@ -157,6 +158,7 @@
             entry.waits.begun.notify_one();
         }
         self.take_left(from, &digest.left);
+        suspects::hear(entry, &digest.quarantine, from);
     }
 
     fn take_left(&self, from: &DaemonId, left: &[LeftNote]) {
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -146,6 +146,7 @@
         among: 0,
         reason: "",
         waited: Duration::ZERO,
+        first: None,
         pause: Duration::ZERO,
     })
 }
@@ -197,6 +198,9 @@
 }
 
 async fn answer(entry: &Rc<Entry>, mut attempt: Attempt) -> Response<ReplyBody> {
+    if let Some(refusal) = entry.held_refusal(&attempt) {
+        return refuse(entry, &attempt, &refusal);
+    }
     if let Some(item) = attempt.item() {
         entry.waits.arrived(&item, attempt.arrived);
     }
@@ -212,6 +216,7 @@
     match result {
         Ok(Opened::Other(head, body)) => {
             attempt.verdict = Verdict::Ran;
+            entry.clear(&attempt);
             log_answer(entry, &attempt, head.status, "answered", None);
             pass_on(head, body)
         }
--- a/lib/src/serve/life.rs
+++ b/lib/src/serve/life.rs
@@ -24,6 +24,7 @@
 use crate::serve::planned_stop::PlannedStop;
 use crate::serve::pooled_calls::PooledCalls;
 use crate::serve::socket;
+use crate::serve::suspects;
 
 /// Time between looks at what is in progress.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -67,6 +68,7 @@
     spawn_local(follow_config::follow_config(Rc::clone(entry)));
     spawn_local(follow_servers::follow_servers(Rc::clone(entry)));
     spawn_local(observe::follow_daemons(Rc::clone(entry)));
+    spawn_local(suspects::recall(Rc::clone(entry)));
     spawn_local(picture_relay::serve_peers(Rc::clone(entry), peers));
     spawn_local(Rc::clone(&gossip).listen());
     spawn_local(Rc::clone(&gossip).tell_digests());
@@ -128,6 +130,7 @@
     loop {
         sleep(SWEEP_EVERY).await;
         observe::sweep_servers(&entry);
+        suspects::sweep(&entry);
         let directory = entry.directory.borrow();
         entry.pool.sweep(|start| directory.is_current(start));
     }
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -28,6 +28,7 @@
 use crate::serve::silence::ask;
 use crate::serve::silence::hear;
 use crate::serve::silence::offer;
+use crate::serve::suspects;
 use crate::verdict::Verdict;
 
 /// A server is silent after this many punctual pauses without an event.
@@ -72,6 +73,7 @@
                     let run = self.entry.now().saturating_sub(first);
                     self.entry.run_times.note(&self.attempt.service, run);
                     self.attempt.verdict = Verdict::Ran;
+                    self.entry.clear(&self.attempt);
                     self.log(head.status, "complete", first, flow.last());
                     self.entry.pool.give_back(flow.answer.connection, flow.answer.terms.keep);
                     return;
@@ -149,7 +151,7 @@
                 }
                 Heard::Answer(Ok(Progress::End)) => return Stop::Complete,
                 Heard::Answer(Err(failure)) => {
-                    self.attempt.failed(&self.entry, &failure);
+                    self.failed(&failure).await;
                     return Stop::Broken(None);
                 }
                 Heard::Elsewhere(next) => {
@@ -171,6 +173,12 @@
         }
     }
 
+    /// Takes in that the server failed.
+    async fn failed(&mut self, failure: &SendFailure) {
+        self.attempt.failed(&self.entry, failure);
+        suspects::note_failure(&self.entry, &self.attempt, failure).await;
+    }
+
     /// Sends the request to another server, where that is allowed.
     async fn send_again(&mut self, last: Option<u64>) -> Option<Exchange<Opened>> {
         let now = self.entry.now();
@@ -210,6 +218,7 @@
             };
             match opened {
                 Ok(Opened::Stream(started)) => {
+                    self.attempt.first = Some(started.first);
                     slog::info!(self.entry.log, "stream-resumed"; "attempt" => self.attempt.id(),
                         "server" => self.attempt.last.as_ref().map_or("-", |s| s.id.as_str()),
                         "after" => last.unwrap_or(0));
@@ -219,7 +228,7 @@
                     let failure = SendFailure::doubtful("the server did not resume the stream");
                     self.attempt.failed(&self.entry, &failure);
                 }
-                Err(failure) => self.attempt.failed(&self.entry, &failure),
+                Err(failure) => self.failed(&failure).await,
             }
         }
     }
--- a/lib/src/serve/silence.rs
+++ b/lib/src/serve/silence.rs
@@ -146,7 +146,7 @@
 
 /// Returns another server that can take the request now, its repeat taken out of the budget.
 async fn able(entry: &Entry, attempt: &Attempt) -> Option<Chosen> {
-    if !entry.has_repeat(&attempt.service) {
+    if entry.is_held(&attempt.print) || !entry.has_repeat(&attempt.service) {
         return None;
     }
     let item = attempt.item();
--- /dev/null
+++ b/lib/src/serve/suspects.rs
@@ -0,0 +1,180 @@
+//! What becomes of requests under which servers crash.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::picture::fingerprint::Fingerprint;
+use crate::picture::quarantine::HELD_FOR;
+use crate::picture::quarantine_note::QuarantineNote;
+use crate::picture::quarantine_note::Stage;
+use crate::picture::server_start::ServerStart;
+use crate::place::entries;
+use crate::serve::attempt::Attempt;
+use crate::serve::entry::Entry;
+use crate::serve::reply::Refusal;
+use crate::serve::send::Break;
+use crate::serve::send::SendFailure;
+use crate::serve::socket;
+use crate::serve::store_calls::noted;
+use crate::store::Feed;
+use crate::store::FeedRecord;
+
+/// Why a request is held, for the log and its caller.
+pub const HELD: &str = "servers crash under this request";
+/// Time in which a host says that nothing listens at a port: some round trips between data centres.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+/// Events go on for a while once the first one is older than this.
+const YOUNG: Duration = Duration::from_millis(500);
+/// Pause before a call to the store is made again.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
+
+/// A held request in the store, for daemons that start later, and for operators.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct HeldEntry {
+    /// Servers that crashed under it.
+    servers: Vec<ServerStart>,
+}
+
+impl Entry {
+    /// Returns whether a request may go to no server; asking keeps it held.
+    pub fn is_held(&self, print: &Fingerprint) -> bool {
+        self.quarantine.borrow_mut().is_held(print, self.now())
+    }
+
+    /// Takes in that a request had a whole answer.
+    pub fn clear(&self, attempt: &Attempt) {
+        self.quarantine.borrow_mut().clear(attempt.print, self.now());
+    }
+
+    /// Returns the answer to a request that is held.
+    pub fn held_refusal(&self, attempt: &Attempt) -> Option<Refusal> {
+        let is_held = self.is_held(&attempt.print);
+        is_held.then(|| Refusal::failed(attempt.verdict, HELD, HELD_FOR))
+    }
+}
+
+/// Takes in that a send failed: where its server crashed, the request may have done it.
+///
+/// A server that crashed refuses connections; one that only lost this connection, gives wrong answers or is cut off
+/// does not, and one that is leaving ends as planned.
+pub async fn note_failure(entry: &Rc<Entry>, attempt: &Attempt, failure: &SendFailure) {
+    let (Some(broke), Some(server)) = (failure.broke, attempt.last.clone()) else { return };
+    let Some(addr) = address(entry, &server) else { return };
+    let stage = stage(entry, attempt, broke);
+    let print = attempt.print;
+    if entry.quarantine.borrow().has_crashed(&server) || is_refused(addr).await {
+        note_crash(entry, &server, print, stage);
+    }
+}
+
+/// Where a server listens, unless it is known to be leaving or gone.
+fn address(entry: &Entry, server: &ServerStart) -> Option<SocketAddr> {
+    let directory = entry.directory.borrow();
+    let known = directory.get(&server.id).filter(|s| s.born == server.born && !s.leaving);
+    known.map(|s| s.addr)
+}
+
+fn stage(entry: &Entry, attempt: &Attempt, broke: Break) -> Stage {
+    match (broke, attempt.first) {
+        (Break::Answering, None) => Stage::Begun,
+        (Break::Answering, Some(first)) if entry.now() < first + YOUNG => Stage::Young,
+        _ => Stage::Other,
+    }
+}
+
+async fn is_refused(addr: SocketAddr) -> bool {
+    let connection = socket::connect(addr, REFUSAL_TIME).await;
+    connection.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+fn note_crash(entry: &Rc<Entry>, server: &ServerStart, print: Fingerprint, stage: Stage) {
+    let mut quarantine = entry.quarantine.borrow_mut();
+    let is_held = quarantine.crashed(server, print, stage, entry.now());
+    let crashes = quarantine.crashed_by(&print).len();
+    drop(quarantine);
+    if stage < Stage::Other || crashes > 1 {
+        slog::info!(entry.log, "request-suspected"; "print" => %print, "server" => %server,
+            "stage" => stage.name(), "crashes" => crashes);
+    }
+    if is_held {
+        note_held(entry, print, "own");
+        spawn_local(store_held(Rc::clone(entry), print));
+    }
+}
+
+fn note_held(entry: &Entry, print: Fingerprint, from: &str) {
+    let quarantine = entry.quarantine.borrow();
+    let servers: Vec<_> = quarantine.crashed_by(&print).iter().map(|s| s.id.as_str()).collect();
+    slog::warn!(entry.log, "request-held"; "print" => %print, "from" => from,
+        "servers" => servers.join(","), "held" => quarantine.held().count());
+    entry.metrics.held(quarantine.held().count());
+}
+
+/// Takes in what a peer knows of such requests.
+pub fn hear(entry: &Entry, note: &QuarantineNote, from: &str) {
+    let held = entry.quarantine.borrow_mut().hear(note, entry.now());
+    for print in held {
+        note_held(entry, print, from);
+    }
+}
+
+/// Lets go of requests that nobody has asked for in a long time.
+pub fn sweep(entry: &Rc<Entry>) {
+    let released = entry.quarantine.borrow_mut().sweep(entry.now());
+    for print in released {
+        slog::info!(entry.log, "request-released"; "print" => %print);
+        entry.metrics.held(entry.quarantine.borrow().held().count());
+        // One daemon is enough.
+        if entry.fence().is_some() {
+            spawn_local(append(Rc::clone(entry), FeedRecord { key: print.key(), value: None }));
+        }
+    }
+}
+
+/// Writes a held request to the store, since all daemons may be replaced at once.
+async fn store_held(entry: Rc<Entry>, print: Fingerprint) {
+    let servers = entry.quarantine.borrow().crashed_by(&print).into_iter().cloned().collect();
+    let held = HeldEntry { servers };
+    append(entry, FeedRecord { key: print.key(), value: Some(entries::write(&held)) }).await;
+}
+
+async fn append(entry: Rc<Entry>, record: FeedRecord) {
+    loop {
+        let call = entry.store.append(Feed::Quarantine, record.clone(), None);
+        if noted(&entry, Feed::Quarantine, call).await.is_ok() {
+            return;
+        }
+        sleep(STORE_PAUSE).await;
+    }
+}
+
+/// Reads which requests were held before this daemon started.
+pub async fn recall(entry: Rc<Entry>) {
+    loop {
+        let call = entry.store.newest(Feed::Quarantine);
+        let Ok(batch) = noted(&entry, Feed::Quarantine, call).await else {
+            sleep(STORE_PAUSE).await;
+            continue;
+        };
+        entry.note_batch(Feed::Quarantine, &batch);
+        for record in &batch.records {
+            if record.value.is_none() {
+                continue;
+            }
+            match Fingerprint::try_from(record.key.as_str()) {
+                Ok(print) => {
+                    entry.quarantine.borrow_mut().hold(print, entry.now());
+                    note_held(&entry, print, "store");
+                }
+                Err(error) => entry.note_unread(Feed::Quarantine, &record.key, &error.0),
+            }
+        }
+        return;
+    }
+}
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -24,6 +24,8 @@
     Daemons,
     /// Who may order models to be loaded.
     Leases,
+    /// Requests that go to no server, since several crashed under each.
+    Quarantine,
 }
 
 impl Feed {
@@ -34,6 +36,7 @@
             Self::Servers => "servers",
             Self::Daemons => "daemons",
             Self::Leases => "leases",
+            Self::Quarantine => "quarantine",
         }
     }
 }
--- a/lib/tests/test_digest.rs
+++ b/lib/tests/test_digest.rs
@@ -19,6 +19,7 @@
         ready: true,
         small: false,
         loads: vec![LoadNote { server, model: Some("hem".into()), running: 3, prompt: 40 }],
+        quarantine: <_>::default(),
         tenure: None,
     };
     PeerMessage { from: "d1".into(), process: 5, port: 7001, content: Content::Digest(digest) }
--- /dev/null
+++ b/lib/tests/test_quarantine.rs
@@ -0,0 +1,211 @@
+//! Requests under which servers crash: when one is held, when not, and how word of it merges.
+
+use std::time::Duration;
+
+use comfreymux_lib::boot_clock::Moment;
+use comfreymux_lib::picture::fingerprint::Fingerprint;
+use comfreymux_lib::picture::quarantine::HELD_FOR;
+use comfreymux_lib::picture::quarantine::Quarantine;
+use comfreymux_lib::picture::quarantine_note::Stage;
+use comfreymux_lib::picture::server_start::ServerStart;
+use http::Method;
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn print(n: u32) -> Fingerprint {
+    Fingerprint::new(&Method::POST, "shop.example", "/draft/7", &n.to_be_bytes())
+}
+
+fn server(n: usize) -> ServerStart {
+    ServerStart::from(format!("s{n}").as_str())
+}
+
+fn start() -> Moment {
+    Moment::ZERO + SECOND * 1000
+}
+
+/// A daemon before which a request crashed some servers, one a second.
+fn after_crashes(count: usize, stage: Stage) -> (Quarantine, Moment) {
+    let mut quarantine = Quarantine::default();
+    let mut now = start();
+    for n in 0..count {
+        now += SECOND;
+        quarantine.crashed(&server(n), print(1), stage, now);
+    }
+    (quarantine, now)
+}
+
+#[test]
+fn held_at_third() {
+    let (mut quarantine, now) = after_crashes(2, Stage::Begun);
+    assert!(!quarantine.is_held(&print(1), now));
+    assert!(quarantine.crashed(&server(2), print(1), Stage::Begun, now));
+    assert!(quarantine.is_held(&print(1), now));
+    assert!(!quarantine.is_held(&print(2), now));
+}
+
+/// One crash seen by three daemons counted as three.
+#[test]
+fn crash_counted_once() {
+    let mut here = Quarantine::default();
+    for _daemon in 0..3 {
+        let (there, now) = after_crashes(1, Stage::Begun);
+        here.hear(&there.note(now, false), now);
+        here.crashed(&server(0), print(1), Stage::Begun, now);
+    }
+    assert!(!here.is_held(&print(1), start()));
+    assert_eq!(here.crashed_by(&print(1)), [&server(0)]);
+}
+
+/// Three daemons that saw one crash each did not know that it was the third.
+#[test]
+fn sightings_joined() {
+    let now = start();
+    let mut here = Quarantine::default();
+    for n in 0..3 {
+        let mut there = Quarantine::default();
+        there.crashed(&server(n), print(1), Stage::Begun, now);
+        here.hear(&there.note(now, false), now);
+    }
+    assert!(here.is_held(&print(1), now));
+}
+
+/// A daemon that was away for long, or has just started, did not learn of a held request.
+#[test]
+fn held_told_on() {
+    let (mut there, now) = after_crashes(3, Stage::Begun);
+    let later = now + SECOND * 60;
+    assert!(there.is_held(&print(1), later));
+    let mut here = Quarantine::default();
+    assert_eq!(here.hear(&there.note(later, false), later), [print(1)]);
+    assert!(here.is_held(&print(1), later));
+}
+
+/// Requests that waited, or whose events went on, were refused for what another one did.
+#[test]
+fn bystanders_free() {
+    let now = start();
+    let mut quarantine = Quarantine::default();
+    for n in 0..5 {
+        quarantine.crashed(&server(n), print(2), Stage::Other, now);
+        quarantine.crashed(&server(n), print(3), Stage::Young, now);
+        quarantine.crashed(&server(n), print(1), Stage::Begun, now);
+    }
+    assert!(quarantine.is_held(&print(1), now));
+    assert!(!quarantine.is_held(&print(2), now));
+    assert!(!quarantine.is_held(&print(3), now));
+}
+
+/// The same where the request that did it was another daemon's.
+#[test]
+fn bystanders_elsewhere() {
+    let now = start();
+    let (mut here, mut there) = <(Quarantine, Quarantine)>::default();
+    for n in 0..5 {
+        there.crashed(&server(n), print(1), Stage::Begun, now);
+        here.hear(&there.note(now, false), now);
+        here.crashed(&server(n), print(2), Stage::Other, now);
+    }
+    assert!(here.is_held(&print(1), now));
+    assert!(!here.is_held(&print(2), now));
+}
+
+/// A server that gives no head before its answer hid which request crashed it.
+#[test]
+fn unanswered_held() {
+    let (mut quarantine, now) = after_crashes(3, Stage::Other);
+    assert!(quarantine.is_held(&print(1), now));
+}
+
+/// A popular request met one crash after the other through a day, and was refused though it was served in between.
+#[test]
+fn answer_clears() {
+    let mut quarantine = Quarantine::default();
+    let mut now = start();
+    for n in 0..6 {
+        quarantine.crashed(&server(n), print(1), Stage::Begun, now);
+        if n % 2 == 1 {
+            quarantine.clear(print(1), now + SECOND);
+        }
+        now += SECOND * 2;
+    }
+    assert!(!quarantine.is_held(&print(1), now));
+}
+
+/// One daemon knew that a request had been answered, another held it.
+#[test]
+fn clearing_told() {
+    let (mut there, now) = after_crashes(2, Stage::Begun);
+    let mut here = Quarantine::default();
+    here.hear(&there.note(now, false), now);
+    there.clear(print(1), now);
+    here.hear(&there.note(now + SECOND, false), now + SECOND);
+    // Older word that was under way does not undo it.
+    let (late, _) = after_crashes(2, Stage::Begun);
+    here.hear(&late.note(now, false), now + SECOND);
+    assert!(!here.crashed(&server(2), print(1), Stage::Begun, now + SECOND * 2));
+}
+
+#[test]
+fn released_unasked() {
+    let (mut quarantine, now) = after_crashes(3, Stage::Begun);
+    let asked = now + HELD_FOR;
+    assert!(quarantine.sweep(asked).is_empty());
+    assert!(quarantine.is_held(&print(1), asked));
+    assert!(quarantine.sweep(asked + HELD_FOR).is_empty());
+    assert_eq!(quarantine.sweep(asked + HELD_FOR + SECOND), [print(1)]);
+    assert!(!quarantine.is_held(&print(1), asked + HELD_FOR + SECOND));
+}
+
+/// Crashes of thousands of servers and requests fill no memory, and no datagram.
+#[test]
+fn memory_bounded() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..2000 {
+        for request in 0..40 {
+            quarantine.crashed(&server(n / 3), print(request + n as u32), Stage::Begun, start());
+        }
+    }
+    let note = quarantine.note(start(), true);
+    assert!(quarantine.held().count() <= 1024);
+    assert!(note.crashes.len() <= 16 && note.held.len() <= 16);
+    assert!(note.crashes.iter().all(|c| c.requests.len() <= 16));
+}
+
+proptest! {
+    /// Word of crashes came in another order, or twice, and daemons disagreed for good.
+    #[test]
+    fn order_irrelevant(
+        sightings in prop::collection::vec((0..4_usize, 0..4_u32, 0..3_u8), 1..24),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let now = start();
+        let notes: Vec<_> = sightings
+            .iter()
+            .map(|(at, request, stage)| {
+                let stage = [Stage::Begun, Stage::Young, Stage::Other][*stage as usize];
+                let mut seer = Quarantine::default();
+                seer.crashed(&server(*at), print(*request), stage, now);
+                seer.note(now, false)
+            })
+            .collect();
+        let crashed_by = |notes: &[_]| {
+            let mut hearer = Quarantine::default();
+            for note in notes {
+                hearer.hear(note, now);
+            }
+            let list = |n| {
+                let mut servers: Vec<_> =
+                    hearer.crashed_by(&print(n)).into_iter().cloned().collect();
+                servers.sort();
+                servers
+            };
+            (0..4).map(list).collect::<Vec<_>>()
+        };
+        let mut turned = notes.clone();
+        turned.rotate_left(order.index(notes.len()));
+        turned.extend(notes.iter().rev().cloned());
+        prop_assert_eq!(crashed_by(&notes), crashed_by(&turned));
+    }
+}
