--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -220,12 +220,6 @@
         self.tried.push(server);
     }
 
-    /// Takes in that the server of the last send crashed, most likely under another request: it does not count as one
-    /// that this request was tried at.
-    pub fn outlived(&mut self) {
-        self.runs = self.runs.saturating_sub(1);
-    }
-
     fn note_lack(&self, entry: &Entry, server: &ServerStart) {
         let Some(item) = self.item() else { return };
         let directory = entry.directory.borrow();
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -176,7 +176,7 @@
     /// Takes in that the server failed.
     async fn failed(&mut self, failure: &SendFailure) {
         self.attempt.failed(&self.entry, failure);
-        suspects::note_failure(&self.entry, &mut self.attempt, failure).await;
+        suspects::note_failure(&self.entry, &self.attempt, failure).await;
     }
 
     /// Sends the request to another server, where that is allowed.
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -63,17 +63,13 @@
 ///
 /// A server that crashed refuses connections; one that only lost this connection, gives wrong answers or is cut off
 /// does not, and one that is leaving ends as planned.
-pub async fn note_failure(entry: &Rc<Entry>, attempt: &mut Attempt, failure: &SendFailure) {
+pub async fn note_failure(entry: &Rc<Entry>, attempt: &Attempt, failure: &SendFailure) {
     let (Some(broke), Some(server)) = (failure.broke, attempt.last.clone()) else { return };
     let Some(addr) = address(entry, &server) else { return };
     let stage = stage(entry, attempt, broke);
     let print = attempt.print;
-    if !entry.quarantine.borrow().has_crashed(&server) && !is_refused(addr).await {
-        return;
-    }
-    note_crash(entry, &server, print, stage);
-    if stage != Stage::Begun {
-        attempt.outlived();
+    if entry.quarantine.borrow().has_crashed(&server) || is_refused(addr).await {
+        note_crash(entry, &server, print, stage);
     }
 }
 
