quarantine: crashes of a server that starts again under its id count one each

A server may start again under its id and serve, and crash, before its new entry is read: by the picture both crashes were of one start, so that a request needed more than three. A crash is told apart by how many of that start's were known before the request was sent.

--- a/lib/src/picture/quarantine.rs
+++ b/lib/src/picture/quarantine.rs
@@ -6,6 +6,7 @@
 
 use crate::boot_clock::Moment;
 use crate::picture::fingerprint::Fingerprint;
+use crate::picture::quarantine_note::CrashId;
 use crate::picture::quarantine_note::CrashNote;
 use crate::picture::quarantine_note::QuarantineNote;
 use crate::picture::quarantine_note::Stage;
@@ -50,7 +51,7 @@
 /// changes nothing, so that two daemons that saw one crash count it once.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    crashes: HashMap<ServerStart, Crash>,
+    crashes: HashMap<CrashId, Crash>,
     /// Requests that had a whole answer, and when: earlier crashes do not count against them.
     cleared: HashMap<Fingerprint, Moment>,
     /// Held requests, and when they were last asked for.
@@ -58,22 +59,34 @@
 }
 
 impl Quarantine {
-    /// Takes in that a server crashed while it had a request. Returns whether the request is held from now on.
+    /// Takes in that a server crashed while it had a request that it was `sent` before. Returns whether the request is
+    /// held from now on.
     pub fn crashed(
         &mut self,
         server: &ServerStart,
+        sent: Moment,
         print: Fingerprint,
         stage: Stage,
         now: Moment,
     ) -> bool {
         let requests = [(print, stage)];
-        self.take_crash(server, now, &requests, true, now);
+        let id = self.crash_after(server, sent);
+        self.take_crash(&id, now, &requests, true, now);
         self.hold_suspects(requests.map(|(p, _)| p), now).contains(&print)
     }
 
-    /// Returns whether a server's crash is known.
-    pub fn has_crashed(&self, server: &ServerStart) -> bool {
-        self.crashes.contains_key(server)
+    /// Returns whether a server is known to have crashed after a request was `sent` to it.
+    pub fn has_crashed(&self, server: &ServerStart, sent: Moment) -> bool {
+        self.crashes.contains_key(&self.crash_after(server, sent))
+    }
+
+    /// Returns the first crash of a server after `sent`, which may not be known yet.
+    fn crash_after(&self, server: &ServerStart, sent: Moment) -> CrashId {
+        let mut id = CrashId { server: server.clone(), earlier: 0 };
+        while self.crashes.get(&id).is_some_and(|crash| crash.at < sent) {
+            id.earlier += 1;
+        }
+        id
     }
 
     /// Takes in that a request had a whole answer: whatever crashed servers, it was not this one.
@@ -84,10 +97,10 @@
         }
     }
 
-    /// Returns the starts of servers that a request is believed to have crashed.
-    pub fn crashed_by(&self, print: &Fingerprint) -> Vec<&ServerStart> {
+    /// Returns the crashes that a request is believed to have caused.
+    pub fn crashed_by(&self, print: &Fingerprint) -> Vec<&CrashId> {
         let crashes = self.crashes.iter().filter(|(_, crash)| crash.suspects(print));
-        crashes.map(|(server, _)| server).collect()
+        crashes.map(|(id, _)| id).collect()
     }
 
     /// Returns whether a request may go to no server; asking for it keeps it held.
@@ -115,13 +128,13 @@
             .filter(|(_, c)| is_fresh(c.learned) && (c.is_own || is_reader))
             .collect();
         crashes.sort_by_key(|(_, c)| std::cmp::Reverse(c.learned));
-        let crash = |(server, crash): (&ServerStart, &Crash)| {
+        let crash = |(id, crash): (&CrashId, &Crash)| {
             // Where too many are known to tell them all, the most suspicious ones are.
             let mut requests: Vec<_> = crash.requests.iter().map(|(p, s)| (*p, *s)).collect();
             requests.sort_by_key(|(_, stage)| *stage);
             requests.truncate(TOLD);
             let age = now.saturating_sub(crash.at);
-            CrashNote { server: server.clone(), age, worst: crash.worst, requests }
+            CrashNote { id: id.clone(), age, worst: crash.worst, requests }
         };
         QuarantineNote {
             crashes: crashes.into_iter().take(TOLD).map(crash).collect(),
@@ -138,8 +151,8 @@
         let mut held = Vec::new();
         for crash in &note.crashes {
             let at = now.saturating_sub(crash.age);
-            self.take_crash(&crash.server, at, &crash.requests, false, now);
-            if let Some(known) = self.crashes.get_mut(&crash.server) {
+            self.take_crash(&crash.id, at, &crash.requests, false, now);
+            if let Some(known) = self.crashes.get_mut(&crash.id) {
                 known.worst = known.worst.min(crash.worst);
             }
             held.extend(self.hold_suspects(crash.requests.iter().map(|(p, _)| *p), now));
@@ -164,17 +177,17 @@
 
     fn take_crash(
         &mut self,
-        server: &ServerStart,
+        id: &CrashId,
         at: Moment,
         requests: &[(Fingerprint, Stage)],
         is_own: bool,
         now: Moment,
     ) {
-        if self.crashes.len() >= CRASHES_KEPT && !self.crashes.contains_key(server) {
-            let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at).map(|(s, _)| s.clone());
-            oldest.and_then(|s| self.crashes.remove(&s));
+        if self.crashes.len() >= CRASHES_KEPT && !self.crashes.contains_key(id) {
+            let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at).map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.crashes.remove(&id));
         }
-        let crash = self.crashes.entry(server.clone()).or_insert_with(|| Crash {
+        let crash = self.crashes.entry(id.clone()).or_insert_with(|| Crash {
             at,
             learned: now,
             is_own,
--- a/lib/src/picture/quarantine_note.rs
+++ b/lib/src/picture/quarantine_note.rs
@@ -33,11 +33,20 @@
     }
 }
 
-/// A server's crash.
+/// One crash of a server.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct CrashId {
+    /// The start that ended, as far as daemons knew.
+    pub server: ServerStart,
+    /// Number of earlier crashes of it: the server may have started again unnoticed, and crashed again.
+    pub earlier: u32,
+}
+
+/// What is known of a crash.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashNote {
-    /// The start that ended.
-    pub server: ServerStart,
+    /// Which one.
+    pub id: CrashId,
     /// How long ago.
     pub age: Duration,
     /// The most suspicious stage of all its requests, listed or not.
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -88,6 +88,8 @@
     pub reason: &'static str,
     /// How long it waited for a model.
     pub waited: Duration,
+    /// When it was last sent.
+    pub sent: Moment,
     /// When the server of the last send gave its first event.
     pub first: Option<Moment>,
     /// The longest pause between its events so far.
@@ -181,8 +183,9 @@
     }
 
     /// Notes a send to a chosen server.
-    pub fn sent(&mut self, chosen: &Chosen) {
+    pub fn sent(&mut self, chosen: &Chosen, now: Moment) {
         self.sends += 1;
+        self.sent = now;
         self.sending = true;
         self.first = None;
         self.last = Some(chosen.server.start());
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -123,7 +123,7 @@
     chosen: &Chosen,
 ) -> Exchange<(response::Parts, Bytes)> {
     let server = Rc::clone(&chosen.server);
-    attempt.sent(chosen);
+    attempt.sent(chosen, entry.now());
     let request = attempt.request(entry, &server, None);
     let work = entry.loads.begin(attempt.place(&server), attempt.terms.prompt);
     let id = attempt.terms.attempt.clone();
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -102,7 +102,7 @@
     resume: Option<u64>,
 ) -> Exchange<Opened> {
     let server = Rc::clone(&chosen.server);
-    attempt.sent(chosen);
+    attempt.sent(chosen, entry.now());
     let request = attempt.request(entry, &server, resume);
     let work = entry.loads.begin(attempt.place(&server), attempt.terms.prompt);
     let id = attempt.terms.attempt.clone();
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -146,6 +146,7 @@
         among: 0,
         reason: "",
         waited: Duration::ZERO,
+        sent: arrived,
         first: None,
         pause: Duration::ZERO,
     })
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -11,6 +11,7 @@
 
 use crate::picture::fingerprint::Fingerprint;
 use crate::picture::quarantine::HELD_FOR;
+use crate::picture::quarantine_note::CrashId;
 use crate::picture::quarantine_note::QuarantineNote;
 use crate::picture::quarantine_note::Stage;
 use crate::picture::server_start::ServerStart;
@@ -37,8 +38,8 @@
 /// A held request in the store, for daemons that start later, and for operators.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct HeldEntry {
-    /// Servers that crashed under it.
-    servers: Vec<ServerStart>,
+    /// Crashes that it is believed to have caused.
+    crashes: Vec<CrashId>,
 }
 
 impl Entry {
@@ -67,9 +68,9 @@
     let (Some(broke), Some(server)) = (failure.broke, attempt.last.clone()) else { return };
     let Some(addr) = address(entry, &server) else { return };
     let stage = stage(entry, attempt, broke);
-    let print = attempt.print;
-    if entry.quarantine.borrow().has_crashed(&server) || is_refused(addr).await {
-        note_crash(entry, &server, print, stage);
+    let is_known = entry.quarantine.borrow().has_crashed(&server, attempt.sent);
+    if is_known || is_refused(addr).await {
+        note_crash(entry, attempt, &server, stage);
     }
 }
 
@@ -93,9 +94,10 @@
     connection.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
-fn note_crash(entry: &Rc<Entry>, server: &ServerStart, print: Fingerprint, stage: Stage) {
+fn note_crash(entry: &Rc<Entry>, attempt: &Attempt, server: &ServerStart, stage: Stage) {
+    let print = attempt.print;
     let mut quarantine = entry.quarantine.borrow_mut();
-    let is_held = quarantine.crashed(server, print, stage, entry.now());
+    let is_held = quarantine.crashed(server, attempt.sent, print, stage, entry.now());
     let crashes = quarantine.crashed_by(&print).len();
     drop(quarantine);
     if stage < Stage::Other || crashes > 1 {
@@ -110,7 +112,8 @@
 
 fn note_held(entry: &Entry, print: Fingerprint, from: &str) {
     let quarantine = entry.quarantine.borrow();
-    let servers: Vec<_> = quarantine.crashed_by(&print).iter().map(|s| s.id.as_str()).collect();
+    let servers: Vec<_> =
+        quarantine.crashed_by(&print).iter().map(|c| c.server.id.as_str()).collect();
     slog::warn!(entry.log, "request-held"; "print" => %print, "from" => from,
         "servers" => servers.join(","), "held" => quarantine.held().count());
     entry.metrics.held(quarantine.held().count());
@@ -139,8 +142,8 @@
 
 /// Writes a held request to the store, since all daemons may be replaced at once.
 async fn store_held(entry: Rc<Entry>, print: Fingerprint) {
-    let servers = entry.quarantine.borrow().crashed_by(&print).into_iter().cloned().collect();
-    let held = HeldEntry { servers };
+    let crashes = entry.quarantine.borrow().crashed_by(&print).into_iter().cloned().collect();
+    let held = HeldEntry { crashes };
     append(entry, FeedRecord { key: print.key(), value: Some(entries::write(&held)) }).await;
 }
 
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -31,7 +31,7 @@
     let mut now = start();
     for n in 0..count {
         now += SECOND;
-        quarantine.crashed(&server(n), print(1), stage, now);
+        quarantine.crashed(&server(n), Moment::ZERO, print(1), stage, now);
     }
     (quarantine, now)
 }
@@ -40,7 +40,7 @@
 fn held_at_third() {
     let (mut quarantine, now) = after_crashes(2, Stage::Begun);
     assert!(!quarantine.is_held(&print(1), now));
-    assert!(quarantine.crashed(&server(2), print(1), Stage::Begun, now));
+    assert!(quarantine.crashed(&server(2), Moment::ZERO, print(1), Stage::Begun, now));
     assert!(quarantine.is_held(&print(1), now));
     assert!(!quarantine.is_held(&print(2), now));
 }
@@ -52,10 +52,24 @@
     for _daemon in 0..3 {
         let (there, now) = after_crashes(1, Stage::Begun);
         here.hear(&there.note(now, false), now);
-        here.crashed(&server(0), print(1), Stage::Begun, now);
+        here.crashed(&server(0), Moment::ZERO, print(1), Stage::Begun, now);
     }
     assert!(!here.is_held(&print(1), start()));
-    assert_eq!(here.crashed_by(&print(1)), [&server(0)]);
+    assert_eq!(here.crashed_by(&print(1)).len(), 1);
+}
+
+/// A server started again under its id and crashed again before its entry told so; its crashes counted as one.
+#[test]
+fn restart_unnoticed() {
+    let mut quarantine = Quarantine::default();
+    for n in 1..=3 {
+        let sent = start() + SECOND * n;
+        assert!(!quarantine.has_crashed(&server(0), sent));
+        let is_held =
+            quarantine.crashed(&server(0), sent, print(1), Stage::Begun, sent + SECOND / 2);
+        assert_eq!(is_held, n == 3);
+        assert!(quarantine.has_crashed(&server(0), sent));
+    }
 }
 
 /// Three daemons that saw one crash each did not know that it was the third.
@@ -65,7 +79,7 @@
     let mut here = Quarantine::default();
     for n in 0..3 {
         let mut there = Quarantine::default();
-        there.crashed(&server(n), print(1), Stage::Begun, now);
+        there.crashed(&server(n), Moment::ZERO, print(1), Stage::Begun, now);
         here.hear(&there.note(now, false), now);
     }
     assert!(here.is_held(&print(1), now));
@@ -88,9 +102,9 @@
     let now = start();
     let mut quarantine = Quarantine::default();
     for n in 0..5 {
-        quarantine.crashed(&server(n), print(2), Stage::Other, now);
-        quarantine.crashed(&server(n), print(3), Stage::Young, now);
-        quarantine.crashed(&server(n), print(1), Stage::Begun, now);
+        quarantine.crashed(&server(n), Moment::ZERO, print(2), Stage::Other, now);
+        quarantine.crashed(&server(n), Moment::ZERO, print(3), Stage::Young, now);
+        quarantine.crashed(&server(n), Moment::ZERO, print(1), Stage::Begun, now);
     }
     assert!(quarantine.is_held(&print(1), now));
     assert!(!quarantine.is_held(&print(2), now));
@@ -103,9 +117,9 @@
     let now = start();
     let (mut here, mut there) = <(Quarantine, Quarantine)>::default();
     for n in 0..5 {
-        there.crashed(&server(n), print(1), Stage::Begun, now);
+        there.crashed(&server(n), Moment::ZERO, print(1), Stage::Begun, now);
         here.hear(&there.note(now, false), now);
-        here.crashed(&server(n), print(2), Stage::Other, now);
+        here.crashed(&server(n), Moment::ZERO, print(2), Stage::Other, now);
     }
     assert!(here.is_held(&print(1), now));
     assert!(!here.is_held(&print(2), now));
@@ -124,7 +138,7 @@
     let mut quarantine = Quarantine::default();
     let mut now = start();
     for n in 0..6 {
-        quarantine.crashed(&server(n), print(1), Stage::Begun, now);
+        quarantine.crashed(&server(n), Moment::ZERO, print(1), Stage::Begun, now);
         if n % 2 == 1 {
             quarantine.clear(print(1), now + SECOND);
         }
@@ -144,7 +158,7 @@
     // Older word that was under way does not undo it.
     let (late, _) = after_crashes(2, Stage::Begun);
     here.hear(&late.note(now, false), now + SECOND);
-    assert!(!here.crashed(&server(2), print(1), Stage::Begun, now + SECOND * 2));
+    assert!(!here.crashed(&server(2), Moment::ZERO, print(1), Stage::Begun, now + SECOND * 2));
 }
 
 #[test]
@@ -164,7 +178,13 @@
     let mut quarantine = Quarantine::default();
     for n in 0..2000 {
         for request in 0..40 {
-            quarantine.crashed(&server(n / 3), print(request + n as u32), Stage::Begun, start());
+            quarantine.crashed(
+                &server(n / 3),
+                Moment::ZERO,
+                print(request + n as u32),
+                Stage::Begun,
+                start(),
+            );
         }
     }
     let note = quarantine.note(start(), true);
@@ -186,7 +206,7 @@
             .map(|(at, request, stage)| {
                 let stage = [Stage::Begun, Stage::Young, Stage::Other][*stage as usize];
                 let mut seer = Quarantine::default();
-                seer.crashed(&server(*at), print(*request), stage, now);
+                seer.crashed(&server(*at), Moment::ZERO, print(*request), stage, now);
                 seer.note(now, false)
             })
             .collect();
