quarantine: word of a request that crashes servers is told at once

Between a crash and the next digest, up to 300 ms, another daemon could send the request on. A daemon that saw a request begin and its server crash tells its peers in the same moment.

--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -160,6 +160,8 @@
     pub coverage: Coverage,
     /// Signalled when readers should tell their words at once.
     pub news: Notify,
+    /// Signalled when peers should hear at once of a request that crashes servers.
+    pub crash_news: Notify,
     /// Signalled when a reader tells of something that has to be fetched from it.
     pub fetch: Notify,
     /// The placement lease.
@@ -238,6 +240,7 @@
             duty: RefCell::default(),
             coverage: Coverage::default(),
             news: Notify::new(),
+            crash_news: Notify::new(),
             fetch: Notify::new(),
             tenure: RefCell::new(tenure),
             lease_due: Notify::new(),
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -104,7 +104,11 @@
         slog::info!(entry.log, "request-suspected"; "print" => %print, "server" => %server,
             "stage" => stage.name(), "crashes" => crashes);
     }
+    if stage == Stage::Begun {
+        entry.crash_news.notify_one();
+    }
     if is_held {
+        entry.crash_news.notify_one();
         note_held(entry, print, "own");
         spawn_local(store_held(Rc::clone(entry), print));
     }
--- a/lib/src/serve/tell.rs
+++ b/lib/src/serve/tell.rs
@@ -146,6 +146,7 @@
                 () = sleep(left) => {}
                 () = self.entry.config_changed.notified() => self.tell_version(),
                 () = self.entry.news.notified() => self.tell_words(),
+                () = self.entry.crash_news.notified() => self.tell_turn(false),
             }
         }
     }
