serve: a limit that a server names is read and logged

Answers' Server-Limit is read, and a line says when it begins, changes or ends at a server, as this daemon hears it; a value that is no limit is one line a start. No decision changes.

--- a/lib/src/picture.rs
+++ b/lib/src/picture.rs
@@ -12,6 +12,8 @@
 pub mod peer_table;
 pub mod quarantine;
 pub mod quarantine_note;
+pub mod rate_limit;
+pub mod rate_limits;
 pub mod reader_duty;
 pub mod reader_rank;
 pub mod readers;
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -20,6 +20,7 @@
 use crate::picture::directory::HeldModel;
 use crate::picture::directory::Server;
 use crate::picture::loads::ServerWord;
+use crate::picture::rate_limit::RateLimit;
 
 /// Id of a caller's attempt, as the caller sent it.
 pub type AttemptId = SmolStr;
@@ -59,6 +60,18 @@
     pub resume: Option<u64>,
 }
 
+/// What an answer says of its server's limit.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum NamedLimit {
+    /// It names none.
+    #[default]
+    None,
+    /// It names this one.
+    Limit(RateLimit),
+    /// It names one that cannot be read.
+    Unreadable(SmolStr),
+}
+
 /// What a backend server's answer says beside status and body.
 #[derive(Clone, Debug, Default)]
 pub struct AnswerTerms {
@@ -72,6 +85,8 @@
     pub not_run: bool,
     /// The server's load.
     pub load: Option<ServerWord>,
+    /// The limit that the server names.
+    pub limit: NamedLimit,
     /// For how long the server keeps the connection open.
     pub keep: Option<Duration>,
 }
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -41,6 +41,7 @@
 pub mod relay;
 pub mod reply;
 pub mod send;
+pub mod server_word;
 pub mod silence;
 pub mod socket;
 pub mod standing;
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -32,6 +32,7 @@
 use crate::picture::loads::Loads;
 use crate::picture::peer_table::PeerTable;
 use crate::picture::quarantine::Quarantine;
+use crate::picture::rate_limits::RateLimits;
 use crate::picture::reader_duty::ReaderDuty;
 use crate::picture::reader_rank::ReaderRank;
 use crate::picture::run_times::RunTimes;
@@ -146,6 +147,8 @@
     pub run_times: RunTimes,
     /// Repeated sends.
     pub budget: RefCell<Budget>,
+    /// Limits that servers name.
+    pub rates: RefCell<RateLimits>,
     /// Requests under which servers crashed.
     pub quarantine: RefCell<Quarantine>,
     /// The other daemons.
@@ -233,6 +236,7 @@
             loads: Loads::default(),
             health: RefCell::default(),
             run_times: RunTimes::default(),
+            rates: RefCell::default(),
             quarantine: RefCell::default(),
             peers: RefCell::new(peers),
             waits: Waits::default(),
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -130,11 +130,7 @@
     let entry = Rc::clone(entry);
     Box::pin(async move {
         let _work = work;
-        let (pool, protocol) = (&entry.pool, &*entry.protocol);
-        let answer = send::send(pool, protocol, &server, id.as_ref(), request).await?;
-        if let Some(word) = answer.terms.load {
-            entry.loads.told(&server.start(), entry.now(), word);
-        }
+        let answer = send::send(&entry, &server, id.as_ref(), request).await?;
         send::read_whole(&entry.pool, answer, ANSWER_LIMIT).await
     })
 }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -108,11 +108,7 @@
     let id = attempt.terms.attempt.clone();
     let entry = Rc::clone(entry);
     Box::pin(async move {
-        let (pool, protocol) = (&entry.pool, &*entry.protocol);
-        let answer = send::send(pool, protocol, &server, id.as_ref(), request).await?;
-        if let Some(word) = answer.terms.load {
-            entry.loads.told(&server.start(), entry.now(), word);
-        }
+        let answer = send::send(&entry, &server, id.as_ref(), request).await?;
         if answer.head.status != StatusCode::OK {
             let (head, body) = send::read_whole(&entry.pool, answer, ANSWER_LIMIT).await?;
             return Ok(Opened::Other(head, body));
--- a/lib/src/serve/observe.rs
+++ b/lib/src/serve/observe.rs
@@ -180,6 +180,7 @@
     entry.health.borrow_mut().retain(is_known);
     entry.holdings.borrow_mut().retain(is_known);
     entry.loads.retain(entry.now(), is_known);
+    entry.rates.borrow_mut().retain(is_known);
     entry.pool.sweep(is_known);
     entry.waits.changed.notify_waiters();
     entry.plan.notify_one();
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -14,7 +14,7 @@
 use crate::picture::health::Evidence;
 use crate::protocol::AnswerTerms;
 use crate::protocol::AttemptId;
-use crate::protocol::Protocol;
+use crate::serve::entry::Entry;
 use crate::serve::pool::Connection;
 use crate::serve::pool::Pool;
 use crate::verdict::Verdict;
@@ -123,14 +123,13 @@
 ///
 /// There is no answer to this request, or the server says that it did not run.
 pub async fn send(
-    pool: &Pool,
-    protocol: &dyn Protocol,
+    entry: &Entry,
     server: &Server,
     attempt: Option<&AttemptId>,
     request: Request<Bytes>,
 ) -> Result<Answer, SendFailure> {
     let mut request = request.map(Full::new);
-    let start = server.start();
+    let (start, pool, sent) = (server.start(), &entry.pool, entry.now());
     let mut connection = pool
         .connection(&start, server.addr)
         .await
@@ -158,7 +157,12 @@
         }
     };
     let (head, body) = response.into_parts();
-    let terms = protocol.answer_terms(&head);
+    let terms = entry.protocol.answer_terms(&head);
+    let is_own = terms.attempt.as_ref() == attempt;
+    let is_other = terms.instance.as_ref().is_some_and(|id| *id != server.id);
+    if is_own && !is_other {
+        entry.hear_server(&start, &terms, sent);
+    }
     judge(server, Answer { head, terms, body, connection }, attempt)
 }
 
