--- a/lib/src/serve/server_word.rs
+++ b/lib/src/serve/server_word.rs
@@ -1,6 +1,7 @@
 //! What backend servers say of themselves in their answers.
 
 use crate::boot_clock::Moment;
+use crate::picture::rate_limit::RateLimit;
 use crate::picture::server_start::ServerStart;
 use crate::protocol::AnswerTerms;
 use crate::protocol::NamedLimit;
@@ -29,7 +30,7 @@
         };
         if self.rates.borrow_mut().answered(server, limit, sent, now) {
             slog::info!(self.log, "server-limit"; "server" => %server, "from" => "own",
-                "limit" => limit.map_or(-1.0, |l| l.per_second()));
+                "limit" => limit.map_or(-1.0, RateLimit::per_second));
         }
     }
 }
