serve: daemons share what a limited server takes

A server in need named how many requests a second it takes from all daemons together, and got several times as many: nothing read the limit. Cause: a missing capability, of the class of a fault that no single daemon can see: a daemon that keeps to the limit for itself is one of n.

As many daemons as the limit's worth in a second and a burst of three allow may send to a limited server, the same ones by everybody's reckoning (rendezvous hashing over the known daemons, silent ones included). Each has a token bucket, empty at first, so that all together send no more than burst and limit in any span; a retry, resume or offer takes a token as well, and one out of turn delays the next. Where another server has a free place it is taken first, so that turns are left for requests that have no other; a request whose turn does not come in its time is refused with the time of the turn, or sent to another daemon at once where that one may send. Engines whose turn is far count as unusable to the planner, so that their models are loaded elsewhere. Limits and their ends spread with digests, by age. An answer without the limit ends it if its request was sent after it was last named; a server that has not said so for two seconds is asked like any other in its turn, and gets a request in four seconds even at a limit of 0.

Ruled out: a bucket at each of n daemons (n at once); a share of the limit by n (72 daemons would wait a minute for a request each).

The digests have a new form.

--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -16,6 +16,7 @@
 use crate::picture::directory::HeldModel;
 use crate::picture::holdings::Holding;
 use crate::picture::quarantine_note::QuarantineNote;
+use crate::picture::rate_limits::LimitNote;
 use crate::picture::server_start::ServerStart;
 use crate::picture::word::Word;
 use crate::place::tenure::TenureClaim;
@@ -81,6 +82,8 @@
     pub small: bool,
     /// Its requests by server.
     pub loads: Vec<LoadNote>,
+    /// Limits that servers name.
+    pub limits: Vec<LimitNote>,
     /// Requests under which servers crashed.
     pub quarantine: QuarantineNote,
     /// Set by the holder of the placement lease.
@@ -147,7 +150,7 @@
 /// The encoding does not describe itself: datagrams of another version's types may decode to nonsense,
 /// such as a start of a server that no later one can follow. The first form had no number and began with
 /// the length of a daemon's name, which is never that of this number.
-const FORMAT: u8 = 0xf4;
+const FORMAT: u8 = 0xf5;
 
 /// Why a datagram cannot be read.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/lib/src/picture/peer_table.rs
+++ b/lib/src/picture/peer_table.rs
@@ -12,8 +12,10 @@
 use crate::picture::configuration::ConfigVersion;
 use crate::picture::digest::Digest;
 use crate::picture::digest::ProcessId;
+use crate::picture::rate_share::weight;
 use crate::picture::reader_rank::ReaderRank;
 use crate::picture::readers::HeardWord;
+use crate::picture::server_start::ServerStart;
 use crate::place::bid_patience::Bidders;
 use crate::place::entries::DaemonEntry;
 
@@ -279,6 +281,15 @@
         self.peers.len() + 1
     }
 
+    /// Returns whether a daemon is one of the `senders` that may send to a limited server.
+    ///
+    /// Peers that are silent count here too: one that is only out of this daemon's reach goes on sending.
+    pub fn is_sender(&self, id: &str, server: &ServerStart, senders: usize) -> bool {
+        let own = weight(server, id);
+        let before = self.peers.keys().filter(|peer| weight(server, peer) > own);
+        before.take(senders).count() < senders
+    }
+
     /// Returns who may bid for the placement lease, a daemon with a small host or not among them.
     pub fn bidders(&self, is_small: bool) -> Bidders {
         let large = self.peers.values().filter(|p| !p.rank.is_small).count();
--- a/lib/src/picture/rate_limit.rs
+++ b/lib/src/picture/rate_limit.rs
@@ -9,6 +9,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, PartialOrd, Serialize)]
 pub struct RateLimit(f64);
 
+/// Finite numbers equal themselves.
+impl Eq for RateLimit {}
+
 impl RateLimit {
     /// Returns the limit; none where the number is negative or not finite.
     pub fn new(rate: f64) -> Option<Self> {
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -13,6 +13,8 @@
 use crate::picture::loads::Work;
 use crate::picture::run_times::RunTimes;
 use crate::picture::server_start::ServerStart;
+use crate::picture::turn::Turn;
+use crate::picture::turn::Turns;
 use crate::place::demand::Item;
 use crate::serve::near_best;
 use crate::serve::near_best::Candidate;
@@ -40,6 +42,9 @@
 /// Milliseconds of a request at a plain service.
 const PLAIN_WORK: f64 = 15.0;
 
+/// A request waits for a turn that comes within this time, rather than ask for its model elsewhere.
+const SOON: Duration = Duration::from_millis(500);
+
 /// What a choice looks at.
 #[derive(Debug)]
 pub struct Chooser<'a> {
@@ -53,6 +58,8 @@
     pub health: &'a Health,
     /// How long requests run.
     pub run_times: &'a RunTimes,
+    /// Turns at servers that name limits.
+    pub turns: &'a Turns,
     /// This daemon's data centre.
     pub centre: &'a CentreId,
     /// Now.
@@ -191,6 +198,43 @@
         if server.centre == *self.centre { 0.0 } else { cost }
     }
 
+    /// Returns when a request may be sent to a server that named a limit.
+    fn turn(&self, server: &Server) -> Option<&Turn> {
+        if self.turns.is_empty() { None } else { self.turns.get(&server.start()) }
+    }
+
+    /// Leaves limited servers out while another one has a free place: their turns are for requests that have no
+    /// other server. One that is due gets a request all the same.
+    fn unlimited_first<'s>(&self, list: Vec<&'s Rc<Server>>) -> Vec<&'s Rc<Server>> {
+        let is_open = |s: &&Rc<Server>| self.turn(s).is_none_or(|turn| turn.is_due);
+        let has_place = |s: &Rc<Server>| self.loads.at(&s.start(), self.now).running < s.slots;
+        if self.turns.is_empty() || !list.iter().any(|s| is_open(s) && has_place(s)) {
+            return list;
+        }
+        list.into_iter().filter(is_open).collect()
+    }
+
+    /// Returns the limited servers of a service whose turn does not come soon.
+    pub fn held_back(&self, service: &str) -> Vec<ServerStart> {
+        let is_late = |turn: &Turn| turn.wait.is_none_or(|wait| wait > SOON);
+        let servers = self.directory.servers().filter(|s| s.service == service);
+        servers.filter(|s| self.turn(s).is_some_and(is_late)).map(|s| s.start()).collect()
+    }
+
+    /// Returns when a limited server can be sent a request that has no other server: an engine that holds what `item`
+    /// names, where one is given. None where another one is in reach, or there is none at all.
+    pub fn next_turn(&self, service: &str, item: Option<&Item>) -> Option<Turn> {
+        let holds = |s: &Server| {
+            item.is_none_or(|i| self.holdings.holds(s, &i.model, i.adapter.as_deref()))
+        };
+        let is_usable = |s: &Server| {
+            s.service == service && !s.leaving && !self.health.is_dark(&s.start(), self.now)
+        };
+        let servers = self.directory.servers().filter(|s| is_usable(s) && holds(s));
+        let turns: Option<Vec<Turn>> = servers.map(|s| self.turn(s).copied()).collect();
+        turns?.into_iter().min_by_key(|turn| turn.wait.unwrap_or(Duration::MAX))
+    }
+
     /// One of the cheapest sound servers; avoided ones only where there is no other. Costs may be wrong
     /// by `scatter` milliseconds.
     fn choose(
@@ -205,12 +249,16 @@
             .directory
             .servers()
             .filter(|s| {
-                s.service == service && !s.leaving && !tried.contains(&s.start()) && fits(s)
+                s.service == service
+                    && !s.leaving
+                    && !tried.contains(&s.start())
+                    && self.turn(s).is_none_or(Turn::is_now)
+                    && fits(s)
             })
             .collect();
         let is_sound = |s: &&&Rc<Server>| !self.health.is_avoided(&s.start(), self.now);
         let sound: Vec<&Rc<Server>> = open.iter().filter(is_sound).copied().collect();
-        let list = if sound.is_empty() { open } else { sound };
+        let list = self.unlimited_first(if sound.is_empty() { open } else { sound });
         let candidate = |s: &&Rc<Server>| {
             let work = self.loads.at(&s.start(), self.now);
             Candidate { cost: cost(s, work), spare: s.slots.saturating_sub(work.running) }
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -442,6 +442,7 @@
 
     /// Calls `f` with what a choice of servers looks at.
     pub fn choose<T>(&self, f: impl FnOnce(&Chooser<'_>) -> T) -> T {
+        let turns = self.turns();
         let directory = self.directory.borrow();
         let holdings = self.holdings.borrow();
         let health = self.health.borrow();
@@ -452,6 +453,7 @@
             loads: &self.loads,
             health: &health,
             run_times: &self.run_times,
+            turns: &turns,
             centre: &settings.centre,
             now: self.now(),
             unseen: self.peers.borrow().unseen(),
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -14,6 +14,8 @@
 use crate::serve::entry::Entry;
 use crate::serve::reply::Refusal;
 use crate::serve::send;
+use crate::serve::server_word::LIMITED;
+use crate::serve::server_word::missed;
 use crate::serve::silence::Exchange;
 use crate::serve::silence::ask;
 use crate::serve::suspects;
@@ -44,6 +46,15 @@
             return Err(refusal);
         }
         let Some(chosen) = choose(entry, attempt) else {
+            let turn = entry.choose(|c| c.next_turn(&attempt.service, attempt.item().as_ref()));
+            if let Some(turn) = turn.filter(|_| !attempt.is_spent()) {
+                let left = (attempt.arrived + attempt.route.goal).saturating_sub(now);
+                if let Some(retry) = missed(turn, left) {
+                    return Err(Refusal::failed(attempt.verdict, LIMITED, retry));
+                }
+                tokio::time::sleep(FULL_PAUSE).await;
+                continue;
+            }
             if attempt.tried.is_empty() {
                 return Err(Refusal::failed(attempt.verdict, "no server", FULL));
             }
@@ -124,6 +135,7 @@
 ) -> Exchange<(response::Parts, Bytes)> {
     let server = Rc::clone(&chosen.server);
     attempt.sent(chosen, entry.now());
+    entry.note_send(&server.start());
     let request = attempt.request(entry, &server, None);
     let work = entry.loads.begin(attempt.place(&server), attempt.terms.prompt);
     let id = attempt.terms.attempt.clone();
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -17,6 +17,8 @@
 use crate::serve::entry::Entry;
 use crate::serve::handle::ELSEWHERE;
 use crate::serve::reply::Refusal;
+use crate::serve::server_word::LIMITED;
+use crate::serve::server_word::missed;
 use crate::serve::suspects::HELD;
 use crate::verdict::Verdict;
 
@@ -116,6 +118,7 @@
 /// Engines that this request cannot use: those that failed it, and those out of reach.
 pub fn unusable(entry: &Entry, service: &str, tried: &[ServerStart]) -> Vec<ServerStart> {
     let mut list = entry.choose(|c| c.dark(service));
+    list.extend(entry.choose(|c| c.held_back(service)));
     list.extend_from_slice(tried);
     list
 }
@@ -137,6 +140,12 @@
         times.min()
     });
     let verdict = attempt.verdict;
+    if expected.is_none() && now > began + WORD_TIME {
+        let turn = entry.choose(|c| c.next_turn(&item.service, Some(item)));
+        if let Some(retry) = turn.and_then(|turn| missed(turn, give_up.saturating_sub(now))) {
+            return Some(Refusal::failed(verdict, LIMITED, retry));
+        }
+    }
     if expected.is_none() && nobody_loads(entry) {
         return Some(Refusal::failed(verdict, "this data centre is cut off", ELSEWHERE));
     }
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -158,6 +158,7 @@
             entry.waits.begun.notify_one();
         }
         self.take_left(from, &digest.left);
+        entry.hear_limits(&digest.limits, from);
         suspects::hear(entry, &digest.quarantine, from);
     }
 
--- a/lib/src/serve/server_word.rs
+++ b/lib/src/serve/server_word.rs
@@ -1,11 +1,31 @@
 //! What backend servers say of themselves in their answers.
 
+use std::time::Duration;
+
 use crate::boot_clock::Moment;
 use crate::picture::rate_limit::RateLimit;
+use crate::picture::rate_limits::LimitNote;
+use crate::picture::rate_share::RateShare;
 use crate::picture::server_start::ServerStart;
+use crate::picture::turn::Turn;
+use crate::picture::turn::Turns;
 use crate::protocol::AnswerTerms;
 use crate::protocol::NamedLimit;
 use crate::serve::entry::Entry;
+use crate::serve::handle::ELSEWHERE;
+
+/// Why a request is refused that no server may be sent.
+pub const LIMITED: &str = "servers take no more requests for now";
+
+/// Returns when a caller that leaves after `left` should come back, where the turn does not come until then.
+///
+/// Where other daemons send, it may go to one of these at once.
+pub fn missed(turn: Turn, left: Duration) -> Option<Duration> {
+    match turn.wait {
+        Some(wait) => (wait > left).then_some(wait),
+        None => Some(ELSEWHERE),
+    }
+}
 
 impl Entry {
     /// Takes in what a server's answer says of its load and its limit; the request was `sent` then.
@@ -29,8 +49,48 @@
             }
         };
         if self.rates.borrow_mut().answered(server, limit, sent, now) {
-            slog::info!(self.log, "server-limit"; "server" => %server, "from" => "own",
-                "limit" => limit.map_or(-1.0, RateLimit::per_second));
+            self.note_limit(server, "own");
+        }
+    }
+
+    /// Takes in what a peer heard of servers' limits.
+    pub fn hear_limits(&self, notes: &[LimitNote], from: &str) {
+        let changed = self.rates.borrow_mut().hear(notes, self.now());
+        for server in changed {
+            self.note_limit(&server, from);
+        }
+    }
+
+    fn note_limit(&self, server: &ServerStart, from: &str) {
+        let limit = self.rates.borrow().limit(server);
+        let share = limit.and_then(|limit| self.share(server, limit));
+        slog::info!(self.log, "server-limit"; "server" => %server, "from" => from,
+            "limit" => limit.map_or(-1.0, RateLimit::per_second),
+            "senders" => share.map_or(0, |share| share.senders));
+        self.waits.changed.notify_waiters();
+    }
+
+    /// Returns this daemon's part of a server's limit; none where other daemons send what the server takes.
+    fn share(&self, server: &ServerStart, limit: RateLimit) -> Option<RateShare> {
+        let peers = self.peers.borrow();
+        let share = RateShare::new(limit, peers.daemons());
+        peers.is_sender(&self.settings.borrow().id, server, share.senders).then_some(share)
+    }
+
+    /// Returns when this daemon may send to the servers that name limits.
+    pub fn turns(&self) -> Turns {
+        let mut rates = self.rates.borrow_mut();
+        if rates.is_empty() {
+            return Turns::new();
+        }
+        rates.turns(self.now(), |server, limit| self.share(server, limit))
+    }
+
+    /// Takes in that a request is sent to a server.
+    pub fn note_send(&self, server: &ServerStart) {
+        let limit = self.rates.borrow().limit(server);
+        if let Some(share) = limit.and_then(|limit| self.share(server, limit)) {
+            self.rates.borrow_mut().sent(server, share, self.now());
         }
     }
 }
--- a/lib/src/serve/tell.rs
+++ b/lib/src/serve/tell.rs
@@ -66,6 +66,7 @@
             ready: entry.is_ready(),
             small: settings.host.is_small(),
             loads: entry.loads.own().into_iter().map(note).collect(),
+            limits: entry.rates.borrow().note(now, entry.reads()),
             quarantine: entry.quarantine.borrow().note(now, entry.reads()),
             tenure: claim.map(TenureNote::from),
         }
--- a/lib/tests/test_digest.rs
+++ b/lib/tests/test_digest.rs
@@ -19,6 +19,7 @@
         ready: true,
         small: false,
         loads: vec![LoadNote { server, model: Some("hem".into()), running: 3, prompt: 40 }],
+        limits: <_>::default(),
         quarantine: <_>::default(),
         tenure: None,
     };
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -12,6 +12,7 @@
 use comfreymux_lib::picture::holdings::Holdings;
 use comfreymux_lib::picture::loads::Loads;
 use comfreymux_lib::picture::run_times::RunTimes;
+use comfreymux_lib::picture::turn::Turns;
 use comfreymux_lib::place::demand::Item;
 use comfreymux_lib::serve::choose::Choice;
 use comfreymux_lib::serve::choose::Chooser;
@@ -206,7 +207,9 @@
     let engine = Server { copies, ..server("a", 1, false) };
     directory.put(engine, Bytes::new(), ms(0));
     directory.suspend("a", ms(0));
+    let turns = Turns::new();
     let chooser = Chooser {
+        turns: &turns,
         directory: &directory,
         holdings: &Holdings::default(),
         loads: &Loads::default(),
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -37,6 +37,7 @@
         ready: true,
         small: false,
         loads: Vec::new(),
+        limits: <_>::default(),
         quarantine: <_>::default(),
         tenure: None,
     }
