--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -119,6 +119,15 @@
         if self.has_idle(server) {
             return Ok(());
         }
+        self.open_idle(server, addr).await
+    }
+
+    /// Opens another connection to a server, which then lies ready.
+    ///
+    /// # Errors
+    ///
+    /// The server cannot be reached.
+    pub async fn open_idle(&self, server: &ServerStart, addr: SocketAddr) -> std::io::Result<()> {
         let Connection { mut sender, server } = self.fresh(server, addr).await?;
         sender.ready().await.map_err(std::io::Error::other)?;
         let until = Instant::now() + DEFAULT_KEEP.mul_f64(KEEP_PART);
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -1,5 +1,6 @@
 //! What becomes of requests under which servers crash.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use serde::Serialize;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::picture::fingerprint::Fingerprint;
 use crate::picture::quarantine::HELD_FOR;
@@ -21,7 +23,6 @@
 use crate::serve::reply::Refusal;
 use crate::serve::send::Break;
 use crate::serve::send::SendFailure;
-use crate::serve::socket;
 use crate::serve::store_calls::noted;
 use crate::store::Feed;
 use crate::store::FeedRecord;
@@ -69,7 +70,7 @@
     let Some(addr) = address(entry, &server) else { return };
     let stage = stage(entry, attempt, broke);
     let is_known = entry.quarantine.borrow().has_crashed(&server, attempt.sent);
-    if is_known || is_refused(addr).await {
+    if is_known || refuses(entry, &server, addr).await {
         note_crash(entry, attempt, &server, stage);
     }
 }
@@ -89,9 +90,12 @@
     }
 }
 
-async fn is_refused(addr: SocketAddr) -> bool {
-    let connection = socket::connect(addr, REFUSAL_TIME).await;
-    connection.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused)
+/// Returns whether a server refuses connections. One that takes this connection gets the next request on it.
+async fn refuses(entry: &Entry, server: &ServerStart, addr: SocketAddr) -> bool {
+    match timeout(REFUSAL_TIME, entry.pool.open_idle(server, addr)).await {
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Ok(Ok(())) | Err(_) => false,
+    }
 }
 
 fn note_crash(entry: &Rc<Entry>, attempt: &Attempt, server: &ServerStart, stage: Stage) {
