quarantine: an honest request that began beside a fatal one is not held

- Three crashes hold a request only where it was the one suspect of at least one of them; else five do.
- A request that comes further elsewhere (its first event, events that go on, a whole answer) is cleared of crashes at the stages that it passed.
- Suspects are spread over 60 ms and go to an engine one at a time, by the word of all daemons, until their first event; one with three crashes waits up to half a second for the others to be cleared.

--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -84,6 +84,8 @@
     pub loads: Vec<LoadNote>,
     /// Limits that servers name.
     pub limits: Vec<LimitNote>,
+    /// Servers that have a suspected request of its own.
+    pub trials: Vec<ServerStart>,
     /// Requests under which servers crashed.
     pub quarantine: QuarantineNote,
     /// Set by the holder of the placement lease.
--- a/lib/src/picture/quarantine.rs
+++ b/lib/src/picture/quarantine.rs
@@ -8,12 +8,19 @@
 use crate::picture::fingerprint::Fingerprint;
 use crate::picture::quarantine_note::CrashId;
 use crate::picture::quarantine_note::CrashNote;
+use crate::picture::quarantine_note::Passed;
 use crate::picture::quarantine_note::QuarantineNote;
 use crate::picture::quarantine_note::Stage;
 use crate::picture::server_start::ServerStart;
 
-/// Starts of servers that a request may crash before it is held.
+/// Crashes that a request may cause before it is held, where it was the only suspect of one at least.
 const CRASHES: usize = 3;
+/// The same where others were as suspicious each time.
+const CRASHES_AMONG: usize = 5;
+/// Time in which all daemons in reach have told which requests a server had when it crashed.
+const SETTLED: Duration = Duration::from_millis(100);
+/// Others that began beside a request have an event elsewhere within this time of the crash, if they did not do it.
+const DECIDED: Duration = Duration::from_millis(500);
 /// A request is held until nobody has asked for it for this long.
 pub const HELD_FOR: Duration = Duration::from_hours(1);
 /// What was learned of crashes counts for this long, for callers that come back rarely.
@@ -45,6 +52,12 @@
     fn suspects(&self, print: &Fingerprint) -> bool {
         self.requests.get(print) == Some(&self.worst)
     }
+
+    /// Returns whether it has one suspect only: all others have been cleared, or there were none.
+    fn is_solved(&self, now: Moment) -> bool {
+        let suspects = self.requests.values().filter(|stage| **stage == self.worst);
+        now >= self.at + SETTLED && suspects.take(2).count() == 1
+    }
 }
 
 /// What is known of requests that crash servers. It merges as sets do: in any order, and the same word twice
@@ -52,8 +65,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     crashes: HashMap<CrashId, Crash>,
-    /// Requests that had a whole answer, and when: earlier crashes do not count against them.
-    cleared: HashMap<Fingerprint, Moment>,
+    /// Requests that came further, and when: earlier crashes at stages that they passed do not count against them.
+    cleared: HashMap<(Fingerprint, Passed), Moment>,
     /// Held requests, and when they were last asked for.
     held: HashMap<Fingerprint, Moment>,
 }
@@ -72,7 +85,7 @@
         let requests = [(print, stage)];
         let id = self.crash_after(server, sent);
         self.take_crash(&id, now, &requests, true, now);
-        self.hold_suspects(requests.map(|(p, _)| p), now).contains(&print)
+        self.judge(print, now)
     }
 
     /// Returns whether a server is known to have crashed after a request was `sent` to it.
@@ -89,12 +102,17 @@
         id
     }
 
-    /// Takes in that a request had a whole answer: whatever crashed servers, it was not this one.
-    pub fn clear(&mut self, print: Fingerprint, now: Moment) {
-        let is_suspected = self.crashes.values().any(|c| c.requests.contains_key(&print));
-        if is_suspected || self.held.contains_key(&print) {
-            self.clear_at(print, now);
+    /// Takes in that a server came further with a request: it did not crash those that came less far. Returns whether
+    /// that is news.
+    pub fn passed(&mut self, print: Fingerprint, passed: Passed, now: Moment) -> bool {
+        let is_cleared =
+            |c: &Crash| c.requests.get(&print).is_some_and(|stage| passed.clears(*stage));
+        let is_released = passed == Passed::Whole && self.held.contains_key(&print);
+        let is_news = is_released || self.crashes.values().any(is_cleared);
+        if is_news {
+            self.clear_at(print, passed, now);
         }
+        is_news
     }
 
     /// Returns the crashes that a request is believed to have caused.
@@ -103,6 +121,23 @@
         crashes.map(|(id, _)| id).collect()
     }
 
+    /// Holds a request if what is known by now is enough; returns whether it is held from now on.
+    pub fn judge(&mut self, print: Fingerprint, now: Moment) -> bool {
+        let suspected = self.crashes.values().filter(|crash| crash.suspects(&print));
+        let crashes: Vec<&Crash> = suspected.collect();
+        let is_known = crashes.iter().any(|crash| crash.is_solved(now));
+        let enough = if is_known { CRASHES } else { CRASHES_AMONG };
+        crashes.len() >= enough && self.hold(print, now)
+    }
+
+    /// Returns how long to wait before a request that may have crashed too many is judged.
+    pub fn undecided(&self, print: &Fingerprint, now: Moment) -> Duration {
+        let suspected = self.crashes.values().filter(|crash| crash.suspects(print));
+        let times: Vec<Moment> = suspected.map(|crash| crash.at).collect();
+        let newest = times.iter().max().filter(|_| times.len() >= CRASHES);
+        newest.map_or(Duration::ZERO, |at| (*at + DECIDED).saturating_sub(now))
+    }
+
     /// Returns whether a request may go to no server; asking for it keeps it held.
     pub fn is_held(&mut self, print: &Fingerprint, now: Moment) -> bool {
         let held = self.held.get_mut(print);
@@ -114,11 +149,6 @@
         self.held.keys()
     }
 
-    /// Holds a request on the word of the store.
-    pub fn hold(&mut self, print: Fingerprint, now: Moment) {
-        self.hold_since(print, now);
-    }
-
     /// Returns what peers should know; a reader also tells what it heard from others.
     pub fn note(&self, now: Moment, is_reader: bool) -> QuarantineNote {
         let is_fresh = |since: Moment| now <= since + TOLD_FOR;
@@ -145,8 +175,8 @@
 
     /// Takes in what a peer knows; returns the requests that are held from now on.
     pub fn hear(&mut self, note: &QuarantineNote, now: Moment) -> Vec<Fingerprint> {
-        for (print, age) in &note.cleared {
-            self.clear_at(*print, now.saturating_sub(*age));
+        for ((print, passed), age) in &note.cleared {
+            self.clear_at(*print, *passed, now.saturating_sub(*age));
         }
         let mut held = Vec::new();
         for crash in &note.crashes {
@@ -155,12 +185,14 @@
             if let Some(known) = self.crashes.get_mut(&crash.id) {
                 known.worst = known.worst.min(crash.worst);
             }
-            held.extend(self.hold_suspects(crash.requests.iter().map(|(p, _)| *p), now));
+            let prints = crash.requests.iter().map(|(print, _)| *print);
+            held.extend(prints.filter(|print| self.judge(*print, now)));
         }
         for (print, age) in &note.held {
             let asked = now.saturating_sub(*age);
-            let is_cleared = self.cleared.get(print).is_some_and(|c| *c >= asked);
-            if !is_cleared && self.hold_since(*print, asked) {
+            let cleared = self.cleared.get(&(*print, Passed::Whole));
+            let is_cleared = cleared.is_some_and(|at| *at >= asked);
+            if !is_cleared && self.hold(*print, asked) {
                 held.push(*print);
             }
         }
@@ -198,7 +230,10 @@
         crash.is_own |= is_own;
         for (print, stage) in requests {
             crash.worst = crash.worst.min(*stage);
-            let is_cleared = self.cleared.get(print).is_some_and(|c| *c >= crash.at);
+            let is_cleared = Passed::ALL.iter().any(|passed| {
+                let at = self.cleared.get(&(*print, *passed));
+                passed.clears(*stage) && at.is_some_and(|at| *at >= crash.at)
+            });
             if is_cleared || crash.requests.len() >= REQUESTS_KEPT {
                 continue;
             }
@@ -210,19 +245,8 @@
         }
     }
 
-    /// Holds those among `prints` that have crashed too many; returns them.
-    fn hold_suspects(
-        &mut self,
-        prints: impl IntoIterator<Item = Fingerprint>,
-        now: Moment,
-    ) -> Vec<Fingerprint> {
-        let is_fatal = |print: &Fingerprint| self.crashed_by(print).len() >= CRASHES;
-        let fatal: Vec<_> = prints.into_iter().filter(is_fatal).collect();
-        fatal.into_iter().filter(|print| self.hold_since(*print, now)).collect()
-    }
-
-    /// Holds a request; returns whether it was not held before.
-    fn hold_since(&mut self, print: Fingerprint, asked: Moment) -> bool {
+    /// Holds a request that was last asked for then; returns whether it was not held before.
+    pub fn hold(&mut self, print: Fingerprint, asked: Moment) -> bool {
         if let Some(known) = self.held.get_mut(&print) {
             *known = (*known).max(asked);
             return false;
@@ -235,25 +259,25 @@
         true
     }
 
-    fn clear_at(&mut self, print: Fingerprint, at: Moment) {
+    fn clear_at(&mut self, print: Fingerprint, passed: Passed, at: Moment) {
         for crash in self.crashes.values_mut().filter(|c| c.at <= at) {
-            crash.requests.remove(&print);
+            if crash.requests.get(&print).is_some_and(|stage| passed.clears(*stage)) {
+                crash.requests.remove(&print);
+            }
+        }
+        if passed == Passed::Whole {
+            self.held.remove(&print);
         }
-        self.held.remove(&print);
         if self.cleared.len() < REQUESTS_KEPT {
-            let known = self.cleared.entry(print).or_insert(at);
+            let known = self.cleared.entry((print, passed)).or_insert(at);
             *known = (*known).max(at);
         }
     }
 }
 
-/// The newest of some requests, with their ages.
-fn newest(
-    all: &HashMap<Fingerprint, Moment>,
-    now: Moment,
-    within: Duration,
-) -> Vec<(Fingerprint, Duration)> {
-    let ages = all.iter().map(|(print, at)| (*print, now.saturating_sub(*at)));
+/// The newest entries, with their ages.
+fn newest<K: Copy>(all: &HashMap<K, Moment>, now: Moment, within: Duration) -> Vec<(K, Duration)> {
+    let ages = all.iter().map(|(key, at)| (*key, now.saturating_sub(*at)));
     let mut fresh: Vec<_> = ages.filter(|(_, age)| *age <= within).collect();
     fresh.sort_by_key(|(_, age)| *age);
     fresh.truncate(TOLD);
--- a/lib/src/picture/quarantine_note.rs
+++ b/lib/src/picture/quarantine_note.rs
@@ -33,6 +33,32 @@
     }
 }
 
+/// How far a server came with a request without a crash.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Passed {
+    /// To its first event.
+    Begun,
+    /// To events that went on for a while.
+    Young,
+    /// To the end of a whole answer.
+    Whole,
+}
+
+impl Passed {
+    /// All of them.
+    pub const ALL: [Self; 3] = [Self::Begun, Self::Young, Self::Whole];
+
+    /// Returns whether a request that came so far is not to blame for a crash at a stage: it crashes each server at the
+    /// same place, if it does.
+    pub fn clears(self, stage: Stage) -> bool {
+        match self {
+            Self::Begun => stage == Stage::Begun,
+            Self::Young => stage < Stage::Other,
+            Self::Whole => true,
+        }
+    }
+}
+
 /// One crash of a server.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct CrashId {
@@ -60,8 +86,8 @@
 pub struct QuarantineNote {
     /// Crashes.
     pub crashes: Vec<CrashNote>,
-    /// Requests that had a whole answer since.
-    pub cleared: Vec<(Fingerprint, Duration)>,
+    /// Requests that came further since.
+    pub cleared: Vec<((Fingerprint, Passed), Duration)>,
     /// Requests that go to no server, and when they were last asked for.
     pub held: Vec<(Fingerprint, Duration)>,
 }
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -48,4 +48,5 @@
 pub mod store_calls;
 pub mod suspects;
 pub mod tell;
+pub mod trials;
 pub mod waits;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -15,6 +15,7 @@
 use crate::picture::directory::Server;
 use crate::picture::fingerprint::Fingerprint;
 use crate::picture::loads::Place;
+use crate::picture::quarantine_note::Passed;
 use crate::picture::server_start::ServerStart;
 use crate::place::demand::Item;
 use crate::protocol::CallerTerms;
@@ -26,6 +27,7 @@
 use crate::serve::send::Break;
 use crate::serve::send::SendFailure;
 use crate::serve::standing::Standing;
+use crate::serve::trials::Trial;
 use crate::verdict::Verdict;
 
 /// Highest rank number that engines know.
@@ -88,10 +90,14 @@
     pub reason: &'static str,
     /// How long it waited for a model.
     pub waited: Duration,
+    /// Set while it is at an engine as a suspect.
+    pub trial: Option<Trial>,
     /// When it was last sent.
     pub sent: Moment,
     /// When the server of the last send gave its first event.
     pub first: Option<Moment>,
+    /// The same, until its events have gone on for a while.
+    pub young_since: Option<Moment>,
     /// The longest pause between its events so far.
     pub pause: Duration,
 }
@@ -156,6 +162,14 @@
         }
     }
 
+    /// Notes the first event of its answer.
+    pub fn began(&mut self, entry: &Entry, first: Moment) {
+        self.first = Some(first);
+        self.young_since = Some(first);
+        self.trial = None;
+        entry.note_passed(self, Passed::Begun);
+    }
+
     /// Returns the servers that it was sent to, the last one too.
     pub fn all_tried(&self) -> Vec<ServerStart> {
         self.tried.iter().chain(&self.last).cloned().collect()
@@ -188,6 +202,7 @@
         self.sent = now;
         self.sending = true;
         self.first = None;
+        self.young_since = None;
         self.last = Some(chosen.server.start());
         self.queued = chosen.wait;
         self.cost = chosen.cost;
@@ -205,6 +220,7 @@
     /// Takes in that a send failed.
     pub fn failed(&mut self, entry: &Entry, failure: &SendFailure) {
         self.sending = false;
+        self.trial = None;
         self.reason = failure.reason;
         self.arrivals += u32::from(failure.arrived);
         self.verdict = self.verdict.and(failure.verdict);
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -47,6 +47,7 @@
 use crate::serve::draws::Draws;
 use crate::serve::planned_stop::PlannedStop;
 use crate::serve::pool::Pool;
+use crate::serve::trials::Trials;
 use crate::serve::waits::Waits;
 use crate::store::Batch;
 use crate::store::Feed;
@@ -151,6 +152,8 @@
     pub rates: RefCell<RateLimits>,
     /// Requests under which servers crashed.
     pub quarantine: RefCell<Quarantine>,
+    /// Suspects at engines.
+    pub trials: Trials,
     /// The other daemons.
     pub peers: RefCell<PeerTable>,
     /// Waiting requests.
@@ -238,6 +241,7 @@
             run_times: RunTimes::default(),
             rates: RefCell::default(),
             quarantine: RefCell::default(),
+            trials: Trials::default(),
             peers: RefCell::new(peers),
             waits: Waits::default(),
             acquainted: Cell::default(),
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -76,7 +76,7 @@
                 }
             }
             Ok(Opened::Stream(started)) => {
-                attempt.first = Some(started.first);
+                attempt.began(entry, started.first);
                 return Ok(Opened::Stream(started));
             }
             Err(failure) => {
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt as _;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
@@ -30,6 +32,8 @@
 const WORD_TIME: Duration = Duration::from_millis(700);
 /// Pause before engines that all refused a request are asked again.
 const FULL_PAUSE: Duration = Duration::from_millis(80);
+/// Time over which suspects of one crash are spread: some ways of a datagram between data centres.
+const SPREAD: Duration = Duration::from_millis(60);
 /// Time in which another engine must be found for a stream that broke off.
 pub const AGAIN: Duration = Duration::from_millis(1200);
 
@@ -48,12 +52,13 @@
     };
     let began = entry.now();
     let mut guard = None;
+    spread(entry, attempt).await;
     loop {
         let changed = entry.waits.changed.notified();
         if let Some(refusal) = entry.held_refusal(attempt) {
             return Err(refusal);
         }
-        match entry.choose(|c| c.engine(&item, &attempt.tried)) {
+        match engine(entry, attempt, &item) {
             Choice::Server(chosen) => {
                 attempt.waited += entry.now().saturating_sub(began);
                 return admit(entry, attempt, chosen);
@@ -90,6 +95,31 @@
     }
 }
 
+/// Lets a suspect wait for a moment.
+///
+/// All suspects of a crash would go to the next engine in the same moment, from every daemon, before any of these
+/// could tell that it has one there. One that may have crashed too many waits until that is known.
+async fn spread(entry: &Entry, attempt: &Attempt) {
+    if entry.is_suspect(&attempt.print) {
+        let undecided = entry.quarantine.borrow().undecided(&attempt.print, entry.now());
+        sleep(undecided + SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+    }
+}
+
+/// Chooses an engine; a suspect gets one to itself among suspects.
+fn engine(entry: &Entry, attempt: &mut Attempt, item: &Item) -> Choice {
+    if !entry.is_suspect(&attempt.print) {
+        return entry.choose(|c| c.engine(item, &attempt.tried));
+    }
+    let mut closed = entry.trials.servers(entry.now());
+    closed.extend_from_slice(&attempt.tried);
+    let choice = entry.choose(|c| c.engine(item, &closed));
+    if let Choice::Server(chosen) = &choice {
+        attempt.trial = Some(entry.trials.begin(chosen.server.start()));
+    }
+    choice
+}
+
 /// Lets a request go to a chosen engine, unless its queue is too long for the caller.
 fn admit(entry: &Entry, attempt: &mut Attempt, chosen: Chosen) -> Result<Chosen, Refusal> {
     let now = entry.now();
@@ -200,13 +230,14 @@
     // A stream that left a server by itself would still have one: it is not broken off before its time.
     let until = if attempt.has_left { attempt.deadline } else { entry.now() + AGAIN };
     let mut guard = None;
+    spread(entry, attempt).await;
     loop {
         let changed = entry.waits.changed.notified();
-        if entry.is_held(&attempt.print) {
+        if entry.held_refusal(attempt).is_some() {
             attempt.reason = HELD;
             return None;
         }
-        if let Choice::Server(chosen) = entry.choose(|c| c.engine(&item, &attempt.tried)) {
+        if let Choice::Server(chosen) = engine(entry, attempt, &item) {
             return Some(chosen);
         }
         let left = until.saturating_sub(entry.now());
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -110,6 +110,9 @@
         match message.content {
             Content::Digest(digest) => {
                 self.take_state(&message.from, addr, message.process, &digest);
+                if entry.trials.heard(&message.from, digest.trials, now) {
+                    entry.waits.changed.notify_waiters();
+                }
                 self.take_loads(&message.from, digest.loads);
             }
             Content::Demand(note) => {
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -23,6 +23,7 @@
 use crate::picture::configuration::RouteKind;
 use crate::picture::configuration::ServiceName;
 use crate::picture::fingerprint::Fingerprint;
+use crate::picture::quarantine_note::Passed;
 use crate::serve::active_request::ActiveRequest;
 use crate::serve::attempt::Attempt;
 use crate::serve::body::ReplyBody;
@@ -146,6 +147,8 @@
         among: 0,
         reason: "",
         waited: Duration::ZERO,
+        trial: None,
+        young_since: None,
         sent: arrived,
         first: None,
         pause: Duration::ZERO,
@@ -217,7 +220,7 @@
     match result {
         Ok(Opened::Other(head, body)) => {
             attempt.verdict = Verdict::Ran;
-            entry.clear(&attempt);
+            entry.note_passed(&attempt, Passed::Whole);
             log_answer(entry, &attempt, head.status, "answered", None);
             pass_on(head, body)
         }
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -9,6 +9,7 @@
 
 use crate::boot_clock::Moment;
 use crate::picture::health::Evidence;
+use crate::picture::quarantine_note::Passed;
 use crate::serve::attempt::Attempt;
 use crate::serve::body::BrokenOff;
 use crate::serve::body::ChunkSender;
@@ -73,7 +74,7 @@
                     let run = self.entry.now().saturating_sub(first);
                     self.entry.run_times.note(&self.attempt.service, run);
                     self.attempt.verdict = Verdict::Ran;
-                    self.entry.clear(&self.attempt);
+                    self.entry.note_passed(&self.attempt, Passed::Whole);
                     self.log(head.status, "complete", first, flow.last());
                     self.entry.pool.give_back(flow.answer.connection, flow.answer.terms.keep);
                     return;
@@ -147,6 +148,7 @@
             match heard {
                 Heard::Answer(Ok(Progress::Events(events))) => {
                     self.note_pause();
+                    self.entry.note_events(&mut self.attempt);
                     chunk = events;
                 }
                 Heard::Answer(Ok(Progress::End)) => return Stop::Complete,
@@ -218,7 +220,7 @@
             };
             match opened {
                 Ok(Opened::Stream(started)) => {
-                    self.attempt.first = Some(started.first);
+                    self.attempt.began(&self.entry, started.first);
                     slog::info!(self.entry.log, "stream-resumed"; "attempt" => self.attempt.id(),
                         "server" => self.attempt.last.as_ref().map_or("-", |s| s.id.as_str()),
                         "after" => last.unwrap_or(0));
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -14,6 +14,7 @@
 use crate::picture::fingerprint::Fingerprint;
 use crate::picture::quarantine::HELD_FOR;
 use crate::picture::quarantine_note::CrashId;
+use crate::picture::quarantine_note::Passed;
 use crate::picture::quarantine_note::QuarantineNote;
 use crate::picture::quarantine_note::Stage;
 use crate::picture::server_start::ServerStart;
@@ -49,16 +50,32 @@
         self.quarantine.borrow_mut().is_held(print, self.now())
     }
 
-    /// Takes in that a request had a whole answer.
-    pub fn clear(&self, attempt: &Attempt) {
-        self.quarantine.borrow_mut().clear(attempt.print, self.now());
+    /// Takes in how far a server came with a request.
+    pub fn note_passed(&self, attempt: &Attempt, passed: Passed) {
+        if self.quarantine.borrow_mut().passed(attempt.print, passed, self.now()) {
+            self.crash_news.notify_one();
+        }
+    }
+
+    /// Takes in that events of a stream have just come.
+    pub fn note_events(&self, attempt: &mut Attempt) {
+        if attempt.young_since.is_some_and(|first| self.now() >= first + YOUNG) {
+            attempt.young_since = None;
+            self.note_passed(attempt, Passed::Young);
+        }
     }
 
     /// Returns the answer to a request that is held.
-    pub fn held_refusal(&self, attempt: &Attempt) -> Option<Refusal> {
+    pub fn held_refusal(self: &Rc<Self>, attempt: &Attempt) -> Option<Refusal> {
+        judge(self, attempt.print);
         let is_held = self.is_held(&attempt.print);
         is_held.then(|| Refusal::failed(attempt.verdict, HELD, HELD_FOR))
     }
+
+    /// Returns whether servers crashed under a request that nobody cleared of it.
+    pub fn is_suspect(&self, print: &Fingerprint) -> bool {
+        !self.quarantine.borrow().crashed_by(print).is_empty()
+    }
 }
 
 /// Takes in that a send failed: where its server crashed, the request may have done it.
@@ -112,12 +129,25 @@
         entry.crash_news.notify_one();
     }
     if is_held {
-        entry.crash_news.notify_one();
-        note_held(entry, print, "own");
-        spawn_local(store_held(Rc::clone(entry), print));
+        hold(entry, print);
     }
 }
 
+/// Holds a request if what peers have told since is enough.
+fn judge(entry: &Rc<Entry>, print: Fingerprint) {
+    let is_held = entry.quarantine.borrow_mut().judge(print, entry.now());
+    if is_held {
+        hold(entry, print);
+    }
+}
+
+/// Tells everybody of a request that this daemon holds from now on.
+fn hold(entry: &Rc<Entry>, print: Fingerprint) {
+    entry.crash_news.notify_one();
+    note_held(entry, print, "own");
+    spawn_local(store_held(Rc::clone(entry), print));
+}
+
 fn note_held(entry: &Entry, print: Fingerprint, from: &str) {
     let quarantine = entry.quarantine.borrow();
     let servers: Vec<_> =
--- a/lib/src/serve/tell.rs
+++ b/lib/src/serve/tell.rs
@@ -67,6 +67,7 @@
             small: settings.host.is_small(),
             loads: entry.loads.own().into_iter().map(note).collect(),
             limits: entry.rates.borrow().note(now, entry.reads()),
+            trials: entry.trials.own(),
             quarantine: entry.quarantine.borrow().note(now, entry.reads()),
             tenure: claim.map(TenureNote::from),
         }
@@ -100,7 +101,7 @@
         };
         let others = entry.peers.borrow().others_heard(&centre, now);
         let told = Word {
-            digest: Digest { loads: Vec::new(), ..self.digest(left) },
+            digest: Digest { loads: Vec::new(), trials: Vec::new(), ..self.digest(left) },
             from,
             read_age: millis(now.saturating_sub(entry.coverage.servers.get())),
             others_age: millis(now.saturating_sub(others)),
@@ -148,6 +149,7 @@
                 () = self.entry.config_changed.notified() => self.tell_version(),
                 () = self.entry.news.notified() => self.tell_words(),
                 () = self.entry.crash_news.notified() => self.tell_turn(false),
+                () = self.entry.trials.changed.notified() => self.tell_turn(false),
             }
         }
     }
