quarantine: clearing by progress is undone by a relapse, and attempts at a suspect go one after the other

- A request whose servers crash about when its first event is due was cleared by each such event of the crashes before it, and might never have reached three (relapse_counts).
What it passed counts only until it is a suspect again.

--- a/lib/src/picture/quarantine.rs
+++ b/lib/src/picture/quarantine.rs
@@ -49,15 +49,10 @@
 }
 
 impl Crash {
-    fn suspects(&self, print: &Fingerprint) -> bool {
+    /// Returns whether none of its requests was more suspicious.
+    fn has_worst(&self, print: &Fingerprint) -> bool {
         self.requests.get(print) == Some(&self.worst)
     }
-
-    /// Returns whether it has one suspect only: all others have been cleared, or there were none.
-    fn is_solved(&self, now: Moment) -> bool {
-        let suspects = self.requests.values().filter(|stage| **stage == self.worst);
-        now >= self.at + SETTLED && suspects.take(2).count() == 1
-    }
 }
 
 /// What is known of requests that crash servers. It merges as sets do: in any order, and the same word twice
@@ -65,7 +60,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     crashes: HashMap<CrashId, Crash>,
-    /// Requests that came further, and when: earlier crashes at stages that they passed do not count against them.
+    /// Suspects that came further, and when.
     cleared: HashMap<(Fingerprint, Passed), Moment>,
     /// Held requests, and when they were last asked for.
     held: HashMap<Fingerprint, Moment>,
@@ -105,9 +100,8 @@
     /// Takes in that a server came further with a request: it did not crash those that came less far. Returns whether
     /// that is news.
     pub fn passed(&mut self, print: Fingerprint, passed: Passed, now: Moment) -> bool {
-        let is_cleared =
-            |c: &Crash| c.requests.get(&print).is_some_and(|stage| passed.clears(*stage));
         let is_released = passed == Passed::Whole && self.held.contains_key(&print);
+        let is_cleared = |c: &Crash| passed.clears(c.worst) && self.is_suspect(&print, c);
         let is_news = is_released || self.crashes.values().any(is_cleared);
         if is_news {
             self.clear_at(print, passed, now);
@@ -117,24 +111,44 @@
 
     /// Returns the crashes that a request is believed to have caused.
     pub fn crashed_by(&self, print: &Fingerprint) -> Vec<&CrashId> {
-        let crashes = self.crashes.iter().filter(|(_, crash)| crash.suspects(print));
+        let crashes = self.crashes.iter().filter(|(_, crash)| self.is_suspect(print, crash));
         crashes.map(|(id, _)| id).collect()
     }
 
+    fn is_suspect(&self, print: &Fingerprint, crash: &Crash) -> bool {
+        crash.has_worst(print) && !self.has_passed(print, crash)
+    }
+
+    /// Returns whether a request came further than it had at a crash, and has crashed no server since. One whose servers
+    /// crash about when its first event is due comes further now and then.
+    fn has_passed(&self, print: &Fingerprint, crash: &Crash) -> bool {
+        let passed = Passed::ALL.iter().filter(|passed| passed.clears(crash.worst));
+        let newest = passed.filter_map(|passed| self.cleared.get(&(*print, *passed))).max();
+        let relapsed =
+            |since: &Moment| self.crashes.values().any(|c| c.at > *since && c.has_worst(print));
+        newest.is_some_and(|at| *at >= crash.at && !relapsed(at))
+    }
+
+    /// Returns whether a crash has one suspect only: all others came further, or there were none.
+    fn is_solved(&self, crash: &Crash, now: Moment) -> bool {
+        let suspects = crash.requests.keys().filter(|print| self.is_suspect(print, crash));
+        now >= crash.at + SETTLED && suspects.take(2).count() == 1
+    }
+
     /// Holds a request if what is known by now is enough; returns whether it is held from now on.
     pub fn judge(&mut self, print: Fingerprint, now: Moment) -> bool {
-        let suspected = self.crashes.values().filter(|crash| crash.suspects(&print));
+        let suspected = self.crashes.values().filter(|crash| self.is_suspect(&print, crash));
         let crashes: Vec<&Crash> = suspected.collect();
-        let is_known = crashes.iter().any(|crash| crash.is_solved(now));
-        let enough = if is_known { CRASHES } else { CRASHES_AMONG };
-        crashes.len() >= enough && self.hold(print, now)
+        let is_solved = || crashes.iter().any(|crash| self.is_solved(crash, now));
+        let is_fatal = crashes.len() >= CRASHES_AMONG || crashes.len() >= CRASHES && is_solved();
+        is_fatal && self.hold(print, now)
     }
 
-    /// Returns how long to wait before a request that may have crashed too many is judged.
+    /// Returns how long to wait before a request that may crash one too many is sent.
     pub fn undecided(&self, print: &Fingerprint, now: Moment) -> Duration {
-        let suspected = self.crashes.values().filter(|crash| crash.suspects(print));
+        let suspected = self.crashes.values().filter(|crash| self.is_suspect(print, crash));
         let times: Vec<Moment> = suspected.map(|crash| crash.at).collect();
-        let newest = times.iter().max().filter(|_| times.len() >= CRASHES);
+        let newest = times.iter().max().filter(|_| times.len() + 1 >= CRASHES);
         newest.map_or(Duration::ZERO, |at| (*at + DECIDED).saturating_sub(now))
     }
 
@@ -230,10 +244,8 @@
         crash.is_own |= is_own;
         for (print, stage) in requests {
             crash.worst = crash.worst.min(*stage);
-            let is_cleared = Passed::ALL.iter().any(|passed| {
-                let at = self.cleared.get(&(*print, *passed));
-                passed.clears(*stage) && at.is_some_and(|at| *at >= crash.at)
-            });
+            let cleared = self.cleared.get(&(*print, Passed::Whole));
+            let is_cleared = cleared.is_some_and(|at| *at >= crash.at);
             if is_cleared || crash.requests.len() >= REQUESTS_KEPT {
                 continue;
             }
@@ -260,13 +272,11 @@
     }
 
     fn clear_at(&mut self, print: Fingerprint, passed: Passed, at: Moment) {
-        for crash in self.crashes.values_mut().filter(|c| c.at <= at) {
-            if crash.requests.get(&print).is_some_and(|stage| passed.clears(*stage)) {
-                crash.requests.remove(&print);
-            }
-        }
         if passed == Passed::Whole {
             self.held.remove(&print);
+            for crash in self.crashes.values_mut().filter(|c| c.at <= at) {
+                crash.requests.remove(&print);
+            }
         }
         if self.cleared.len() < REQUESTS_KEPT {
             let known = self.cleared.entry((print, passed)).or_insert(at);
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -52,7 +52,7 @@
     };
     let began = entry.now();
     let mut guard = None;
-    spread(entry, attempt).await;
+    take_turns(entry, attempt).await;
     loop {
         let changed = entry.waits.changed.notified();
         if let Some(refusal) = entry.held_refusal(attempt) {
@@ -95,14 +95,23 @@
     }
 }
 
-/// Lets a suspect wait for a moment.
+/// Lets a suspect wait for its turn.
 ///
 /// All suspects of a crash would go to the next engine in the same moment, from every daemon, before any of these
-/// could tell that it has one there. One that may have crashed too many waits until that is known.
-async fn spread(entry: &Entry, attempt: &Attempt) {
-    if entry.is_suspect(&attempt.print) {
+/// could tell that it has one there. Attempts at one request go one after the other, and one that may crash one too
+/// many waits until the others of its last crash have had time to show that they did not do it.
+async fn take_turns(entry: &Rc<Entry>, attempt: &Attempt) {
+    if !entry.is_suspect(&attempt.print) {
+        return;
+    }
+    sleep(SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+    while entry.now() < attempt.deadline && entry.held_refusal(attempt).is_none() {
+        let changed = entry.waits.changed.notified();
         let undecided = entry.quarantine.borrow().undecided(&attempt.print, entry.now());
-        sleep(undecided + SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+        if undecided.is_zero() && !entry.trials.has(&attempt.print) {
+            return;
+        }
+        let _changed = timeout(undecided.max(FULL_PAUSE), changed).await;
     }
 }
 
@@ -115,7 +124,7 @@
     closed.extend_from_slice(&attempt.tried);
     let choice = entry.choose(|c| c.engine(item, &closed));
     if let Choice::Server(chosen) = &choice {
-        attempt.trial = Some(entry.trials.begin(chosen.server.start()));
+        attempt.trial = Some(entry.trials.begin(chosen.server.start(), attempt.print));
     }
     choice
 }
@@ -230,7 +239,7 @@
     // A stream that left a server by itself would still have one: it is not broken off before its time.
     let until = if attempt.has_left { attempt.deadline } else { entry.now() + AGAIN };
     let mut guard = None;
-    spread(entry, attempt).await;
+    take_turns(entry, attempt).await;
     loop {
         let changed = entry.waits.changed.notified();
         if entry.held_refusal(attempt).is_some() {
--- a/lib/src/serve/tell.rs
+++ b/lib/src/serve/tell.rs
@@ -149,7 +149,10 @@
                 () = self.entry.config_changed.notified() => self.tell_version(),
                 () = self.entry.news.notified() => self.tell_words(),
                 () = self.entry.crash_news.notified() => self.tell_turn(false),
-                () = self.entry.trials.changed.notified() => self.tell_turn(false),
+                () = self.entry.trials.changed.notified() => {
+                    self.entry.waits.changed.notify_waiters();
+                    self.tell_turn(false);
+                }
             }
         }
     }
--- a/lib/src/serve/trials.rs
+++ b/lib/src/serve/trials.rs
@@ -9,6 +9,7 @@
 
 use crate::boot_clock::Moment;
 use crate::ids::DaemonId;
+use crate::picture::fingerprint::Fingerprint;
 use crate::picture::server_start::ServerStart;
 
 /// A peer's word on its suspects counts for this long: two digests.
@@ -16,7 +17,7 @@
 
 #[derive(Debug, Default)]
 struct Tables {
-    own: HashMap<ServerStart, usize>,
+    own: HashMap<ServerStart, Fingerprint>,
     peers: HashMap<DaemonId, (Moment, Vec<ServerStart>)>,
 }
 
@@ -36,13 +37,18 @@
 }
 
 impl Trials {
-    /// Begins one.
-    pub fn begin(&self, server: ServerStart) -> Trial {
-        *self.tables.borrow_mut().own.entry(server.clone()).or_default() += 1;
+    /// Begins one at a server that has none.
+    pub fn begin(&self, server: ServerStart, print: Fingerprint) -> Trial {
+        self.tables.borrow_mut().own.insert(server.clone(), print);
         self.changed.notify_one();
         Trial { trials: self.clone(), server }
     }
 
+    /// Returns whether an attempt at a request is one of this daemon's.
+    pub fn has(&self, print: &Fingerprint) -> bool {
+        self.tables.borrow().own.values().any(|running| running == print)
+    }
+
     /// Returns the servers that have one of this daemon's.
     pub fn own(&self) -> Vec<ServerStart> {
         self.tables.borrow().own.keys().cloned().collect()
@@ -70,14 +76,7 @@
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        let mut tables = self.trials.tables.borrow_mut();
-        if let Some(count) = tables.own.get_mut(&self.server) {
-            *count -= 1;
-            if *count == 0 {
-                tables.own.remove(&self.server);
-            }
-        }
-        drop(tables);
+        self.trials.tables.borrow_mut().own.remove(&self.server);
         self.trials.changed.notify_one();
     }
 }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -124,6 +124,21 @@
     assert_eq!(other.crashed_by(&print(3)).len(), 0);
 }
 
+/// A request crashed servers about when its first event was due, and each event cleared it of the crashes before.
+#[test]
+fn relapse_counts() {
+    let mut quarantine = Quarantine::default();
+    let mut now = start();
+    for (n, stage) in [Stage::Begun, Stage::Young, Stage::Begun].into_iter().enumerate() {
+        if stage == Stage::Young {
+            quarantine.passed(print(1), Passed::Begun, now);
+        }
+        quarantine.crashed(&server(n), Moment::ZERO, print(1), stage, now + SECOND / 10);
+        now += SECOND;
+    }
+    assert!(quarantine.is_held(&print(1), now));
+}
+
 /// The same where nothing ever tells them apart.
 #[test]
 fn companions_held() {
