soak: requests that crash servers

None may crash more than three servers a daemon, which is what daemons learn that are cut off from each other.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -14,6 +14,7 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -74,6 +75,8 @@
     pub calm: Cell<bool>,
     /// Attempts that ended meanwhile with a closed connection and no answer.
     pub cut: RefCell<Vec<String>>,
+    /// Whether troubles are over.
+    pub troubles_over: Cell<bool>,
     /// Whether callers stop.
     pub over: Cell<bool>,
 }
@@ -146,6 +149,31 @@
     }
 }
 
+/// Sends requests that crash servers, each again and again at any daemon, until troubles are over.
+pub async fn ask_fatal(seen: Rc<Seen>, fronts: Vec<SocketAddr>, bodies: Vec<Vec<u8>>, course: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(course.rotate_left(16));
+    let mut count = 0;
+    while !seen.troubles_over.get() {
+        count += 1;
+        let which = rng.random_range(0..bodies.len());
+        let kind = [Kind::Draft, Kind::Note, Kind::Look][which % 3];
+        let attempt = format!("f{count}");
+        let mut ask = Ask::model(&attempt, kind.path(), MODELS[0]);
+        ask.body.clone_from(&bodies[which]);
+        seen.asked.borrow_mut().push((attempt.clone(), kind));
+        let front = fronts[rng.random_range(0..fronts.len())];
+        let seen = Rc::clone(&seen);
+        spawn_local(async move {
+            if let Ok(Ok(answer)) = timeout(DEADLINE + LATE, ask.get(front)).await
+                && UNRUN.contains(&answer.status())
+            {
+                seen.unrun.borrow_mut().push(attempt);
+            }
+        });
+        sleep(Duration::from_millis(rng.random_range(100..700))).await;
+    }
+}
+
 fn count_answer(seen: &Seen, good: bool) {
     let (had, all) = seen.good.get();
     seen.good.set((had + u64::from(good), all + 1));
--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -13,6 +13,8 @@
         optional --seeds count: u64
         /// Seconds of troubles for each seed.
         optional --seconds seconds: u64
+        /// Sends requests that crash servers as well.
+        optional --fatal
         /// Number of daemons.
         optional --daemons count: usize
         /// Folder for logs; those of failed seeds stay.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod world;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -34,6 +35,10 @@
 const CALLERS: usize = 4;
 /// Time without troubles in which service must come back.
 const RECOVERY: Duration = Duration::from_secs(8);
+/// Requests that crash servers.
+const FATAL: usize = 3;
+/// Servers that such a request may crash before daemons that hear of each other send it to none.
+const CRASHES: usize = 3;
 /// Part of the answers that must be good after the recovery.
 const GOOD_PART: f64 = 0.9;
 
@@ -47,7 +52,7 @@
     for seed in first..first + flags.seeds.unwrap_or(1) {
         let folder = folder.join(format!("seed-{seed}"));
         let size = Size { daemons, plain: 3, engines: 4.max(daemons) };
-        match rig::run(soak(size, seed, time, &flags.program, &folder)) {
+        match rig::run(soak(size, seed, time, flags.fatal, &flags.program, &folder)) {
             Ok((faults, summary)) if faults.is_empty() => {
                 println!("seed {seed}: kept; {summary}");
                 // Logs of a good run are not needed.
@@ -73,6 +78,7 @@
     size: Size,
     seed: u64,
     time: Duration,
+    is_fatal: bool,
     program: &Path,
     folder: &Path,
 ) -> io::Result<(Vec<String>, String)> {
@@ -84,6 +90,12 @@
     for number in 0..size.daemons * CALLERS {
         spawn_local(callers::ask_on(Rc::clone(&outcome), fronts.clone(), seed, number));
     }
+    if is_fatal {
+        let bodies = (0..FATAL).map(|n| format!("fatal {n}").into_bytes());
+        world.fatal.borrow_mut().extend(bodies);
+        let bodies = world.fatal.borrow().clone();
+        spawn_local(callers::ask_fatal(Rc::clone(&outcome), fronts.clone(), bodies, seed));
+    }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut broken = ChaCha8Rng::seed_from_u64(!seed);
     let mut foreign = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
@@ -98,6 +110,7 @@
         let next = Instant::now() + pause;
         while Instant::now() < next {
             world.tend()?;
+            world.revive().await;
             sleep(Duration::from_millis(50)).await;
         }
     }
@@ -111,12 +124,16 @@
         faults.push(format!("after the recovery {good} of {all} answers are good"));
     }
     let asked = outcome.asked.borrow().len();
-    Ok((faults, format!("{asked} requests, {good} of {all} good after recovery")))
+    let crashes = crashes(&world);
+    let summary =
+        format!("{asked} requests, {good} of {all} good after recovery, crashes {crashes:?}");
+    Ok((faults, summary))
 }
 
 /// Ends all troubles and waits for service to come back.
 async fn recover(world: &Rc<World>, seen: &Seen) -> io::Result<()> {
     world.note("troubles end");
+    seen.troubles_over.set(true);
     for daemon in 0..world.daemons.len() {
         world.rewrite_settings(daemon, true);
         world.signal(daemon, Signal::CONT);
@@ -127,6 +144,7 @@
     let began = Instant::now();
     while began.elapsed() < RECOVERY * 2 {
         world.tend()?;
+        world.revive().await;
         if began.elapsed() < RECOVERY {
             seen.good.set((0, 0));
         }
@@ -135,6 +153,16 @@
     Ok(())
 }
 
+/// Returns how many servers each fatal request crashed.
+fn crashes(world: &World) -> Vec<usize> {
+    let runs = world.runs.borrow();
+    let count = |body: &Vec<u8>| {
+        let fatal = runs.iter().filter(|run| run.body == *body);
+        fatal.map(|run| (&run.server, run.born)).collect::<BTreeSet<_>>().len()
+    };
+    world.fatal.borrow().iter().map(count).collect()
+}
+
 /// Compares what callers and servers saw with what was promised.
 fn check(world: &World, seen: &Seen) -> Vec<String> {
     let mut faults = seen.faults.borrow().clone();
@@ -163,6 +191,10 @@
         faults
             .push(format!("{attempt} {kind:?} ran, and a planned stop left it without an answer"));
     }
+    // As many as if each daemon had learned of it alone, as those do that are cut off from each other and the store.
+    let most = CRASHES * world.daemons.len();
+    let too_many = crashes(world).into_iter().filter(|count| *count > most);
+    faults.extend(too_many.map(|count| format!("a request crashed {count} servers")));
     let mut holders: BTreeMap<u64, String> = BTreeMap::new();
     let servers = world.servers.borrow();
     let gone = world.gone.borrow();
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -45,6 +45,8 @@
     /// What it does.
     pub harm: Cell<Harm>,
     resets: Notify,
+    closing: Notify,
+    opening: Notify,
 }
 
 impl Proxy {
@@ -56,23 +58,51 @@
     pub async fn start(target: SocketAddr) -> io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
-        let proxy = Rc::new(Self { addr, harm: Cell::default(), resets: Notify::new() });
-        let accepting = Rc::clone(&proxy);
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let proxy = Rc::clone(&accepting);
-                spawn_local(async move {
-                    let reset = proxy.resets.notified();
-                    tokio::select! {
-                        _ = Rc::clone(&proxy).pass(stream, target) => {}
-                        () = reset => {}
-                    }
-                });
-            }
-        });
+        let (resets, closing, opening) = <_>::default();
+        let proxy = Rc::new(Self { addr, harm: Cell::default(), resets, closing, opening });
+        spawn_local(Rc::clone(&proxy).listen(listener, target));
         Ok(proxy)
     }
 
+    async fn listen(self: Rc<Self>, listener: TcpListener, target: SocketAddr) {
+        let mut listener = listener;
+        loop {
+            tokio::select! {
+                () = Rc::clone(&self).accept(&listener, target) => return,
+                () = self.closing.notified() => {}
+            }
+            drop(listener);
+            self.opening.notified().await;
+            match TcpListener::bind(self.addr).await {
+                Ok(bound) => listener = bound,
+                Err(_taken) => return,
+            }
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: &TcpListener, target: SocketAddr) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let proxy = Rc::clone(&self);
+            spawn_local(async move {
+                let reset = proxy.resets.notified();
+                tokio::select! {
+                    _ = Rc::clone(&proxy).pass(stream, target) => {}
+                    () = reset => {}
+                }
+            });
+        }
+    }
+
+    /// Refuses connections, as the host of a server that crashed does.
+    pub fn close(&self) {
+        self.closing.notify_one();
+    }
+
+    /// Takes connections again.
+    pub fn open(&self) {
+        self.opening.notify_one();
+    }
+
     /// Ends all connections that are open.
     pub fn reset(&self) {
         self.resets.notify_waiters();
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io;
 use std::io::Write as _;
@@ -28,6 +29,8 @@
 
 /// Time that a server goes on serving after its notice.
 const LEAVE_TIME: Duration = Duration::from_secs(4);
+/// Time after which a server that crashed under a request starts again.
+const DOWN_TIME: Duration = Duration::from_millis(800);
 /// Time of a load in the soak.
 const LOAD: Duration = Duration::from_millis(300);
 
@@ -61,6 +64,8 @@
     pub runs: Runs,
     /// Bodies of requests that crash every server that begins to run them.
     pub fatal: Fatal,
+    /// Servers that crashed under a request, since when.
+    pub down: RefCell<BTreeMap<String, Instant>>,
     /// Engines that are gone, for the checks at the end.
     pub gone: RefCell<Vec<Rc<ServerStandin>>>,
     version: Cell<u64>,
@@ -110,6 +115,7 @@
             daemons,
             runs: Rc::default(),
             fatal: Rc::default(),
+            down: RefCell::default(),
             gone: RefCell::default(),
             version: Cell::new(1),
             number: Cell::new(0),
@@ -149,11 +155,38 @@
         let proxy = Proxy::start(server.addr).await?;
         server.listed.set(proxy.addr);
         self.list(&server);
+        Self::close_at_crash(&server, &proxy);
         self.servers.borrow_mut().push(server);
         self.server_proxies.borrow_mut().push(proxy);
         Ok(())
     }
 
+    /// Lets a server's proxy refuse connections once the server has crashed.
+    fn close_at_crash(server: &Rc<ServerStandin>, proxy: &Rc<Proxy>) {
+        let (server, proxy) = (Rc::clone(server), Rc::clone(proxy));
+        spawn_local(async move {
+            server.crashed().await;
+            proxy.close();
+        });
+    }
+
+    /// Starts servers again that crashed under a request a while ago.
+    pub async fn revive(&self) {
+        let crashed = |(index, server): (usize, &Rc<ServerStandin>)| {
+            server.is_crashed().then(|| (index, server.id.clone()))
+        };
+        let crashed: Vec<_> =
+            self.servers.borrow().iter().enumerate().filter_map(crashed).collect();
+        for (index, id) in crashed {
+            let since = *self.down.borrow_mut().entry(id.clone()).or_insert_with(Instant::now);
+            if since.elapsed() > DOWN_TIME {
+                self.down.borrow_mut().remove(&id);
+                self.note(&format!("revive server={index}"));
+                self.restart(index).await;
+            }
+        }
+    }
+
     /// Lists a server in the store for as long as it lives.
     fn list(&self, server: &Rc<ServerStandin>) {
         server.register(&self.store);
@@ -203,8 +236,13 @@
                 self.list(&again);
                 // Others may have come and gone while its port was awaited.
                 let mut servers = self.servers.borrow_mut();
-                match servers.iter_mut().find(|s| Rc::ptr_eq(s, &server)) {
-                    Some(place) => *place = again,
+                match servers.iter().position(|s| Rc::ptr_eq(s, &server)) {
+                    Some(place) => {
+                        let proxy = &self.server_proxies.borrow()[place];
+                        proxy.open();
+                        Self::close_at_crash(&again, proxy);
+                        servers[place] = again;
+                    }
                     None => again.crash(),
                 }
                 self.gone.borrow_mut().push(server);
