tests: the stream of caller_limit begins after the request before it has ended

A request counts until a moment after its answer; the test took the first request's count for the stream's, and asked before the stream was in. The checks are as they were.

--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -102,9 +102,11 @@
     // One caller opens more requests than its share; the others are still served.
     let rig = rig(&[("caller-requests", "1")]);
     assert_eq!(complete(&rig.url("d1", CHAT), "hem", false, 1).unwrap().0, 200);
+    let node = rig.daemons["d1"].node();
+    // A request counts until a moment after its answer.
+    wait_for("the first request's end", || node.limits().total() == 0);
     let url = rig.url("d1", CHAT);
     let slow = std::thread::spawn(move || complete(&url, "hem", true, 200));
-    let node = rig.daemons["d1"].node();
     wait_for("the stream", || node.limits().total() == 1);
     let (status, body) = complete(&rig.url("d1", CHAT), "hem", false, 1).unwrap();
     assert_eq!(status, 429, "{body}");
