store: calls that met a silence are given up once a later one is answered

Callers saw routes of a version from before an outage for up to two seconds after the store's return. Cause: a call into a silence is never answered, and each feed found that out by its own time limit, two seconds for the configuration's; all daemons' calls are in step, so none heard earlier than others. Class: a time limit where evidence is at hand. Ruled out: a shorter limit (a slow store takes 0.4 s and more an answer) and more daemons that ask (the fleet is in step all the same). Change: where a call is answered on a feed whose last call had no answer, reads on any feed that were sent before it are given up and sent anew; a daemon whose last word on the configuration is overdue asks without a wait. The pause after a failed read of the servers counts from its begin, as for the configuration.

--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -190,6 +190,8 @@
     pub store_seen: Cell<Moment>,
     /// Whether the store answers, by feed.
     pub contact: RefCell<Contact>,
+    /// Signalled when a feed is answered again.
+    pub store_back: Notify,
     /// The stop that SIGTERM began.
     pub stopping: Cell<Option<PlannedStop>>,
     /// Whether a stop is over, so that what is in progress is given up.
@@ -260,6 +262,7 @@
             config_news: Notify::new(),
             store_seen: Cell::default(),
             contact: RefCell::default(),
+            store_back: Notify::new(),
             stopping: Cell::default(),
             ending: watch::Sender::default(),
             unread: RefCell::default(),
--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -15,7 +15,9 @@
 use crate::serve::entry::Entry;
 use crate::serve::observe::CONFIG_KEY;
 use crate::serve::observe::adopt_config;
+use crate::serve::store_calls::give_up;
 use crate::serve::store_calls::noted;
+use crate::serve::store_calls::noted_read;
 use crate::store::Batch;
 use crate::store::Feed;
 use crate::store::StoreError;
@@ -100,21 +102,28 @@
 async fn read_on(entry: &Entry, from: Offset) -> Result<Batch, StoreError> {
     let begun = entry.now();
     let was_behind = entry.is_behind();
-    let wait = if was_behind || entry.reads_often() { OFTEN_WAIT } else { SELDOM_WAIT };
-    let call = entry.store.read(Feed::Configuration, from, wait);
+    let call = entry.store.read(Feed::Configuration, from, longest_wait(entry, was_behind));
     tokio::select! {
         biased;
-        result = noted(entry, Feed::Configuration, call) => result,
+        result = noted_read(entry, Feed::Configuration, call) => result,
         reason = given_up(entry, was_behind) => {
-            entry.metrics.called_store(Feed::Configuration.name(), "given up");
-            slog::info!(entry.log, "store-call-given-up"; "feed" => %Feed::Configuration,
-                "reason" => reason, "config" => entry.config_version(),
-                "call_ms" => entry.now().saturating_sub(begun).as_millis());
-            Err(StoreError::Doubtful(reason.to_owned()))
+            Err(give_up(entry, Feed::Configuration, begun, reason))
         }
     }
 }
 
+/// Returns how long the store may wait for a change before it answers.
+fn longest_wait(entry: &Entry, is_behind: bool) -> Duration {
+    if entry.config_age(entry.now()) > OFTEN_WAIT {
+        // An answer is overdue: whether the store is back must show soon.
+        Duration::ZERO
+    } else if is_behind || entry.reads_often() {
+        OFTEN_WAIT
+    } else {
+        SELDOM_WAIT
+    }
+}
+
 /// Waits until a call that has just begun is to be given up; returns why.
 ///
 /// A call that began while this daemon was behind brings what peers have already, however slow the store or
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -9,6 +9,7 @@
 use crate::serve::entry::Entry;
 use crate::serve::observe::take_servers;
 use crate::serve::store_calls::noted;
+use crate::serve::store_calls::noted_read;
 use crate::store::Feed;
 use crate::store::StoreError;
 
@@ -38,12 +39,13 @@
         let is_whole = !is_listed || must_list(&entry);
         let sent = entry.now();
         let end = entry.directory.borrow().end();
-        let call = if is_whole {
-            entry.store.newest(Feed::Servers)
+        let result = if is_whole {
+            noted(&entry, Feed::Servers, entry.store.newest(Feed::Servers)).await
         } else {
-            entry.store.read(Feed::Servers, end, Duration::ZERO)
+            let call = entry.store.read(Feed::Servers, end, Duration::ZERO);
+            noted_read(&entry, Feed::Servers, call).await
         };
-        match noted(&entry, Feed::Servers, call).await {
+        match result {
             Ok(batch) => {
                 take_servers(&entry, &batch, is_whole);
                 if is_whole {
@@ -56,7 +58,8 @@
             }
             Err(StoreError::Expired) => is_listed = false,
             Err(_failed) => {
-                sleep(pause).await;
+                // A call that was given up late was pause enough.
+                sleep((sent + pause).saturating_sub(entry.now())).await;
                 let longest = if entry.follows_servers() { PAUSE } else { LONGEST_PAUSE };
                 pause = (pause * 2).min(longest);
             }
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -29,10 +29,52 @@
     result
 }
 
+/// Waits for what a read comes to, and notes it; gives it up once a later call has ended a silence of the store.
+///
+/// What was sent into a silence is never answered. Until each feed had found that out by its own time limit, what
+/// operators wrote after the store's return was not seen for up to two seconds.
+///
+/// # Errors
+///
+/// As the call, and where it was given up.
+pub async fn noted_read<T>(
+    entry: &Entry,
+    feed: Feed,
+    call: LocalFuture<'_, Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let sent = entry.now();
+    tokio::select! {
+        biased;
+        result = noted(entry, feed, call) => result,
+        () = silence_ended(entry, sent) => Err(give_up(entry, feed, sent, "a later call was answered")),
+    }
+}
+
+/// Waits until the answer to a call that was sent later ends a silence of the store.
+async fn silence_ended(entry: &Entry, sent: Moment) {
+    loop {
+        let back = entry.store_back.notified();
+        if sent < entry.contact.borrow().back() {
+            return;
+        }
+        back.await;
+    }
+}
+
+/// Notes that a call is given up.
+pub fn give_up(entry: &Entry, feed: Feed, sent: Moment, reason: &'static str) -> StoreError {
+    entry.metrics.called_store(feed.name(), "given up");
+    slog::info!(entry.log, "store-call-given-up"; "feed" => %feed, "reason" => reason,
+        "config" => entry.config_version(),
+        "call_ms" => entry.now().saturating_sub(sent).as_millis());
+    StoreError::Doubtful(reason.to_owned())
+}
+
 fn answered(entry: &Entry, feed: Feed, sent: Moment) {
     let now = entry.now();
     entry.store_seen.set(now);
-    if let Some(away) = entry.contact.borrow_mut().answered(feed, now) {
+    if let Some(away) = entry.contact.borrow_mut().answered(feed, sent, now) {
+        entry.store_back.notify_waiters();
         slog::info!(entry.log, "dependency-regained"; "dependency" => "store", "feed" => %feed,
             "away_ms" => away.as_millis(), "call_ms" => now.saturating_sub(sent).as_millis());
     }
@@ -41,7 +83,7 @@
 fn failed(entry: &Entry, feed: Feed, sent: Moment, error: &StoreError) {
     let now = entry.now();
     let mut contact = entry.contact.borrow_mut();
-    if contact.failed(feed) {
+    if contact.failed(feed, matches!(error, StoreError::Doubtful(_))) {
         slog::warn!(entry.log, "dependency-lost"; "dependency" => "store", "feed" => %feed,
             "error" => %error, "call_ms" => now.saturating_sub(sent).as_millis(),
             "feed_seen_ms_ago" => contact.silence(feed, now).as_millis(),
--- a/lib/tests/test_contact.rs
+++ b/lib/tests/test_contact.rs
@@ -13,18 +13,35 @@
 fn feeds_apart() {
     let mut contact = Contact::default();
     for feed in [Feed::Configuration, Feed::Servers] {
-        assert_eq!(contact.answered(feed, SECOND), None);
-        assert!(contact.failed(feed));
-        assert!(!contact.failed(feed));
+        assert_eq!(contact.answered(feed, SECOND, SECOND), None);
+        assert!(contact.failed(feed, true));
+        assert!(!contact.failed(feed, true));
     }
-    assert_eq!(contact.answered(Feed::Servers, SECOND * 3), Some(SECOND * 2));
-    assert_eq!(contact.answered(Feed::Servers, SECOND * 4), None);
+    assert_eq!(contact.answered(Feed::Servers, SECOND * 2, SECOND * 3), Some(SECOND * 2));
+    assert_eq!(contact.answered(Feed::Servers, SECOND * 4, SECOND * 4), None);
     assert_eq!(contact.silence(Feed::Configuration, SECOND * 8), SECOND * 7);
     assert_eq!(contact.silence(Feed::Servers, SECOND * 8), SECOND * 4);
-    assert!(!contact.failed(Feed::Configuration));
+    assert!(!contact.failed(Feed::Configuration, true));
 }
 
 #[test]
 fn never_heard() {
     assert_eq!(Contact::default().silence(Feed::Leases, SECOND), SECOND);
 }
+
+/// Each feed took its own time limit to find out that its call had met a silence. The answer to a call that was sent
+/// later tells it of all; a refusal does not, as the store answers.
+#[test]
+fn silence_ends() {
+    let mut contact = Contact::default();
+    contact.answered(Feed::Configuration, SECOND, SECOND);
+    contact.failed(Feed::Leases, false);
+    contact.answered(Feed::Leases, SECOND * 2, SECOND * 3);
+    assert_eq!(contact.back(), Duration::ZERO);
+    contact.failed(Feed::Servers, true);
+    assert_eq!(contact.back(), Duration::ZERO);
+    contact.answered(Feed::Servers, SECOND * 5, SECOND * 6);
+    assert_eq!(contact.back(), SECOND * 5);
+    contact.answered(Feed::Servers, SECOND * 7, SECOND * 8);
+    assert_eq!(contact.back(), SECOND * 5);
+}
