routes: what is not known is denied only by a daemon that knows the newest version

Callers got 404 for routes that operators had added, as an older version says, from daemons that took themselves for current. And a daemon that had heard of a later version, and had not fetched it yet, denied all the same. Ruled out: asking the store before each denial (callers may ask for what is not there as often as they like).

--- a/lib/src/picture/readers.rs
+++ b/lib/src/picture/readers.rs
@@ -104,10 +104,11 @@
         self.readers(centre, now).filter_map(|(_, p)| Some(p.reader_word(now)?.read)).max()
     }
 
-    /// Returns when the store last told a reader of a data centre that no version later than `version` is there.
-    pub fn config_seen(&self, centre: &str, version: ConfigVersion, now: Moment) -> Option<Moment> {
-        let readers = self.readers(centre, now).map(|(_, p)| p);
-        readers.filter(|p| p.config <= version).map(|p| p.config_seen).max()
+    /// Returns when the store last told a peer that no version later than `version` is there; the host's start where
+    /// no peer tells so.
+    pub fn config_seen(&self, version: ConfigVersion) -> Moment {
+        let peers = self.peers.values().filter(|p| p.config <= version);
+        peers.map(|p| p.config_seen).max().unwrap_or_default()
     }
 
     /// Returns a reader of a data centre that follows a later version of the configuration; `turn` chooses among
--- a/lib/src/serve/entry.rs
+++ b/lib/src/serve/entry.rs
@@ -93,7 +93,8 @@
     pub apart: Duration,
     /// Length of the window in which loads from the weight store are counted.
     pub load_window: Duration,
-    /// A picture older than this may lack a route that the operators have added since.
+    /// A configuration of which nobody has said for longer that it is the newest may lack a route that operators have
+    /// added since.
     pub stale_after: Duration,
     /// What the host gives.
     pub host: HostSize,
@@ -371,9 +372,12 @@
         now.saturating_sub(self.store_seen.get().max(self.coverage.servers.get()))
     }
 
-    /// Returns whether the configuration may have changed without this daemon's notice.
-    pub fn is_stale(&self, now: Moment) -> bool {
-        self.config_age(now) > self.settings.borrow().stale_after
+    /// Returns whether operators may have written a version that this daemon does not follow: it has heard of one, or
+    /// nobody has told for too long that there is none.
+    pub fn is_unsure(&self, now: Moment) -> bool {
+        let told = now.saturating_sub(self.peers.borrow().config_seen(self.config_version()));
+        let age = self.config_age(now).min(told);
+        age > self.settings.borrow().stale_after || self.is_behind()
     }
 
     /// Returns the fencing number while this daemon may give orders.
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -109,7 +109,7 @@
     // The configuration may have changed while the body came.
     let config = entry.config().unwrap_or(config);
     let Some(route) = config.route(host(&parts), parts.uri.path()).cloned() else {
-        let refusal = if entry.is_stale(entry.now()) {
+        let refusal = if entry.is_unsure(entry.now()) {
             Refusal::unrun("no such route, but the configuration may be old", LEARNING)
         } else {
             Refusal::wrong(StatusCode::NOT_FOUND, "no such route")
