suspects: one copy of a request at a time over all daemons

Callers beside a request that crashes engines lost theirs more often than three crashes explain: copies of the suspect, waiting at several daemons for one model, went to its engine in the same instant once it was loaded, and each was one more run that ended there. Cause: only engines that had a suspect were told to peers, not which request it was; each daemon held back only its own copies; and in a large fleet that word went to some daemons only. Ruled out: late word of the crash. Class: as for the crashes themselves, a fault that no single daemon can see. Change: a suspect that waits is told to all daemons with its fingerprint; the next copy goes where no engine has one, from the daemon that the rendezvous order of that request puts first; a word counts for two digests.

--- a/lib/src/picture.rs
+++ b/lib/src/picture.rs
@@ -21,6 +21,7 @@
 pub mod run_times;
 pub mod server_start;
 pub mod starts;
+pub mod trial_note;
 pub mod turn;
 pub mod unread;
 pub mod word;
--- a/lib/src/picture/digest.rs
+++ b/lib/src/picture/digest.rs
@@ -18,6 +18,7 @@
 use crate::picture::quarantine_note::QuarantineNote;
 use crate::picture::rate_limits::LimitNote;
 use crate::picture::server_start::ServerStart;
+use crate::picture::trial_note::TrialNote;
 use crate::picture::word::Word;
 use crate::place::tenure::TenureClaim;
 
@@ -84,8 +85,6 @@
     pub loads: Vec<LoadNote>,
     /// Limits that servers name.
     pub limits: Vec<LimitNote>,
-    /// Servers that have a suspected request of its own.
-    pub trials: Vec<ServerStart>,
     /// Requests under which servers crashed.
     pub quarantine: QuarantineNote,
     /// Set by the holder of the placement lease.
@@ -145,6 +144,8 @@
     Holdings(Fence, Vec<Holding>),
     /// A reader's word.
     Word(Word),
+    /// The sender's suspected requests.
+    Trials(Vec<TrialNote>),
 }
 
 /// Number of the form of datagrams; a change of these types takes the next one.
@@ -152,7 +153,7 @@
 /// The encoding does not describe itself: datagrams of another version's types may decode to nonsense,
 /// such as a start of a server that no later one can follow. The first form had no number and began with
 /// the length of a daemon's name, which is never that of this number.
-const FORMAT: u8 = 0xf5;
+const FORMAT: u8 = 0xf6;
 
 /// Why a datagram cannot be read.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- /dev/null
+++ b/lib/src/picture/trial_note.rs
@@ -0,0 +1,16 @@
+//! What daemons tell each other of suspected requests on their way to engines.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::picture::fingerprint::Fingerprint;
+use crate::picture::server_start::ServerStart;
+
+/// A suspected request of one daemon.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TrialNote {
+    /// The request.
+    pub print: Fingerprint,
+    /// The engine that has it; none while it waits for its turn or for a model.
+    pub server: Option<ServerStart>,
+}
--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -100,31 +100,47 @@
 /// All suspects of a crash would go to the next engine in the same moment, from every daemon, before any of these
 /// could tell that it has one there. Attempts at one request go one after the other, and one that may crash one too
 /// many waits until the others of its last crash have had time to show that they did not do it.
-async fn take_turns(entry: &Rc<Entry>, attempt: &Attempt) {
+async fn take_turns(entry: &Rc<Entry>, attempt: &mut Attempt) {
+    attempt.trial = None;
     if !entry.is_suspect(&attempt.print) {
         return;
     }
-    sleep(SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+    attempt.trial = Some(entry.trials.wait(attempt.print, entry.now()));
+    sleep(SPREAD.mul_f64(rand::rng().random_range(0.5..1.0))).await;
     while entry.now() < attempt.deadline && entry.held_refusal(attempt).is_none() {
         let changed = entry.waits.changed.notified();
         let undecided = entry.quarantine.borrow().undecided(&attempt.print, entry.now());
-        if undecided.is_zero() && !entry.trials.has(&attempt.print) {
+        if undecided.is_zero() && may_go(entry, attempt) {
             return;
         }
         let _changed = timeout(undecided.max(FULL_PAUSE), changed).await;
     }
 }
 
-/// Chooses an engine; a suspect gets one to itself among suspects.
-fn engine(entry: &Entry, attempt: &mut Attempt, item: &Item) -> Choice {
+/// Returns whether it is an attempt's turn, or it needs none.
+fn may_go(entry: &Entry, attempt: &mut Attempt) -> bool {
     if !entry.is_suspect(&attempt.print) {
-        return entry.choose(|c| c.engine(item, &attempt.tried));
+        attempt.trial = None;
+        return true;
+    }
+    // It may have become a suspect while it waited for a model.
+    let trial = attempt.trial.get_or_insert_with(|| entry.trials.wait(attempt.print, entry.now()));
+    entry.trials.is_next(trial, &entry.settings().id, entry.now())
+}
+
+/// Chooses an engine; a suspect gets one to itself among suspects, when it is its turn.
+fn engine(entry: &Entry, attempt: &mut Attempt, item: &Item) -> Choice {
+    if !may_go(entry, attempt) {
+        return Choice::Missing;
     }
+    let Some(trial) = &attempt.trial else {
+        return entry.choose(|c| c.engine(item, &attempt.tried));
+    };
     let mut closed = entry.trials.servers(entry.now());
     closed.extend_from_slice(&attempt.tried);
     let choice = entry.choose(|c| c.engine(item, &closed));
     if let Choice::Server(chosen) = &choice {
-        attempt.trial = Some(entry.trials.begin(chosen.server.start(), attempt.print));
+        trial.begin(chosen.server.start());
     }
     choice
 }
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -110,9 +110,6 @@
         match message.content {
             Content::Digest(digest) => {
                 self.take_state(&message.from, addr, message.process, &digest);
-                if entry.trials.heard(&message.from, digest.trials, now) {
-                    entry.waits.changed.notify_waiters();
-                }
                 self.take_loads(&message.from, digest.loads);
             }
             Content::Demand(note) => {
@@ -123,6 +120,11 @@
             }
             Content::Holdings(fence, list) => self.take_holdings(&message.from, fence, list),
             Content::Word(word) => self.take_word(&message.from, addr, message.process, word),
+            Content::Trials(notes) => {
+                if entry.trials.heard(&message.from, notes, now) {
+                    entry.waits.changed.notify_waiters();
+                }
+            }
         }
     }
 
--- a/lib/src/serve/tell.rs
+++ b/lib/src/serve/tell.rs
@@ -67,7 +67,6 @@
             small: settings.host.is_small(),
             loads: entry.loads.own().into_iter().map(note).collect(),
             limits: entry.rates.borrow().note(now, entry.reads()),
-            trials: entry.trials.own(),
             quarantine: entry.quarantine.borrow().note(now, entry.reads()),
             tenure: claim.map(TenureNote::from),
         }
@@ -101,7 +100,7 @@
         };
         let others = entry.peers.borrow().others_heard(&centre, now);
         let told = Word {
-            digest: Digest { loads: Vec::new(), trials: Vec::new(), ..self.digest(left) },
+            digest: Digest { loads: Vec::new(), ..self.digest(left) },
             from,
             read_age: millis(now.saturating_sub(entry.coverage.servers.get())),
             others_age: millis(now.saturating_sub(others)),
@@ -151,7 +150,7 @@
                 () = self.entry.crash_news.notified() => self.tell_turn(false),
                 () = self.entry.trials.changed.notified() => {
                     self.entry.waits.changed.notify_waiters();
-                    self.tell_turn(false);
+                    self.tell_trials();
                 }
             }
         }
@@ -195,6 +194,17 @@
             }
         }
         self.tell_words();
+        if !self.entry.trials.own().is_empty() {
+            self.tell_trials();
+        }
+    }
+
+    /// Tells all daemons which suspected requests are here: each must know before it sends a copy of one.
+    fn tell_trials(&self) {
+        let bytes = self.encode(Content::Trials(self.entry.trials.own()));
+        for (_, peer) in self.entry.peers.borrow().all() {
+            self.send(peer.addr, &bytes, "trials");
+        }
     }
 
     fn listeners(&self, round: u64, has_news: bool, now: Moment) -> Vec<SocketAddr> {
--- a/lib/tests/test_digest.rs
+++ b/lib/tests/test_digest.rs
@@ -20,7 +20,6 @@
         small: false,
         loads: vec![LoadNote { server, model: Some("hem".into()), running: 3, prompt: 40 }],
         limits: <_>::default(),
-        trials: Vec::new(),
         quarantine: <_>::default(),
         tenure: None,
     };
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -38,7 +38,6 @@
         small: false,
         loads: Vec::new(),
         limits: <_>::default(),
-        trials: Vec::new(),
         quarantine: <_>::default(),
         tenure: None,
     }
