store: a pause between calls in vain ends with a silence of the store

Callers of some daemons of a large fleet were served by an old version for half a second to 1.2 s longer than those of others. Cause: after calls in vain a daemon that lives by readers' words makes pauses of up to two seconds, and an answer on another feed did not end the pause; these three had become readers meanwhile, so no reader told them either. Change: the pause ends, and starts small again, when a later call ends a silence; for the servers' feed too.

--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -8,7 +8,6 @@
 
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::ids::Offset;
@@ -18,6 +17,7 @@
 use crate::serve::store_calls::give_up;
 use crate::serve::store_calls::noted;
 use crate::serve::store_calls::noted_read;
+use crate::serve::store_calls::pause_after;
 use crate::store::Batch;
 use crate::store::Feed;
 use crate::store::StoreError;
@@ -53,13 +53,14 @@
     let mut from = None;
     let mut pause = PAUSE;
     loop {
-        let begun = Instant::now();
+        let mut sent = entry.now();
         let result = match from {
             None => {
                 noted(&entry, Feed::Configuration, entry.store.newest(Feed::Configuration)).await
             }
             Some(offset) => {
                 wait_for_need(&entry).await;
+                sent = entry.now();
                 read_on(&entry, offset).await
             }
         };
@@ -72,9 +73,10 @@
             Err(StoreError::Expired) => from = None,
             // A call that was given up late was pause enough.
             Err(_failed) => {
-                sleep_until(begun + pause).await;
+                let is_back = pause_after(&entry, sent, pause).await;
                 let has_readers = from.is_some() && entry.lives_by_words();
-                pause = if has_readers { (pause * 2).min(LONGEST_PAUSE) } else { PAUSE };
+                pause =
+                    if has_readers && !is_back { (pause * 2).min(LONGEST_PAUSE) } else { PAUSE };
             }
         }
     }
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -10,6 +10,7 @@
 use crate::serve::observe::take_servers;
 use crate::serve::store_calls::noted;
 use crate::serve::store_calls::noted_read;
+use crate::serve::store_calls::pause_after;
 use crate::store::Feed;
 use crate::store::StoreError;
 
@@ -59,8 +60,9 @@
             Err(StoreError::Expired) => is_listed = false,
             Err(_failed) => {
                 // A call that was given up late was pause enough.
-                sleep((sent + pause).saturating_sub(entry.now())).await;
-                let longest = if entry.follows_servers() { PAUSE } else { LONGEST_PAUSE };
+                let is_back = pause_after(&entry, sent, pause).await;
+                let longest =
+                    if is_back || entry.follows_servers() { PAUSE } else { LONGEST_PAUSE };
                 pause = (pause * 2).min(longest);
             }
         }
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -1,5 +1,9 @@
 //! Calls to the platform's store, noted in the log, the metrics and the daemon's state.
 
+use std::time::Duration;
+
+use tokio::time::timeout;
+
 use crate::boot_clock::Moment;
 use crate::serve::entry::Entry;
 use crate::store::Feed;
@@ -50,6 +54,13 @@
     }
 }
 
+/// Waits before a call that failed is made again, until the time is over or a silence of the store ends; returns whether
+/// it was the latter.
+pub async fn pause_after(entry: &Entry, sent: Moment, pause: Duration) -> bool {
+    let left = (sent + pause).saturating_sub(entry.now());
+    timeout(left, silence_ended(entry, sent)).await.is_ok()
+}
+
 /// Waits until the answer to a call that was sent later ends a silence of the store.
 async fn silence_ended(entry: &Entry, sent: Moment) {
     loop {
