quarantine: a hold that follows from daemons' words is kept in the store too

A request under which three servers had crashed went to a server again after all daemons had been replaced, where each of them had seen fewer than three of the crashes. Cause: only a daemon that holds a request by a crash of its own wrote the record. Change: the lease holder writes one for what it comes to hold by words; a second record of the same request changes nothing. Ruled out: every daemon writes (hundreds of appends in one instant).

--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -158,10 +158,14 @@
 }
 
 /// Takes in what a peer knows of such requests.
-pub fn hear(entry: &Entry, note: &QuarantineNote, from: &str) {
+pub fn hear(entry: &Rc<Entry>, note: &QuarantineNote, from: &str) {
     let held = entry.quarantine.borrow_mut().hear(note, entry.now());
     for print in held {
         note_held(entry, print, from);
+        // It may be that no daemon holds it by what it saw itself. One record is enough.
+        if entry.fence().is_some() {
+            spawn_local(store_held(Rc::clone(entry), print));
+        }
     }
 }
 
@@ -171,7 +175,7 @@
     for print in released {
         slog::info!(entry.log, "request-released"; "print" => %print);
         entry.metrics.held(entry.quarantine.borrow().held().count());
-        // One daemon is enough.
+        // One record is enough.
         if entry.fence().is_some() {
             spawn_local(append(Rc::clone(entry), FeedRecord { key: print.key(), value: None }));
         }
