--- a/lib/src/serve/find.rs
+++ b/lib/src/serve/find.rs
@@ -98,8 +98,8 @@
 /// Lets a suspect wait for its turn.
 ///
 /// All suspects of a crash would go to the next engine in the same moment, from every daemon, before any of these
-/// could tell that it has one there. Attempts at one request go one after the other, and one that may crash one too
-/// many waits until the others of its last crash have had time to show that they did not do it.
+/// could tell that it has one there. Attempts at one request go one after the other over all daemons, and one that may
+/// crash one too many waits until the others of its last crash have had time to show that they did not do it.
 async fn take_turns(entry: &Rc<Entry>, attempt: &mut Attempt) {
     attempt.trial = None;
     if !entry.is_suspect(&attempt.print) {
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -35,8 +35,8 @@
 
 /// Waits for what a read comes to, and notes it; gives it up once a later call has ended a silence of the store.
 ///
-/// What was sent into a silence is never answered. Until each feed had found that out by its own time limit, what
-/// operators wrote after the store's return was not seen for up to two seconds.
+/// What was sent into a silence is never answered, and the time limit of a call shows that only seconds after the
+/// store's return.
 ///
 /// # Errors
 ///
@@ -50,7 +50,9 @@
     tokio::select! {
         biased;
         result = noted(entry, feed, call) => result,
-        () = silence_ended(entry, sent) => Err(give_up(entry, feed, sent, "a later call was answered")),
+        () = silence_ended(entry, sent) => {
+            Err(give_up(entry, feed, sent, "a later call was answered"))
+        }
     }
 }
 
