--- a/lib/src/serve/trials.rs
+++ b/lib/src/serve/trials.rs
@@ -102,11 +102,11 @@
         };
         let mut own = tables.own.iter().filter(|(_, own)| own.note.print == *print);
         let is_first = own.all(|(n, own)| *n >= trial.number && own.note.server.is_none());
-        let rank = rank(print, daemon);
+        let own_rank = rank(print, daemon);
         let mut copies = tables.fresh(now).filter(|(_, note)| note.print == *print);
         is_first
             && now >= *since + HEARD_WITHIN
-            && copies.all(|(peer, note)| note.server.is_none() && self::rank(print, peer) > rank)
+            && copies.all(|(peer, note)| note.server.is_none() && rank(print, peer) > own_rank)
     }
 }
 
