--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -72,6 +72,21 @@
     assert_eq!(directory.sweep(ms(12_000)), ["a"]);
 }
 
+/// A request goes to a server that left eighteen seconds ago and ended its last ones since. A daemon that was cut off when it
+/// left relayed its old entry, and who had known of the end took it for a return.
+#[test]
+fn left_relayed() {
+    let mut directory = Directory::default();
+    directory.read(ms(0));
+    put(&mut directory, "a", 14, false);
+    directory.read(ms(2_000));
+    assert_eq!(directory.remove("a", ms(2_000)), Change::Removed);
+    directory.read(ms(20_000));
+    let change = directory.relayed(server("a", 14, false), Bytes::new(), ms(20_000));
+    assert_eq!(change, Change::None, "no later heartbeat than at its end");
+    assert!(directory.get("a").is_none());
+}
+
 /// A server renews its entry after an outage; only a peer that the store serves sees it.
 #[test]
 fn return_relayed() {
