--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -36,6 +36,7 @@
 pub mod model_waits;
 pub mod near_best;
 mod orders_guard;
+pub mod peer_connector;
 pub mod peer_sync;
 pub mod peer_transfer;
 pub mod placement_controller;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -46,6 +46,8 @@
 use crate::serve::freshness::Freshness;
 use crate::serve::graceful_stop::GracefulStop;
 use crate::serve::model_waits::ModelWaits;
+use crate::serve::peer_connector::PeerConnector;
+use crate::serve::peer_connector::TcpConnector;
 use crate::serve::pool::ConnectionPool;
 use crate::serve::random_source::RandomSource;
 use crate::serve::trials::Trials;
@@ -203,6 +205,8 @@
     pub active: Cell<u32>,
     /// Whether this daemon is isolated: it reaches neither other data centres nor the store.
     pub isolated: Cell<bool>,
+    /// Opens connections to other daemons.
+    pub connector: RefCell<Rc<dyn PeerConnector>>,
     /// Random numbers.
     pub random: RefCell<RandomSource>,
     /// Counters and histograms.
@@ -274,6 +278,7 @@
             unreadable: RefCell::default(),
             active: Cell::default(),
             isolated: Cell::default(),
+            connector: RefCell::new(Rc::new(TcpConnector)),
             random: RefCell::default(),
             metrics: Metrics::new(),
             log,
--- a/lib/src/serve/peer_sync.rs
+++ b/lib/src/serve/peer_sync.rs
@@ -101,7 +101,7 @@
 }
 
 async fn fetch_from(daemon: &DaemonState, peer: SocketAddr, request: PeerRequest) -> bool {
-    let result = match timeout(FETCH_TIMEOUT, fetch_from_peer(peer, request)).await {
+    let result = match timeout(FETCH_TIMEOUT, fetch_from_peer(daemon, peer, request)).await {
         Ok(result) => result.map_err(|error| error.to_string()),
         Err(_elapsed) => Err("timeout".to_owned()),
     };
--- a/lib/src/serve/peer_transfer.rs
+++ b/lib/src/serve/peer_transfer.rs
@@ -9,7 +9,6 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -17,7 +16,7 @@
 use crate::cluster::digest::PeerRequest;
 use crate::cluster::digest::SnapshotReply;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::socket;
+use crate::serve::peer_connector::PeerStream;
 
 /// Time limit for fetching a snapshot from a peer, and for serving one.
 pub const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -33,16 +32,21 @@
 /// # Errors
 ///
 /// Fails if the peer is unreachable or its response is malformed or larger than `MAX_SNAPSHOT_BYTES`.
-pub async fn fetch_from_peer(peer: SocketAddr, request: PeerRequest) -> io::Result<SnapshotReply> {
-    let mut stream = socket::connect(peer, FETCH_TIMEOUT).await?;
+pub async fn fetch_from_peer(
+    daemon: &DaemonState,
+    peer: SocketAddr,
+    request: PeerRequest,
+) -> io::Result<SnapshotReply> {
+    let connector = Rc::clone(&daemon.connector.borrow());
+    let mut stream = connector.connect(peer, FETCH_TIMEOUT).await?;
     let request = postcard::to_stdvec(&request).map_err(io::Error::other)?;
     stream.write_u32(request.len() as u32).await?;
     stream.write_all(&request).await?;
-    let bytes = read_frame(&mut stream, MAX_SNAPSHOT_BYTES).await?;
+    let bytes = read_frame(&mut *stream, MAX_SNAPSHOT_BYTES).await?;
     postcard::from_bytes(&bytes).map_err(io::Error::other)
 }
 
-async fn read_frame(stream: &mut TcpStream, limit: u32) -> io::Result<Vec<u8>> {
+async fn read_frame(stream: &mut dyn PeerStream, limit: u32) -> io::Result<Vec<u8>> {
     let length = stream.read_u32().await?;
     if length > limit {
         return Err(io::Error::from(io::ErrorKind::InvalidData));
@@ -60,16 +64,19 @@
             continue;
         };
         let daemon = Rc::clone(&daemon);
-        spawn_local(async move {
-            if let Ok(Err(error)) = timeout(FETCH_TIMEOUT, serve_peer(&daemon, stream)).await {
-                slog::warn!(daemon.log, "peer-call-failed"; "from" => %from, "error" => %error);
-            }
-        });
+        spawn_local(async move { serve_peer(&daemon, Box::new(stream), from).await });
     }
 }
 
-async fn serve_peer(daemon: &DaemonState, mut stream: TcpStream) -> io::Result<()> {
-    let request = read_frame(&mut stream, MAX_REQUEST_BYTES).await?;
+/// Serves one request of a peer on a connection from `from`.
+pub async fn serve_peer(daemon: &DaemonState, stream: Box<dyn PeerStream>, from: SocketAddr) {
+    if let Ok(Err(error)) = timeout(FETCH_TIMEOUT, serve_request(daemon, stream)).await {
+        slog::warn!(daemon.log, "peer-call-failed"; "from" => %from, "error" => %error);
+    }
+}
+
+async fn serve_request(daemon: &DaemonState, mut stream: Box<dyn PeerStream>) -> io::Result<()> {
+    let request = read_frame(&mut *stream, MAX_REQUEST_BYTES).await?;
     let mut reply = SnapshotReply {
         config_version: daemon.config_version(),
         raw_config: daemon.raw_config.borrow().to_vec(),
