serve: transfers between daemons are judged by progress and carry differences

What callers saw: routes of a confirmed version refused or run by the old service for seconds, on a fleet of 83 daemons, and late answers meanwhile.

Cause: a version went whole to each daemon, and each transfer had one second at both ends. From a size on, all transfers of a data centre fail together and begin again at the first byte; the attempts take the links from callers' streams. Two tasks of one daemon fetched beside each other as well. Class: a fixed time limit on a transfer whose length follows size and rate, with a retry that starts over. Periodic fetches of all servers' entries had the same limit and carried the whole configuration each time.

Change: the asker names what it has; the reply holds the newest version compressed against it (zstd, the earlier version as prefix), by itself if the peer does not keep it. A transfer ends when 16 KiB make no progress within a second, not by its whole time. Transfers take at most half of the giver's link, one configuration is fetched at a time, and entries of servers travel compressed and without the configuration. The format of datagrams and requests has a new number.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -1,6 +1,7 @@
 //! A daemon's view of the cluster: the configuration, backend servers, other daemons and their reports,
 //! each with its source and age.
 
+pub mod config_history;
 pub mod configuration;
 pub mod digest;
 pub mod directory;
@@ -8,6 +9,7 @@
 pub mod fingerprint;
 pub mod latest_instances;
 pub mod peer_table;
+pub mod peer_update;
 pub mod quarantine;
 pub mod quarantine_report;
 pub mod rate_limit;
--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -21,7 +21,6 @@
 use crate::ids::Fence;
 use crate::ids::ModelName;
 use crate::ids::Offset;
-use crate::ids::ServerId;
 use crate::placement::lease_state::LeaseClaim;
 
 /// Identifies one run of a daemon's process; drawn at random at its start.
@@ -159,7 +158,7 @@
 /// The encoding is not self-describing: a datagram of another version may decode to wrong values, such as
 /// a server instance that no later one can supersede. The first format had no number and began with
 /// the length of a daemon's name, which is never this number.
-const FORMAT: u8 = 0xf6;
+const FORMAT: u8 = 0xf7;
 
 /// Reason why a datagram cannot be decoded.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -203,30 +202,6 @@
     }
 }
 
-/// A daemon's request to another one over a connection.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum PeerRequest {
-    /// Asks for the configuration and the entries of all servers.
-    Snapshot,
-    /// Asks for the configuration only.
-    Configuration,
-}
-
-/// The store's records, relayed to a daemon that the store does not serve.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SnapshotReply {
-    /// Version of the configuration in `raw_config`.
-    pub config_version: ConfigVersion,
-    /// The configuration as stored by the platform.
-    pub raw_config: Vec<u8>,
-    /// Offset in the feed of servers up to which `raw_servers` is complete.
-    pub servers_end: Offset,
-    /// Entries of servers as stored by the platform.
-    pub raw_servers: Vec<(ServerId, Vec<u8>)>,
-    /// Servers whose entries are missing or invalid but may return shortly.
-    pub awaited: Vec<ServerId>,
-}
-
 /// The wire form of [`LoadedModel`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadedModelReport {
--- a/lib/src/cluster/peer_table.rs
+++ b/lib/src/cluster/peer_table.rs
@@ -248,22 +248,18 @@
         self.peers.iter().filter(move |(_, p)| p.is_reachable(now, timeout))
     }
 
-    /// Returns the address of a peer to fetch a snapshot from: one with a later configuration than `config` or, if
-    /// `servers` is given, one that has read the feed of servers beyond that offset. `None` if there is no such peer.
+    /// Returns the address of a reachable peer for which `is_ahead` holds, to fetch an update from.
     ///
-    /// Many daemons may be behind at once, and one peer's link cannot carry snapshots for all of them: `turn` starts
+    /// Many daemons may be behind at once, and one peer's link cannot carry updates for all of them: `turn` starts
     /// at a different number in each daemon and grows with each fetch, which selects the next peer. Peers of the own
     /// data centre are preferred, since traffic between data centres is billed.
-    pub fn snapshot_source(
+    pub fn update_source(
         &self,
-        config: ConfigVersion,
-        servers: Option<Offset>,
+        is_ahead: impl Fn(&Peer) -> bool,
         centre: &str,
         turn: usize,
         now: Moment,
     ) -> Option<SocketAddr> {
-        let is_ahead =
-            |p: &Peer| p.config_version > config || servers.is_some_and(|s| p.servers_end > s);
         let ahead: Vec<_> = self.reachable(now).map(|(_, p)| p).filter(|p| is_ahead(p)).collect();
         let own: Vec<_> = ahead.iter().copied().filter(|p| p.centre == centre).collect();
         let list = if own.is_empty() { ahead } else { own };
--- /dev/null
+++ b/lib/src/cluster/peer_update.rs
@@ -0,0 +1,109 @@
+//! What a daemon asks of another one over a connection, and the replies.
+//!
+//! The types are encoded by postcard, in the order of their fields and variants.
+
+use std::io;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::cluster::configuration::ConfigVersion;
+use crate::delta;
+use crate::ids::Offset;
+use crate::ids::ServerId;
+
+/// Largest size of a configuration or of all servers' entries that is accepted from a peer, in bytes.
+pub const MAX_UPDATE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Identifies a configuration by its version and its bytes.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct ConfigId {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// Hash of the bytes as the platform stores them.
+    pub checksum: u64,
+}
+
+/// A daemon's request to another one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PeerRequest {
+    /// Asks for a later configuration than the one that the daemon has, if any.
+    Configuration(Option<ConfigId>),
+    /// Asks for the entries of all servers.
+    Servers,
+}
+
+impl PeerRequest {
+    /// Returns the request's name in log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Configuration(_) => "configuration",
+            Self::Servers => "servers",
+        }
+    }
+}
+
+/// The reply to a [`PeerRequest`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PeerReply {
+    /// A later configuration; `None` if the peer has none.
+    Configuration(Option<ConfigUpdate>),
+    /// The entries of all servers: an encoded [`ServerSnapshot`].
+    Servers(Compressed),
+}
+
+/// Compressed bytes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Compressed {
+    /// Length of the bytes in full.
+    pub length: u32,
+    /// The bytes, compressed.
+    pub bytes: Vec<u8>,
+}
+
+impl Compressed {
+    /// Compresses bytes against a base.
+    ///
+    /// # Errors
+    ///
+    /// The compressor fails.
+    pub fn new(bytes: &[u8], base: &[u8]) -> io::Result<Self> {
+        let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+        Ok(Self { length, bytes: delta::compress(bytes, base)? })
+    }
+
+    /// Restores the bytes.
+    ///
+    /// # Errors
+    ///
+    /// They are malformed, longer than [`MAX_UPDATE_BYTES`], or were compressed against another base.
+    pub fn restore(&self, base: &[u8]) -> io::Result<Vec<u8>> {
+        let length = self.length as usize;
+        if length > MAX_UPDATE_BYTES {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        delta::decompress(&self.bytes, base, length)
+    }
+}
+
+/// A configuration, compressed against an earlier one that the receiver has.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigUpdate {
+    /// The configuration.
+    pub id: ConfigId,
+    /// The earlier one; `None` if it was compressed by itself.
+    pub base: Option<ConfigId>,
+    /// Its bytes as the platform stores them.
+    pub content: Compressed,
+}
+
+/// The store's entries of all servers, relayed to a daemon that does not read them itself.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServerSnapshot {
+    /// Offset in the feed of servers up to which `raw_servers` is complete.
+    pub servers_end: Offset,
+    /// Entries of servers as stored by the platform.
+    pub raw_servers: Vec<(ServerId, Vec<u8>)>,
+    /// Servers whose entries are missing or invalid but may return shortly.
+    pub awaited: Vec<ServerId>,
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod control_tick;
 pub mod daemon;
 pub mod decision_log;
+pub mod delta;
 pub mod demand;
 pub mod dispatch;
 pub mod engine_control;
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -32,6 +32,7 @@
 pub mod headers;
 pub mod lease_manager;
 pub mod lifecycle;
+pub mod link_share;
 mod model_loading;
 pub mod model_waits;
 pub mod near_best;
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -52,8 +52,8 @@
     }
     slog::info!(daemon.log, "configuration"; "version" => config.version, "before" => old,
         "from" => from, "routes" => config.route_count(), "services" => config.services.len());
+    daemon.config_history.borrow_mut().push(config.version, raw.clone());
     *daemon.config.borrow_mut() = Some(Rc::new(config));
-    *daemon.raw_config.borrow_mut() = raw.clone();
     daemon.config_changed.notify_one();
     daemon.report_due.notify_one();
     daemon.plan_due.notify_one();
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -6,12 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use slog::Logger;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::boot_clock::Moment;
+use crate::cluster::config_history::ConfigHistory;
 use crate::cluster::configuration::ConfigVersion;
 use crate::cluster::configuration::Configuration;
 use crate::cluster::configuration::ServiceName;
@@ -45,6 +45,7 @@
 use crate::serve::choose::Chooser;
 use crate::serve::freshness::Freshness;
 use crate::serve::graceful_stop::GracefulStop;
+use crate::serve::link_share::LinkShare;
 use crate::serve::model_waits::ModelWaits;
 use crate::serve::peer_connector::PeerConnector;
 use crate::serve::peer_connector::TcpConnector;
@@ -137,8 +138,8 @@
     pub pool: ConnectionPool,
     /// The configuration in force, replaced as a whole; `None` before the first.
     pub config: RefCell<Option<Rc<Configuration>>>,
-    /// The bytes from which `config` was parsed, relayed to peers as they are.
-    pub raw_config: RefCell<Bytes>,
+    /// The last configurations as the platform stores them, from which peers get updates.
+    pub config_history: RefCell<ConfigHistory>,
     /// Known backend servers.
     pub directory: RefCell<Directory>,
     /// What each engine has loaded and is loading, as the lease holder publishes it.
@@ -205,6 +206,10 @@
     pub active: Cell<u32>,
     /// Whether this daemon is isolated: it reaches neither other data centres nor the store.
     pub isolated: Cell<bool>,
+    /// Whether a configuration is being fetched from a peer. A second transfer would only compete for the link.
+    pub fetches_config: Cell<bool>,
+    /// The share of the host's link that transfers to peers take.
+    pub link_share: LinkShare,
     /// Opens connections to other daemons.
     pub connector: RefCell<Rc<dyn PeerConnector>>,
     /// Random numbers.
@@ -245,7 +250,7 @@
             store,
             pool,
             config: RefCell::default(),
-            raw_config: RefCell::default(),
+            config_history: RefCell::default(),
             directory: RefCell::default(),
             inventories: RefCell::default(),
             workloads: Workloads::default(),
@@ -278,6 +283,8 @@
             unreadable: RefCell::default(),
             active: Cell::default(),
             isolated: Cell::default(),
+            fetches_config: Cell::default(),
+            link_share: LinkShare::default(),
             connector: RefCell::new(Rc::new(TcpConnector)),
             random: RefCell::default(),
             metrics: Metrics::new(),
--- a/lib/src/serve/peer_sync.rs
+++ b/lib/src/serve/peer_sync.rs
@@ -10,13 +10,13 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::cluster::digest::PeerRequest;
-use crate::cluster::digest::SnapshotReply;
 use crate::cluster::directory::Change;
+use crate::cluster::peer_table::Peer;
+use crate::cluster::peer_update::ServerSnapshot;
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::peer_transfer::FETCH_TIMEOUT;
-use crate::serve::peer_transfer::fetch_from_peer;
+use crate::serve::peer_transfer;
+use crate::serve::peer_transfer::FetchError;
 
 /// The store counts as unavailable when it has not responded for this long, which is more than the interval of reads.
 const STORE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1700);
@@ -37,16 +37,23 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         update_isolation(&daemon);
-        let Some(peer) = peer_ahead(&daemon, rotation) else {
+        let config_source = config_source(&daemon, rotation);
+        let servers_source = servers_source(&daemon, rotation);
+        if config_source.is_none() && servers_source.is_none() {
             behind_since = None;
             continue;
-        };
+        }
         if behind_since.get_or_insert_with(Instant::now).elapsed() < BEHIND_DELAY {
             continue;
         }
         behind_since = None;
         rotation = rotation.wrapping_add(1);
-        fetch_from(&daemon, peer, PeerRequest::Snapshot).await;
+        if let Some(peer) = config_source {
+            sync_config(&daemon, peer).await;
+        }
+        if let Some(peer) = servers_source {
+            sync_servers(&daemon, peer).await;
+        }
     }
 }
 
@@ -67,7 +74,7 @@
         let ahead = daemon.peers.borrow().reader_ahead(&centre, version, rotation, now);
         if let Some(reader) = ahead {
             sleep(Duration::from_millis(daemon.process % FETCH_SPREAD_MS)).await;
-            fetch_from(&daemon, reader, PeerRequest::Configuration).await;
+            sync_config(&daemon, reader).await;
         }
         let has_gap = daemon.freshness.has_gap.get();
         if has_gap || now >= next_snapshot {
@@ -94,29 +101,51 @@
         chosen.and_then(|(_, p)| Some((p.addr, p.fresh_reader_status(now)?.last_read)))
     };
     let Some((addr, read_at)) = reader else { return };
-    if fetch_from(daemon, addr, PeerRequest::Snapshot).await {
+    if sync_servers(daemon, addr).await {
         daemon.freshness.has_gap.set(false);
         daemon.freshness.advance_servers(read_at);
     }
 }
 
-async fn fetch_from(daemon: &DaemonState, peer: SocketAddr, request: PeerRequest) -> bool {
-    let result = match timeout(FETCH_TIMEOUT, fetch_from_peer(daemon, peer, request)).await {
-        Ok(result) => result.map_err(|error| error.to_string()),
-        Err(_elapsed) => Err("timeout".to_owned()),
-    };
-    match result {
+/// Fetches a later configuration from a peer, unless another fetch is in progress.
+async fn sync_config(daemon: &DaemonState, peer: SocketAddr) {
+    if daemon.fetches_config.replace(true) {
+        return;
+    }
+    let result = peer_transfer::fetch_config(daemon, peer).await;
+    daemon.fetches_config.set(false);
+    let restored = result.and_then(|update| {
+        let restore = |update| daemon.config_history.borrow().restore(&update);
+        Ok(update.map(restore).transpose()?)
+    });
+    match restored {
+        Ok(Some(raw)) => {
+            apply_updates::apply_config(daemon, &raw, apply_updates::FROM_PEER);
+        }
+        Ok(None) => {}
+        Err(error) => log_failure(daemon, peer, &error),
+    }
+}
+
+/// Fetches the entries of all servers from a peer; returns whether they were received.
+async fn sync_servers(daemon: &DaemonState, peer: SocketAddr) -> bool {
+    match peer_transfer::fetch_servers(daemon, peer).await {
         Ok(snapshot) => {
             apply_snapshot(daemon, snapshot);
             true
         }
         Err(error) => {
-            slog::warn!(daemon.log, "peer-fetch-failed"; "peer" => %peer, "error" => error);
+            log_failure(daemon, peer, &error);
             false
         }
     }
 }
 
+fn log_failure(daemon: &DaemonState, peer: SocketAddr, error: &FetchError) {
+    slog::warn!(daemon.log, "peer-fetch-failed"; "peer" => %peer, "error" => %error,
+        "config" => daemon.config_version());
+}
+
 fn update_isolation(daemon: &DaemonState) {
     let now = daemon.now();
     let centre = daemon.settings().centre.clone();
@@ -140,27 +169,27 @@
     }
 }
 
-/// Returns a peer with a newer configuration or, if the store does not respond, with a later server feed.
-///
-/// `rotation` varies the choice between peers.
-fn peer_ahead(daemon: &DaemonState, rotation: usize) -> Option<SocketAddr> {
-    let now = daemon.now();
-    let config = daemon.config_version();
-    let servers = daemon.directory.borrow().feed_end();
-    let is_unresponsive = daemon.time_since_store(now) > store_response_timeout(daemon);
-    let servers = is_unresponsive.then_some(servers);
+/// Returns a peer with a later configuration; `rotation` varies the choice between several.
+fn config_source(daemon: &DaemonState, rotation: usize) -> Option<SocketAddr> {
+    let version = daemon.config_version();
+    let is_ahead = |peer: &Peer| peer.config_version > version;
     let centre = &daemon.settings().centre;
-    daemon.peers.borrow().snapshot_source(config, servers, centre, rotation, now)
+    daemon.peers.borrow().update_source(is_ahead, centre, rotation, daemon.now())
 }
 
-fn apply_snapshot(daemon: &DaemonState, snapshot: SnapshotReply) {
-    if !snapshot.raw_config.is_empty() {
-        apply_updates::apply_config(
-            daemon,
-            &Bytes::from(snapshot.raw_config),
-            apply_updates::FROM_PEER,
-        );
+/// Returns a peer with a later server feed if the store does not respond; `rotation` varies the choice between several.
+fn servers_source(daemon: &DaemonState, rotation: usize) -> Option<SocketAddr> {
+    let now = daemon.now();
+    if daemon.time_since_store(now) <= store_response_timeout(daemon) {
+        return None;
     }
+    let end = daemon.directory.borrow().feed_end();
+    let is_ahead = |peer: &Peer| peer.servers_end > end;
+    let centre = &daemon.settings().centre;
+    daemon.peers.borrow().update_source(is_ahead, centre, rotation, now)
+}
+
+fn apply_snapshot(daemon: &DaemonState, snapshot: ServerSnapshot) {
     // A snapshot with the same feed end is applied too, as it may repair a difference.
     let end = daemon.directory.borrow().feed_end();
     if snapshot.servers_end < end || snapshot.raw_servers.is_empty() {
--- a/lib/src/serve/peer_transfer.rs
+++ b/lib/src/serve/peer_transfer.rs
@@ -1,11 +1,15 @@
-//! Transfers the configuration and server entries between peers over TCP, for daemons that do not get them from the
-//! platform's store, for instance because it refuses their calls.
+//! Transfers the configuration and server entries between peers over connections, for daemons that do not get them
+//! from the platform's store.
+//!
+//! A transfer may take as long as its size and the link require, and ends only if it makes no progress: with a limit
+//! on its whole time, all transfers of a large configuration over a shared link would fail together and begin again.
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use thiserror::Error;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
@@ -13,50 +17,141 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::cluster::digest::PeerRequest;
-use crate::cluster::digest::SnapshotReply;
+use crate::cluster::peer_update::Compressed;
+use crate::cluster::peer_update::ConfigUpdate;
+use crate::cluster::peer_update::MAX_UPDATE_BYTES;
+use crate::cluster::peer_update::PeerReply;
+use crate::cluster::peer_update::PeerRequest;
+use crate::cluster::peer_update::ServerSnapshot;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::peer_connector::PeerStream;
 
-/// Time limit for fetching a snapshot from a peer, and for serving one.
-pub const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest accepted snapshot, in bytes.
-const MAX_SNAPSHOT_BYTES: u32 = 16 * 1024 * 1024;
+/// Time limit to connect to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which each [`PROGRESS_BYTES`] of a transfer must be read or written.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes that show progress: a fiftieth of what a link of 10 Mbit/s carries within the limit, so that many transfers
+/// may share it.
+const PROGRESS_BYTES: usize = 16 * 1024;
 /// Largest accepted request of a peer, in bytes.
-const MAX_REQUEST_BYTES: u32 = 1024;
+const MAX_REQUEST_BYTES: usize = 1024;
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Fetches a snapshot or only the configuration from a peer.
+/// Why a peer's update cannot be used.
+#[derive(Debug, Error)]
+pub enum FetchError {
+    /// The connection failed, or the transfer made no progress.
+    #[error("{0}")]
+    Transfer(#[from] io::Error),
+    /// The reply is malformed, or does not belong to the request.
+    #[error("malformed reply: {0}")]
+    Malformed(String),
+    /// The update is larger than a daemon accepts.
+    #[error("the update of {0} bytes is larger than {MAX_UPDATE_BYTES}")]
+    TooLarge(usize),
+}
+
+impl From<postcard::Error> for FetchError {
+    fn from(error: postcard::Error) -> Self {
+        Self::Malformed(error.to_string())
+    }
+}
+
+/// Fetches a later configuration from a peer; `None` if it has none.
+///
+/// # Errors
+///
+/// Fails if the peer is unreachable, makes no progress, or its reply is malformed.
+pub async fn fetch_config(
+    daemon: &DaemonState,
+    peer: SocketAddr,
+) -> Result<Option<ConfigUpdate>, FetchError> {
+    let known = daemon.config_history.borrow().newest();
+    match fetch(daemon, peer, PeerRequest::Configuration(known)).await? {
+        PeerReply::Configuration(update) => Ok(update),
+        PeerReply::Servers(_) => Err(FetchError::Malformed("servers".into())),
+    }
+}
+
+/// Fetches the entries of all servers from a peer.
 ///
 /// # Errors
 ///
-/// Fails if the peer is unreachable or its response is malformed or larger than `MAX_SNAPSHOT_BYTES`.
-pub async fn fetch_from_peer(
+/// Fails if the peer is unreachable, makes no progress, or its reply is malformed.
+pub async fn fetch_servers(
+    daemon: &DaemonState,
+    peer: SocketAddr,
+) -> Result<ServerSnapshot, FetchError> {
+    match fetch(daemon, peer, PeerRequest::Servers).await? {
+        PeerReply::Servers(compressed) => {
+            let bytes = compressed.restore(&[])?;
+            Ok(postcard::from_bytes(&bytes)?)
+        }
+        PeerReply::Configuration(_) => Err(FetchError::Malformed("configuration".into())),
+    }
+}
+
+async fn fetch(
     daemon: &DaemonState,
     peer: SocketAddr,
     request: PeerRequest,
-) -> io::Result<SnapshotReply> {
+) -> Result<PeerReply, FetchError> {
+    let began = daemon.now();
     let connector = Rc::clone(&daemon.connector.borrow());
-    let mut stream = connector.connect(peer, FETCH_TIMEOUT).await?;
-    let request = postcard::to_stdvec(&request).map_err(io::Error::other)?;
-    stream.write_u32(request.len() as u32).await?;
-    stream.write_all(&request).await?;
-    let bytes = read_frame(&mut *stream, MAX_SNAPSHOT_BYTES).await?;
-    postcard::from_bytes(&bytes).map_err(io::Error::other)
+    let mut stream = connector.connect(peer, CONNECT_TIMEOUT).await?;
+    let bytes = postcard::to_stdvec(&request)?;
+    write_frame(&mut *stream, &bytes).await?;
+    let bytes = read_frame(&mut *stream, MAX_UPDATE_BYTES).await?;
+    slog::info!(daemon.log, "peer-fetch"; "peer" => %peer, "request" => request.name(),
+        "bytes" => bytes.len(), "ms" => daemon.now().saturating_sub(began).as_millis());
+    Ok(postcard::from_bytes(&bytes)?)
+}
+
+async fn with_progress<T>(step: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let expired = |_elapsed| io::Error::new(io::ErrorKind::TimedOut, "no progress");
+    timeout(PROGRESS_TIMEOUT, step).await.map_err(expired)?
 }
 
-async fn read_frame(stream: &mut dyn PeerStream, limit: u32) -> io::Result<Vec<u8>> {
-    let length = stream.read_u32().await?;
+async fn read_frame(stream: &mut dyn PeerStream, limit: usize) -> Result<Vec<u8>, FetchError> {
+    let length = with_progress(stream.read_u32()).await? as usize;
     if length > limit {
-        return Err(io::Error::from(io::ErrorKind::InvalidData));
+        return Err(FetchError::TooLarge(length));
+    }
+    let mut bytes = vec![0; length];
+    for chunk in bytes.chunks_mut(PROGRESS_BYTES) {
+        with_progress(stream.read_exact(chunk)).await?;
     }
-    let mut bytes = vec![0; length as usize];
-    stream.read_exact(&mut bytes).await?;
     Ok(bytes)
 }
 
-/// Serves peers that request a snapshot.
+async fn write_frame(stream: &mut dyn PeerStream, bytes: &[u8]) -> io::Result<()> {
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    with_progress(stream.write_u32(length)).await?;
+    with_progress(stream.write_all(bytes)).await?;
+    with_progress(stream.flush()).await
+}
+
+/// Writes a reply in chunks that take turns with those of other transfers on the host's link.
+async fn write_reply(
+    daemon: &DaemonState,
+    stream: &mut dyn PeerStream,
+    bytes: &[u8],
+) -> io::Result<()> {
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    with_progress(stream.write_u32(length)).await?;
+    for chunk in bytes.chunks(PROGRESS_BYTES) {
+        let link = daemon.settings().host.link;
+        let wait = daemon.link_share.reserve(chunk.len(), link, daemon.now());
+        if !wait.is_zero() {
+            sleep(wait).await;
+        }
+        with_progress(stream.write_all(chunk)).await?;
+    }
+    with_progress(stream.flush()).await
+}
+
+/// Serves peers that request updates.
 pub async fn serve_peers(daemon: Rc<DaemonState>, listener: TcpListener) {
     loop {
         let Ok((stream, from)) = listener.accept().await else {
@@ -70,31 +165,34 @@
 
 /// Serves one request of a peer on a connection from `from`.
 pub async fn serve_peer(daemon: &DaemonState, stream: Box<dyn PeerStream>, from: SocketAddr) {
-    if let Ok(Err(error)) = timeout(FETCH_TIMEOUT, serve_request(daemon, stream)).await {
+    if let Err(error) = serve_request(daemon, stream).await {
         slog::warn!(daemon.log, "peer-call-failed"; "from" => %from, "error" => %error);
     }
 }
 
-async fn serve_request(daemon: &DaemonState, mut stream: Box<dyn PeerStream>) -> io::Result<()> {
+async fn serve_request(
+    daemon: &DaemonState,
+    mut stream: Box<dyn PeerStream>,
+) -> Result<(), FetchError> {
     let request = read_frame(&mut *stream, MAX_REQUEST_BYTES).await?;
-    let mut reply = SnapshotReply {
-        config_version: daemon.config_version(),
-        raw_config: daemon.raw_config.borrow().to_vec(),
-        ..SnapshotReply::default()
-    };
-    match postcard::from_bytes(&request).map_err(io::Error::other)? {
-        PeerRequest::Configuration => {}
-        PeerRequest::Snapshot => {
-            let directory = daemon.directory.borrow();
-            reply.servers_end = directory.feed_end();
-            reply.raw_servers =
-                directory.raw_entries().map(|(id, raw)| (id.clone(), raw.to_vec())).collect();
-            reply.awaited = directory.awaited().cloned().collect();
+    let reply = match postcard::from_bytes(&request)? {
+        PeerRequest::Configuration(known) => {
+            let update = daemon.config_history.borrow_mut().update_from(known)?;
+            PeerReply::Configuration(update.map(|update| (*update).clone()))
         }
-    }
-    let bytes = postcard::to_stdvec(&reply).map_err(io::Error::other)?;
+        PeerRequest::Servers => PeerReply::Servers(server_snapshot(daemon)?),
+    };
+    let bytes = postcard::to_stdvec(&reply)?;
     daemon.metrics.record_control_bytes("picture", bytes.len());
-    stream.write_u32(bytes.len() as u32).await?;
-    stream.write_all(&bytes).await?;
-    stream.flush().await
+    Ok(write_reply(daemon, &mut *stream, &bytes).await?)
+}
+
+fn server_snapshot(daemon: &DaemonState) -> Result<Compressed, FetchError> {
+    let directory = daemon.directory.borrow();
+    let snapshot = ServerSnapshot {
+        servers_end: directory.feed_end(),
+        raw_servers: directory.raw_entries().map(|(id, raw)| (id.clone(), raw.to_vec())).collect(),
+        awaited: directory.awaited().cloned().collect(),
+    };
+    Ok(Compressed::new(&postcard::to_stdvec(&snapshot)?, &[])?)
 }
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -93,16 +93,17 @@
 #[test]
 fn fetches_spread() {
     let peers = table(20);
-    let source =
-        |centre: &str, turn| peers.snapshot_source(0, None, centre, turn, NOW).expect("a peer");
+    let source = |centre: &str, turn| {
+        peers.update_source(|p| p.config_version > 0, centre, turn, NOW).expect("a peer")
+    };
     let asked: BTreeSet<_> = (7..17).map(|turn| source("near", turn)).collect();
     assert_eq!(asked.len(), 10, "each fetch must use another peer");
     let near: BTreeSet<_> = (0..20).step_by(2).map(addr).collect();
     assert_eq!(asked, near, "traffic between data centres is billed");
     let asked: BTreeSet<_> = (0..20).map(|turn| source("elsewhere", turn)).collect();
     assert_eq!(asked.len(), 20);
-    assert_eq!(peers.snapshot_source(1, None, "near", 0, NOW), None);
-    assert!(peers.snapshot_source(1, Some(0), "near", 0, NOW).is_some());
+    assert_eq!(peers.update_source(|p| p.config_version > 1, "near", 0, NOW), None);
+    assert!(peers.update_source(|p| p.servers_end > 0, "near", 0, NOW).is_some());
 }
 
 /// Guards against unnecessary polls in a fleet of hundreds, where digests arrive seconds apart: between two digests all
