serve: responses of the store are judged by progress

What callers would see: a daemon on a small link keeps an old version while it reads the store itself, since a body that takes longer than one second is given up and requested again from its first byte.

Change: it holds until the head, then each 16 KiB must arrive within a second.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -43,6 +43,7 @@
 pub mod placement_controller;
 pub mod pool;
 pub mod pooled_client;
+pub mod progress;
 pub mod publish;
 pub mod random_source;
 pub mod relay;
--- a/lib/src/serve/call.rs
+++ b/lib/src/serve/call.rs
@@ -1,19 +1,27 @@
-//! HTTP calls with small responses, to the platform's store or to an engine's control interface.
+//! HTTP calls to the platform's store or to an engine's control interface.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use thiserror::Error;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::cluster::server_instance::ServerInstance;
 use crate::serve::call_guard::CallGuard;
+use crate::serve::pool::Connection;
 use crate::serve::pool::ConnectionPool;
+use crate::serve::progress::PROGRESS_BYTES;
+use crate::serve::progress::PROGRESS_TIMEOUT;
 
 /// Time that an idle connection stays open after a call.
 const KEEP_ALIVE: Duration = Duration::from_secs(8);
@@ -44,30 +52,93 @@
     request: Request<Bytes>,
     limit: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
-    let peer = peer.into();
-    let connection = timeout(limit, pool.acquire(&peer, addr)).await;
-    let connection = connection.map_err(|_elapsed| CallError::Unsent)?;
-    let mut connection = connection.map_err(|_io| CallError::Unsent)?;
-    let exchange = async {
-        let request = request.map(Full::new);
-        let response = match connection.sender().try_send_request(request).await {
-            Ok(response) => response,
-            Err(mut error) => {
-                let unsent = error.take_message().ok_or(CallError::NoResponse)?;
-                connection = pool.connect(&peer, addr).await.map_err(|_io| CallError::Unsent)?;
-                let sent = connection.sender().try_send_request(unsent).await;
-                sent.map_err(|_error| CallError::NoResponse)?
+    let expires = Instant::now() + limit;
+    let read = async |body: Incoming| {
+        let body = timeout_at(expires, body.collect()).await.map_err(|_elapsed| None)?;
+        body.map(http_body_util::Collected::to_bytes).map_err(|_broken| Some(CallError::NoResponse))
+    };
+    exchange(pool, &peer.into(), addr, request, expires, read).await
+}
+
+/// Like [`call`], for a response that may be large: its head must arrive within `limit`, and its body must make
+/// progress then.
+///
+/// # Errors
+///
+/// Returns an error if no complete response was received.
+pub async fn call_for_large(
+    pool: &ConnectionPool,
+    peer: impl Into<ServerInstance>,
+    addr: SocketAddr,
+    request: Request<Bytes>,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    exchange(pool, &peer.into(), addr, request, Instant::now() + limit, read_with_progress).await
+}
+
+/// Reads a body; the error is `None` if it stopped making progress.
+async fn read_with_progress(mut body: Incoming) -> Result<Bytes, Option<CallError>> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let target = bytes.len() + PROGRESS_BYTES;
+        let step = async {
+            while bytes.len() < target {
+                let Some(frame) = body.frame().await else {
+                    return Ok::<bool, Option<CallError>>(true);
+                };
+                let frame = frame.map_err(|_broken| Some(CallError::NoResponse))?;
+                bytes.extend(frame.into_data().ok());
             }
+            Ok(false)
         };
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|_broken| CallError::NoResponse)?.to_bytes();
-        Ok((status, body))
-    };
-    let mut guard = CallGuard::new(pool, &peer);
-    let answer = timeout(limit, exchange).await.map_err(|_elapsed| CallError::NoResponse)?;
-    guard.mark_answered();
-    let answer = answer?;
+        if timeout(PROGRESS_TIMEOUT, step).await.map_err(|_elapsed| None)?? {
+            return Ok(bytes.freeze());
+        }
+    }
+}
+
+async fn exchange(
+    pool: &ConnectionPool,
+    peer: &ServerInstance,
+    addr: SocketAddr,
+    request: Request<Bytes>,
+    expires: Instant,
+    read: impl AsyncFnOnce(Incoming) -> Result<Bytes, Option<CallError>>,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let connection = timeout_at(expires, pool.acquire(peer, addr)).await;
+    let connection = connection.map_err(|_elapsed| CallError::Unsent)?;
+    let mut connection = connection.map_err(|_io| CallError::Unsent)?;
+    let mut guard = CallGuard::new(pool, peer);
+    let sent = timeout_at(expires, send(pool, peer, addr, request, &mut connection)).await;
+    let response = sent.map_err(|_elapsed| CallError::NoResponse)?.inspect_err(|_failed| {
+        guard.mark_answered();
+    })?;
+    let status = response.status();
+    let body = read(response.into_body()).await;
+    if !matches!(body, Err(None)) {
+        guard.mark_answered();
+    }
+    let body = body.map_err(|error| error.unwrap_or(CallError::NoResponse))?;
     pool.release(connection, Some(KEEP_ALIVE));
-    Ok(answer)
+    Ok((status, body))
+}
+
+/// Sends a request and returns the response with its head; connects anew if the pooled connection ended while it was
+/// idle.
+async fn send(
+    pool: &ConnectionPool,
+    peer: &ServerInstance,
+    addr: SocketAddr,
+    request: Request<Bytes>,
+    connection: &mut Connection,
+) -> Result<Response<Incoming>, CallError> {
+    match connection.sender().try_send_request(request.map(Full::new)).await {
+        Ok(response) => Ok(response),
+        Err(mut error) => {
+            let unsent = error.take_message().ok_or(CallError::NoResponse)?;
+            *connection = pool.connect(peer, addr).await.map_err(|_io| CallError::Unsent)?;
+            let sent = connection.sender().try_send_request(unsent).await;
+            sent.map_err(|_error| CallError::NoResponse)
+        }
+    }
 }
--- a/lib/src/serve/peer_transfer.rs
+++ b/lib/src/serve/peer_transfer.rs
@@ -1,8 +1,5 @@
 //! Transfers the configuration and server entries between peers over connections, for daemons that do not get them
 //! from the platform's store.
-//!
-//! A transfer may take as long as its size and the link require, and ends only if it makes no progress: with a limit
-//! on its whole time, all transfers of a large configuration over a shared link would fail together and begin again.
 
 use std::io;
 use std::net::SocketAddr;
@@ -15,7 +12,6 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::cluster::peer_update::Compressed;
 use crate::cluster::peer_update::ConfigUpdate;
@@ -25,14 +21,11 @@
 use crate::cluster::peer_update::ServerSnapshot;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::peer_connector::PeerStream;
+use crate::serve::progress::PROGRESS_BYTES;
+use crate::serve::progress::with_progress;
 
 /// Time limit to connect to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time within which each [`PROGRESS_BYTES`] of a transfer must be read or written.
-const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
-/// Bytes that show progress: a fiftieth of what a link of 10 Mbit/s carries within the limit, so that many transfers
-/// may share it.
-const PROGRESS_BYTES: usize = 16 * 1024;
 /// Largest accepted request of a peer, in bytes.
 const MAX_REQUEST_BYTES: usize = 1024;
 /// Delay after a connection could not be accepted.
@@ -108,11 +101,6 @@
     Ok(postcard::from_bytes(&bytes)?)
 }
 
-async fn with_progress<T>(step: impl Future<Output = io::Result<T>>) -> io::Result<T> {
-    let expired = |_elapsed| io::Error::new(io::ErrorKind::TimedOut, "no progress");
-    timeout(PROGRESS_TIMEOUT, step).await.map_err(expired)?
-}
-
 async fn read_frame(stream: &mut dyn PeerStream, limit: usize) -> Result<Vec<u8>, FetchError> {
     let length = with_progress(stream.read_u32()).await? as usize;
     if length > limit {
