serve: an overdue read of the configuration stays in progress beside another

What callers would see: with a store that answers in two seconds or more the old version stays in force until the store is fast again, as each read is given up after two seconds and sent anew.

Cause: silence and slowness look alike, and the limit that ends the one loses the other. Change: an overdue read is repeated, not replaced; whichever is answered counts, up to eight at once. Calls to the store are as many as before: one a second (two for a daemon that relies on readers) while answers are missing. Idle connections are closed when a read is overdue, as before when it timed out.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -13,6 +13,7 @@
 pub mod call_guard;
 pub mod caller_socket;
 pub mod choose;
+mod config_reads;
 pub mod daemon_state;
 pub mod engine_client;
 pub mod engine_orders;
--- a/lib/src/serve/call.rs
+++ b/lib/src/serve/call.rs
@@ -1,6 +1,7 @@
 //! HTTP calls to the platform's store or to an engine's control interface.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
@@ -57,10 +59,26 @@
         let body = timeout_at(expires, body.collect()).await.map_err(|_elapsed| None)?;
         body.map(http_body_util::Collected::to_bytes).map_err(|_broken| Some(CallError::NoResponse))
     };
-    exchange(pool, &peer.into(), addr, request, expires, read).await
+    exchange(pool, &peer.into(), addr, request, HeadLimits::only(limit), read).await
 }
 
-/// Like [`call`], for a response that may be large: its head must arrive within `limit`, and its body must make
+/// Limits on the time until the head of a response arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadLimits {
+    /// After this time the idle connections to the same address are closed, so that no other call uses them.
+    pub usual: Duration,
+    /// After this time the call fails.
+    pub longest: Duration,
+}
+
+impl HeadLimits {
+    /// Returns limits for a call that fails after its usual time.
+    pub fn only(limit: Duration) -> Self {
+        Self { usual: limit, longest: limit }
+    }
+}
+
+/// Like [`call`], for a response that may be large: its head must arrive within `limits`, and its body must make
 /// progress then.
 ///
 /// # Errors
@@ -71,9 +89,9 @@
     peer: impl Into<ServerInstance>,
     addr: SocketAddr,
     request: Request<Bytes>,
-    limit: Duration,
+    limits: HeadLimits,
 ) -> Result<(StatusCode, Bytes), CallError> {
-    exchange(pool, &peer.into(), addr, request, Instant::now() + limit, read_with_progress).await
+    exchange(pool, &peer.into(), addr, request, limits, read_with_progress).await
 }
 
 /// Reads a body; the error is `None` if it stopped making progress.
@@ -102,15 +120,16 @@
     peer: &ServerInstance,
     addr: SocketAddr,
     request: Request<Bytes>,
-    expires: Instant,
+    limits: HeadLimits,
     read: impl AsyncFnOnce(Incoming) -> Result<Bytes, Option<CallError>>,
 ) -> Result<(StatusCode, Bytes), CallError> {
-    let connection = timeout_at(expires, pool.acquire(peer, addr)).await;
+    let began = Instant::now();
+    let connection = timeout(limits.usual, pool.acquire(peer, addr)).await;
     let connection = connection.map_err(|_elapsed| CallError::Unsent)?;
     let mut connection = connection.map_err(|_io| CallError::Unsent)?;
     let mut guard = CallGuard::new(pool, peer);
-    let sent = timeout_at(expires, send(pool, peer, addr, request, &mut connection)).await;
-    let response = sent.map_err(|_elapsed| CallError::NoResponse)?.inspect_err(|_failed| {
+    let head = await_head(pool, peer, addr, request, &mut connection, began, limits).await;
+    let response = head.map_err(|_elapsed| CallError::NoResponse)?.inspect_err(|_failed| {
         guard.mark_answered();
     })?;
     let status = response.status();
@@ -123,6 +142,24 @@
     Ok((status, body))
 }
 
+/// Sends a request and returns the response once its head has arrived.
+async fn await_head(
+    pool: &ConnectionPool,
+    peer: &ServerInstance,
+    addr: SocketAddr,
+    request: Request<Bytes>,
+    connection: &mut Connection,
+    began: Instant,
+    limits: HeadLimits,
+) -> Result<Result<Response<Incoming>, CallError>, Elapsed> {
+    let mut response = pin!(send(pool, peer, addr, request, connection));
+    if let Ok(result) = timeout_at(began + limits.usual, &mut response).await {
+        return Ok(result);
+    }
+    pool.close_idle(peer);
+    timeout_at(began + limits.longest, response).await
+}
+
 /// Sends a request and returns the response with its head; connects anew if the pooled connection ended while it was
 /// idle.
 async fn send(
--- /dev/null
+++ b/lib/src/serve/config_reads.rs
@@ -0,0 +1,71 @@
+//! Reads of the configuration's feed that are in progress beside each other.
+//!
+//! A read that met an outage of the store is never answered, and a slow store answers late; the two look the same. So
+//! an overdue read stays in progress, and another one is sent beside it.
+
+use std::future::poll_fn;
+use std::task::Poll;
+use std::time::Duration;
+
+use crate::boot_clock::Moment;
+use crate::ids::Offset;
+use crate::serve::daemon_state::DaemonState;
+use crate::serve::store_calls::track_read;
+use crate::store::Batch;
+use crate::store::Feed;
+use crate::store::LocalFuture;
+use crate::store::StoreError;
+
+/// Most reads in progress; a further one replaces the oldest.
+const MAX_READS: usize = 8;
+
+/// The response to a read.
+#[derive(Debug)]
+pub struct ReadResponse {
+    /// The records, or why the read failed.
+    pub result: Result<Batch, StoreError>,
+    /// When the read was sent.
+    pub sent_at: Moment,
+}
+
+struct PendingRead<'a> {
+    call: LocalFuture<'a, Result<Batch, StoreError>>,
+    sent_at: Moment,
+}
+
+/// Reads in progress, the oldest first.
+#[derive(Default)]
+pub struct ConfigReads<'a> {
+    pending: Vec<PendingRead<'a>>,
+}
+
+impl<'a> ConfigReads<'a> {
+    /// Returns whether no read is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Starts a read from an offset that the store may hold for `wait` while nothing changes.
+    pub fn start(&mut self, daemon: &'a DaemonState, from: Offset, wait: Duration) {
+        if self.pending.len() >= MAX_READS {
+            self.pending.remove(0);
+        }
+        let call = daemon.store.read(Feed::Configuration, from, wait);
+        let call = Box::pin(track_read(daemon, Feed::Configuration, call));
+        self.pending.push(PendingRead { call, sent_at: daemon.now() });
+    }
+
+    /// Waits for the next response; waits forever if no read is in progress.
+    pub async fn next(&mut self) -> ReadResponse {
+        poll_fn(|context| {
+            for index in 0..self.pending.len() {
+                if let Poll::Ready(result) = self.pending[index].call.as_mut().poll(context) {
+                    let sent_at = self.pending.remove(index).sent_at;
+                    return Poll::Ready(ReadResponse { result, sent_at });
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+}
--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -6,41 +6,41 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::boot_clock::Moment;
 use crate::ids::Offset;
 use crate::serve::apply_updates::CONFIG_KEY;
 use crate::serve::apply_updates::apply_config;
+use crate::serve::config_reads::ConfigReads;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::store_calls::abandon_call;
 use crate::serve::store_calls::backoff_after;
+use crate::serve::store_calls::record_overdue;
 use crate::serve::store_calls::track_call;
-use crate::serve::store_calls::track_read;
 use crate::store::Batch;
 use crate::store::Feed;
 use crate::store::StoreError;
 
 /// How long the store may hold one call of a daemon that polls at short intervals while nothing changes.
-///
-/// A call that reached an unresponsive store, or whose connection was lost without a reset, is never answered.
-/// Versions written after the store has recovered are not seen until that call times out, one second after this
-/// wait. Users allow three seconds, of which one is left for the retry. With a wait of five seconds all daemons of a
-/// fleet used an old version for up to six seconds after an outage.
 const SHORT_POLL: Duration = Duration::from_secs(1);
 /// The same for other daemons. One call a second from each of 72 daemons cost 0.02 of a day's worth.
 const LONG_POLL: Duration = Duration::from_secs(5);
-/// Timeout of a call of a daemon that polls at short intervals, even if it began to do so only during the call.
-const SHORT_POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// A read is overdue this long after the store should have responded, and another one is sent.
+const OVERDUE_AFTER: Duration = Duration::from_secs(1);
+/// A read of a daemon that polls at short intervals is overdue at this age, even if it was sent as a long poll.
+///
+/// A call that reached an unresponsive store, or whose connection was lost without a reset, is never answered, and
+/// versions written after the store has recovered are seen by the next call only. Users allow three seconds.
+const SHORT_POLL_OVERDUE: Duration = Duration::from_secs(2);
 /// Interval at which a daemon checks whether it should poll at short intervals.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a daemon still waits for the answer of its own call when a peer has a later version: the store usually
 /// answers both at the same time.
 const PEER_VERSION_DELAY: Duration = Duration::from_millis(100);
-/// A call is not abandoned for a peer's later version before this age.
+/// No other call is sent for a peer's later version before a call has this age.
 const MIN_CALL_AGE: Duration = Duration::from_millis(500);
-/// Shortest delay before a failed call is retried.
+/// Shortest delay before a failed or overdue call is repeated.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Longest delay after repeated failures, of a daemon that relies on readers, whose reports show when the store has
 /// recovered: in eight seconds without the store 290 daemons made 9,000 failed calls. It is half of the time within
@@ -49,49 +49,125 @@
 
 /// Polls for the configuration and applies it, for as long as the daemon runs.
 pub async fn follow_config(daemon: Rc<DaemonState>) {
-    let mut from = None;
-    let mut retry_delay = MIN_RETRY_DELAY;
     loop {
-        let mut sent_at = daemon.now();
-        let result = match from {
-            None => {
-                track_call(
-                    &daemon,
-                    Feed::Configuration,
-                    daemon.store.list_latest(Feed::Configuration),
-                )
-                .await
+        let end = list_config(&daemon).await;
+        follow_changes(&daemon, end).await;
+    }
+}
+
+/// Reads and applies the newest version; returns the offset at which its changes begin.
+async fn list_config(daemon: &DaemonState) -> Offset {
+    loop {
+        let sent_at = daemon.now();
+        let call = daemon.store.list_latest(Feed::Configuration);
+        match track_call(daemon, Feed::Configuration, call).await {
+            Ok(batch) => {
+                apply_batch(daemon, &batch);
+                return batch.end;
             }
-            Some(offset) => {
-                wait_until_needed(&daemon).await;
-                sent_at = daemon.now();
-                read_changes(&daemon, offset).await
+            Err(StoreError::Expired) => {}
+            Err(_failed) => {
+                backoff_after(daemon, sent_at, MIN_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Reads and applies changes from an offset on, until the store has deleted the records there.
+async fn follow_changes(daemon: &DaemonState, mut from: Offset) {
+    let mut reads = ConfigReads::default();
+    let mut last = LastRead::default();
+    let mut retry_delay = MIN_RETRY_DELAY;
+    loop {
+        if reads.is_empty() {
+            wait_until_needed(daemon).await;
+            last = start_read(daemon, &mut reads, from);
+        }
+        let response = tokio::select! {
+            biased;
+            response = reads.next() => response,
+            reason = repeat_reason(daemon, &last, retry_delay) => {
+                log_repeat(daemon, &last, reason);
+                if reason == Repeat::Overdue {
+                    record_overdue(daemon, Feed::Configuration, last.sent_at);
+                    retry_delay = next_delay(daemon, retry_delay);
+                }
+                last = start_read(daemon, &mut reads, from);
+                continue;
             }
         };
-        match result {
+        match response.result {
             Ok(batch) => {
-                apply_batch(&daemon, &batch);
-                from = Some(batch.end);
+                apply_batch(daemon, &batch);
+                from = from.max(batch.end);
                 retry_delay = MIN_RETRY_DELAY;
             }
-            Err(StoreError::Expired) => from = None,
+            Err(StoreError::Expired) => return,
+            Err(_failed) if !reads.is_empty() => {}
             // The delay counts from the start of the call, so a call that timed out late is retried at once.
             Err(_failed) => {
-                let has_recovered = backoff_after(&daemon, sent_at, retry_delay).await;
-                let has_readers = from.is_some() && daemon.relies_on_readers();
-                retry_delay = if has_readers && !has_recovered {
-                    (retry_delay * 2).min(MAX_RETRY_DELAY)
-                } else {
-                    MIN_RETRY_DELAY
-                };
+                let has_recovered = backoff_after(daemon, response.sent_at, retry_delay).await;
+                retry_delay =
+                    if has_recovered { MIN_RETRY_DELAY } else { next_delay(daemon, retry_delay) };
             }
         }
     }
 }
 
+/// Returns the delay after one more failure.
+fn next_delay(daemon: &DaemonState, delay: Duration) -> Duration {
+    if daemon.relies_on_readers() { (delay * 2).min(MAX_RETRY_DELAY) } else { MIN_RETRY_DELAY }
+}
+
+/// The read that was sent last.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastRead {
+    sent_at: Moment,
+    /// How long the store may hold it.
+    wait: Duration,
+    /// Whether a peer had a later version when it was sent.
+    was_behind: bool,
+}
+
+/// Why another read is sent beside the one in progress.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Repeat {
+    /// A peer has a later version.
+    PeerAhead,
+    /// The store should have responded.
+    Overdue,
+}
+
+impl Repeat {
+    fn reason(self) -> &'static str {
+        match self {
+            Self::PeerAhead => "a peer has a later version",
+            Self::Overdue => "no answer in time",
+        }
+    }
+}
+
+fn start_read<'a>(daemon: &'a DaemonState, reads: &mut ConfigReads<'a>, from: Offset) -> LastRead {
+    let was_behind = daemon.is_behind();
+    let wait = poll_wait(daemon, was_behind);
+    reads.start(daemon, from, wait);
+    LastRead { sent_at: daemon.now(), wait, was_behind }
+}
+
+fn log_repeat(daemon: &DaemonState, last: &LastRead, reason: Repeat) {
+    slog::info!(daemon.log, "store-call-repeated"; "feed" => %Feed::Configuration,
+        "reason" => reason.reason(), "config" => daemon.config_version(),
+        "call_ms" => daemon.now().saturating_sub(last.sent_at).as_millis());
+}
+
+/// Returns whether reader reports confirm the configuration for this daemon.
+fn is_confirmed(daemon: &DaemonState) -> bool {
+    daemon.relies_on_readers() && !daemon.polls_config()
+}
+
 /// Waits while reader reports confirm the configuration for this daemon.
 async fn wait_until_needed(daemon: &DaemonState) {
-    while daemon.relies_on_readers() && !daemon.polls_config() {
+    while is_confirmed(daemon) {
         sleep(CHECK_INTERVAL).await;
     }
 }
@@ -108,20 +184,6 @@
     }
 }
 
-/// Reads the feed from an offset, waiting for a change; abandons a call that has become useless or too old.
-async fn read_changes(daemon: &DaemonState, from: Offset) -> Result<Batch, StoreError> {
-    let sent_at = daemon.now();
-    let was_behind = daemon.is_behind();
-    let call = daemon.store.read(Feed::Configuration, from, poll_wait(daemon, was_behind));
-    tokio::select! {
-        biased;
-        result = track_read(daemon, Feed::Configuration, call) => result,
-        reason = abandon_reason(daemon, was_behind) => {
-            Err(abandon_call(daemon, Feed::Configuration, sent_at, reason))
-        }
-    }
-}
-
 /// Returns how long the store may hold the call while nothing changes.
 fn poll_wait(daemon: &DaemonState, is_behind: bool) -> Duration {
     if daemon.config_age(daemon.now()) > SHORT_POLL {
@@ -134,23 +196,29 @@
     }
 }
 
-/// Waits until a call that has just begun should be abandoned, and returns the reason.
+/// Waits until another read should be sent beside the last one, and returns the reason.
 ///
-/// A call that began while this daemon was behind will return the version that peers have, however slow the store or
-/// the link is. If it were abandoned because a peer has a later version, every retry would be too, and none would be
-/// answered. [`SHORT_POLL_TIMEOUT`] applies to it instead.
-async fn abandon_reason(daemon: &DaemonState, was_behind: bool) -> &'static str {
-    let started = Instant::now();
+/// A read that was sent while this daemon was behind will return the version that peers have, so a peer's later version
+/// is no reason to repeat it.
+async fn repeat_reason(daemon: &DaemonState, last: &LastRead, retry_delay: Duration) -> Repeat {
+    let overdue_after = (last.wait + OVERDUE_AFTER).max(retry_delay);
     loop {
-        if timeout(CHECK_INTERVAL, daemon.newer_config.notified()).await.is_ok() {
+        let check = overdue_after.saturating_sub(age(daemon, last)).min(CHECK_INTERVAL);
+        if timeout(check, daemon.newer_config.notified()).await.is_ok() {
             sleep(PEER_VERSION_DELAY).await;
         }
-        let elapsed = started.elapsed();
-        if elapsed >= MIN_CALL_AGE && !was_behind && daemon.is_behind() {
-            return "a peer has a later version";
+        let age = age(daemon, last);
+        if age >= MIN_CALL_AGE && !last.was_behind && daemon.is_behind() {
+            return Repeat::PeerAhead;
         }
-        if elapsed >= SHORT_POLL_TIMEOUT && (was_behind || daemon.polls_config()) {
-            return "no answer in time";
+        let is_short = last.was_behind || daemon.polls_config();
+        let is_overdue = age >= overdue_after || age >= SHORT_POLL_OVERDUE && is_short;
+        if is_overdue && !is_confirmed(daemon) {
+            return Repeat::Overdue;
         }
     }
 }
+
+fn age(daemon: &DaemonState, last: &LastRead) -> Duration {
+    daemon.now().saturating_sub(last.sent_at)
+}
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -75,7 +75,7 @@
 }
 
 /// Records that a call is abandoned, and returns the error for it.
-pub fn abandon_call(
+fn abandon_call(
     daemon: &DaemonState,
     feed: Feed,
     sent_at: Moment,
@@ -88,6 +88,12 @@
     StoreError::UnknownOutcome(reason.to_owned())
 }
 
+/// Records that a call should have been answered by now. It stays in progress.
+pub fn record_overdue(daemon: &DaemonState, feed: Feed, sent_at: Moment) {
+    daemon.metrics.record_store_call(feed.name(), "overdue");
+    on_failure(daemon, feed, sent_at, &StoreError::UnknownOutcome("no answer yet".to_owned()));
+}
+
 fn on_answer(daemon: &DaemonState, feed: Feed, sent_at: Moment) {
     let now = daemon.now();
     daemon.store_answered.set(now);
