cluster: knowledge of a later configuration outlives the peer that told it

What callers saw (suspected; the record holds no line of that daemon): a route of a confirmed version is refused with 404 instead of 503.

Cause: a later version was known only by the entry of the peer that reported it, and forgotten when that peer restarted, or was not heard for a while, as on a link that transfers fill. Class: evidence that ends something is held for a shorter time than what it ends. Change: the latest version ever reported is kept; versions are never withdrawn.

--- a/lib/src/cluster/peer_table.rs
+++ b/lib/src/cluster/peer_table.rs
@@ -109,6 +109,9 @@
 #[derive(Debug)]
 pub struct PeerTable {
     pub(super) peers: BTreeMap<DaemonId, Peer>,
+    /// Latest configuration version that any peer has reported. Versions are never withdrawn, so that it outlives the
+    /// peer's entry and its process.
+    latest_config: ConfigVersion,
     /// Fleet size from which on the fleet counts as large.
     fleet_threshold: usize,
 }
@@ -122,7 +125,7 @@
 impl PeerTable {
     /// Creates an empty table; from `fleet_threshold` daemons on, reports are distributed by readers.
     pub fn new(fleet_threshold: usize) -> Self {
-        Self { peers: BTreeMap::new(), fleet_threshold }
+        Self { peers: BTreeMap::new(), latest_config: 0, fleet_threshold }
     }
 
     /// Records a peer's entry from the store's list.
@@ -170,6 +173,7 @@
         now: Moment,
     ) -> bool {
         let timeout = self.peer_timeout();
+        self.latest_config = self.latest_config.max(digest.config_version);
         let peer = self.entry(id, addr, process, now);
         let was_unreachable = peer.last_received.is_none_or(|heard| now > heard + timeout);
         if peer.process != process {
@@ -192,6 +196,11 @@
         was_unreachable
     }
 
+    /// Returns the latest configuration version that any peer has ever reported; 0 before the first report.
+    pub fn latest_config(&self) -> ConfigVersion {
+        self.latest_config
+    }
+
     /// Returns all peers.
     pub fn all(&self) -> impl Iterator<Item = (&DaemonId, &Peer)> {
         self.peers.iter()
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -312,10 +312,9 @@
         self.config.borrow().as_ref().map_or(0, |c| c.version)
     }
 
-    /// Returns whether a reachable peer has a later version of the configuration.
+    /// Returns whether a peer has reported a later version of the configuration.
     pub fn is_behind(&self) -> bool {
-        let version = self.config_version();
-        self.peers.borrow().reachable(self.now()).any(|(_, peer)| peer.config_version > version)
+        self.peers.borrow().latest_config() > self.config_version()
     }
 
     /// Returns whether this daemon polls the store for the configuration at short intervals: on behalf of its data
@@ -390,7 +389,7 @@
         now.saturating_sub(self.store_answered.get().max(self.freshness.servers_at.get()))
     }
 
-    /// Returns whether operators may have written a later configuration version: a peer has one, or nobody has
+    /// Returns whether operators may have written a later configuration version: a peer has reported one, or nobody has
     /// confirmed the current one for `stale_after`.
     pub fn is_config_stale(&self, now: Moment) -> bool {
         let peers_age =
