serve: a configuration counts as confirmed from when the store decided

Cause: an answer of the store confirmed the version in force from when it had been received, though the store decides earlier: by the time limits up to one second (six, a long wait that ends with a record), and without a bound now that bodies may take long. A daemon on a full link could take a version for the newest while its successor was in force elsewhere.

--- a/lib/src/serve/config_reads.rs
+++ b/lib/src/serve/config_reads.rs
@@ -26,11 +26,16 @@
     pub result: Result<Batch, StoreError>,
     /// When the read was sent.
     pub sent_at: Moment,
+    /// Time up to which the response covers all records: it may have been long under way, and the store decided on it
+    /// no earlier than this.
+    pub covers_until: Moment,
 }
 
 struct PendingRead<'a> {
     call: LocalFuture<'a, Result<Batch, StoreError>>,
     sent_at: Moment,
+    /// How long the store holds it while there is no record.
+    wait: Duration,
 }
 
 /// Reads in progress, the oldest first.
@@ -52,16 +57,15 @@
         }
         let call = daemon.store.read(Feed::Configuration, from, wait);
         let call = Box::pin(track_read(daemon, Feed::Configuration, call));
-        self.pending.push(PendingRead { call, sent_at: daemon.now() });
+        self.pending.push(PendingRead { call, sent_at: daemon.now(), wait });
     }
 
     /// Waits for the next response; waits forever if no read is in progress.
-    pub async fn next(&mut self) -> ReadResponse {
+    pub async fn next(&mut self, daemon: &DaemonState) -> ReadResponse {
         poll_fn(|context| {
             for index in 0..self.pending.len() {
                 if let Poll::Ready(result) = self.pending[index].call.as_mut().poll(context) {
-                    let sent_at = self.pending.remove(index).sent_at;
-                    return Poll::Ready(ReadResponse { result, sent_at });
+                    return Poll::Ready(self.pending.remove(index).respond(result, daemon.now()));
                 }
             }
             Poll::Pending
@@ -69,3 +73,12 @@
         .await
     }
 }
+
+impl PendingRead<'_> {
+    fn respond(self, result: Result<Batch, StoreError>, now: Moment) -> ReadResponse {
+        let is_empty = result.as_ref().is_ok_and(Batch::is_empty);
+        let held = if is_empty { self.wait } else { Duration::ZERO };
+        let covers_until = (self.sent_at + held).min(now);
+        ReadResponse { result, sent_at: self.sent_at, covers_until }
+    }
+}
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -380,8 +380,7 @@
     /// Returns the time since the store last confirmed the configuration to this daemon, or to a reader that reported
     /// it.
     pub fn config_age(&self, now: Moment) -> Duration {
-        let reported_age = now.saturating_sub(self.freshness.config_at.get());
-        self.store_health.borrow().time_since_answer(Feed::Configuration, now).min(reported_age)
+        now.saturating_sub(self.freshness.config_at.get())
     }
 
     /// Returns the time since the store last answered this daemon, or a reader that reported it.
--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -63,6 +63,7 @@
         match track_call(daemon, Feed::Configuration, call).await {
             Ok(batch) => {
                 apply_batch(daemon, &batch);
+                daemon.freshness.confirm_config(sent_at);
                 return batch.end;
             }
             Err(StoreError::Expired) => {}
@@ -85,7 +86,7 @@
         }
         let response = tokio::select! {
             biased;
-            response = reads.next() => response,
+            response = reads.next(daemon) => response,
             reason = repeat_reason(daemon, &last, retry_delay) => {
                 log_repeat(daemon, &last, reason);
                 if reason == Repeat::Overdue {
@@ -99,6 +100,7 @@
         match response.result {
             Ok(batch) => {
                 apply_batch(daemon, &batch);
+                daemon.freshness.confirm_config(response.covers_until);
                 from = from.max(batch.end);
                 retry_delay = MIN_RETRY_DELAY;
             }
--- a/lib/src/serve/freshness.rs
+++ b/lib/src/serve/freshness.rs
@@ -11,7 +11,8 @@
     /// Time up to which the list of servers, apart from the models that they hold, is complete, according to this
     /// daemon's own reads of the store or to reader reports.
     pub servers_at: Cell<Moment>,
-    /// Time up to which the configuration in force is known to be the newest, according to reader reports.
+    /// Time up to which the configuration in force is known to be the newest, according to this daemon's own reads of
+    /// the store or to reader reports.
     pub config_at: Cell<Moment>,
     /// Whether a part of the list came from reader reports, which omit the models that servers hold.
     pub is_partial: Cell<bool>,
@@ -40,6 +41,11 @@
         is_due
     }
 
+    /// Records that the configuration in force was the newest at `at`.
+    pub fn confirm_config(&self, at: Moment) {
+        self.config_at.set(self.config_at.get().max(at));
+    }
+
     /// Records that the list of servers is complete up to `at`.
     pub fn advance_servers(&self, at: Moment) {
         self.servers_at.set(self.servers_at.get().max(at));
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -237,8 +237,7 @@
         }
         if digest.config_version <= daemon.config_version() {
             let age = Duration::from_millis(digest.config_age.into());
-            let config_at = &daemon.freshness.config_at;
-            config_at.set(config_at.get().max(now.saturating_sub(age)));
+            daemon.freshness.confirm_config(now.saturating_sub(age));
         }
         if self.apply_changes(&status, changes_from, digest.servers_end, joined_servers) {
             self.check_divergence(from, digest.servers_end, checksum);
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -78,6 +78,13 @@
     pub end: Offset,
 }
 
+impl Batch {
+    /// Returns whether it contains no record, readable or not.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.unreadable.is_empty()
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum StoreError {
