--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -73,6 +73,18 @@
     Unreadable(SmolStr),
 }
 
+/// The rest that a server asks for when it refuses a request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum ReportedRest {
+    /// None.
+    #[default]
+    None,
+    /// It wants no request from this daemon for so long.
+    Rest(Duration),
+    /// The text of a time that cannot be parsed.
+    Unreadable(SmolStr),
+}
+
 /// What the headers of a backend server's response contain.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseHeaders {
@@ -88,6 +100,10 @@
     pub workload: Option<ReportedWorkload>,
     /// The server's rate limit.
     pub limit: ReportedLimit,
+    /// Whether the server reports that it is leaving.
+    pub leaving: bool,
+    /// The rest that the server asks for.
+    pub rest: ReportedRest,
     /// How long the server keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -10,6 +10,7 @@
 use crate::cluster::send_permit::SendPermits;
 use crate::cluster::server_instance::ServerInstance;
 use crate::protocol::ReportedLimit;
+use crate::protocol::ReportedRest;
 use crate::protocol::ResponseHeaders;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::handle::OTHER_DAEMON_RETRY_AFTER;
@@ -37,6 +38,10 @@
         sent_at: Moment,
     ) {
         let now = self.now();
+        self.log_rest(server, &headers.rest);
+        if headers.leaving {
+            slog::info!(self.log, "server-leaving"; "server" => %server, "from" => "answer");
+        }
         if let Some(workload) = headers.workload {
             self.workloads.set_reported(server, now, workload);
         }
@@ -59,6 +64,18 @@
         }
     }
 
+    fn log_rest(&self, server: &ServerInstance, rest: &ReportedRest) {
+        match rest {
+            ReportedRest::None => {}
+            ReportedRest::Rest(time) => {
+                slog::info!(self.log, "server-rest"; "server" => %server, "ms" => time.as_millis());
+            }
+            ReportedRest::Unreadable(text) => {
+                slog::warn!(self.log, "server-rest-unreadable"; "server" => %server, "rest" => text.as_str());
+            }
+        }
+    }
+
     /// Applies servers' rate limits that a peer reported.
     pub fn apply_peer_limits(&self, reports: &[LimitReport], from: &str) {
         let changed = self.rate_limits.borrow_mut().merge(reports, self.now());
