cluster: a server that announces in a response that it leaves gets no more requests

What callers saw: requests to a server that is about to go, seconds after its own answers had said so, while the store could not be written.

Cause: the header was read nowhere; only the store told of a leave. Class: what a server says of itself in an answer is heard later than, or never through, another channel. Change: the announcement is kept by instance as soon as the head of a response arrives, on every path of callers' requests, and ends only with a later instance: not with an entry of the store or a peer, which may be older, nor with the entry's removal, nor after the time in which a server that a peer saw leave may return. Peers are told at once, in the departures of the digest, which have a new field (format 0xf8).

Not heard: responses to orders and reports.

--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -65,8 +65,10 @@
 pub struct ServerDeparture {
     /// The instance that left.
     pub server: ServerInstance,
-    /// Number of its last heartbeat; a higher one shows that it returned.
+    /// Number of its last heartbeat; a higher one shows that it returned, unless the departure was announced.
     pub heartbeat: u64,
+    /// Whether the server itself announced it in a response: this instance will not return.
+    pub announced: bool,
 }
 
 /// A daemon's state, published to peers several times a second.
@@ -158,7 +160,7 @@
 /// The encoding is not self-describing: a datagram of another version may decode to wrong values, such as
 /// a server instance that no later one can supersede. The first format had no number and began with
 /// the length of a daemon's name, which is never this number.
-const FORMAT: u8 = 0xf7;
+const FORMAT: u8 = 0xf8;
 
 /// Reason why a datagram cannot be decoded.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::boot_clock::Moment;
+use crate::cluster::announced_leaves::AnnouncedLeaves;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::digest::ServerDeparture;
 use crate::cluster::latest_instances::InstanceOrder;
@@ -92,7 +93,7 @@
     }
 
     fn departure(&self) -> ServerDeparture {
-        ServerDeparture { server: self.instance(), heartbeat: self.heartbeat }
+        ServerDeparture { server: self.instance(), heartbeat: self.heartbeat, announced: false }
     }
 
     /// Resets this to a newer instance whose entry has not been read yet: the address is kept, as it may not
@@ -194,6 +195,7 @@
     /// Recent reads of the feed: the time and the offset at which each began.
     recent_reads: VecDeque<(Moment, Offset)>,
     latest_instances: LatestInstances,
+    announced_leaves: AnnouncedLeaves,
 }
 
 impl Directory {
@@ -278,6 +280,8 @@
         if order == InstanceOrder::Older {
             return Change::None;
         }
+        // Entries may be older than the announcement.
+        server.leaving |= self.announced_leaves.contains(&server.instance());
         let old = self.entries.get(&server.id);
         // A server that may have returned gets no requests until that is confirmed, but its entry is applied.
         let returned_at = old.and_then(|old| old.returned_at).filter(|_| !server.leaving);
@@ -394,6 +398,9 @@
         if self.observe_instance(&departure.server, now) == InstanceOrder::Older {
             return Change::None;
         }
+        if departure.announced {
+            return self.announce_leave(&departure.server, now);
+        }
         let entry = self.entries.get_mut(&departure.server.id);
         if !entry.is_some_and(|entry| entry.apply_departure(departure, now)) {
             return Change::None;
@@ -404,6 +411,23 @@
         Change::Leaving
     }
 
+    /// Applies a server's own announcement that it is leaving, from its response or as a peer reports it.
+    pub fn announce_leave(&mut self, server: &ServerInstance, now: Moment) -> Change {
+        if self.observe_instance(server, now) == InstanceOrder::Older
+            || !self.announced_leaves.insert(server)
+        {
+            return Change::None;
+        }
+        let entry = self.entries.get_mut(&server.id).filter(|e| e.server.born == server.born);
+        let heartbeat = entry.as_ref().map_or(0, |e| e.server.heartbeat);
+        let departure = ServerDeparture { server: server.clone(), heartbeat, announced: true };
+        self.departures.push((now, departure));
+        let Some(entry) = entry else { return Change::None };
+        entry.returned_at = None;
+        let was_leaving = std::mem::replace(&mut Rc::make_mut(&mut entry.server).leaving, true);
+        if was_leaving { Change::None } else { Change::Leaving }
+    }
+
     /// Returns a checksum of the server instances that may get requests; it does not depend on their heartbeats.
     pub fn checksum(&self) -> u64 {
         let usable = self.entries.values().filter(|e| !e.server.leaving);
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -170,6 +170,8 @@
     pub freshness: Freshness,
     /// Signalled when a reader should send its report at once.
     pub report_due: Notify,
+    /// Signalled when a server announced in a response that it is leaving, which must be sent to peers at once.
+    pub departure_heard: Notify,
     /// Signalled when a crash report or quarantine must be sent to peers at once.
     pub quarantine_changed: Notify,
     /// Signalled when a digest or reader report shows that state must be fetched from a peer.
@@ -265,6 +267,7 @@
             reader_role: RefCell::default(),
             freshness: Freshness::default(),
             report_due: Notify::new(),
+            departure_heard: Notify::new(),
             quarantine_changed: Notify::new(),
             fetch_due: Notify::new(),
             lease: RefCell::new(lease),
--- a/lib/src/serve/publish.rs
+++ b/lib/src/serve/publish.rs
@@ -150,6 +150,7 @@
                 () = self.daemon.config_changed.notified() => self.send_config_version(),
                 () = self.daemon.report_due.notified() => self.send_reader_reports(),
                 () = self.daemon.quarantine_changed.notified() => self.send_digest(false),
+                () = self.daemon.departure_heard.notified() => self.send_digest(false),
                 () = self.daemon.trials.changed.notified() => {
                     self.daemon.model_waits.inventories_changed.notify_waiters();
                     self.send_trials();
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
+use crate::cluster::directory::Change;
 use crate::cluster::rate_limit::RateLimit;
 use crate::cluster::rate_limits::LimitReport;
 use crate::cluster::rate_share::RateShare;
@@ -12,6 +13,7 @@
 use crate::protocol::ReportedLimit;
 use crate::protocol::ReportedRest;
 use crate::protocol::ResponseHeaders;
+use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::handle::OTHER_DAEMON_RETRY_AFTER;
 
@@ -40,7 +42,7 @@
         let now = self.now();
         self.log_rest(server, &headers.rest);
         if headers.leaving {
-            slog::info!(self.log, "server-leaving"; "server" => %server, "from" => "answer");
+            self.apply_leave(server);
         }
         if let Some(workload) = headers.workload {
             self.workloads.set_reported(server, now, workload);
@@ -64,6 +66,18 @@
         }
     }
 
+    /// Applies a server's announcement that it is leaving. Peers are told at once.
+    fn apply_leave(&self, server: &ServerInstance) {
+        let change = self.directory.borrow_mut().announce_leave(server, self.now());
+        if change == Change::None {
+            return;
+        }
+        slog::info!(self.log, "server"; "server" => %server, "change" => ?change, "from" => "answer");
+        apply_updates::on_servers_changed(self);
+        self.departure_heard.notify_one();
+        self.report_due.notify_one();
+    }
+
     fn log_rest(&self, server: &ServerInstance, rest: &ReportedRest) {
         match rest {
             ReportedRest::None => {}
--- a/lib/tests/test_digest.rs
+++ b/lib/tests/test_digest.rs
@@ -15,7 +15,11 @@
         config_version: 7,
         config_age: 0,
         servers_end: 90,
-        departures: vec![ServerDeparture { server: server.clone(), heartbeat: 12 }],
+        departures: vec![ServerDeparture {
+            server: server.clone(),
+            heartbeat: 12,
+            announced: false,
+        }],
         ready: true,
         is_small: false,
         workloads: vec![WorkloadReport {
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -244,3 +244,55 @@
     let other = ModelTarget { model: "m2".into(), ..target };
     assert!(!chooser.has_copy(&other));
 }
+
+/// Guards against requests to a server that announced in a response that it leaves: its entry of the store goes on to
+/// say that it is ready, ends and is relayed once more by a peer.
+#[test]
+fn announced_kept() {
+    let mut directory = Directory::default();
+    directory.record_read(ms(0));
+    put(&mut directory, "a", 3, false);
+    let instance = server("a", 3, false).instance();
+    assert_eq!(directory.announce_leave(&instance, ms(100)), Change::Leaving);
+    assert_eq!(directory.announce_leave(&instance, ms(150)), Change::None, "heard before");
+    let is_leaving = |directory: &Directory| directory.get("a").is_none_or(|s| s.leaving);
+    put(&mut directory, "a", 4, false);
+    assert!(is_leaving(&directory), "a later heartbeat");
+    put(&mut directory, "a", 20, false);
+    directory.confirm_returns(ms(20_000));
+    assert!(is_leaving(&directory), "long after");
+    directory.remove("a", ms(21_000));
+    directory.put_relayed(server("a", 20, false), Bytes::new(), ms(22_000));
+    assert!(is_leaving(&directory), "relayed after its removal");
+    put(&mut directory, "a", 21, false);
+    assert!(is_leaving(&directory), "read anew");
+}
+
+/// Guards against an announcement that peers take for a departure after which a server may return.
+#[test]
+fn announced_told() {
+    let (mut teller, mut listener) = (Directory::default(), Directory::default());
+    put(&mut teller, "a", 3, false);
+    put(&mut listener, "a", 9, false);
+    teller.announce_leave(&server("a", 3, false).instance(), ms(100));
+    let departures = teller.recent_departures(ms(200));
+    assert_eq!(departures.len(), 1);
+    assert_eq!(listener.apply_departure(&departures[0], ms(300)), Change::Leaving);
+    put(&mut listener, "a", 10, false);
+    assert!(listener.confirm_returns(ms(60_000)).is_empty());
+    assert!(listener.get("a").expect("an entry").leaving);
+    assert_eq!(listener.recent_departures(ms(400)).len(), 1, "it tells others in turn");
+}
+
+/// Guards against a server that started again being taken for the instance that announced its departure.
+#[test]
+fn announced_restarted() {
+    let mut directory = Directory::default();
+    let started = |born| Server { born: Some(born), ..server("a", 1, false) };
+    directory.put(started(5), Bytes::new(), ms(0));
+    directory.announce_leave(&started(5).instance(), ms(100));
+    assert_eq!(directory.put(started(6), Bytes::new(), ms(200)), Change::Restarted);
+    assert!(!directory.get("a").expect("an entry").leaving);
+    assert_eq!(directory.announce_leave(&started(5).instance(), ms(300)), Change::None);
+    assert!(!directory.get("a").expect("an entry").leaving);
+}
--- a/lib/tests/test_reader_reports.rs
+++ b/lib/tests/test_reader_reports.rs
@@ -44,7 +44,7 @@
 fn hearsay_passed() {
     let mut reader = Directory::default();
     read(&mut reader, ms(0), server("a", 1, false));
-    let note = ServerDeparture { server: "a".into(), heartbeat: 2 };
+    let note = ServerDeparture { server: "a".into(), heartbeat: 2, announced: false };
     assert_eq!(reader.apply_departure(&note, ms(1_000)), Change::Leaving);
     assert_eq!(read(&mut reader, ms(1_100), server("a", 2, true)), Change::None);
     assert_eq!(reader.all_departures(ms(1_200)), [note]);
--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -131,7 +131,10 @@
     put(&mut directory, server(None, 70, &["hem"]), 0);
     assert_eq!(put(&mut directory, server(None, 1, &[]), 100), Change::None);
     assert_eq!(
-        directory.apply_departure(&ServerDeparture { server: "e1".into(), heartbeat: 70 }, ms(100)),
+        directory.apply_departure(
+            &ServerDeparture { server: "e1".into(), heartbeat: 70, announced: false },
+            ms(100)
+        ),
         Change::Leaving
     );
     assert_eq!(put(&mut directory, server(None, 71, &[]), 200), Change::None);
@@ -174,7 +177,7 @@
 fn left_newer() {
     let mut directory = Directory::default();
     put(&mut directory, server(Some(FIRST), 70, &["hem"]), 0);
-    let departure = ServerDeparture { server: instance(SECOND), heartbeat: 1 };
+    let departure = ServerDeparture { server: instance(SECOND), heartbeat: 1, announced: false };
     assert_eq!(directory.apply_departure(&departure, ms(100)), Change::Leaving);
     assert!(models(&directory).is_empty());
     assert_eq!(put(&mut directory, server(Some(SECOND), 1, &["hem"]), 200), Change::None);
