cluster: a server that asks for rest gets no request until it is over

What callers saw: a request that all engines with its model refuse is sent to them again every 160 ms until it is refused, and the engines, which asked for rest, never get any.

Cause: Retry-After of a server's 503 was read nowhere, neither by the choice of a server nor by the repeats within a request, which forget what they tried. Change: rest is kept by instance and ends by its own time; a server at rest gets no send permit, as a rate-limited one. So it is no candidate of any path (plain, streams, resumes, failover, repeats), its model may be loaded elsewhere, and its health is untouched. A request that no server of the service takes in the time that its caller has is refused at once, told to come back after the shortest rest left, spread over a quarter of it. A refusal counts also if it does not echo the attempt.

--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -30,6 +30,7 @@
 use crate::cluster::server_health::Evidence;
 use crate::cluster::server_health::ServerHealth;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::server_rests::ServerRests;
 use crate::cluster::store_health::StoreHealth;
 use crate::cluster::unreadable_records::UnreadableRecords;
 use crate::cluster::workloads::Workloads;
@@ -154,6 +155,8 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     /// Rate limits that servers advertise.
     pub rate_limits: RefCell<RateLimits>,
+    /// Rest that servers asked this daemon for.
+    pub server_rests: RefCell<ServerRests>,
     /// Requests held back because servers crashed under them.
     pub quarantine: RefCell<Quarantine>,
     /// Trials of suspected requests in progress at engines.
@@ -259,6 +262,7 @@
             health: RefCell::default(),
             run_times: RunTimes::default(),
             rate_limits: RefCell::default(),
+            server_rests: RefCell::default(),
             quarantine: RefCell::default(),
             trials: Trials::default(),
             peers: RefCell::new(peers),
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -224,6 +224,13 @@
         times.min()
     });
     let verdict = attempt.verdict;
+    // No load helps a request that no engine of the service takes in time.
+    let any_engine = daemon.with_chooser(|c| c.next_permit(&model_target.service, None));
+    if let Some(permit) = any_engine.filter(|permit| permit.wait.is_some())
+        && let Some(retry) = retry_after(permit, wait_until.saturating_sub(now))
+    {
+        return Some(Refusal::failed(verdict, RATE_LIMITED, retry));
+    }
     if expected.is_none() && now > began + ORDER_TIME {
         let permit =
             daemon.with_chooser(|c| c.next_permit(&model_target.service, Some(model_target)));
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -158,7 +158,8 @@
     };
     let (head, body) = response.into_parts();
     let headers = daemon.protocol.parse_response_headers(&head);
-    let matches_attempt = headers.attempt.as_ref() == attempt;
+    // A refusal may lack the id.
+    let matches_attempt = headers.attempt.is_none() || headers.attempt.as_ref() == attempt;
     let is_other_server = headers.instance.as_ref().is_some_and(|id| *id != server.id);
     if matches_attempt && !is_other_server {
         daemon.apply_server_feedback(&instance, &headers, sent);
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::RngExt as _;
+
 use crate::boot_clock::Moment;
 use crate::cluster::directory::Change;
 use crate::cluster::rate_limit::RateLimit;
@@ -20,13 +22,20 @@
 /// Reason of a refusal when rate limits permit no server for a request.
 pub const RATE_LIMITED: &str = "servers take no more requests for now";
 
+/// Callers that are told to retry when servers may be used again return spread over a quarter of their wait, so that they
+/// do not all arrive at once.
+const MAX_RETURN_FACTOR: f64 = 1.25;
+
 /// Returns after how long a caller should retry that can wait for `remaining`, or `None` if it can wait for its send
 /// permit.
 ///
 /// If only other daemons send to the server, the caller should try another daemon after a short delay.
 pub fn retry_after(permit: SendPermit, remaining: Duration) -> Option<Duration> {
     match permit.wait {
-        Some(wait) => (wait > remaining).then_some(wait),
+        Some(wait) if wait > remaining => {
+            Some(wait.mul_f64(rand::rng().random_range(1.0..=MAX_RETURN_FACTOR)))
+        }
+        Some(_) => None,
         None => Some(OTHER_DAEMON_RETRY_AFTER),
     }
 }
@@ -40,7 +49,7 @@
         sent_at: Moment,
     ) {
         let now = self.now();
-        self.log_rest(server, &headers.rest);
+        self.apply_rest(server, &headers.rest);
         if headers.leaving {
             self.apply_leave(server);
         }
@@ -78,10 +87,11 @@
         self.report_due.notify_one();
     }
 
-    fn log_rest(&self, server: &ServerInstance, rest: &ReportedRest) {
+    fn apply_rest(&self, server: &ServerInstance, rest: &ReportedRest) {
         match rest {
             ReportedRest::None => {}
             ReportedRest::Rest(time) => {
+                self.server_rests.borrow_mut().record(server, *time, self.now());
                 slog::info!(self.log, "server-rest"; "server" => %server, "ms" => time.as_millis());
             }
             ReportedRest::Unreadable(text) => {
@@ -115,13 +125,20 @@
         peers.is_sender(&self.settings.borrow().id, server, share.senders).then_some(share)
     }
 
-    /// Returns when this daemon may send to each of the servers with rate limits.
+    /// Returns when this daemon may send to each of the servers that have rate limits or are at rest.
     pub fn send_permits(&self) -> SendPermits {
+        let now = self.now();
         let mut rates = self.rate_limits.borrow_mut();
-        if rates.is_empty() {
-            return SendPermits::new();
+        let mut permits = if rates.is_empty() {
+            SendPermits::new()
+        } else {
+            rates.send_permits(now, |server, limit| self.rate_share(server, limit))
+        };
+        for (server, left) in self.server_rests.borrow_mut().remaining(now) {
+            let permit = permits.entry(server.clone()).or_insert(SendPermit::GRANTED);
+            permit.postpone(left);
         }
-        rates.send_permits(self.now(), |server, limit| self.rate_share(server, limit))
+        permits
     }
 
     /// Records that a request is sent to a server.
