cluster: a copy of a removed server's entry is not its return

Cause: a removal was forgotten while copies of the removed entry live on at peers. Class: evidence that ends something is held for a shorter time than the copies of what it ends. Change: the end of an instance is remembered with its last heartbeat, by number of instances and not by age; a relayed entry counts only with a later one. An announced leave is the case in which no heartbeat is later, so both are one rule.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -1,11 +1,11 @@
 //! A daemon's view of the cluster: the configuration, backend servers, other daemons and their reports,
 //! each with its source and age.
 
-pub mod announced_leaves;
 pub mod config_history;
 pub mod configuration;
 pub mod digest;
 pub mod directory;
+pub mod ended_instances;
 pub mod engine_inventories;
 pub mod fingerprint;
 pub mod latest_instances;
--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -13,9 +13,9 @@
 use smol_str::SmolStr;
 
 use crate::boot_clock::Moment;
-use crate::cluster::announced_leaves::AnnouncedLeaves;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::digest::ServerDeparture;
+use crate::cluster::ended_instances::EndedInstances;
 use crate::cluster::latest_instances::InstanceOrder;
 use crate::cluster::latest_instances::LatestInstances;
 use crate::cluster::server_instance::ServerInstance;
@@ -195,7 +195,7 @@
     /// Recent reads of the feed: the time and the offset at which each began.
     recent_reads: VecDeque<(Moment, Offset)>,
     latest_instances: LatestInstances,
-    announced_leaves: AnnouncedLeaves,
+    ended: EndedInstances,
 }
 
 impl Directory {
@@ -281,7 +281,7 @@
             return Change::None;
         }
         // Entries may be older than the announcement.
-        server.leaving |= self.announced_leaves.contains(&server.instance());
+        server.leaving |= self.ended.has_announced(&server.instance());
         let old = self.entries.get(&server.id);
         // A server that may have returned gets no requests until that is confirmed, but its entry is applied.
         let returned_at = old.and_then(|old| old.returned_at).filter(|_| !server.leaving);
@@ -327,8 +327,11 @@
     ///
     /// The known entry may have lapsed or been overwritten since, and a peer that got it from a third daemon
     /// does not know that. When such entries counted as a return, the entry of a crashed server stayed listed
-    /// for twenty seconds.
+    /// for twenty seconds. The same holds for a server that was removed: copies of its entry live on at peers.
     pub fn put_relayed(&mut self, server: Server, raw: Bytes, now: Moment) -> Change {
+        if !server.leaving && self.ended.is_outdated(&server.instance(), server.heartbeat) {
+            return Change::None;
+        }
         let known = self.entries.get(&server.id).filter(|e| e.server.born == server.born);
         let is_leave_notice = |e: &Entry| server.leaving && !e.server.leaving;
         if known.is_some_and(|e| e.server.heartbeat >= server.heartbeat && !is_leave_notice(e)) {
@@ -368,12 +371,19 @@
             entry.lapsed_at = Some(now);
             return Change::Lapsed;
         }
-        if let Some(entry) = self.entries.remove(id) {
-            self.departures.push((now, entry.server.departure()));
+        if let Some(server) = self.take(id) {
+            self.departures.push((now, server.departure()));
         }
         Change::Removed
     }
 
+    /// Removes an entry and remembers its end.
+    fn take(&mut self, id: &str) -> Option<Rc<Server>> {
+        let server = self.entries.remove(id)?.server;
+        self.ended.record_end(&server.instance(), server.heartbeat);
+        Some(server)
+    }
+
     /// Returns the recent departures read from the feed. They are published to peers, since each daemon reads
     /// the feed at a different time.
     pub fn recent_departures(&mut self, now: Moment) -> Vec<ServerDeparture> {
@@ -401,6 +411,7 @@
         if departure.announced {
             return self.announce_leave(&departure.server, now);
         }
+        self.ended.record_end(&departure.server, departure.heartbeat);
         let entry = self.entries.get_mut(&departure.server.id);
         if !entry.is_some_and(|entry| entry.apply_departure(departure, now)) {
             return Change::None;
@@ -414,7 +425,7 @@
     /// Applies a server's own announcement that it is leaving, from its response or as a peer reports it.
     pub fn announce_leave(&mut self, server: &ServerInstance, now: Moment) -> Change {
         if self.observe_instance(server, now) == InstanceOrder::Older
-            || !self.announced_leaves.insert(server)
+            || !self.ended.announce(server)
         {
             return Change::None;
         }
@@ -442,7 +453,7 @@
     /// Removes an entry that is missing from a peer's newer snapshot. If the entry might have returned, the
     /// peer has already waited for that.
     pub fn forget(&mut self, id: &str) -> Change {
-        self.entries.remove(id).map_or(Change::None, |_| Change::Removed)
+        self.take(id).map_or(Change::None, |_| Change::Removed)
     }
 
     /// Makes servers usable again whose departure a peer reported and whose return is now confirmed; returns
@@ -471,8 +482,8 @@
         let expired: Vec<_> =
             self.entries.iter().filter(|(_, e)| is_expired(e)).map(|(id, _)| id.clone()).collect();
         for id in &expired {
-            if let Some(entry) = self.entries.remove(id) {
-                self.inferred_departures.push((now, entry.server.departure()));
+            if let Some(server) = self.take(id) {
+                self.inferred_departures.push((now, server.departure()));
             }
         }
         expired
