--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -105,12 +105,14 @@
     let mut broken = ChaCha8Rng::seed_from_u64(!seed);
     let mut foreign = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
     let mut again = ChaCha8Rng::seed_from_u64(!seed.rotate_left(32));
+    let mut notices = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     let began = Instant::now();
     while began.elapsed() < time {
         plan::inject_fault(&world, &mut rng).await;
         plan::inject_bad_responses(&world, &mut broken);
         plan::inject_foreign_record(&world, &mut foreign);
         plan::restart(&world, &mut again).await;
+        plan::inject_notices(&world, &mut notices);
         let pause = Duration::from_millis(rng.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use comfreymux_platform_testutils::foreign;
+use comfreymux_platform_testutils::large_table::large_configuration;
 use comfreymux_platform_testutils::rig::configuration;
 use comfreymux_platform_testutils::server_standin::Behaviour;
 use comfreymux_platform_testutils::store_standin::Mood;
@@ -76,6 +77,34 @@
     }
 }
 
+/// Probability that a server asks for rest, and that a large configuration is written, with an injected fault.
+const NOTICE_PROBABILITY: f64 = 0.25;
+/// Largest number of routes that a large configuration adds.
+const MAX_ROUTES: usize = 4_000;
+
+/// Makes a server refuse all requests and ask for rest, and writes a large configuration, each with probability
+/// [`NOTICE_PROBABILITY`].
+///
+/// Uses a random generator of its own, as [`inject_bad_responses`] does.
+pub fn inject_notices(world: &World, rng: &mut ChaCha8Rng) {
+    let (server, time) = {
+        let servers = world.servers.borrow();
+        let server = Rc::clone(&servers[rng.random_range(0..servers.len())]);
+        (server, Duration::from_millis(rng.random_range(300..3000)))
+    };
+    if rng.random_bool(NOTICE_PROBABILITY) {
+        world.note(&format!("rest server={} for={time:?}", server.id));
+        *server.rest.borrow_mut() = Some(time.as_secs_f64().to_string());
+        later(time, move || *server.rest.borrow_mut() = None);
+    }
+    let (routes, seed) = (rng.random_range(0..MAX_ROUTES), rng.random());
+    if rng.random_bool(NOTICE_PROBABILITY) {
+        let version = world.next_version();
+        world.note(&format!("version={version} routes={routes}"));
+        world.store.put_config(&large_configuration(version, routes, seed));
+    }
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -256,6 +256,7 @@
     pub async fn leave(self: &Rc<Self>, index: usize) {
         let server = self.detach_server(index);
         server.leaving.set(true);
+        server.says_leaving.set(true);
         server.register(&self.store);
         self.replace(&server).await;
         let store = Rc::clone(&self.store);
