claims: a requested claim is known before the log decides

What callers saw: the retry of a booking is refused with 409 while the first request is at work at another daemon.

Cause: a daemon that read the log's decision before the winner did asked it for the outcome, and the winner knew no such claim. Change: a claim is known from its request on, and taken back if another one wins.

--- a/lib/src/claim_outcomes.rs
+++ b/lib/src/claim_outcomes.rs
@@ -24,12 +24,14 @@
 
 #[derive(Debug, Default)]
 struct ClaimEntry {
+    /// Whether the claim is requested, and the log's decision has not been read here yet.
+    expected: bool,
     /// When the request ended, and its outcome; `None` while it runs.
     finished: Option<(Duration, ClaimOutcome)>,
     waiters: Vec<flume::Sender<ClaimOutcome>>,
 }
 
-/// Claimed requests that run on this daemon or ran there recently.
+/// Claimed requests that run on this daemon, ran there recently, or whose claim is requested.
 #[derive(Debug, Default)]
 pub struct ClaimOutcomes {
     entries: Mutex<BTreeMap<ClaimKey, ClaimEntry>>,
@@ -40,10 +42,29 @@
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the claim of `key` is requested, before it is appended to the log.
+    ///
+    /// Another daemon may read from the log that the claim is granted before this one does, and ask for the outcome.
+    pub fn expect(&self, key: ClaimKey) {
+        self.entries()
+            .entry(key)
+            .or_insert_with(|| ClaimEntry { expected: true, ..ClaimEntry::default() });
+    }
+
+    /// Records that an expected claim was not granted; those who wait for its outcome learn that this daemon does not
+    /// know it.
+    pub fn cancel_expected(&self, key: ClaimKey) {
+        let mut entries = self.entries();
+        if entries.get(&key).is_some_and(|entry| entry.expected) {
+            entries.remove(&key);
+        }
+    }
+
     /// Records that the request of `key` starts to run.
     pub fn begin(&self, key: ClaimKey) {
         let mut entries = self.entries();
         let entry = entries.entry(key).or_default();
+        entry.expected = false;
         entry.finished = None;
     }
 
@@ -51,6 +72,7 @@
     pub fn finish(&self, now: Duration, key: ClaimKey, outcome: &ClaimOutcome) {
         let mut entries = self.entries();
         let entry = entries.entry(key).or_default();
+        entry.expected = false;
         entry.finished = Some((now, outcome.clone()));
         for waiter in entry.waiters.drain(..) {
             // A waiter that timed out has dropped its receiver.
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -200,13 +200,11 @@
                 other => others.push(other),
             }
         }
-        match answer {
-            Some(answer) => {
-                let _disconnected = sender.send(answer);
-            }
-            None => {
-                self.claims.insert(key, sender);
-            }
+        if let Some(answer) = answer {
+            let _disconnected = sender.send(answer);
+        } else {
+            self.claims.insert(key, sender);
+            self.node.outcomes.expect(key);
         }
         self.apply_effects(now, others);
     }
@@ -254,6 +252,8 @@
         if answer == ClaimAnswer::Granted {
             // A retry may ask for the outcome before the thread of the request itself runs again.
             self.node.outcomes.begin(key);
+        } else {
+            self.node.outcomes.cancel_expected(key);
         }
         let granted = answer == ClaimAnswer::Granted;
         let delivered = self.claims.remove(&key).is_some_and(|sender| sender.send(answer).is_ok());
