--- a/cli/src/entry.rs
+++ b/cli/src/entry.rs
@@ -6,7 +6,7 @@
 use comfreymux_lib::boot_clock::BootClock;
 use comfreymux_lib::logging;
 use comfreymux_lib::serve::daemon_state::DaemonState;
-use comfreymux_lib::serve::daemon_state::EntrySettings;
+use comfreymux_lib::serve::entry_settings::EntrySettings;
 use comfreymux_lib::serve::lifecycle;
 use comfreymux_lib::serve::pool::ConnectionPool;
 use comfreymux_platform::PlatformProtocol;
--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -5,6 +5,7 @@
 pub mod configuration;
 pub mod digest;
 pub mod directory;
+mod directory_entry;
 pub mod ended_instances;
 pub mod engine_inventories;
 pub mod fingerprint;
--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -15,6 +15,7 @@
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::digest::ServerDeparture;
+use crate::cluster::directory_entry::Entry;
 use crate::cluster::ended_instances::EndedInstances;
 use crate::cluster::latest_instances::InstanceOrder;
 use crate::cluster::latest_instances::LatestInstances;
@@ -38,11 +39,6 @@
 /// A server whose entry was overwritten is removed after this long without a readable entry. The platform
 /// removes the entry of a server that misses three heartbeats, of 1.2 s each.
 const SUSPENSION_TIMEOUT: Duration = Duration::from_secs(4);
-/// A server that left according to a peer, but has a newer entry, is used again if the entry still exists after
-/// this time. The entry may stem from a last heartbeat that reached a slow store after the server had left. Such
-/// an entry ends after three missed heartbeats, and no request must reach that server.
-const RETURN_CONFIRM_TIME: Duration = Duration::from_secs(6);
-
 /// A model that is loaded in a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoadedModel {
@@ -107,51 +103,6 @@
     }
 }
 
-/// A listed server with its entry and state.
-#[derive(Clone, Debug)]
-struct Entry {
-    server: Rc<Server>,
-    /// The entry as stored by the platform, for relaying to other daemons. Belongs to an older instance while
-    /// the newest one is known from peers only; daemons that know the newest ignore it.
-    raw: Bytes,
-    /// When the entry was found missing; set while it may only have lapsed.
-    lapsed_at: Option<Moment>,
-    /// When the entry was found overwritten; set while the newest entry describes no server.
-    suspended_at: Option<Moment>,
-    /// When a peer reported the departure; set if the entry is newer than it, so that the server may have
-    /// returned.
-    returned_at: Option<Moment>,
-}
-
-impl Entry {
-    fn is_awaited(&self) -> bool {
-        self.lapsed_at.is_some() || self.suspended_at.is_some()
-    }
-
-    /// Marks the server as leaving because a peer saw its entry end; returns whether that changed anything.
-    ///
-    /// The feed is read in order: if a later heartbeat is known here, its entry was written after the end
-    /// that the peer reports, and the server may have returned.
-    fn apply_departure(&mut self, departure: &ServerDeparture, now: Moment) -> bool {
-        if self.server.leaving || self.returned_at.is_some() {
-            return false;
-        }
-        self.returned_at = (self.server.heartbeat > departure.heartbeat).then_some(now);
-        Rc::make_mut(&mut self.server).leaving = true;
-        true
-    }
-
-    /// Makes the server usable if its newer entry still exists after `RETURN_CONFIRM_TIME`; returns whether it did.
-    fn confirm_return(&mut self, now: Moment) -> bool {
-        let is_due = self.returned_at.is_some_and(|at| now > at + RETURN_CONFIRM_TIME);
-        if !is_due || !self.server.leaving {
-            return false;
-        }
-        Rc::make_mut(&mut self.server).leaving = false;
-        true
-    }
-}
-
 /// Effect of an update on the directory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -17,6 +17,7 @@
 pub mod daemon_state;
 pub mod engine_client;
 pub mod engine_orders;
+pub mod entry_settings;
 pub mod event_stream;
 pub mod events;
 pub mod exchange_plain;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +23,6 @@
 use crate::cluster::rate_limits::RateLimits;
 use crate::cluster::reader_rank::ReaderRank;
 use crate::cluster::reader_role::ReaderRole;
-use crate::cluster::retry_budgets::BudgetLimits;
 use crate::cluster::retry_budgets::RetryBudgets;
 use crate::cluster::run_times::RunTimes;
 use crate::cluster::server_health::Evidence;
@@ -35,8 +33,6 @@
 use crate::cluster::unreadable_records::UnreadableRecords;
 use crate::cluster::workloads::Workloads;
 use crate::host_clock::HostClock;
-use crate::ids::CentreId;
-use crate::ids::DaemonId;
 use crate::ids::Fence;
 use crate::metrics::Metrics;
 use crate::placement::demand::Demand;
@@ -44,6 +40,7 @@
 use crate::placement::lease_state::LeaseState;
 use crate::protocol::Protocol;
 use crate::serve::choose::Chooser;
+use crate::serve::entry_settings::EntrySettings;
 use crate::serve::freshness::Freshness;
 use crate::serve::graceful_stop::GracefulStop;
 use crate::serve::link_share::LinkShare;
@@ -57,72 +54,12 @@
 use crate::store::Feed;
 use crate::store::Store;
 
-/// Link speed in Mbit/s that a lease holder of a large fleet needs: it sends inventories to many daemons in bursts,
-/// beside engines' reports and callers' streams.
-const MIN_HOLDER_MBPS: f64 = 50.0;
-/// CPU cores that a lease holder of a large fleet needs: it plans loads beside serving callers' requests.
-const MIN_HOLDER_CORES: f64 = 0.2;
 /// Resolution of the pseudo-random fraction of the bid delay, which is derived from the process id.
 const BID_DELAY_STEPS: u64 = 1000;
 /// A daemon that relies on readers polls the store for the configuration itself once their reports have not confirmed
 /// it for this long. Calls of two readers may have been lost by then, and callers notice after three seconds.
 const MAX_CONFIG_AGE: Duration = Duration::from_secs(2);
 
-/// Checked settings of an entry daemon.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EntrySettings {
-    /// The daemon's id, unique in the fleet.
-    pub id: DaemonId,
-    /// The data centre of its host.
-    pub centre: CentreId,
-    /// Address on which callers' HTTP requests are accepted.
-    pub front: SocketAddr,
-    /// Address of the load balancer's readiness check.
-    pub ready: SocketAddr,
-    /// Address on which metrics are served.
-    pub metrics: SocketAddr,
-    /// Address for other daemons' connections (TCP) and digests (UDP).
-    pub peer: SocketAddr,
-    /// Peer addresses of daemons to fetch state from while the store does not answer.
-    pub seeds: Vec<SocketAddr>,
-    /// Retry budget that all daemons share.
-    pub budget: BudgetLimits,
-    /// Time between SIGTERM and the kill that follows it.
-    pub grace: Duration,
-    /// Time within which a leaving server must stop receiving requests.
-    pub drain: Duration,
-    /// Whether engines refuse orders with an old fencing number.
-    pub fenced: bool,
-    /// Least time between the orders of two successive lease holders if engines do not check fencing numbers.
-    pub apart: Duration,
-    /// Length of the window over which fetches are counted.
-    pub load_window: Duration,
-    /// Age from which a configuration that nobody has confirmed as the newest counts as stale: it may lack a route that
-    /// operators have added since.
-    pub stale_after: Duration,
-    /// CPU and link of the host.
-    pub host: HostSize,
-    /// Number of daemons from which a fleet is large, so that daemons get state through readers. A change takes
-    /// effect at the next start of the process.
-    pub readers_from: usize,
-}
-
-/// CPU and link capacity of a host that the daemon may use.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct HostSize {
-    /// CPU share in cores, summed over all cores.
-    pub core: f64,
-    /// Link speed in Mbit/s.
-    pub link: f64,
-}
-
-impl HostSize {
-    /// Returns whether a lease holder or reader of a large fleet should preferably run on another host.
-    pub fn is_small(self) -> bool {
-        self.link < MIN_HOLDER_MBPS || self.core < MIN_HOLDER_CORES
-    }
-}
-
 /// State of one entry daemon, shared by its tasks.
 #[derive(Debug)]
 pub struct DaemonState {
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -224,11 +224,7 @@
         times.min()
     });
     let verdict = attempt.verdict;
-    // No load helps a request that no engine of the service takes in time.
-    let any_engine = daemon.with_chooser(|c| c.next_permit(&model_target.service, None));
-    if let Some(permit) = any_engine.filter(|permit| permit.wait.is_some())
-        && let Some(retry) = retry_after(permit, wait_until.saturating_sub(now))
-    {
+    if let Some(retry) = delay_of_service(daemon, &model_target.service, wait_until) {
         return Some(Refusal::failed(verdict, RATE_LIMITED, retry));
     }
     if expected.is_none() && now > began + ORDER_TIME {
@@ -272,6 +268,14 @@
     }
 }
 
+/// Returns when a caller should retry if no engine of the service takes a request by `wait_until`, so that no load can
+/// help; `None` if one may.
+fn delay_of_service(daemon: &DaemonState, service: &str, wait_until: Moment) -> Option<Duration> {
+    let permit = daemon.with_chooser(|c| c.next_permit(service, None))?;
+    permit.wait?;
+    retry_after(permit, wait_until.saturating_sub(daemon.now()))
+}
+
 /// Returns whether this daemon is isolated from the store and other data centres, and neither holds the lease nor
 /// knows its holder, so that no load can be ordered. Callers should then retry at another daemon, to which the load
 /// balancer sends them.
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -13,7 +13,7 @@
 use crate::serve::accept;
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::daemon_state::EntrySettings;
+use crate::serve::entry_settings::EntrySettings;
 use crate::serve::follow_config;
 use crate::serve::follow_servers;
 use crate::serve::gossip::Gossip;
