--- a/lib/src/serve/peer_sync.rs
+++ b/lib/src/serve/peer_sync.rs
@@ -12,11 +12,14 @@
 
 use crate::cluster::directory::Change;
 use crate::cluster::peer_table::Peer;
+use crate::cluster::peer_update::ConfigUpdate;
+use crate::cluster::peer_update::MAX_UPDATE_BYTES;
 use crate::cluster::peer_update::ServerSnapshot;
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::peer_transfer;
 use crate::serve::peer_transfer::FetchError;
+use crate::store::Feed;
 
 /// The store counts as unavailable when it has not responded for this long, which is more than the interval of reads.
 const STORE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1700);
@@ -115,16 +118,30 @@
     let result = peer_transfer::fetch_config(daemon, peer).await;
     daemon.fetches_config.set(false);
     let restored = result.and_then(|update| {
-        let restore = |update| daemon.config_history.borrow().restore(&update);
-        Ok(update.map(restore).transpose()?)
+        let restore = |update| restore_config(daemon, &update);
+        update.map(restore).transpose()
     });
     match restored {
         Ok(Some(raw)) => {
             apply_updates::apply_config(daemon, &raw, apply_updates::FROM_PEER);
         }
         Ok(None) => {}
-        Err(error) => log_failure(daemon, peer, &error),
+        Err(error) => {
+            if matches!(error, FetchError::TooLarge(_)) {
+                let reason = error.to_string();
+                daemon.log_unreadable(Feed::Configuration, apply_updates::CONFIG_KEY, &reason);
+            }
+            log_failure(daemon, peer, &error);
+        }
+    }
+}
+
+fn restore_config(daemon: &DaemonState, update: &ConfigUpdate) -> Result<Bytes, FetchError> {
+    let length = update.content.length as usize;
+    if length > MAX_UPDATE_BYTES {
+        return Err(FetchError::TooLarge(length));
     }
+    Ok(daemon.config_history.borrow().restore(update)?)
 }
 
 /// Fetches the entries of all servers from a peer; returns whether they were received.
