--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -39,6 +39,7 @@
 /// A server whose entry was overwritten is removed after this long without a readable entry. The platform
 /// removes the entry of a server that misses three heartbeats, of 1.2 s each.
 const SUSPENSION_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// A model that is loaded in a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoadedModel {
--- a/lib/src/serve/peer_sync.rs
+++ b/lib/src/serve/peer_sync.rs
@@ -1,5 +1,5 @@
-//! Fetches configurations and snapshots from peers when the store and the readers' reports do not deliver them, and
-//! detects that this daemon is isolated.
+//! Fetches configurations and servers' entries from peers when the store and the readers' reports do not deliver them,
+//! and detects that this daemon is isolated.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -1,4 +1,4 @@
-//! Applies the workload and rate limits that backend servers report in their responses.
+//! Applies what backend servers report of themselves in their responses: workload, rate limit, rest and departure.
 
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::handle::OTHER_DAEMON_RETRY_AFTER;
 
-/// Reason of a refusal when rate limits permit no server for a request.
+/// Reason of a refusal when rate limits and rests permit no server for a request.
 pub const RATE_LIMITED: &str = "servers take no more requests for now";
 
 /// Callers that are told to retry when servers may be used again return spread over a quarter of their wait, so that they
@@ -41,7 +41,7 @@
 }
 
 impl DaemonState {
-    /// Applies the workload and rate limit in a server's response to a request that was sent at `sent_at`.
+    /// Applies what a server reports of itself in its response to a request that was sent at `sent_at`.
     pub fn apply_server_feedback(
         &self,
         server: &ServerInstance,
