serve: few large transfers at a time, passed on by those who have it

Found when reading the change once more: a transfer must move 16 KiB a second, and the askers of a reader share its link, so from some number of daemons on all would fail together again.

Change: a daemon serves four replies of more than 16 KiB at a time; others get at once the word that it is busy and the addresses of daemons that it has served, and ask one of these after 50 to 100 ms. Small replies take no slot. Request and reply change, so the format number does (0xf9).

--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -160,7 +160,7 @@
 /// The encoding is not self-describing: a datagram of another version may decode to wrong values, such as
 /// a server instance that no later one can supersede. The first format had no number and began with
 /// the length of a daemon's name, which is never this number.
-const FORMAT: u8 = 0xf8;
+const FORMAT: u8 = 0xf9;
 
 /// Reason why a datagram cannot be decoded.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/lib/src/cluster/peer_update.rs
+++ b/lib/src/cluster/peer_update.rs
@@ -3,6 +3,7 @@
 //! The types are encoded by postcard, in the order of their fields and variants.
 
 use std::io;
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,8 +28,13 @@
 /// A daemon's request to another one.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerRequest {
-    /// Asks for a later configuration than the one that the daemon has, if any.
-    Configuration(Option<ConfigId>),
+    /// Asks for a later configuration.
+    Configuration {
+        /// The one that the daemon has; `None` before the first.
+        known: Option<ConfigId>,
+        /// Port on which the daemon accepts connections from other daemons.
+        port: u16,
+    },
     /// Asks for the entries of all servers.
     Servers,
 }
@@ -37,7 +43,7 @@
     /// Returns the request's name in log lines.
     pub fn name(&self) -> &'static str {
         match self {
-            Self::Configuration(_) => "configuration",
+            Self::Configuration { .. } => "configuration",
             Self::Servers => "servers",
         }
     }
@@ -50,6 +56,9 @@
     Configuration(Option<ConfigUpdate>),
     /// The entries of all servers: an encoded [`ServerSnapshot`].
     Servers(Compressed),
+    /// The peer serves as many transfers as it may. It has lately given what was asked for to the daemons at these
+    /// addresses.
+    Busy(Vec<SocketAddr>),
 }
 
 /// Compressed bytes.
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -55,4 +55,5 @@
 pub mod socket;
 pub mod store_calls;
 pub mod suspects;
+pub mod transfer_slots;
 pub mod trials;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -49,6 +49,7 @@
 use crate::serve::peer_connector::TcpConnector;
 use crate::serve::pool::ConnectionPool;
 use crate::serve::random_source::RandomSource;
+use crate::serve::transfer_slots::TransferSlots;
 use crate::serve::trials::Trials;
 use crate::store::Batch;
 use crate::store::Feed;
@@ -150,6 +151,8 @@
     pub isolated: Cell<bool>,
     /// Whether a configuration is being fetched from a peer. A second transfer would only compete for the link.
     pub fetches_config: Cell<bool>,
+    /// The large transfers to peers in progress.
+    pub transfer_slots: TransferSlots,
     /// The share of the host's link that transfers to peers take.
     pub link_share: LinkShare,
     /// Opens connections to other daemons.
@@ -228,6 +231,7 @@
             active: Cell::default(),
             isolated: Cell::default(),
             fetches_config: Cell::default(),
+            transfer_slots: TransferSlots::default(),
             link_share: LinkShare::default(),
             connector: RefCell::new(Rc::new(TcpConnector)),
             random: RefCell::default(),
--- a/lib/src/serve/peer_sync.rs
+++ b/lib/src/serve/peer_sync.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::RngExt as _;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -19,6 +20,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::peer_transfer;
 use crate::serve::peer_transfer::FetchError;
+use crate::serve::peer_transfer::Fetched;
 use crate::store::Feed;
 
 /// The store counts as unavailable when it has not responded for this long, which is more than the interval of reads.
@@ -32,6 +34,11 @@
 /// Interval between a daemon's fetches of a full snapshot from a reader; it bounds how long a reader's error can last.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Longest delay before a busy peer, or another one in its place, is asked.
+const BUSY_DELAY: Duration = Duration::from_millis(100);
+/// Most peers that are asked one after the other while each is busy.
+const MAX_REDIRECTS: usize = 16;
+
 /// Fetches snapshots from peers that are ahead while the store does not deliver them, and tracks isolation.
 pub async fn sync_from_peers(daemon: Rc<DaemonState>) {
     let mut behind_since = None;
@@ -115,7 +122,7 @@
     if daemon.fetches_config.replace(true) {
         return;
     }
-    let result = peer_transfer::fetch_config(daemon, peer).await;
+    let result = fetch_config(daemon, peer).await;
     daemon.fetches_config.set(false);
     let restored = result.and_then(|update| {
         let restore = |update| restore_config(daemon, &update);
@@ -136,6 +143,32 @@
     }
 }
 
+/// Fetches a later configuration from a peer, or from those that it names while it is busy.
+async fn fetch_config(
+    daemon: &DaemonState,
+    mut peer: SocketAddr,
+) -> Result<Option<ConfigUpdate>, FetchError> {
+    for _ in 0..MAX_REDIRECTS {
+        match peer_transfer::fetch_config(daemon, peer).await? {
+            Fetched::Update(update) => return Ok(update),
+            Fetched::Busy(others) => peer = next_source(daemon, &others).await.unwrap_or(peer),
+        }
+    }
+    Ok(None)
+}
+
+/// Returns another peer to ask after a delay, of those that a busy one named or that are ahead: they may be busy too.
+async fn next_source(daemon: &DaemonState, named: &[SocketAddr]) -> Option<SocketAddr> {
+    let own = daemon.settings().peer;
+    let named: Vec<SocketAddr> = named.iter().copied().filter(|addr| *addr != own).collect();
+    let draw = rand::rng().random::<u32>() as usize;
+    sleep(BUSY_DELAY.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+    if let Some(addr) = named.get(draw % named.len().max(1)) {
+        return Some(*addr);
+    }
+    config_source(daemon, draw)
+}
+
 fn restore_config(daemon: &DaemonState, update: &ConfigUpdate) -> Result<Bytes, FetchError> {
     let length = update.content.length as usize;
     if length > MAX_UPDATE_BYTES {
@@ -146,11 +179,20 @@
 
 /// Fetches the entries of all servers from a peer; returns whether they were received.
 async fn sync_servers(daemon: &DaemonState, peer: SocketAddr) -> bool {
-    match peer_transfer::fetch_servers(daemon, peer).await {
-        Ok(snapshot) => {
+    let mut result = peer_transfer::fetch_servers(daemon, peer).await;
+    for _ in 0..MAX_REDIRECTS {
+        if !matches!(result, Ok(Fetched::Busy(_))) {
+            break;
+        }
+        sleep(BUSY_DELAY).await;
+        result = peer_transfer::fetch_servers(daemon, peer).await;
+    }
+    match result {
+        Ok(Fetched::Update(snapshot)) => {
             apply_snapshot(daemon, snapshot);
             true
         }
+        Ok(Fetched::Busy(_)) => false,
         Err(error) => {
             log_failure(daemon, peer, &error);
             false
--- a/lib/src/serve/peer_transfer.rs
+++ b/lib/src/serve/peer_transfer.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// What a peer replied to a request.
+#[derive(Debug)]
+pub enum Fetched<T> {
+    /// What was asked for.
+    Update(T),
+    /// It serves as many transfers as it may; these daemons may have what was asked for.
+    Busy(Vec<SocketAddr>),
+}
+
 /// Fetches a later configuration from a peer; `None` if it has none.
 ///
 /// # Errors
@@ -59,10 +68,12 @@
 pub async fn fetch_config(
     daemon: &DaemonState,
     peer: SocketAddr,
-) -> Result<Option<ConfigUpdate>, FetchError> {
+) -> Result<Fetched<Option<ConfigUpdate>>, FetchError> {
     let known = daemon.config_history.borrow().newest();
-    match fetch(daemon, peer, PeerRequest::Configuration(known)).await? {
-        PeerReply::Configuration(update) => Ok(update),
+    let port = daemon.settings().peer.port();
+    match fetch(daemon, peer, PeerRequest::Configuration { known, port }).await? {
+        PeerReply::Configuration(update) => Ok(Fetched::Update(update)),
+        PeerReply::Busy(others) => Ok(Fetched::Busy(others)),
         PeerReply::Servers(_) => Err(FetchError::Malformed("servers".into())),
     }
 }
@@ -75,12 +86,13 @@
 pub async fn fetch_servers(
     daemon: &DaemonState,
     peer: SocketAddr,
-) -> Result<ServerSnapshot, FetchError> {
+) -> Result<Fetched<ServerSnapshot>, FetchError> {
     match fetch(daemon, peer, PeerRequest::Servers).await? {
         PeerReply::Servers(compressed) => {
             let bytes = compressed.restore(&[])?;
-            Ok(postcard::from_bytes(&bytes)?)
+            Ok(Fetched::Update(postcard::from_bytes(&bytes)?))
         }
+        PeerReply::Busy(others) => Ok(Fetched::Busy(others)),
         PeerReply::Configuration(_) => Err(FetchError::Malformed("configuration".into())),
     }
 }
@@ -127,6 +139,7 @@
     bytes: &[u8],
 ) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    daemon.metrics.record_control_bytes("picture", bytes.len());
     with_progress(stream.write_u32(length)).await?;
     for chunk in bytes.chunks(PROGRESS_BYTES) {
         let link = daemon.settings().host.link;
@@ -153,7 +166,7 @@
 
 /// Serves one request of a peer on a connection from `from`.
 pub async fn serve_peer(daemon: &DaemonState, stream: Box<dyn PeerStream>, from: SocketAddr) {
-    if let Err(error) = serve_request(daemon, stream).await {
+    if let Err(error) = serve_request(daemon, stream, from).await {
         slog::warn!(daemon.log, "peer-call-failed"; "from" => %from, "error" => %error);
     }
 }
@@ -161,18 +174,50 @@
 async fn serve_request(
     daemon: &DaemonState,
     mut stream: Box<dyn PeerStream>,
+    from: SocketAddr,
 ) -> Result<(), FetchError> {
     let request = read_frame(&mut *stream, MAX_REQUEST_BYTES).await?;
-    let reply = match postcard::from_bytes(&request)? {
-        PeerRequest::Configuration(known) => {
+    match postcard::from_bytes(&request)? {
+        PeerRequest::Configuration { known, port } => {
             let update = daemon.config_history.borrow_mut().update_from(known)?;
-            PeerReply::Configuration(update.map(|update| (*update).clone()))
+            let version = update.as_ref().map(|update| update.id.version);
+            let others = version.map(|version| daemon.transfer_slots.served(version));
+            let reply = PeerReply::Configuration(update.map(|update| (*update).clone()));
+            let is_served =
+                serve_reply(daemon, &mut *stream, &reply, others.unwrap_or_default()).await?;
+            if let Some(version) = version.filter(|_| is_served) {
+                let asker = SocketAddr::new(from.ip(), port);
+                daemon.transfer_slots.record_served(asker, version);
+            }
         }
-        PeerRequest::Servers => PeerReply::Servers(server_snapshot(daemon)?),
+        PeerRequest::Servers => {
+            let reply = PeerReply::Servers(server_snapshot(daemon)?);
+            serve_reply(daemon, &mut *stream, &reply, Vec::new()).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Writes a reply, or names `others` to ask if it is large and no more large transfers may be served; returns whether
+/// the reply was written.
+async fn serve_reply(
+    daemon: &DaemonState,
+    stream: &mut dyn PeerStream,
+    reply: &PeerReply,
+    others: Vec<SocketAddr>,
+) -> Result<bool, FetchError> {
+    let bytes = postcard::to_stdvec(reply)?;
+    if bytes.len() <= PROGRESS_BYTES {
+        write_reply(daemon, stream, &bytes).await?;
+        return Ok(true);
+    }
+    let Some(_slot) = daemon.transfer_slots.take() else {
+        let busy = postcard::to_stdvec(&PeerReply::Busy(others))?;
+        write_reply(daemon, stream, &busy).await?;
+        return Ok(false);
     };
-    let bytes = postcard::to_stdvec(&reply)?;
-    daemon.metrics.record_control_bytes("picture", bytes.len());
-    Ok(write_reply(daemon, &mut *stream, &bytes).await?)
+    write_reply(daemon, stream, &bytes).await?;
+    Ok(true)
 }
 
 fn server_snapshot(daemon: &DaemonState) -> Result<Compressed, FetchError> {
--- a/lib/src/serve/progress.rs
+++ b/lib/src/serve/progress.rs
@@ -8,8 +8,7 @@
 
 /// Time within which each [`PROGRESS_BYTES`] of a transfer must be read or written.
 pub const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
-/// Bytes that show progress: a fiftieth of what a link of 10 Mbit/s carries within the limit, so that many transfers
-/// may share it.
+/// Bytes that show progress: a tenth of what each of a few transfers gets within the limit on half a link of 10 Mbit/s.
 pub const PROGRESS_BYTES: usize = 16 * 1024;
 
 /// Runs one step of a transfer.
