--- a/lib/src/cluster/retry_budgets.rs
+++ b/lib/src/cluster/retry_budgets.rs
@@ -28,6 +28,15 @@
     retries: VecDeque<Moment>,
 }
 
+/// This daemon's sends of a service that count towards its retry budget now.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BudgetUsage {
+    /// First sends.
+    pub first_sends: usize,
+    /// Retries.
+    pub retries: usize,
+}
+
 /// First sends and retries of this daemon by service.
 #[derive(Debug)]
 pub struct RetryBudgets {
@@ -73,6 +82,13 @@
         window.retries.len() as f64 + 1.0 <= allowed
     }
 
+    /// Returns the sends that count towards the budget of a service now.
+    pub fn usage(&self, service: &ServiceName) -> BudgetUsage {
+        let usage =
+            |w: &Window| BudgetUsage { first_sends: w.first_sends.len(), retries: w.retries.len() };
+        self.windows.get(service).map_or_else(BudgetUsage::default, usage)
+    }
+
     /// Takes one retry out of this daemon's share, with `daemons` in the fleet; returns whether one was left.
     pub fn take_retry(&mut self, service: &ServiceName, now: Moment, daemons: usize) -> bool {
         if !self.has_retry(service, now, daemons) {
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -57,3 +57,4 @@
 pub mod suspects;
 pub mod transfer_slots;
 pub mod trials;
+pub mod unanswered;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -39,6 +39,7 @@
 use crate::placement::engine_table::EngineTable;
 use crate::placement::lease_state::LeaseState;
 use crate::protocol::Protocol;
+use crate::serve::attempt::Attempt;
 use crate::serve::choose::Chooser;
 use crate::serve::entry_settings::EntrySettings;
 use crate::serve::freshness::Freshness;
@@ -369,10 +370,17 @@
         self.retry_budgets.borrow_mut().has_retry(service, self.now(), daemons)
     }
 
-    /// Takes one retry from the budget of a service; returns `false` if none is left.
-    pub fn take_retry(&self, service: &ServiceName) -> bool {
+    /// Takes one retry from the budget of the attempt's service; returns `false` if none is left.
+    pub fn take_retry(&self, attempt: &Attempt) -> bool {
         let daemons = self.peers.borrow().daemons();
-        self.retry_budgets.borrow_mut().take_retry(service, self.now(), daemons)
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let is_granted = budgets.take_retry(&attempt.service, self.now(), daemons);
+        let usage = budgets.usage(&attempt.service);
+        slog::info!(self.log, "retry-budget"; "attempt" => attempt.id(),
+            "service" => attempt.service.as_str(), "granted" => is_granted,
+            "first_sends" => usage.first_sends, "retries" => usage.retries, "daemons" => daemons,
+            "reason" => attempt.reason);
+        is_granted
     }
 
     /// Records evidence about the health of a server instance, unless it is no longer the current one.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -70,7 +70,7 @@
             attempt.tried.clear();
             continue;
         };
-        if attempt.failed_deliveries > 0 && !daemon.take_retry(&attempt.service) {
+        if attempt.failed_deliveries > 0 && !daemon.take_retry(attempt) {
             return Err(Refusal::failed(
                 attempt.verdict,
                 "the retry budget is spent",
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -64,7 +64,7 @@
     let resume = attempt.caller_headers.last_event;
     loop {
         let chosen = find_server(daemon, attempt).await?;
-        if attempt.failed_deliveries > 0 && !daemon.take_retry(&attempt.service) {
+        if attempt.failed_deliveries > 0 && !daemon.take_retry(attempt) {
             return Err(Refusal::failed(
                 attempt.verdict,
                 "the retry budget is spent",
--- a/lib/src/serve/failover.rs
+++ b/lib/src/serve/failover.rs
@@ -169,7 +169,7 @@
     }
     // There is no await from here until the caller of `wait_response` has the server: a future dropped in between
     // would lose the retry taken from the budget.
-    daemon.take_retry(&attempt.service).then_some(chosen)
+    daemon.take_retry(attempt).then_some(chosen)
 }
 
 /// Logs an unresponsive server that the request has to stay at for now, and marks it as failed so that other
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -33,6 +33,7 @@
 use crate::serve::exchange_stream::OpenOutcome;
 use crate::serve::reply::Refusal;
 use crate::serve::reply::forward_response;
+use crate::serve::unanswered::UnansweredAttempt;
 use crate::verdict::Verdict;
 
 /// Largest declared length of a body in bytes, whatever the configuration allows: longer ones would not fit in a
@@ -47,6 +48,8 @@
 pub const OTHER_DAEMON_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Reason for the log and the caller if a request ends without an answer because the daemon stops.
 pub const STOPPING_REASON: &str = "this daemon stops";
+/// Reason for the log if a caller closed the connection before the end of the response.
+pub const CALLER_LEFT: &str = "the caller left";
 
 /// Answers a request, which counts as in progress until its response is written.
 pub async fn handle_request(
@@ -221,11 +224,16 @@
             &Refusal::not_run(STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER),
         );
     }
+    let unanswered = UnansweredAttempt::new(daemon, &mut attempt);
     let result = tokio::select! {
         biased;
-        result = exchange(daemon, &mut attempt) => result,
-        () = daemon.aborted() => Err(attempt.cancel(STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER)),
+        result = exchange(daemon, &mut *unanswered.attempt) => result.map_err(Some),
+        () = daemon.aborted() => Err(None),
     };
+    unanswered.mark_answered();
+    let result = result.map_err(|refusal| {
+        refusal.unwrap_or_else(|| attempt.cancel(STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER))
+    });
     match result {
         Ok(OpenOutcome::Whole(head, body)) => {
             attempt.verdict = Verdict::Ran;
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -26,6 +26,7 @@
 use crate::serve::failover::try_failover;
 use crate::serve::failover::wait_response;
 use crate::serve::find_server::find_replacement;
+use crate::serve::handle::CALLER_LEFT;
 use crate::serve::handle::STOPPING_REASON;
 use crate::serve::handle::log_request;
 use crate::serve::send::SendFailure;
@@ -35,9 +36,6 @@
 /// A server is unresponsive if it sends no event for this many times the route's target pause between events.
 const UNRESPONSIVE_GAPS: u32 = 5;
 
-/// Reason in the log if the caller closed its connection.
-const CALLER_LEFT: &str = "the caller left";
-
 /// Relays the events of one stream to its caller.
 #[derive(Debug)]
 pub struct Relay {
@@ -209,7 +207,7 @@
             () = self.daemon.aborted() => return None,
             chosen = find_replacement(&self.daemon, &mut self.attempt) => chosen?,
         };
-        if !self.daemon.take_retry(&self.attempt.service) {
+        if !self.daemon.take_retry(&self.attempt) {
             return None;
         }
         Some(start_stream(&self.daemon, &mut self.attempt, &chosen, after))
