retries: limits of all daemons add up to the fleet's in any window

Cause: a daemon compared its retries with the first sends of its own last window. Change: the retries since any moment are compared with half of the first sends since one window before it, the same linear sum at each daemon. A tenth of the ratio is left for retries that arrive in a later window. First sends count from when the body is read, so that they are in order. windows_add_up failed before (more than the limit with two daemons), and passes. ratio_added pinned the old sum (20 retries at once for 100 requests), which is what the fleet cannot promise; it pins the new one as exactly.

--- a/lib/src/cluster/retry_budgets.rs
+++ b/lib/src/cluster/retry_budgets.rs
@@ -10,6 +10,9 @@
 /// Fraction of the slack that is divided among the daemons. The rest covers daemons that restart and lose
 /// their count of retries.
 const SHARED_SLACK: f64 = 0.6;
+/// Fraction of the ratio that is used. The rest covers retries that reach their server late, in another window than
+/// the one in which they were granted.
+const USED_RATIO: f64 = 0.9;
 
 /// Retry limits over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,16 +27,18 @@
 
 #[derive(Debug, Default)]
 struct Window {
+    /// First sends within two windows.
     first_sends: VecDeque<Moment>,
+    /// Retries within one window.
     retries: VecDeque<Moment>,
 }
 
 /// This daemon's sends of a service that count towards its retry budget now.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct BudgetUsage {
-    /// First sends.
+    /// First sends in the last two windows.
     pub first_sends: usize,
-    /// Retries.
+    /// Retries in the last window.
     pub retries: usize,
 }
 
@@ -45,13 +50,31 @@
 }
 
 impl Window {
-    fn remove_before(&mut self, start: Moment) {
-        while self.first_sends.front().is_some_and(|at| *at < start) {
-            self.first_sends.pop_front();
-        }
-        while self.retries.front().is_some_and(|at| *at < start) {
-            self.retries.pop_front();
-        }
+    /// Forgets the sends that no longer count.
+    fn expire(&mut self, now: Moment, length: Duration) {
+        let sends_from = now.saturating_sub(length * 2);
+        let retries_from = now.saturating_sub(length);
+        self.first_sends.drain(..self.first_sends.partition_point(|at| *at < sends_from));
+        self.retries.drain(..self.retries.partition_point(|at| *at < retries_from));
+    }
+
+    /// Returns whether one more retry at `now` keeps the retries since any moment within `limits`, with `slack` for
+    /// this daemon.
+    ///
+    /// The retries since a moment are compared with half of the first sends since one window before it, the mean of
+    /// two adjacent windows. This limit is the same sum of sends at each daemon, so the limits of all daemons add up to
+    /// the limit of the fleet, also while traffic changes or moves between daemons. The number of sends in
+    /// a daemon's own last window does not: it refers to another window at each retry.
+    fn allows_retry(&self, limits: &BudgetLimits, slack: f64, now: Moment) -> bool {
+        let total = self.retries.len() + 1;
+        let starts = self.retries.iter().copied().chain([now]);
+        starts.enumerate().all(|(earlier, start)| {
+            let sends_from = start.saturating_sub(limits.window);
+            let sends =
+                self.first_sends.len() - self.first_sends.partition_point(|at| *at < sends_from);
+            let allowed = limits.ratio * USED_RATIO * sends as f64 / 2.0 + slack;
+            (total - earlier) as f64 <= allowed
+        })
     }
 }
 
@@ -69,17 +92,16 @@
     /// Records the first send of a request.
     pub fn record_first(&mut self, service: &ServiceName, now: Moment) {
         let window = self.windows.entry(service.clone()).or_default();
-        window.remove_before(now.saturating_sub(self.limits.window));
+        window.expire(now, self.limits.window);
         window.first_sends.push_back(now);
     }
 
     /// Returns whether this daemon has a retry left in its share, with `daemons` in the fleet.
     pub fn has_retry(&mut self, service: &ServiceName, now: Moment, daemons: usize) -> bool {
         let window = self.windows.entry(service.clone()).or_default();
-        window.remove_before(now.saturating_sub(self.limits.window));
+        window.expire(now, self.limits.window);
         let slack = self.limits.slack * SHARED_SLACK / daemons.max(1) as f64;
-        let allowed = self.limits.ratio * window.first_sends.len() as f64 + slack;
-        window.retries.len() as f64 + 1.0 <= allowed
+        window.allows_retry(&self.limits, slack, now)
     }
 
     /// Returns the sends that count towards the budget of a service now.
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -216,7 +216,7 @@
     if let Some(model_target) = attempt.model_target() {
         daemon.model_waits.count_arrival(&model_target, attempt.arrived);
     }
-    daemon.retry_budgets.borrow_mut().record_first(&attempt.service, attempt.arrived);
+    daemon.retry_budgets.borrow_mut().record_first(&attempt.service, daemon.now());
     if daemon.now() > daemon.latest_start(attempt.deadline) {
         return refuse(
             daemon,
--- a/lib/tests/test_fleet_retries.rs
+++ b/lib/tests/test_fleet_retries.rs
@@ -135,4 +135,33 @@
         let used = fleet.most_used();
         prop_assert!(used <= 1.0, "{used:.2} of the limit");
     }
+
+    /// Guards against daemons that each stay within the limit of their own last window, while these windows together
+    /// hold more requests than any window of the fleet: traffic that rises and falls, and callers that move.
+    #[test]
+    fn windows_add_up(
+        count in prop::sample::select(vec![1_usize, 2, 6, 25, 83, 400]),
+        seed in any::<u64>(),
+    ) {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(count, 1);
+        let mut failing = vec![false; count];
+        for step in 0..STEPS {
+            if random.random_bool(0.05) {
+                let (share, rate) = (random.random_range(0.0..=1.0), random.random_range(0..8));
+                for daemon in &mut fleet.daemons {
+                    if random.random_bool(share) {
+                        daemon.rate = rate;
+                    }
+                }
+            }
+            if random.random_bool(0.05) {
+                let share = random.random_range(0.0..=1.0);
+                failing.fill_with(|| random.random_bool(share));
+            }
+            fleet.step(|index| step > WINDOW && failing[index]);
+        }
+        let used = fleet.most_used();
+        prop_assert!(used <= 1.0, "{used:.2} of the limit");
+    }
 }
--- a/lib/tests/test_retry_budgets.rs
+++ b/lib/tests/test_retry_budgets.rs
@@ -26,6 +26,7 @@
     assert!(all > 0);
 }
 
+/// A request adds half of the ratio, of which nine tenths are used, to the retries of this window and the next one.
 #[test]
 fn ratio_added() {
     let service = SmolStr::new("draft");
@@ -34,8 +35,10 @@
     for _ in 0..100 {
         budget.record_first(&service, Duration::from_secs(2));
     }
-    assert_eq!(take_all(&mut budget, Duration::from_secs(2), 4), 20);
+    assert_eq!(take_all(&mut budget, Duration::from_secs(2), 4), 9);
     assert!(idle < 10);
+    assert_eq!(take_all(&mut budget, Duration::from_secs(11), 4), 0);
+    assert_eq!(take_all(&mut budget, Duration::from_millis(12_001), 4), idle);
 }
 
 /// Recent retries count until they leave the window, regardless of how it is divided internally.
