retries: a process that starts has no slack for one window

Cause: a process that starts took its whole share of the slack, though its predecessor had used it a moment ago. What was kept back covered one restart of two thirds of the fleet within a window.

--- a/lib/src/cluster/retry_budgets.rs
+++ b/lib/src/cluster/retry_budgets.rs
@@ -7,12 +7,9 @@
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
 
-/// Fraction of the slack that is divided among the daemons. The rest covers daemons that restart and lose
-/// their count of retries.
-const SHARED_SLACK: f64 = 0.6;
-/// Fraction of the ratio that is used. The rest covers retries that reach their server late, in another window than
+/// Fraction of the limits that is used. The rest covers retries that reach their server late, in another window than
 /// the one in which they were granted.
-const USED_RATIO: f64 = 0.9;
+const USED_FRACTION: f64 = 0.9;
 
 /// Retry limits over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -46,6 +43,9 @@
 #[derive(Debug)]
 pub struct RetryBudgets {
     limits: BudgetLimits,
+    /// When the process started. It has no slack for one window: its predecessor may have used that share, and it may
+    /// not know all daemons yet.
+    started: Moment,
     windows: HashMap<ServiceName, Window>,
 }
 
@@ -72,16 +72,16 @@
             let sends_from = start.saturating_sub(limits.window);
             let sends =
                 self.first_sends.len() - self.first_sends.partition_point(|at| *at < sends_from);
-            let allowed = limits.ratio * USED_RATIO * sends as f64 / 2.0 + slack;
-            (total - earlier) as f64 <= allowed
+            let allowed = limits.ratio * sends as f64 / 2.0 + slack;
+            (total - earlier) as f64 <= allowed * USED_FRACTION
         })
     }
 }
 
 impl RetryBudgets {
-    /// Returns empty budgets, with no retry used.
-    pub fn new(limits: BudgetLimits) -> Self {
-        Self { limits, windows: HashMap::new() }
+    /// Returns the budgets of a process that started at `started` and has sent nothing.
+    pub fn new(limits: BudgetLimits, started: Moment) -> Self {
+        Self { limits, started, windows: HashMap::new() }
     }
 
     /// Replaces the limits; sends recorded so far still count.
@@ -100,7 +100,8 @@
     pub fn has_retry(&mut self, service: &ServiceName, now: Moment, daemons: usize) -> bool {
         let window = self.windows.entry(service.clone()).or_default();
         window.expire(now, self.limits.window);
-        let slack = self.limits.slack * SHARED_SLACK / daemons.max(1) as f64;
+        let is_new = now < self.started + self.limits.window;
+        let slack = if is_new { 0.0 } else { self.limits.slack / daemons.max(1) as f64 };
         window.allows_retry(&self.limits, slack, now)
     }
 
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -188,7 +188,7 @@
             bid_delay,
         );
         Rc::new(Self {
-            retry_budgets: RefCell::new(RetryBudgets::new(settings.budget)),
+            retry_budgets: RefCell::new(RetryBudgets::new(settings.budget, clock.now())),
             settings: RefCell::new(Rc::new(settings)),
             process,
             clock,
--- a/lib/tests/test_fleet_retries.rs
+++ b/lib/tests/test_fleet_retries.rs
@@ -27,9 +27,16 @@
 /// Number of steps until a daemon knows its peers after its start, and they know it.
 const DISCOVERY: usize = 10;
 
+fn at(step: usize) -> Moment {
+    Moment::ZERO + Duration::from_secs(1000) + STEP * step as u32
+}
+
 struct Daemon {
     budgets: RetryBudgets,
+    /// Step in which its process started, and so knew no peer.
     started: usize,
+    /// Step in which it was added to the fleet; a restart does not change it.
+    joined: usize,
     /// Requests a step.
     rate: usize,
 }
@@ -44,7 +51,7 @@
 
 impl Daemon {
     fn start(step: usize, rate: usize) -> Self {
-        Self { budgets: RetryBudgets::new(LIMITS), started: step, rate }
+        Self { budgets: RetryBudgets::new(LIMITS, at(step)), started: step, joined: step, rate }
     }
 }
 
@@ -63,8 +70,8 @@
     /// Lets all daemons serve one step, in which the daemons for which `fails` holds take all the retries they can.
     fn step(&mut self, fails: impl Fn(usize) -> bool) {
         let step = self.first_sends.len();
-        let now = Moment::ZERO + Duration::from_secs(1000) + STEP * step as u32;
-        let known = self.daemons.iter().filter(|d| step >= d.started + DISCOVERY).count();
+        let now = at(step);
+        let known = self.daemons.iter().filter(|d| step >= d.joined + DISCOVERY).count();
         let (mut first_sends, mut retries) = (0, 0);
         for (index, daemon) in self.daemons.iter_mut().enumerate() {
             let is_new = step > 0 && step < daemon.started + DISCOVERY;
@@ -82,23 +89,23 @@
     }
 
     fn restart(&mut self, index: usize) {
-        let rate = self.daemons[index].rate;
-        self.daemons[index] = Daemon::start(self.first_sends.len(), rate);
+        let Daemon { rate, joined, .. } = self.daemons[index];
+        self.daemons[index] = Daemon { joined, ..Daemon::start(self.first_sends.len(), rate) };
     }
 
     /// Returns the most retries in a window relative to the limit: the ratio of the requests in it, in the one before
     /// or in the one that begins half a window before, and the slack.
     fn most_used(&self) -> f64 {
-        let sum = |list: &[usize], from: isize| -> usize {
-            let range = from.max(0) as usize..(from + WINDOW as isize).max(0) as usize;
-            list.iter().take(range.end).skip(range.start).sum()
+        let sum = |list: &[usize], start: usize, earlier: usize| -> usize {
+            let from = start.saturating_sub(earlier);
+            let until = (start + WINDOW).saturating_sub(earlier).min(list.len());
+            list[from..until].iter().sum()
         };
         let used = |start: usize| {
-            let at = start as isize;
-            let shifts = [0, WINDOW as isize / 2, WINDOW as isize];
-            let most = shifts.map(|shift| sum(&self.first_sends, at - shift)).into_iter().max();
+            let shifts = [0, WINDOW / 2, WINDOW];
+            let most = shifts.map(|shift| sum(&self.first_sends, start, shift)).into_iter().max();
             let allowed = LIMITS.ratio * most.unwrap_or(0) as f64 + LIMITS.slack;
-            sum(&self.retries, at) as f64 / allowed
+            sum(&self.retries, start, 0) as f64 / allowed
         };
         (0..self.retries.len()).map(used).fold(0.0, f64::max)
     }
--- a/lib/tests/test_retry_budgets.rs
+++ b/lib/tests/test_retry_budgets.rs
@@ -9,6 +9,16 @@
 const LIMITS: BudgetLimits =
     BudgetLimits { window: Duration::from_secs(10), ratio: 0.2, slack: 50.0 };
 
+/// Returns the budgets of a process that has run for longer than a window.
+fn budgets() -> RetryBudgets {
+    RetryBudgets::new(LIMITS, Duration::ZERO)
+}
+
+/// Returns a moment at which the process of [`budgets`] has its share of the slack.
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(100_000 + millis)
+}
+
 fn take_all(budget: &mut RetryBudgets, at: Duration, daemons: usize) -> usize {
     let service = SmolStr::new("draft");
     (0..1000).take_while(|_| budget.take_retry(&service, at, daemons)).count()
@@ -20,7 +30,7 @@
 fn slack_shared() {
     let mut all = 0;
     for _ in 0..8 {
-        all += take_all(&mut RetryBudgets::new(LIMITS), Duration::from_secs(1), 8);
+        all += take_all(&mut budgets(), at(1_000), 8);
     }
     assert!(all as f64 <= LIMITS.slack, "{all} retries, with a slack of {}", LIMITS.slack);
     assert!(all > 0);
@@ -30,31 +40,46 @@
 #[test]
 fn ratio_added() {
     let service = SmolStr::new("draft");
-    let mut budget = RetryBudgets::new(LIMITS);
-    let idle = take_all(&mut budget, Duration::from_secs(1), 4);
+    let mut budget = budgets();
+    let idle = take_all(&mut budget, at(1_000), 4);
     for _ in 0..100 {
-        budget.record_first(&service, Duration::from_secs(2));
+        budget.record_first(&service, at(2_000));
     }
-    assert_eq!(take_all(&mut budget, Duration::from_secs(2), 4), 9);
-    assert!(idle < 10);
-    assert_eq!(take_all(&mut budget, Duration::from_secs(11), 4), 0);
-    assert_eq!(take_all(&mut budget, Duration::from_millis(12_001), 4), idle);
+    assert_eq!(take_all(&mut budget, at(2_000), 4), 9);
+    assert_eq!(idle, 11, "nine tenths of a quarter of the slack");
+    assert_eq!(take_all(&mut budget, at(11_000), 4), 0);
+    assert_eq!(take_all(&mut budget, at(12_001), 4), idle);
 }
 
 /// Recent retries count until they leave the window, regardless of how it is divided internally.
 #[test]
 fn window_slides() {
-    let mut budget = RetryBudgets::new(LIMITS);
-    let first = take_all(&mut budget, Duration::from_secs(1), 1);
+    let mut budget = budgets();
+    let first = take_all(&mut budget, at(1_000), 1);
     assert!(first > 0);
-    assert_eq!(take_all(&mut budget, Duration::from_secs(10), 1), 0);
-    assert_eq!(take_all(&mut budget, Duration::from_secs(12), 1), first);
+    assert_eq!(take_all(&mut budget, at(10_000), 1), 0);
+    assert_eq!(take_all(&mut budget, at(12_000), 1), first);
 }
 
 /// A failing service must not use up the retry budget of another one.
 #[test]
 fn services_apart() {
-    let mut budget = RetryBudgets::new(LIMITS);
-    take_all(&mut budget, Duration::from_secs(1), 1);
-    assert!(budget.take_retry(&SmolStr::new("booking"), Duration::from_secs(1), 1));
+    let mut budget = budgets();
+    take_all(&mut budget, at(1_000), 1);
+    assert!(budget.take_retry(&SmolStr::new("booking"), at(1_000), 1));
+}
+
+/// Guards against a process that is killed again and again, and has its whole share of the slack each time.
+#[test]
+fn slack_later() {
+    let service = SmolStr::new("draft");
+    let started = at(0);
+    let early = started + LIMITS.window / 2;
+    let mut budget = RetryBudgets::new(LIMITS, started);
+    assert_eq!(take_all(&mut budget, early, 4), 0);
+    for _ in 0..100 {
+        budget.record_first(&service, early);
+    }
+    assert_eq!(take_all(&mut budget, early, 4), 9, "by its own requests");
+    assert!(take_all(&mut budget, started + LIMITS.window, 4) > 0, "by the slack");
 }
