serve: connections to servers are opened by a connector

Tests can cut a daemon's links to all servers. The connector of connections to peers serves for both, and loses the peer from its name. No behaviour changes.

--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -41,13 +41,13 @@
 use crate::protocol::Protocol;
 use crate::serve::attempt::Attempt;
 use crate::serve::choose::Chooser;
+use crate::serve::connector::Connector;
+use crate::serve::connector::TcpConnector;
 use crate::serve::entry_settings::EntrySettings;
 use crate::serve::freshness::Freshness;
 use crate::serve::graceful_stop::GracefulStop;
 use crate::serve::link_share::LinkShare;
 use crate::serve::model_waits::ModelWaits;
-use crate::serve::peer_connector::PeerConnector;
-use crate::serve::peer_connector::TcpConnector;
 use crate::serve::pool::ConnectionPool;
 use crate::serve::random_source::RandomSource;
 use crate::serve::transfer_slots::TransferSlots;
@@ -157,7 +157,7 @@
     /// The share of the host's link that transfers to peers take.
     pub link_share: LinkShare,
     /// Opens connections to other daemons.
-    pub connector: RefCell<Rc<dyn PeerConnector>>,
+    pub connector: RefCell<Rc<dyn Connector>>,
     /// Random numbers.
     pub random: RefCell<RandomSource>,
     /// Counters and histograms.
--- a/lib/src/serve/peer_transfer.rs
+++ b/lib/src/serve/peer_transfer.rs
@@ -19,8 +19,8 @@
 use crate::cluster::peer_update::PeerReply;
 use crate::cluster::peer_update::PeerRequest;
 use crate::cluster::peer_update::ServerSnapshot;
+use crate::serve::connector::ByteStream;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::peer_connector::PeerStream;
 use crate::serve::progress::PROGRESS_BYTES;
 use crate::serve::progress::with_progress;
 
@@ -113,7 +113,7 @@
     Ok(postcard::from_bytes(&bytes)?)
 }
 
-async fn read_frame(stream: &mut dyn PeerStream, limit: usize) -> Result<Vec<u8>, FetchError> {
+async fn read_frame(stream: &mut dyn ByteStream, limit: usize) -> Result<Vec<u8>, FetchError> {
     let length = with_progress(stream.read_u32()).await? as usize;
     if length > limit {
         return Err(FetchError::TooLarge(length));
@@ -125,7 +125,7 @@
     Ok(bytes)
 }
 
-async fn write_frame(stream: &mut dyn PeerStream, bytes: &[u8]) -> io::Result<()> {
+async fn write_frame(stream: &mut dyn ByteStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     with_progress(stream.write_u32(length)).await?;
     with_progress(stream.write_all(bytes)).await?;
@@ -135,7 +135,7 @@
 /// Writes a reply in chunks that take turns with those of other transfers on the host's link.
 async fn write_reply(
     daemon: &DaemonState,
-    stream: &mut dyn PeerStream,
+    stream: &mut dyn ByteStream,
     bytes: &[u8],
 ) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
@@ -165,7 +165,7 @@
 }
 
 /// Serves one request of a peer on a connection from `from`.
-pub async fn serve_peer(daemon: &DaemonState, stream: Box<dyn PeerStream>, from: SocketAddr) {
+pub async fn serve_peer(daemon: &DaemonState, stream: Box<dyn ByteStream>, from: SocketAddr) {
     if let Err(error) = serve_request(daemon, stream, from).await {
         slog::warn!(daemon.log, "peer-call-failed"; "from" => %from, "error" => %error);
     }
@@ -173,7 +173,7 @@
 
 async fn serve_request(
     daemon: &DaemonState,
-    mut stream: Box<dyn PeerStream>,
+    mut stream: Box<dyn ByteStream>,
     from: SocketAddr,
 ) -> Result<(), FetchError> {
     let request = read_frame(&mut *stream, MAX_REQUEST_BYTES).await?;
@@ -202,7 +202,7 @@
 /// the reply was written.
 async fn serve_reply(
     daemon: &DaemonState,
-    stream: &mut dyn PeerStream,
+    stream: &mut dyn ByteStream,
     reply: &PeerReply,
     others: Vec<SocketAddr>,
 ) -> Result<bool, FetchError> {
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -15,7 +15,9 @@
 use tokio::time::Instant;
 
 use crate::cluster::server_instance::ServerInstance;
-use crate::serve::socket;
+use crate::serve::connector::ByteStream;
+use crate::serve::connector::Connector;
+use crate::serve::connector::TcpConnector;
 
 /// Time limit to connect: some round trips between data centres, and less than a latency goal.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -49,12 +51,34 @@
 }
 
 /// Idle connections by server instance: a connection to one instance is never used for the next instance.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<HashMap<ServerInstance, Vec<IdleConnection>>>>,
+    connector: Rc<dyn Connector>,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::new(Rc::new(TcpConnector))
+    }
 }
 
 impl Connection {
+    /// Returns an HTTP connection over `stream`, which leads to `server`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream has already ended.
+    async fn open(server: &ServerInstance, stream: Box<dyn ByteStream>) -> std::io::Result<Self> {
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let (sender, driver) = handshake.await.map_err(std::io::Error::other)?;
+        spawn_local(async move {
+            // The sender reports the end of the connection; a request that fails because of it logs the reason.
+            let _result = driver.await;
+        });
+        Ok(Self { sender, server: server.clone() })
+    }
+
     /// Returns the sender for one request.
     pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
         &mut self.sender
@@ -62,6 +86,11 @@
 }
 
 impl ConnectionPool {
+    /// Returns an empty pool whose connections are opened by `connector`.
+    pub fn new(connector: Rc<dyn Connector>) -> Self {
+        Self { idle: Rc::default(), connector }
+    }
+
     /// Returns an idle connection that is open and has not expired.
     fn take_idle(&self, server: &ServerInstance) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -101,14 +130,8 @@
         server: &ServerInstance,
         addr: SocketAddr,
     ) -> std::io::Result<Connection> {
-        let stream = socket::connect(addr, CONNECT_TIMEOUT).await?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
-        let (sender, driver) = handshake.await.map_err(std::io::Error::other)?;
-        spawn_local(async move {
-            // The sender reports the end of the connection; a request that fails because of it logs the reason.
-            let _result = driver.await;
-        });
-        Ok(Connection { sender, server: server.clone() })
+        let stream = self.connector.connect(addr, CONNECT_TIMEOUT).await?;
+        Connection::open(server, stream).await
     }
 
     /// Ensures that the pool holds an open connection to a server.
