serve: peers relay connections to servers that a daemon does not reach

Cause: a daemon took its own links for the state of the servers, and nothing used another daemon's path. Ruled out: kept connections that are given up too early (they last 1.2 s when idle, the cut 12 s); a lease holder that is misled (it was not cut). Change: a connection that the server refuses, or does not give within 100 ms, is asked of peers, which connect to servers that they know and pass bytes on. The daemon that has the request decides all the rest, so every promise holds as on its own connections.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -26,6 +26,7 @@
 pub mod send_permit;
 pub mod server_health;
 pub mod server_instance;
+pub mod server_paths;
 pub mod server_rests;
 pub mod store_health;
 pub mod trial_report;
--- a/lib/src/cluster/peer_update.rs
+++ b/lib/src/cluster/peer_update.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::cluster::configuration::ConfigVersion;
+use crate::cluster::server_instance::ServerInstance;
 use crate::delta;
 use crate::ids::Offset;
 use crate::ids::ServerId;
@@ -26,7 +27,7 @@
 }
 
 /// A daemon's request to another one.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerRequest {
     /// Asks for a later configuration.
     Configuration {
@@ -37,6 +38,33 @@
     },
     /// Asks for the entries of all servers.
     Servers,
+    /// Asks for a connection to a server. After the reply that it is connected, the bytes of both directions follow.
+    Relay {
+        /// The server.
+        server: ServerInstance,
+    },
+}
+
+/// What became of a request for a connection to a server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RelayOutcome {
+    /// The peer is connected to the server.
+    Connected,
+    /// The server refused the connection.
+    Refused,
+    /// The peer does not know the server, does not reach it, stops, or relays as many connections as it may.
+    Unreachable,
+}
+
+impl RelayOutcome {
+    /// Returns its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Connected => "connected",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+        }
+    }
 }
 
 impl PeerRequest {
@@ -45,6 +73,7 @@
         match self {
             Self::Configuration { .. } => "configuration",
             Self::Servers => "servers",
+            Self::Relay { .. } => "relay",
         }
     }
 }
@@ -59,6 +88,8 @@
     /// The peer serves as many transfers as it may. It has lately given what was asked for to the daemons at these
     /// addresses.
     Busy(Vec<SocketAddr>),
+    /// What became of the request for a connection.
+    Relay(RelayOutcome),
 }
 
 /// Compressed bytes.
--- /dev/null
+++ b/lib/src/cluster/server_paths.rs
@@ -0,0 +1,80 @@
+//! Which servers this daemon reaches over its own links, and which only through a peer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::boot_clock::Moment;
+use crate::cluster::server_instance::ServerInstance;
+
+/// Time for which connections to a server are relayed before the own link is tried again. It bounds how long relays go
+/// on after a partition, and how often a connection attempt is lost meanwhile.
+const RELAY_TIME: Duration = Duration::from_secs(1);
+/// Time for which no relay to a server is tried after peers could not reach it either.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
+/// Time for which a peer that could not relay is asked after the others.
+const PEER_PAUSE: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Path {
+    relayed_until: Moment,
+    unreachable_until: Moment,
+}
+
+/// The paths to servers that this daemon does not, or did not lately, reach over its own links.
+#[derive(Debug, Default)]
+pub struct ServerPaths {
+    paths: HashMap<ServerInstance, Path>,
+    /// Until when each peer that failed to relay is asked after the others.
+    peer_pauses: HashMap<SocketAddr, Moment>,
+}
+
+impl ServerPaths {
+    /// Returns whether new connections to a server are relayed, without a try over the own link.
+    pub fn is_relayed(&self, server: &ServerInstance, now: Moment) -> bool {
+        self.paths.get(server).is_some_and(|path| now < path.relayed_until)
+    }
+
+    /// Returns whether a relay to a server may be tried now.
+    pub fn may_relay(&self, server: &ServerInstance, now: Moment) -> bool {
+        self.paths.get(server).is_none_or(|path| now >= path.unreachable_until)
+    }
+
+    /// Records that a server was reached over the own link; returns whether connections to it were relayed before.
+    pub fn record_direct(&mut self, server: &ServerInstance) -> bool {
+        self.paths.remove(server).is_some_and(|path| path.relayed_until > Moment::ZERO)
+    }
+
+    /// Records that a peer relayed a connection to a server; returns whether none was relayed lately.
+    pub fn record_relayed(&mut self, server: &ServerInstance, now: Moment) -> bool {
+        let path = self.paths.entry(server.clone()).or_default();
+        if now < path.relayed_until {
+            return false;
+        }
+        let is_first = path.relayed_until == Moment::ZERO;
+        *path = Path { relayed_until: now + RELAY_TIME, unreachable_until: Moment::ZERO };
+        is_first
+    }
+
+    /// Records that peers could not relay to a server.
+    pub fn record_unreachable(&mut self, server: &ServerInstance, now: Moment) {
+        let unreachable_until = now + UNREACHABLE_TIME;
+        self.paths.insert(server.clone(), Path { relayed_until: Moment::ZERO, unreachable_until });
+    }
+
+    /// Records that a peer could not relay.
+    pub fn pause_peer(&mut self, peer: SocketAddr, now: Moment) {
+        self.peer_pauses.retain(|_, until| now < *until);
+        self.peer_pauses.insert(peer, now + PEER_PAUSE);
+    }
+
+    /// Returns whether a peer is asked for a relay only after the others.
+    pub fn is_paused(&self, peer: &SocketAddr, now: Moment) -> bool {
+        self.peer_pauses.get(peer).is_some_and(|until| now < *until)
+    }
+
+    /// Drops servers that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(&ServerInstance) -> bool) {
+        self.paths.retain(|instance, _| known(instance));
+    }
+}
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -38,6 +38,7 @@
     store_calls: Counter<u64>,
     unreadable_records: Counter<u64>,
     reader_reports: Counter<u64>,
+    relays: Counter<u64>,
     load_time: Histogram<f64>,
     quarantined: Gauge<u64>,
 }
@@ -114,6 +115,7 @@
                 "Records of the platform's store that cannot be read by feed, each time one is met",
             ),
             reader_reports: counter("reader_words", "Words of readers by what came of them"),
+            relays: counter("relays", "Connections to servers that peers asked for, by outcome"),
             quarantined: gauge(
                 "held_requests",
                 "Requests that go to no server, since several crashed under each",
@@ -193,6 +195,11 @@
         self.reader_reports.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a connection to a server that a peer asked for, by its outcome.
+    pub fn record_relay(&self, outcome: &'static str) {
+        self.relays.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records how long the load of a model took.
     pub fn record_load(&self, source: &'static str, outcome: &'static str, time: Duration) {
         let labels = [KeyValue::new("source", source), KeyValue::new("outcome", outcome)];
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -28,6 +28,7 @@
 use crate::cluster::server_health::Evidence;
 use crate::cluster::server_health::ServerHealth;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::server_paths::ServerPaths;
 use crate::cluster::server_rests::ServerRests;
 use crate::cluster::store_health::StoreHealth;
 use crate::cluster::unreadable_records::UnreadableRecords;
@@ -50,6 +51,7 @@
 use crate::serve::model_waits::ModelWaits;
 use crate::serve::pool::ConnectionPool;
 use crate::serve::random_source::RandomSource;
+use crate::serve::relay_slots::RelaySlots;
 use crate::serve::transfer_slots::TransferSlots;
 use crate::serve::trials::Trials;
 use crate::store::Batch;
@@ -94,6 +96,8 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     /// Rate limits that servers advertise.
     pub rate_limits: RefCell<RateLimits>,
+    /// Paths to servers that this daemon does not reach itself.
+    pub server_paths: RefCell<ServerPaths>,
     /// Rest that servers asked this daemon for.
     pub server_rests: RefCell<ServerRests>,
     /// Requests held back because servers crashed under them.
@@ -152,6 +156,8 @@
     pub isolated: Cell<bool>,
     /// Whether a configuration is being fetched from a peer. A second transfer would only compete for the link.
     pub fetches_config: Cell<bool>,
+    /// The connections to servers that this daemon relays for peers.
+    pub relay_slots: RelaySlots,
     /// The large transfers to peers in progress.
     pub transfer_slots: TransferSlots,
     /// The share of the host's link that transfers to peers take.
@@ -203,6 +209,7 @@
             health: RefCell::default(),
             run_times: RunTimes::default(),
             rate_limits: RefCell::default(),
+            server_paths: RefCell::default(),
             server_rests: RefCell::default(),
             quarantine: RefCell::default(),
             trials: Trials::default(),
@@ -232,6 +239,7 @@
             active: Cell::default(),
             isolated: Cell::default(),
             fetches_config: Cell::default(),
+            relay_slots: RelaySlots::default(),
             transfer_slots: TransferSlots::default(),
             link_share: LinkShare::default(),
             connector: RefCell::new(Rc::new(TcpConnector)),
--- a/lib/src/serve/failover.rs
+++ b/lib/src/serve/failover.rs
@@ -163,7 +163,7 @@
     let chosen = daemon
         .with_chooser(|c| c.choose_available(&attempt.service, model_target.as_ref(), &tried))?;
     let server = &chosen.server;
-    if daemon.pool.ensure_idle(&server.instance(), server.addr).await.is_err() {
+    if daemon.ensure_idle(&server.instance(), server.addr).await.is_err() {
         daemon.record_health(&attempt.service, &server.instance(), Evidence::Unreachable);
         return None;
     }
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -152,7 +152,9 @@
             next_release = daemon.now() + RELEASE_RETRY_INTERVAL;
         }
         let now = daemon.now();
-        let is_idle = now >= stop.deregistered_at() && daemon.active.get() == 0;
+        let is_idle = now >= stop.deregistered_at()
+            && daemon.active.get() == 0
+            && daemon.relay_slots.in_progress() == 0;
         if is_idle || now >= stop.abort_at() {
             break;
         }
--- a/lib/src/serve/peer_transfer.rs
+++ b/lib/src/serve/peer_transfer.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -23,6 +24,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::progress::PROGRESS_BYTES;
 use crate::serve::progress::with_progress;
+use crate::serve::server_relay;
 
 /// Time limit to connect to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -74,7 +76,9 @@
     match fetch(daemon, peer, PeerRequest::Configuration { known, port }).await? {
         PeerReply::Configuration(update) => Ok(Fetched::Update(update)),
         PeerReply::Busy(others) => Ok(Fetched::Busy(others)),
-        PeerReply::Servers(_) => Err(FetchError::Malformed("servers".into())),
+        PeerReply::Servers(_) | PeerReply::Relay(_) => {
+            Err(FetchError::Malformed("no configuration".into()))
+        }
     }
 }
 
@@ -93,7 +97,9 @@
             Ok(Fetched::Update(postcard::from_bytes(&bytes)?))
         }
         PeerReply::Busy(others) => Ok(Fetched::Busy(others)),
-        PeerReply::Configuration(_) => Err(FetchError::Malformed("configuration".into())),
+        PeerReply::Configuration(_) | PeerReply::Relay(_) => {
+            Err(FetchError::Malformed("no servers".into()))
+        }
     }
 }
 
@@ -105,14 +111,27 @@
     let began = daemon.now();
     let connector = Rc::clone(&daemon.connector.borrow());
     let mut stream = connector.connect(peer, CONNECT_TIMEOUT).await?;
-    let bytes = postcard::to_stdvec(&request)?;
-    write_frame(&mut *stream, &bytes).await?;
+    write_frame(&mut *stream, &postcard::to_stdvec(&request)?).await?;
     let bytes = read_frame(&mut *stream, MAX_UPDATE_BYTES).await?;
     slog::info!(daemon.log, "peer-fetch"; "peer" => %peer, "request" => request.name(),
         "bytes" => bytes.len(), "ms" => daemon.now().saturating_sub(began).as_millis());
     Ok(postcard::from_bytes(&bytes)?)
 }
 
+/// Sends a request to a peer and returns its reply, which is short.
+///
+/// # Errors
+///
+/// Fails if the connection ends or makes no progress, or the reply is malformed.
+pub async fn exchange(
+    stream: &mut dyn ByteStream,
+    request: &PeerRequest,
+) -> Result<PeerReply, FetchError> {
+    write_frame(stream, &postcard::to_stdvec(request)?).await?;
+    let bytes = read_frame(stream, MAX_REQUEST_BYTES).await?;
+    Ok(postcard::from_bytes(&bytes)?)
+}
+
 async fn read_frame(stream: &mut dyn ByteStream, limit: usize) -> Result<Vec<u8>, FetchError> {
     let length = with_progress(stream.read_u32()).await? as usize;
     if length > limit {
@@ -125,7 +144,12 @@
     Ok(bytes)
 }
 
-async fn write_frame(stream: &mut dyn ByteStream, bytes: &[u8]) -> io::Result<()> {
+/// Writes the length of `bytes` and the bytes.
+///
+/// # Errors
+///
+/// Fails if the connection ends or makes no progress.
+pub async fn write_frame(stream: &mut dyn ByteStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     with_progress(stream.write_u32(length)).await?;
     with_progress(stream.write_all(bytes)).await?;
@@ -160,24 +184,51 @@
             continue;
         };
         let daemon = Rc::clone(&daemon);
-        spawn_local(async move { serve_peer(&daemon, Box::new(stream), from).await });
+        spawn_local(async move {
+            if let Err(error) = serve_connection(&daemon, stream, from).await {
+                slog::warn!(daemon.log, "peer-call-failed"; "from" => %from, "error" => %error);
+            }
+        });
     }
 }
 
-/// Serves one request of a peer on a connection from `from`.
-pub async fn serve_peer(daemon: &DaemonState, stream: Box<dyn ByteStream>, from: SocketAddr) {
-    if let Err(error) = serve_request(daemon, stream, from).await {
+async fn serve_connection(
+    daemon: &DaemonState,
+    mut stream: TcpStream,
+    from: SocketAddr,
+) -> Result<(), FetchError> {
+    match read_request(&mut stream).await? {
+        PeerRequest::Relay { server } => {
+            server_relay::serve_relay(daemon, stream, &server, from).await?;
+            Ok(())
+        }
+        request => serve_update(daemon, Box::new(stream), request, from).await,
+    }
+}
+
+async fn read_request(stream: &mut dyn ByteStream) -> Result<PeerRequest, FetchError> {
+    let bytes = read_frame(stream, MAX_REQUEST_BYTES).await?;
+    Ok(postcard::from_bytes(&bytes)?)
+}
+
+/// Serves a peer's request for an update on a connection from `from`.
+pub async fn serve_peer(daemon: &DaemonState, mut stream: Box<dyn ByteStream>, from: SocketAddr) {
+    let result = match read_request(&mut *stream).await {
+        Ok(request) => serve_update(daemon, stream, request, from).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
         slog::warn!(daemon.log, "peer-call-failed"; "from" => %from, "error" => %error);
     }
 }
 
-async fn serve_request(
+async fn serve_update(
     daemon: &DaemonState,
     mut stream: Box<dyn ByteStream>,
+    request: PeerRequest,
     from: SocketAddr,
 ) -> Result<(), FetchError> {
-    let request = read_frame(&mut *stream, MAX_REQUEST_BYTES).await?;
-    match postcard::from_bytes(&request)? {
+    match request {
         PeerRequest::Configuration { known, port } => {
             let update = daemon.config_history.borrow_mut().update_from(known)?;
             let version = update.as_ref().map(|update| update.id.version);
@@ -194,6 +245,7 @@
             let reply = PeerReply::Servers(server_snapshot(daemon)?);
             serve_reply(daemon, &mut *stream, &reply, Vec::new()).await?;
         }
+        PeerRequest::Relay { .. } => return Err(FetchError::Malformed("a relay".into())),
     }
     Ok(())
 }
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -42,11 +42,14 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     server: ServerInstance,
+    /// Whether a peer relays it. It carries one request only: the peer may stop at any time between two.
+    is_relayed: bool,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    is_relayed: bool,
     expires_at: Instant,
 }
 
@@ -76,7 +79,19 @@
             // The sender reports the end of the connection; a request that fails because of it logs the reason.
             let _result = driver.await;
         });
-        Ok(Self { sender, server: server.clone() })
+        Ok(Self { sender, server: server.clone(), is_relayed: false })
+    }
+
+    /// Returns an HTTP connection over `stream`, which a peer relays to `server`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream has already ended.
+    pub async fn open_relayed(
+        server: &ServerInstance,
+        stream: Box<dyn ByteStream>,
+    ) -> std::io::Result<Self> {
+        Ok(Self { is_relayed: true, ..Self::open(server, stream).await? })
     }
 
     /// Returns the sender for one request.
@@ -91,20 +106,22 @@
         Self { idle: Rc::default(), connector }
     }
 
-    /// Returns an idle connection that is open and has not expired.
-    fn take_idle(&self, server: &ServerInstance) -> Option<Connection> {
+    /// Returns an idle connection that is open and has not expired; one that a peer relays only with `relayed`.
+    pub fn take_idle(&self, server: &ServerInstance, relayed: bool) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
         let now = Instant::now();
-        while let Some(IdleConnection { sender, expires_at }) = connections.pop() {
+        while let Some(index) = connections.iter().rposition(|c| relayed || !c.is_relayed) {
+            let IdleConnection { sender, is_relayed, expires_at } = connections.remove(index);
             if now < expires_at && sender.is_ready() {
-                return Some(Connection { sender, server: server.clone() });
+                return Some(Connection { sender, server: server.clone(), is_relayed });
             }
         }
         None
     }
 
-    /// Returns a connection to a server: an idle one if there is one, otherwise a new one.
+    /// Returns a connection to a server: an idle one if there is one, otherwise a new one. No peer relays it: an engine
+    /// tells the lease holder's orders from others by where they come from.
     ///
     /// # Errors
     ///
@@ -114,7 +131,7 @@
         server: &ServerInstance,
         addr: SocketAddr,
     ) -> std::io::Result<Connection> {
-        if let Some(connection) = self.take_idle(server) {
+        if let Some(connection) = self.take_idle(server, false) {
             return Ok(connection);
         }
         self.connect(server, addr).await
@@ -130,48 +147,39 @@
         server: &ServerInstance,
         addr: SocketAddr,
     ) -> std::io::Result<Connection> {
-        let stream = self.connector.connect(addr, CONNECT_TIMEOUT).await?;
+        let stream = self.open_stream(addr, CONNECT_TIMEOUT).await?;
         Connection::open(server, stream).await
     }
 
-    /// Ensures that the pool holds an open connection to a server.
+    /// Returns a new connection to `addr`, for any protocol.
     ///
     /// # Errors
     ///
-    /// Returns an error if the server cannot be reached.
-    pub async fn ensure_idle(
+    /// Returns an error if the other end refuses the connection or cannot be reached within `limit`.
+    pub async fn open_stream(
         &self,
-        server: &ServerInstance,
         addr: SocketAddr,
-    ) -> std::io::Result<()> {
-        if self.has_idle(server) {
-            return Ok(());
-        }
-        self.open_idle(server, addr).await
+        limit: Duration,
+    ) -> std::io::Result<Box<dyn ByteStream>> {
+        self.connector.connect(addr, limit).await
     }
 
-    /// Opens a new connection to a server and adds it to the pool.
+    /// Adds a new connection to the pool.
     ///
     /// # Errors
     ///
-    /// Returns an error if the server cannot be reached.
-    pub async fn open_idle(
-        &self,
-        server: &ServerInstance,
-        addr: SocketAddr,
-    ) -> std::io::Result<()> {
-        let Connection { mut sender, server } = self.connect(server, addr).await?;
+    /// Returns an error if the connection has already ended.
+    pub async fn add_idle(&self, connection: Connection) -> std::io::Result<()> {
+        let Connection { mut sender, server, is_relayed } = connection;
         sender.ready().await.map_err(std::io::Error::other)?;
         let expires_at = Instant::now() + DEFAULT_KEEP_ALIVE.mul_f64(KEEP_ALIVE_FRACTION);
-        self.idle
-            .borrow_mut()
-            .entry(server)
-            .or_default()
-            .push(IdleConnection { sender, expires_at });
+        let idle = IdleConnection { sender, is_relayed, expires_at };
+        self.idle.borrow_mut().entry(server).or_default().push(idle);
         Ok(())
     }
 
-    fn has_idle(&self, server: &ServerInstance) -> bool {
+    /// Returns whether the pool holds an open connection to a server.
+    pub fn has_idle(&self, server: &ServerInstance) -> bool {
         let now = Instant::now();
         let idle = self.idle.borrow();
         idle.get(server)
@@ -183,8 +191,8 @@
     /// The connection is reused only after its request has been written completely too, and if nothing followed
     /// the response: a server may respond before it has read the whole request.
     pub fn release(&self, connection: Connection, keep_alive: Option<Duration>) {
-        let Connection { mut sender, server, .. } = connection;
-        if sender.is_closed() {
+        let Connection { mut sender, server, is_relayed } = connection;
+        if is_relayed || sender.is_closed() {
             return;
         }
         let keep_alive = keep_alive
@@ -200,7 +208,7 @@
             let mut idle = idle.borrow_mut();
             let connections = idle.entry(server).or_default();
             if connections.len() < MAX_IDLE_PER_SERVER {
-                connections.push(IdleConnection { sender, expires_at });
+                connections.push(IdleConnection { sender, is_relayed, expires_at });
             }
         });
     }
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -129,9 +129,9 @@
     request: Request<Bytes>,
 ) -> Result<ServerResponse, SendFailure> {
     let mut request = request.map(Full::new);
-    let (instance, pool, sent) = (server.instance(), &daemon.pool, daemon.now());
-    let mut connection = pool
-        .acquire(&instance, server.addr)
+    let (instance, sent) = (server.instance(), daemon.now());
+    let mut connection = daemon
+        .acquire_connection(&instance, server.addr)
         .await
         .map_err(|error| SendFailure::connect_failed(&error))?;
     // If the pooled connection ended while it was idle, the request is returned unsent, and a new connection is tried.
@@ -149,8 +149,8 @@
                     return Err(SendFailure::unreachable("connections end at once"));
                 }
                 request = unsent;
-                connection = pool
-                    .connect(&instance, server.addr)
+                connection = daemon
+                    .connect_server(&instance, server.addr)
                     .await
                     .map_err(|error| SendFailure::connect_failed(&error))?;
             }
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -117,7 +117,7 @@
     server: &ServerInstance,
     addr: SocketAddr,
 ) -> bool {
-    match timeout(REFUSAL_TIMEOUT, daemon.pool.open_idle(server, addr)).await {
+    match timeout(REFUSAL_TIMEOUT, daemon.open_idle(server, addr)).await {
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(())) | Err(_) => false,
     }
