lease: a holder that reaches no engine hands the lease over

Callers of cold models waited in vain, at all daemons, while the holder's links to the engines were cut: orders need its own links, and it renewed the lease. holder_hands_over failed before (still held after 6 s) and passes; holder_stays checks that a crashed server does not move the lease. Change: no response over own links for two seconds, while peers relay to two servers or more: the holder releases the lease and does not bid meanwhile. If the store is away it keeps it, since nobody could take it. Ruled out: orders over a relay, which engines take for a second holder's.

--- a/lib/src/cluster/server_paths.rs
+++ b/lib/src/cluster/server_paths.rs
@@ -15,6 +15,13 @@
 /// Time for which a peer that could not relay is asked after the others.
 const PEER_PAUSE: Duration = Duration::from_secs(3);
 
+/// A daemon without a response over its own links for this long is cut from all servers, if peers reach some of them.
+const CUT_TIME: Duration = Duration::from_secs(2);
+/// Time for which a relayed connection is evidence of a cut.
+const EVIDENCE_TIME: Duration = Duration::from_secs(5);
+/// Number of servers that only peers reach from which on this daemon's links are cut. A single one may be cut itself.
+const MIN_RELAYED: usize = 2;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Path {
     relayed_until: Moment,
@@ -27,6 +34,8 @@
     paths: HashMap<ServerInstance, Path>,
     /// Until when each peer that failed to relay is asked after the others.
     peer_pauses: HashMap<SocketAddr, Moment>,
+    /// When a server last responded over the own link.
+    last_response: Moment,
 }
 
 impl ServerPaths {
@@ -56,6 +65,20 @@
         is_first
     }
 
+    /// Records a response over the own link.
+    pub fn record_response(&mut self, now: Moment) {
+        self.last_response = now;
+    }
+
+    /// Returns whether this daemon reaches no server at all, while peers reach several.
+    pub fn is_cut(&self, now: Moment) -> bool {
+        let is_recent = |path: &&Path| {
+            path.relayed_until > Moment::ZERO && now < path.relayed_until + EVIDENCE_TIME
+        };
+        now > self.last_response + CUT_TIME
+            && self.paths.values().filter(is_recent).count() >= MIN_RELAYED
+    }
+
     /// Records that peers could not relay to a server.
     pub fn record_unreachable(&mut self, server: &ServerInstance, now: Moment) {
         let unreachable_until = now + UNREACHABLE_TIME;
--- a/lib/src/serve/lease_manager.rs
+++ b/lib/src/serve/lease_manager.rs
@@ -54,6 +54,10 @@
                 sleep(POLL_INTERVAL).await;
                 continue;
             }
+            if self.hands_over().await {
+                sleep(POLL_INTERVAL).await;
+                continue;
+            }
             let now = daemon.now();
             let peer_claim = daemon.peers.borrow().holder(now).map(|(_, _, lease)| lease);
             let bid_delay = daemon.bid_delay();
@@ -81,6 +85,21 @@
         }
     }
 
+    /// Returns whether this daemon leaves the lease to others, because it reaches no engine and peers do. Releases the
+    /// lease if this daemon holds it.
+    async fn hands_over(&self) -> bool {
+        let daemon = &self.daemon;
+        if !daemon.server_paths.borrow().is_cut(daemon.now()) {
+            return false;
+        }
+        if daemon.lease.borrow().may_hold() {
+            slog::info!(daemon.log, "lease-handover"; "reason" => "no engine responds over own links");
+            self.release().await;
+        }
+        // If the store does not respond, nobody else could acquire the lease, so it is kept and renewed.
+        !daemon.lease.borrow().may_hold()
+    }
+
     /// Returns whether this daemon reads the lease only after its bid delay, because the fleet is large.
     ///
     /// Otherwise hundreds of daemons would read the lease whenever its holder fails. All but the first few learn of the
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -94,6 +94,11 @@
         Ok(Self { is_relayed: true, ..Self::open(server, stream).await? })
     }
 
+    /// Returns whether a peer relays it.
+    pub fn is_relayed(&self) -> bool {
+        self.is_relayed
+    }
+
     /// Returns the sender for one request.
     pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
         &mut self.sender
--- a/lib/src/serve/pooled_client.rs
+++ b/lib/src/serve/pooled_client.rs
@@ -35,6 +35,10 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> LocalFuture<'a, CallResult> {
-        Box::pin(call(&self.daemon.pool, engine, addr, request, limit))
+        Box::pin(async move {
+            let response = call(&self.daemon.pool, engine, addr, request, limit).await?;
+            self.daemon.server_paths.borrow_mut().record_response(self.daemon.now());
+            Ok(response)
+        })
     }
 }
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -156,6 +156,9 @@
             }
         }
     };
+    if !connection.is_relayed() {
+        daemon.server_paths.borrow_mut().record_response(daemon.now());
+    }
     let (head, body) = response.into_parts();
     let headers = daemon.protocol.parse_response_headers(&head);
     // A refusal may lack the id.
