cluster: what engines say of leaving and rest in responses to orders is heard

Callers were sent to an engine for longer than need be: it had said that it leaves in its response to an order or a report, and only responses to callers' requests were read for that. Change: a call returns the whole response, whose notices are applied as any other server's. order_heard failed before and passes.

--- a/lib/src/serve/call.rs
+++ b/lib/src/serve/call.rs
@@ -8,7 +8,6 @@
 use bytes::BytesMut;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -39,7 +38,7 @@
     NoResponse,
 }
 
-/// Sends a request and returns the status and body of the response, which must be complete within `limit`.
+/// Sends a request and returns the response, which must be complete within `limit`.
 ///
 /// If the call times out, fails or is dropped, its connection is closed, so that no late response can
 /// be read from it. On a timeout or a drop, idle connections to the same address are closed as well.
@@ -53,7 +52,7 @@
     addr: SocketAddr,
     request: Request<Bytes>,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let expires = Instant::now() + limit;
     let read = async |body: Incoming| {
         let body = timeout_at(expires, body.collect()).await.map_err(|_elapsed| None)?;
@@ -90,7 +89,7 @@
     addr: SocketAddr,
     request: Request<Bytes>,
     limits: HeadLimits,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     exchange(pool, &peer.into(), addr, request, limits, read_with_progress).await
 }
 
@@ -122,7 +121,7 @@
     request: Request<Bytes>,
     limits: HeadLimits,
     read: impl AsyncFnOnce(Incoming) -> Result<Bytes, Option<CallError>>,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let began = Instant::now();
     let connection = timeout(limits.usual, pool.acquire(peer, addr)).await;
     let connection = connection.map_err(|_elapsed| CallError::Unsent)?;
@@ -132,14 +131,14 @@
     let response = head.map_err(|_elapsed| CallError::NoResponse)?.inspect_err(|_failed| {
         guard.mark_answered();
     })?;
-    let status = response.status();
-    let body = read(response.into_body()).await;
+    let (head, body) = response.into_parts();
+    let body = read(body).await;
     if !matches!(body, Err(None)) {
         guard.mark_answered();
     }
     let body = body.map_err(|error| error.unwrap_or(CallError::NoResponse))?;
     pool.release(connection, Some(KEEP_ALIVE));
-    Ok((status, body))
+    Ok(Response::from_parts(head, body))
 }
 
 /// Sends a request and returns the response once its head has arrived.
--- a/lib/src/serve/engine_client.rs
+++ b/lib/src/serve/engine_client.rs
@@ -6,14 +6,14 @@
 
 use bytes::Bytes;
 use http::Request;
-use http::StatusCode;
+use http::Response;
 
 use crate::cluster::server_instance::ServerInstance;
 use crate::serve::call::CallError;
 use crate::store::LocalFuture;
 
-/// A response's status and body, or why there is none.
-pub type CallResult = Result<(StatusCode, Bytes), CallError>;
+/// A response, or why there is none.
+pub type CallResult = Result<Response<Bytes>, CallError>;
 
 /// Makes calls to engines.
 pub trait EngineClient: fmt::Debug {
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -227,7 +227,7 @@
         let target = self.target(server)?;
         let request = daemon.protocol.order_request(&target, order);
         let result = self.client.call(server, target.addr, request, CALL_TIMEOUT).await;
-        let reply = result.map(|(status, _)| daemon.protocol.order_reply(status));
+        let reply = result.map(|response| daemon.protocol.order_reply(response.status()));
         let shown = match &reply {
             Ok(reply) => format!("{reply:?}"),
             Err(error) => error.to_string(),
@@ -336,17 +336,17 @@
         let request = daemon.protocol.report_request(&server);
         let result = self.client.call(instance, server.addr, request, CALL_TIMEOUT).await;
         match result {
-            Ok((status, body)) if status.is_success() => {
-                let report = daemon.protocol.parse_report(&body);
+            Ok(response) if response.status().is_success() => {
+                let report = daemon.protocol.parse_report(response.body());
                 let report = report.map_err(|error| {
                     slog::warn!(daemon.log, "report-unreadable"; "server" => %instance,
                         "error" => %error);
                 });
                 report.ok().filter(|report| self.is_current(instance, report))
             }
-            Ok((status, _)) => {
+            Ok(response) => {
                 slog::info!(daemon.log, "report-refused"; "server" => %instance,
-                    "status" => status.as_u16());
+                    "status" => response.status().as_u16());
                 None
             }
             Err(error) => {
--- a/lib/src/serve/pooled_client.rs
+++ b/lib/src/serve/pooled_client.rs
@@ -1,4 +1,5 @@
-//! Calls to engines over a daemon's connection pool.
+//! Calls to engines over a daemon's connection pool. What engines report of themselves in the responses counts as in
+//! those to callers' requests.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,6 +7,7 @@
 
 use bytes::Bytes;
 use http::Request;
+use http::Response;
 
 use crate::cluster::server_instance::ServerInstance;
 use crate::serve::call::call;
@@ -38,7 +40,12 @@
         Box::pin(async move {
             let response = call(&self.daemon.pool, engine, addr, request, limit).await?;
             self.daemon.server_paths.borrow_mut().record_response(self.daemon.now());
-            Ok(response)
+            let (head, body) = response.into_parts();
+            let headers = self.daemon.protocol.parse_response_headers(&head);
+            if headers.instance.as_ref().is_none_or(|id| *id == engine.id) {
+                self.daemon.apply_notices(engine, &headers);
+            }
+            Ok(Response::from_parts(head, body))
         })
     }
 }
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -49,10 +49,7 @@
         sent_at: Moment,
     ) {
         let now = self.now();
-        self.apply_rest(server, &headers.rest);
-        if headers.leaving {
-            self.apply_leave(server);
-        }
+        self.apply_notices(server, headers);
         if let Some(workload) = headers.workload {
             self.workloads.set_reported(server, now, workload);
         }
@@ -75,6 +72,14 @@
         }
     }
 
+    /// Applies a server's announcement that it is leaving, and the rest that it asks for.
+    pub fn apply_notices(&self, server: &ServerInstance, headers: &ResponseHeaders) {
+        self.apply_rest(server, &headers.rest);
+        if headers.leaving {
+            self.apply_leave(server);
+        }
+    }
+
     /// Applies a server's announcement that it is leaving. Peers are told at once.
     fn apply_leave(&self, server: &ServerInstance) {
         let change = self.directory.borrow_mut().announce_leave(server, self.now());
