cluster: brittle servers are not made to turn away more than they can bear

Servers that say Server-Brittle: N fall over if they turn away more than N requests in a second, and callers then lose them for seconds. Change: a daemon's unanswered requests and its refusals of the last 1.2 s stay within its share of N; an estimate of the room falls with each refusal and grows slowly.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -1,6 +1,7 @@
 //! A daemon's view of the cluster: the configuration, backend servers, other daemons and their reports,
 //! each with its source and age.
 
+pub mod brittle_servers;
 pub mod config_history;
 pub mod configuration;
 pub mod digest;
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -100,6 +100,8 @@
     pub workload: Option<ReportedWorkload>,
     /// The server's rate limit.
     pub limit: ReportedLimit,
+    /// Number of requests that the server may turn away in a second before it fails; `None` if it is not brittle.
+    pub brittle: Option<u32>,
     /// Whether the server reports that it is leaving.
     pub leaving: bool,
     /// The rest that the server asks for.
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use crate::boot_clock::Moment;
+use crate::cluster::brittle_servers::BrittleServers;
 use crate::cluster::config_history::ConfigHistory;
 use crate::cluster::configuration::ConfigVersion;
 use crate::cluster::configuration::Configuration;
@@ -96,6 +97,8 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     /// Rate limits that servers advertise.
     pub rate_limits: RefCell<RateLimits>,
+    /// Servers that say that they are brittle.
+    pub brittle_servers: BrittleServers,
     /// Paths to servers that this daemon does not reach itself.
     pub server_paths: RefCell<ServerPaths>,
     /// Rest that servers asked this daemon for.
@@ -209,6 +212,7 @@
             health: RefCell::default(),
             run_times: RunTimes::default(),
             rate_limits: RefCell::default(),
+            brittle_servers: BrittleServers::default(),
             server_paths: RefCell::default(),
             server_rests: RefCell::default(),
             quarantine: RefCell::default(),
--- a/lib/src/serve/event_stream.rs
+++ b/lib/src/serve/event_stream.rs
@@ -4,6 +4,7 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 
+use crate::cluster::brittle_servers::BrittleSend;
 use crate::cluster::workloads::WorkloadGuard;
 use crate::serve::events::EventOrder;
 use crate::serve::events::EventSplitter;
@@ -20,6 +21,7 @@
     order: EventOrder,
     /// Counts the request towards the server's workload until dropped.
     pub workload_guard: WorkloadGuard,
+    _brittle_send: Option<BrittleSend>,
 }
 
 /// The next item of a stream.
@@ -33,9 +35,20 @@
 
 impl EventStream {
     /// Makes a reader of `response`, whose first event must follow `last`, the last one that the caller has.
-    pub fn new(response: ServerResponse, last: Option<u64>, workload_guard: WorkloadGuard) -> Self {
+    pub fn new(
+        response: ServerResponse,
+        last: Option<u64>,
+        workload_guard: WorkloadGuard,
+        brittle_send: Option<BrittleSend>,
+    ) -> Self {
         let splitter = EventSplitter::default();
-        Self { response, splitter, order: EventOrder::after(last), workload_guard }
+        Self {
+            response,
+            splitter,
+            order: EventOrder::after(last),
+            workload_guard,
+            _brittle_send: brittle_send,
+        }
     }
 
     /// Returns the id of the last event, or the one that reading began after; `None` before the first event.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -143,7 +143,7 @@
 ) -> SendFuture<(response::Parts, Bytes)> {
     let server = Rc::clone(&chosen.server);
     attempt.record_send(chosen, daemon.now());
-    daemon.record_send(&server.instance());
+    let brittle_send = daemon.record_send(&server.instance());
     let request = attempt.request(daemon, &server, None);
     let workload_guard =
         daemon.workloads.begin(attempt.workload_key(&server), attempt.caller_headers.prompt_tokens);
@@ -151,6 +151,7 @@
     let daemon = Rc::clone(daemon);
     Box::pin(async move {
         let _workload_guard = workload_guard;
+        let _brittle_send = brittle_send;
         let response = send::send(&daemon, &server, id.as_ref(), request).await?;
         send::read_whole(&daemon.pool, response, MAX_RESPONSE_BYTES).await
     })
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -120,7 +120,7 @@
 ) -> SendFuture<OpenOutcome> {
     let server = Rc::clone(&chosen.server);
     attempt.record_send(chosen, daemon.now());
-    daemon.record_send(&server.instance());
+    let mut brittle_send = daemon.record_send(&server.instance());
     let request = attempt.request(daemon, &server, resume);
     let workload_guard =
         daemon.workloads.begin(attempt.workload_key(&server), attempt.caller_headers.prompt_tokens);
@@ -128,12 +128,15 @@
     let daemon = Rc::clone(daemon);
     Box::pin(async move {
         let response = send::send(&daemon, &server, id.as_ref(), request).await?;
+        if let Some(send) = &mut brittle_send {
+            send.mark_answered();
+        }
         if response.head.status != StatusCode::OK {
             let (head, body) = send::read_whole(&daemon.pool, response, MAX_RESPONSE_BYTES).await?;
             return Ok(OpenOutcome::Whole(head, body));
         }
         let head = response.head.clone();
-        let mut stream = EventStream::new(response, resume, workload_guard);
+        let mut stream = EventStream::new(response, resume, workload_guard, brittle_send);
         let first_events = match stream.next().await? {
             StreamItem::Events(events) => events,
             // A caller may resume a stream after its last event, so an empty rest is valid.
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -5,6 +5,7 @@
 use rand::RngExt as _;
 
 use crate::boot_clock::Moment;
+use crate::cluster::brittle_servers::BrittleSend;
 use crate::cluster::directory::Change;
 use crate::cluster::rate_limit::RateLimit;
 use crate::cluster::rate_limits::LimitReport;
@@ -50,6 +51,7 @@
     ) {
         let now = self.now();
         self.apply_notices(server, headers);
+        self.apply_brittleness(server, headers);
         if let Some(workload) = headers.workload {
             self.workloads.set_reported(server, now, workload);
         }
@@ -105,6 +107,23 @@
         }
     }
 
+    /// Applies that a server is brittle or not, and that a brittle one turned a request away.
+    fn apply_brittleness(&self, server: &ServerInstance, headers: &ResponseHeaders) {
+        // Only a response with the server's signature shows that it is not brittle any more.
+        if headers.brittle.is_none() && !headers.signed {
+            return;
+        }
+        let known = self.brittle_servers.limit(server);
+        self.brittle_servers.record_response(server, headers.brittle, self.now());
+        if known != headers.brittle {
+            slog::info!(self.log, "server-brittle"; "server" => %server,
+                "limit" => headers.brittle.map_or(-1, i64::from));
+        }
+        if headers.not_executed {
+            self.brittle_servers.record_refusal(server, self.now());
+        }
+    }
+
     /// Applies servers' rate limits that a peer reported.
     pub fn apply_peer_limits(&self, reports: &[LimitReport], from: &str) {
         let changed = self.rate_limits.borrow_mut().merge(reports, self.now());
@@ -143,14 +162,31 @@
             let permit = permits.entry(server.clone()).or_insert(SendPermit::GRANTED);
             permit.postpone(left);
         }
+        self.add_brittle_servers(&mut permits);
         permits
     }
 
-    /// Records that a request is sent to a server.
-    pub fn record_send(&self, server: &ServerInstance) {
+    /// Adds the brittle servers that may get no request of this daemon now.
+    fn add_brittle_servers(&self, permits: &mut SendPermits) {
+        let peers = self.peers.borrow();
+        let settings = self.settings.borrow();
+        let is_sender =
+            |server: &ServerInstance, senders| peers.is_sender(&settings.id, server, senders);
+        self.brittle_servers.visit_waits(self.now(), peers.daemons(), is_sender, |server, wait| {
+            let permit = permits.entry(server.clone()).or_insert(SendPermit::GRANTED);
+            match wait {
+                Some(wait) => permit.postpone(wait),
+                None => *permit = SendPermit { wait: None, probe_due: false },
+            }
+        });
+    }
+
+    /// Records that a request is sent to a server. What this returns is dropped when the server no longer has it.
+    pub fn record_send(&self, server: &ServerInstance) -> Option<BrittleSend> {
         let limit = self.rate_limits.borrow().limit(server);
         if let Some(share) = limit.and_then(|limit| self.rate_share(server, limit)) {
             self.rate_limits.borrow_mut().record_send(server, share, self.now());
         }
+        self.brittle_servers.begin_send(server)
     }
 }
