soak: a daemon is cut off from all servers

Its open connections end, new ones wait or are closed, while its peers reach the servers. Proxies tell daemons apart by the process that owns a connection. It has a random generator of its own, so that a seed's other faults stay as they were.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod process;
 mod proxy;
+mod socket_owner;
 mod world;
 
 use std::collections::BTreeMap;
@@ -106,6 +107,7 @@
     let mut foreign = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
     let mut again = ChaCha8Rng::seed_from_u64(!seed.rotate_left(32));
     let mut notices = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    let mut cuts = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
     let began = Instant::now();
     while began.elapsed() < time {
         plan::inject_fault(&world, &mut rng).await;
@@ -113,6 +115,7 @@
         plan::inject_foreign_record(&world, &mut foreign);
         plan::restart(&world, &mut again).await;
         plan::inject_notices(&world, &mut notices);
+        plan::inject_cut(&world, &mut cuts);
         let pause = Duration::from_millis(rng.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -14,6 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::proxy::Cut;
 use crate::proxy::NetworkFault;
 use crate::world::World;
 
@@ -105,6 +106,29 @@
     }
 }
 
+/// Probability that a daemon is cut off from all servers with an injected fault.
+const CUT_PROBABILITY: f64 = 0.25;
+
+/// Cuts a daemon off from all servers with probability [`CUT_PROBABILITY`], unless the last cut goes on.
+///
+/// Uses a random generator of its own, as [`inject_bad_responses`] does.
+pub fn inject_cut(world: &Rc<World>, rng: &mut ChaCha8Rng) {
+    let daemon = rng.random_range(0..world.daemons.len());
+    let time = Duration::from_millis(rng.random_range(500..6000));
+    let (is_drawn, hangs) = (rng.random_bool(CUT_PROBABILITY), rng.random_bool(0.5));
+    if !is_drawn || world.is_cut.replace(true) {
+        return;
+    }
+    let process = world.daemons[daemon].borrow().process().unwrap_or(0);
+    world.note(&format!("cut daemon={daemon} hangs={hangs} for={time:?}"));
+    world.set_cut(Some(if hangs { Cut::Hang(process) } else { Cut::Refuse(process) }));
+    let world = Rc::clone(world);
+    later(time, move || {
+        world.set_cut(None);
+        world.is_cut.set(false);
+    });
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -102,6 +102,11 @@
         Ok(())
     }
 
+    /// Returns the id of the daemon's process; `None` before its first start.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns whether the daemon is a reader, by the last line of its log that states its role.
     pub fn is_reader(&self) -> bool {
         // A log that is missing or cannot be read counts as no reader role.
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -16,6 +16,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::socket_owner::is_owner;
+
 /// The fault that a proxy injects into its connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum NetworkFault {
@@ -32,6 +34,29 @@
     Refuse,
 }
 
+/// How connections of a process that is cut off from a server fail. Its open ones end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// New connections wait until the cut ends.
+    Hang(u32),
+    /// New connections are closed at once.
+    Refuse(u32),
+}
+
+impl Cut {
+    /// Returns the id of the process that is cut off.
+    fn process(self) -> u32 {
+        match self {
+            Self::Hang(process) | Self::Refuse(process) => process,
+        }
+    }
+
+    /// Returns whether a connection from `peer` is cut off. One of a process that has ended is not.
+    fn affects(self, peer: SocketAddr) -> bool {
+        is_owner(self.process(), peer).unwrap_or(false)
+    }
+}
+
 /// Delay of [`NetworkFault::Delay`] in each direction.
 const DELAY: Duration = Duration::from_millis(150);
 /// Interval at which a waiting connection checks whether the fault has ended.
@@ -44,6 +69,8 @@
     pub addr: SocketAddr,
     /// The fault injected now.
     pub fault: Cell<NetworkFault>,
+    cut: Cell<Option<Cut>>,
+    cuts: Notify,
     resets: Notify,
     closing: Notify,
     opening: Notify,
@@ -58,8 +85,9 @@
     pub async fn start(target: SocketAddr) -> io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
-        let (resets, closing, opening) = <_>::default();
-        let proxy = Rc::new(Self { addr, fault: Cell::default(), resets, closing, opening });
+        let (fault, cut) = (Cell::default(), Cell::default());
+        let (cuts, resets, closing, opening) = <_>::default();
+        let proxy = Rc::new(Self { addr, fault, cut, cuts, resets, closing, opening });
         spawn_local(Rc::clone(&proxy).listen(listener, target));
         Ok(proxy)
     }
@@ -81,13 +109,14 @@
     }
 
     async fn accept(self: Rc<Self>, listener: &TcpListener, target: SocketAddr) {
-        while let Ok((stream, _)) = listener.accept().await {
+        while let Ok((stream, peer)) = listener.accept().await {
             let proxy = Rc::clone(&self);
             spawn_local(async move {
                 let reset = proxy.resets.notified();
                 tokio::select! {
-                    _ = Rc::clone(&proxy).pass(stream, target) => {}
+                    _ = Rc::clone(&proxy).pass(stream, peer, target) => {}
                     () = reset => {}
+                    () = proxy.cut_off(peer) => {}
                 }
             });
         }
@@ -108,7 +137,34 @@
         self.resets.notify_waiters();
     }
 
-    async fn pass(self: Rc<Self>, caller: TcpStream, target: SocketAddr) -> io::Result<()> {
+    /// Cuts a process off, or ends the cut with `None`.
+    pub fn set_cut(&self, cut: Option<Cut>) {
+        self.cut.set(cut);
+        self.cuts.notify_waiters();
+    }
+
+    /// Waits until a cut affects an open connection from `peer`.
+    async fn cut_off(&self, peer: SocketAddr) {
+        loop {
+            self.cuts.notified().await;
+            if self.cut.get().is_some_and(|cut| cut.affects(peer)) {
+                return;
+            }
+        }
+    }
+
+    async fn pass(
+        self: Rc<Self>,
+        caller: TcpStream,
+        peer: SocketAddr,
+        target: SocketAddr,
+    ) -> io::Result<()> {
+        if let Some(cut) = self.cut.get().filter(|cut| cut.affects(peer)) {
+            while matches!(cut, Cut::Hang(_)) && self.cut.get() == Some(cut) {
+                sleep(POLL_INTERVAL).await;
+            }
+            return Ok(());
+        }
         if self.fault.get() == NetworkFault::Refuse {
             return Ok(());
         }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -25,6 +25,7 @@
 use tokio::time::sleep;
 
 use crate::process::Daemon;
+use crate::proxy::Cut;
 use crate::proxy::Proxy;
 
 /// Time that a server keeps serving after it has announced that it leaves.
@@ -68,6 +69,8 @@
     pub crashed_since: RefCell<BTreeMap<String, Instant>>,
     /// Servers that were removed or replaced; the checks at the end read the state of their engines.
     pub removed: RefCell<Vec<Rc<ServerStandin>>>,
+    /// Whether a daemon is cut off from all servers.
+    pub is_cut: Cell<bool>,
     version: Cell<u64>,
     number: Cell<u64>,
     started_at: Instant,
@@ -117,6 +120,7 @@
             fatal: Rc::default(),
             crashed_since: RefCell::default(),
             removed: RefCell::default(),
+            is_cut: Cell::default(),
             version: Cell::new(1),
             number: Cell::new(0),
             started_at: Instant::now(),
@@ -272,6 +276,11 @@
         self.daemons[daemon].borrow_mut().signal(signal);
     }
 
+    /// Cuts a process off from all present servers, or ends the cut with `None`.
+    pub fn set_cut(&self, cut: Option<Cut>) {
+        self.server_proxies.borrow().iter().for_each(|proxy| proxy.set_cut(cut));
+    }
+
     /// Rewrites a daemon's settings file, with invalid TOML unless `good`.
     pub fn rewrite_settings(&self, daemon: usize, good: bool) {
         if let Err(error) = self.daemons[daemon].borrow().write_settings(good) {
