serve: connections that end as soon as they are open count as a cut link

Change: two new connections in a row without a response let the next ones be relayed, for one second at first and eight at most, since each try of the own link may lose a request that must not be repeated. A relayed connection that ends in the same way shows that it is the server.

--- a/lib/src/cluster/server_paths.rs
+++ b/lib/src/cluster/server_paths.rs
@@ -10,6 +10,12 @@
 /// Time for which connections to a server are relayed before the own link is tried again. It bounds how long relays go
 /// on after a partition, and how often a connection attempt is lost meanwhile.
 const RELAY_TIME: Duration = Duration::from_secs(1);
+/// Number of new connections over the own link that end without a response, one after the other, from which on the link
+/// counts as cut. One may end because the server crashed.
+const MIN_BROKEN: u32 = 2;
+/// Largest factor of `RELAY_TIME` after connections that ended without a response: each try of the own link may lose a
+/// request, which must not be repeated.
+const MAX_RELAY_FACTOR: u32 = 8;
 /// Time for which no relay to a server is tried after peers could not reach it either.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
 /// Time for which a peer that could not relay is asked after the others.
@@ -26,6 +32,8 @@
 struct Path {
     relayed_until: Moment,
     unreachable_until: Moment,
+    /// New connections over the own link that ended without a response since the last response.
+    broken: u32,
 }
 
 /// The paths to servers that this daemon does not, or did not lately, reach over its own links.
@@ -51,7 +59,29 @@
 
     /// Records that a server was reached over the own link; returns whether connections to it were relayed before.
     pub fn record_direct(&mut self, server: &ServerInstance) -> bool {
-        self.paths.remove(server).is_some_and(|path| path.relayed_until > Moment::ZERO)
+        let Some(path) = self.paths.get_mut(server) else { return false };
+        let was_relayed = path.relayed_until > Moment::ZERO;
+        if path.broken == 0 {
+            self.paths.remove(server);
+        } else {
+            *path = Path { broken: path.broken, ..Path::default() };
+        }
+        was_relayed
+    }
+
+    /// Records that a new connection ended without a response. Several in a row over the own link show that the link is
+    /// cut; over a relay they show that it is the server.
+    pub fn record_broken(&mut self, server: &ServerInstance, is_relayed: bool, now: Moment) {
+        let path = self.paths.entry(server.clone()).or_default();
+        if is_relayed {
+            *path = Path::default();
+            return;
+        }
+        path.broken += 1;
+        if path.broken >= MIN_BROKEN {
+            let factor = (1 << (path.broken - MIN_BROKEN).min(u32::BITS - 1)).min(MAX_RELAY_FACTOR);
+            path.relayed_until = now + RELAY_TIME * factor;
+        }
     }
 
     /// Records that a peer relayed a connection to a server; returns whether none was relayed lately.
@@ -61,13 +91,17 @@
             return false;
         }
         let is_first = path.relayed_until == Moment::ZERO;
-        *path = Path { relayed_until: now + RELAY_TIME, unreachable_until: Moment::ZERO };
+        path.relayed_until = now + RELAY_TIME;
+        path.unreachable_until = Moment::ZERO;
         is_first
     }
 
-    /// Records a response over the own link.
-    pub fn record_response(&mut self, now: Moment) {
+    /// Records a response of a server over the own link.
+    pub fn record_response(&mut self, server: &ServerInstance, now: Moment) {
         self.last_response = now;
+        if let Some(path) = self.paths.get_mut(server) {
+            path.broken = 0;
+        }
     }
 
     /// Returns whether this daemon reaches no server at all, while peers reach several.
@@ -81,8 +115,8 @@
 
     /// Records that peers could not relay to a server.
     pub fn record_unreachable(&mut self, server: &ServerInstance, now: Moment) {
-        let unreachable_until = now + UNREACHABLE_TIME;
-        self.paths.insert(server.clone(), Path { relayed_until: Moment::ZERO, unreachable_until });
+        let path = Path { unreachable_until: now + UNREACHABLE_TIME, ..Path::default() };
+        self.paths.insert(server.clone(), path);
     }
 
     /// Records that a peer could not relay.
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -44,6 +44,8 @@
     server: ServerInstance,
     /// Whether a peer relays it. It carries one request only: the peer may stop at any time between two.
     is_relayed: bool,
+    /// Whether it has carried no request yet.
+    is_new: bool,
 }
 
 #[derive(Debug)]
@@ -79,7 +81,7 @@
             // The sender reports the end of the connection; a request that fails because of it logs the reason.
             let _result = driver.await;
         });
-        Ok(Self { sender, server: server.clone(), is_relayed: false })
+        Ok(Self { sender, server: server.clone(), is_relayed: false, is_new: true })
     }
 
     /// Returns an HTTP connection over `stream`, which a peer relays to `server`.
@@ -99,6 +101,11 @@
         self.is_relayed
     }
 
+    /// Returns whether it was opened for the request that it carries.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Returns the sender for one request.
     pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
         &mut self.sender
@@ -119,7 +126,12 @@
         while let Some(index) = connections.iter().rposition(|c| relayed || !c.is_relayed) {
             let IdleConnection { sender, is_relayed, expires_at } = connections.remove(index);
             if now < expires_at && sender.is_ready() {
-                return Some(Connection { sender, server: server.clone(), is_relayed });
+                return Some(Connection {
+                    sender,
+                    server: server.clone(),
+                    is_relayed,
+                    is_new: false,
+                });
             }
         }
         None
@@ -175,7 +187,7 @@
     ///
     /// Returns an error if the connection has already ended.
     pub async fn add_idle(&self, connection: Connection) -> std::io::Result<()> {
-        let Connection { mut sender, server, is_relayed } = connection;
+        let Connection { mut sender, server, is_relayed, .. } = connection;
         sender.ready().await.map_err(std::io::Error::other)?;
         let expires_at = Instant::now() + DEFAULT_KEEP_ALIVE.mul_f64(KEEP_ALIVE_FRACTION);
         let idle = IdleConnection { sender, is_relayed, expires_at };
@@ -196,7 +208,7 @@
     /// The connection is reused only after its request has been written completely too, and if nothing followed
     /// the response: a server may respond before it has read the whole request.
     pub fn release(&self, connection: Connection, keep_alive: Option<Duration>) {
-        let Connection { mut sender, server, is_relayed } = connection;
+        let Connection { mut sender, server, is_relayed, .. } = connection;
         if is_relayed || sender.is_closed() {
             return;
         }
--- a/lib/src/serve/pooled_client.rs
+++ b/lib/src/serve/pooled_client.rs
@@ -39,7 +39,7 @@
     ) -> LocalFuture<'a, CallResult> {
         Box::pin(async move {
             let response = call(&self.daemon.pool, engine, addr, request, limit).await?;
-            self.daemon.server_paths.borrow_mut().record_response(self.daemon.now());
+            self.daemon.server_paths.borrow_mut().record_response(engine, self.daemon.now());
             let (head, body) = response.into_parts();
             let headers = self.daemon.protocol.parse_response_headers(&head);
             if headers.instance.as_ref().is_none_or(|id| *id == engine.id) {
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -141,6 +141,10 @@
             Ok(response) => break response,
             Err(mut error) => {
                 tries += 1;
+                if connection.is_new() {
+                    let mut paths = daemon.server_paths.borrow_mut();
+                    paths.record_broken(&instance, connection.is_relayed(), daemon.now());
+                }
                 let Some(unsent) = error.take_message() else {
                     let reason = "the connection ended without an answer";
                     return Err(SendFailure::disconnected(reason, Disconnect::BeforeHead));
@@ -157,7 +161,7 @@
         }
     };
     if !connection.is_relayed() {
-        daemon.server_paths.borrow_mut().record_response(daemon.now());
+        daemon.server_paths.borrow_mut().record_response(&instance, daemon.now());
     }
     let (head, body) = response.into_parts();
     let headers = daemon.protocol.parse_response_headers(&head);
