quarantine: a crash is recorded although a peer is dark

Cause, by reading and a test: whether a server that refuses connections has crashed was asked of peers within 100 ms in all. A paused peer let the time run out, and the crash was not recorded.

--- a/lib/src/cluster/server_paths.rs
+++ b/lib/src/cluster/server_paths.rs
@@ -52,6 +52,11 @@
         self.paths.get(server).is_some_and(|path| now < path.relayed_until)
     }
 
+    /// Returns whether connections to any server are relayed.
+    pub fn is_any_relayed(&self, now: Moment) -> bool {
+        self.paths.values().any(|path| now < path.relayed_until)
+    }
+
     /// Returns whether a relay to a server may be tried now.
     pub fn may_relay(&self, server: &ServerInstance, now: Moment) -> bool {
         self.paths.get(server).is_none_or(|path| now >= path.unreachable_until)
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -181,6 +181,20 @@
         self.connector.connect(addr, limit).await
     }
 
+    /// Opens a new connection to a server and adds it to the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server cannot be reached.
+    pub async fn open_idle(
+        &self,
+        server: &ServerInstance,
+        addr: SocketAddr,
+    ) -> std::io::Result<()> {
+        let connection = self.connect(server, addr).await?;
+        self.add_idle(connection).await
+    }
+
     /// Adds a new connection to the pool.
     ///
     /// # Errors
--- a/lib/src/serve/server_connections.rs
+++ b/lib/src/serve/server_connections.rs
@@ -84,6 +84,18 @@
         self.pool.add_idle(connection).await
     }
 
+    /// Returns whether a server that refuses connections of this daemon may be running all the same: a peer reaches it, or
+    /// no peer can tell while this daemon's own links are in doubt.
+    pub async fn may_be_running(&self, server: &ServerInstance) -> bool {
+        match timeout(RELAY_TIMEOUT, self.relay_connection(server)).await {
+            Ok(Ok(_connection)) => true,
+            Ok(Err(RelayError::NoPeer | RelayError::Refused)) => false,
+            Ok(Err(RelayError::Unreachable | RelayError::Failed(_))) | Err(_) => {
+                self.server_paths.borrow().is_any_relayed(self.now())
+            }
+        }
+    }
+
     /// Returns a new connection to a server.
     ///
     /// # Errors
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -111,15 +111,18 @@
     }
 }
 
-/// Returns whether a server refuses connections. If it accepts one, the connection is kept for the next request.
+/// Returns whether a server refuses connections, of this daemon and of peers that can tell. If it accepts one, the
+/// connection is kept for the next request.
 async fn refuses_connections(
     daemon: &DaemonState,
     server: &ServerInstance,
     addr: SocketAddr,
 ) -> bool {
-    match timeout(REFUSAL_TIMEOUT, daemon.open_idle(server, addr)).await {
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(())) | Err(_) => false,
+    match timeout(REFUSAL_TIMEOUT, daemon.pool.open_idle(server, addr)).await {
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            !daemon.may_be_running(server).await
+        }
+        Ok(_) | Err(_) => false,
     }
 }
 
