logs: servers' software versions, and what stream a caller resumes

No line told a server's software version, which attempt a caller resumes, or after which event, so the hypotheses on mixed streams could not be told apart. An entry's version and the header Resumes are parsed; nothing is decided by them yet.

--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -25,6 +25,7 @@
 use crate::ids::ModelName;
 use crate::ids::Offset;
 use crate::ids::ServerId;
+use crate::ids::SoftwareVersion;
 use crate::ids::StartTime;
 
 /// Servers renew entries that lapsed during an outage of the store within two seconds of its recovery. A
@@ -69,6 +70,8 @@
     pub addr: SocketAddr,
     /// Its data centre.
     pub centre: CentreId,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is leaving: no new request may be sent to it.
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -26,6 +26,8 @@
 /// Start time of a backend server in Unix milliseconds, by its own clock; a later start has a
 /// larger value.
 pub type StartTime = u64;
+/// Version of a backend server's software, as its directory entry states it.
+pub type SoftwareVersion = SmolStr;
 /// Identity of a slot: the position of the record that reserved it.
 pub type SlotId = Position;
 /// Identity of a request, unique within one incarnation of a daemon.
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -40,6 +40,8 @@
     pub timeout: Option<Duration>,
     /// Last event that the caller received of an interrupted stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the interrupted stream, as the caller names it.
+    pub resumes: Option<AttemptId>,
     /// Name of the model.
     pub model: Option<ModelName>,
     /// The adapter of the model.
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -139,7 +139,8 @@
     let models = server.map_or(0, |s| s.models.len());
     slog::info!(daemon.log, "server"; "server" => %id, "change" => ?change, "from" => from,
         "service" => server.map_or("-", |s| s.service.as_str()),
-        "centre" => server.map_or("-", |s| s.centre.as_str()), "models" => models,
+        "centre" => server.map_or("-", |s| s.centre.as_str()),
+        "version" => server.map_or("-", |s| s.version.as_str()), "models" => models,
         "beat" => server.map_or(0, |s| s.heartbeat),
         "born" => server.and_then(|s| s.born).unwrap_or(0), "feed_end" => directory.feed_end());
 }
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -17,6 +17,7 @@
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
 use crate::cluster::workloads::WorkloadKey;
+use crate::ids::SoftwareVersion;
 use crate::placement::demand::ModelTarget;
 use crate::protocol::CallerHeaders;
 use crate::protocol::SendHeaders;
@@ -79,6 +80,8 @@
     pub failed_deliveries: u32,
     /// Server of the last send.
     pub last_server: Option<ServerInstance>,
+    /// Software version of that server; `-` before the first send.
+    pub last_version: SoftwareVersion,
     /// Whether it runs after requests that can still meet their goals.
     pub is_late: bool,
     /// Expected wait for a slot at the server of the last send.
@@ -190,7 +193,8 @@
     pub fn begin_failover(&mut self, daemon: &DaemonState) -> FailoverOrigin {
         let (server, verdict, failed_over) =
             (self.last_server.clone(), self.verdict, self.failed_over);
-        let origin = FailoverOrigin { server, verdict, failed_over };
+        let version = self.last_version.clone();
+        let origin = FailoverOrigin { server, version, verdict, failed_over };
         self.record_failure(daemon, &SendFailure::may_have_run("the server fell silent"));
         self.failed_over = true;
         origin
@@ -210,6 +214,7 @@
         self.verdict = origin.verdict;
         self.tried.retain(|s| Some(s) != origin.server.as_ref());
         self.last_server = origin.server;
+        self.last_version = origin.version;
         self.sending = true;
     }
 
@@ -221,6 +226,7 @@
         self.first_event = None;
         self.unproven_since = None;
         self.last_server = Some(chosen.server.instance());
+        self.last_version = chosen.server.version.clone();
         self.queue_wait = chosen.queue_wait;
         self.cost = chosen.cost;
         self.candidate_count = chosen.candidate_count;
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -24,6 +24,7 @@
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::quarantine_report::RequestProgress;
+use crate::ids::SoftwareVersion;
 use crate::serve::active_request::ActiveRequest;
 use crate::serve::attempt::Attempt;
 use crate::serve::body::ReplyBody;
@@ -146,6 +147,7 @@
         sends: 0,
         failed_deliveries: 0,
         last_server: None,
+        last_version: SoftwareVersion::new("-"),
         is_late: false,
         queue_wait: Duration::ZERO,
         cost: 0.0,
@@ -282,6 +284,9 @@
         "model" => attempt.caller_headers.model.as_deref().unwrap_or("-"),
         "adapter" => attempt.caller_headers.adapter.as_deref().unwrap_or("-"),
         "server" => attempt.last_server.as_ref().map_or("-", |s| s.id.as_str()),
+        "version" => attempt.last_version.as_str(),
+        "resumes" => attempt.caller_headers.resumes.as_deref().unwrap_or("-"),
+        "after" => attempt.caller_headers.last_event.unwrap_or(0),
         "among" => attempt.candidate_count, "cost_ms" => attempt.cost.round() as i64,
         "status" => status.as_u16(), "verdict" => %attempt.verdict, "reason" => reason,
         "sends" => attempt.sends, "late" => attempt.is_late,
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -239,6 +239,7 @@
                     self.attempt.record_first_event(&self.daemon, started.first_event);
                     slog::info!(self.daemon.log, "stream-resumed"; "attempt" => self.attempt.id(),
                         "server" => self.attempt.last_server.as_ref().map_or("-", |s| s.id.as_str()),
+                        "version" => self.attempt.last_version.as_str(),
                         "after" => after.unwrap_or(0));
                     return Some((started.stream, started.first_events));
                 }
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -31,6 +31,7 @@
         leaving,
         models: Vec::new(),
         copies: WeightCopies::default(),
+        version: "v1".into(),
         heartbeat: count,
         born: None,
     }
--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -56,6 +56,7 @@
             memory: models.iter().map(|m| (*m).into()).collect(),
             disk: Vec::new(),
         },
+        version: "v1".into(),
         heartbeat: count,
         born,
     }
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -102,6 +102,7 @@
             leaving: false,
             models: held.iter().map(held_model).collect(),
             copies: WeightCopies::default(),
+            version: "v1".into(),
             heartbeat: 1,
             born: None,
         };
