--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -21,6 +21,7 @@
 use crate::ids::Fence;
 use crate::ids::ModelName;
 use crate::ids::Offset;
+use crate::ids::SoftwareVersion;
 use crate::placement::lease_state::LeaseClaim;
 
 /// Identifies one run of a daemon's process; drawn at random at its start.
@@ -118,6 +119,15 @@
     pub avoid: Vec<ServerInstance>,
 }
 
+/// Streams that wait for a model to be loaded at a server of the software version that began them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionDemand {
+    /// The software version.
+    pub version: SoftwareVersion,
+    /// The waiting streams.
+    pub queued: QueuedDemand,
+}
+
 /// Number of requests for a model that arrived since the daemon started.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ArrivalCount {
@@ -153,9 +163,12 @@
     ReaderReport(ReaderReport),
     /// The sender's suspected requests.
     Trials(Vec<TrialReport>),
+    /// The sender's demand of streams that only servers of one software version can continue.
+    VersionDemand(Vec<VersionDemand>),
 }
 
-/// Version number of the datagram format; increment it whenever these types change.
+/// Version number of the datagram format; increment it whenever these types change, except for a variant of [`Payload`]
+/// that is added at the end: daemons that do not know it reject the datagrams that have it, and no others.
 ///
 /// The encoding is not self-describing: a datagram of another version may decode to wrong values, such as
 /// a server instance that no later one can supersede. The first format had no number and began with
--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -102,6 +102,7 @@
         self.born = born;
         self.heartbeat = 0;
         self.leaving = false;
+        self.version = SoftwareVersion::default();
         self.models.clear();
         self.copies = WeightCopies::default();
     }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -41,6 +41,8 @@
     relays: Counter<u64>,
     load_time: Histogram<f64>,
     quarantined: Gauge<u64>,
+    origins: Counter<u64>,
+    dropped_origins: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -120,6 +122,14 @@
                 "held_requests",
                 "Requests that go to no server, since several crashed under each",
             ),
+            origins: counter(
+                "resumed_streams",
+                "Streams that callers resumed, by how their software version is known and what came of it",
+            ),
+            dropped_origins: gauge(
+                "dropped_origins",
+                "Software versions of streams that are not kept, as too many are",
+            ),
             load_time: seconds("load", "Time of models' loads by source and outcome"),
             registry,
             _provider: provider,
@@ -211,6 +221,16 @@
         self.quarantined.record(count as u64, &[]);
     }
 
+    /// Counts a stream that a caller resumed.
+    pub fn record_origin(&self, source: &'static str, outcome: &'static str) {
+        self.origins.add(1, &[KeyValue::new("source", source), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Sets the number of streams' origins that were dropped.
+    pub fn set_dropped_origins(&self, count: u64) {
+        self.dropped_origins.record(count, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn to_text(&self) -> String {
         let mut out = Vec::new();
--- a/lib/src/placement/demand.rs
+++ b/lib/src/placement/demand.rs
@@ -9,9 +9,12 @@
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::digest::DemandReport;
+use crate::cluster::digest::QueuedDemand;
+use crate::cluster::digest::VersionDemand;
 use crate::cluster::server_instance::ServerInstance;
 use crate::ids::DaemonId;
 use crate::ids::ModelName;
+use crate::ids::SoftwareVersion;
 
 /// Time constant of arrival rates, in seconds; short, since demand moves to other models within
 /// seconds.
@@ -32,6 +35,15 @@
     pub model: ModelName,
     /// The adapter; `None` if the target is the model itself.
     pub adapter: Option<SmolStr>,
+    /// The software version of the servers that can serve it, if it is a stream to be continued; `None` if all can.
+    pub version: Option<SoftwareVersion>,
+}
+
+impl ModelTarget {
+    /// Returns whether servers of this software version can serve it.
+    pub fn allows(&self, version: &SoftwareVersion) -> bool {
+        self.version.as_ref().is_none_or(|wanted| wanted == version)
+    }
 }
 
 /// Requests queued for a target, over all daemons.
@@ -94,6 +106,8 @@
     counts: HashMap<(DaemonId, ModelTarget), u32>,
     rates: BTreeMap<ModelTarget, Rate>,
     reported: HashMap<DaemonId, ReportedBacklogs>,
+    /// The same of streams that only servers of one software version can continue.
+    versions: HashMap<DaemonId, ReportedBacklogs>,
     /// When each target was first and last reported as queued. Expired entries are removed only when
     /// the map is full, as hundreds of reports arrive per second.
     queued_times: HashMap<ModelTarget, (Moment, Moment)>,
@@ -103,8 +117,12 @@
     /// Applies a daemon's report.
     pub fn update(&mut self, from: &DaemonId, report: DemandReport, now: Moment) {
         for count in report.arrivals {
-            let target =
-                ModelTarget { service: count.service, model: count.model, adapter: count.adapter };
+            let target = ModelTarget {
+                service: count.service,
+                model: count.model,
+                adapter: count.adapter,
+                version: None,
+            };
             let old = self.counts.insert((from.clone(), target.clone()), count.count);
             // A restarted daemon counts from zero. The first report of an unknown daemon may include
             // arrivals long past, so at most one of them is counted.
@@ -117,20 +135,38 @@
                 self.rates.entry(target).or_default().add(now, added.into());
             }
         }
+        let queued = report.queued.into_iter().map(|queued| (None, queued));
+        let backlogs = self.collect_backlogs(queued, now);
+        self.reported.insert(from.clone(), ReportedBacklogs { at: now, backlogs });
+    }
+
+    /// Applies a daemon's report of streams that only servers of one software version can continue.
+    pub fn update_versions(&mut self, from: &DaemonId, list: Vec<VersionDemand>, now: Moment) {
+        let queued = list.into_iter().map(|demand| (Some(demand.version), demand.queued));
+        let backlogs = self.collect_backlogs(queued, now);
+        self.versions.insert(from.clone(), ReportedBacklogs { at: now, backlogs });
+    }
+
+    fn collect_backlogs(
+        &mut self,
+        list: impl Iterator<Item = (Option<SoftwareVersion>, QueuedDemand)>,
+        now: Moment,
+    ) -> BTreeMap<ModelTarget, Backlog> {
         let mut backlogs = BTreeMap::new();
-        for queued_item in report.queued {
+        for (version, queued) in list {
             let target = ModelTarget {
-                service: queued_item.service,
-                model: queued_item.model,
-                adapter: queued_item.adapter,
+                service: queued.service,
+                model: queued.model,
+                adapter: queued.adapter,
+                version,
             };
             let since = self.queued_since(&target, now);
-            let deadline = now + Duration::from_millis(queued_item.remaining_ms.into());
-            let due = now + Duration::from_millis(queued_item.due_ms.into());
-            let (waiting, avoid) = (queued_item.waiting, queued_item.avoid);
+            let deadline = now + Duration::from_millis(queued.remaining_ms.into());
+            let due = now + Duration::from_millis(queued.due_ms.into());
+            let (waiting, avoid) = (queued.waiting, queued.avoid);
             backlogs.insert(target, Backlog { waiting, since, deadline, due, avoid });
         }
-        self.reported.insert(from.clone(), ReportedBacklogs { at: now, backlogs });
+        backlogs
     }
 
     /// Returns since when a target has been queued without interruption.
@@ -152,7 +188,8 @@
     /// Returns the requests queued now, by target.
     pub fn backlogs(&self, now: Moment) -> BTreeMap<ModelTarget, Backlog> {
         let mut all: BTreeMap<ModelTarget, Backlog> = BTreeMap::new();
-        for reported in self.reported.values().filter(|r| now <= r.at + REPORT_TTL) {
+        let reports = self.reported.values().chain(self.versions.values());
+        for reported in reports.filter(|r| now <= r.at + REPORT_TTL) {
             for (target, backlog) in reported.backlogs.iter().filter(|(_, b)| now < b.deadline) {
                 let sum = all.entry(target.clone()).or_insert_with(|| Backlog {
                     since: backlog.since,
@@ -186,6 +223,7 @@
         let is_waiting = |reported: &ReportedBacklogs| reported.backlogs.keys().any(matches);
         self.reported
             .iter()
+            .chain(&self.versions)
             .filter(|(_, reported)| is_waiting(reported))
             .map(|(id, _)| id)
             .collect()
--- a/lib/src/placement/fetching.rs
+++ b/lib/src/placement/fetching.rs
@@ -100,7 +100,8 @@
 
     /// Returns the engines that requests queued for a model cannot use.
     fn avoid(&self, service: &SmolStr, model: &ModelName) -> &[ServerInstance] {
-        let target = ModelTarget { service: service.clone(), model: model.clone(), adapter: None };
+        let (service, model) = (service.clone(), model.clone());
+        let target = ModelTarget { service, model, adapter: None, version: None };
         self.backlogs.get(&target).map_or(&[], |backlog| &backlog.avoid)
     }
 
--- a/lib/src/placement/planner.rs
+++ b/lib/src/placement/planner.rs
@@ -195,7 +195,8 @@
             waited: self.input.now.saturating_sub(backlog.since),
         });
         let avoid = backlog.avoid;
-        let is_allowed = |e: &&Engine| !avoid.contains(&e.server.instance());
+        let is_allowed =
+            |e: &&Engine| target.allows(&e.server.version) && !avoid.contains(&e.server.instance());
         let will_serve = |e: &Engine| {
             let is_victim = e.load_job.as_ref().is_some_and(|j| j.victims.contains(&target.model));
             e.holds(&target.model) && !is_victim
@@ -249,13 +250,17 @@
     fn place_adapter(&self, target: &ModelTarget, avoid: &[ServerInstance]) -> Option<Action> {
         let adapter = target.adapter.as_ref()?;
         if avoid.is_empty()
+            && target.version.is_none()
             && self.options.index.has_adapter(&target.service, &target.model, adapter)
         {
             return None;
         }
         let holders = self.options.index.holders(&target.service, &target.model);
-        let is_allowed =
-            |e: &&&Engine| self.options.is_usable(e) && !avoid.contains(&e.server.instance());
+        let is_allowed = |e: &&&Engine| {
+            self.options.is_usable(e)
+                && target.allows(&e.server.version)
+                && !avoid.contains(&e.server.instance())
+        };
         let holders: Vec<&Engine> = holders.iter().filter(is_allowed).copied().collect();
         let has = |e: &&Engine| {
             e.holds_adapter(&target.model, adapter) || e.is_loading_adapter(&target.model, adapter)
@@ -310,6 +315,7 @@
                 service: engine.server.service.clone(),
                 model: m.name.clone(),
                 adapter: Some(a.clone()),
+                version: None,
             })
         });
         let rate = |target: &ModelTarget| self.input.demand.target_rate(target, self.input.now);
@@ -360,6 +366,7 @@
                     service: SmolStr::new(service),
                     model: ModelName::new(model),
                     adapter: Some(adapter.clone()),
+                    version: None,
                 };
                 let action = self.place_adapter(&target, &[]);
                 if let Some(action @ Action::LoadAdapter { victim: None, .. }) = action {
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -94,6 +94,12 @@
     } else {
         daemon.unreadable.borrow_mut().clear(Feed::Servers, key);
     }
+    if let Some((_, Ok(server))) = &parsed
+        && !server.version.is_empty()
+    {
+        let mut history = daemon.version_history.borrow_mut();
+        history.observe(&server.service, &server.version, now);
+    }
     let mut directory = daemon.directory.borrow_mut();
     let change = match parsed {
         None => directory.remove(key, now),
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -16,6 +16,7 @@
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::stream_origin::StreamOrigin;
 use crate::cluster::workloads::WorkloadKey;
 use crate::ids::SoftwareVersion;
 use crate::placement::demand::ModelTarget;
@@ -25,6 +26,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::failover_origin::FailoverOrigin;
 use crate::serve::headers::strip_hop_by_hop;
+use crate::serve::origin_exchange::publish_origin;
 use crate::serve::reply::Refusal;
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
@@ -60,6 +62,8 @@
     pub route: Route,
     /// Service that handles the request.
     pub service: ServiceName,
+    /// Service and software version that began the stream, once it has an event; only their servers may continue it.
+    pub origin: Option<StreamOrigin>,
     /// Time of arrival.
     pub arrived: Moment,
     /// Time by which the caller must have the response.
@@ -106,7 +110,64 @@
     pub max_pause: Duration,
 }
 
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct ParsedRequest {
+    /// Method, path and headers as the caller sent them.
+    pub parts: request::Parts,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Parsed protocol headers of the caller.
+    pub caller_headers: CallerHeaders,
+}
+
 impl Attempt {
+    /// Creates an attempt that was sent to no server yet.
+    pub fn new(
+        request: ParsedRequest,
+        config: Rc<Configuration>,
+        route: Route,
+        service: ServiceName,
+        arrived: Moment,
+        deadline: Moment,
+    ) -> Self {
+        let ParsedRequest { parts, body, fingerprint, caller_headers } = request;
+        Self {
+            parts,
+            body,
+            fingerprint,
+            caller_headers,
+            config,
+            route,
+            service,
+            origin: None,
+            arrived,
+            deadline,
+            verdict: Verdict::DidNotRun,
+            sending: false,
+            tried: Vec::new(),
+            failed_over: false,
+            possible_runs: 0,
+            sends: 0,
+            failed_deliveries: 0,
+            last_server: None,
+            last_version: SoftwareVersion::new("-"),
+            is_late: false,
+            queue_wait: Duration::ZERO,
+            cost: 0.0,
+            candidate_count: 0,
+            reason: "",
+            model_wait: Duration::ZERO,
+            trial: None,
+            unproven_since: None,
+            sent_at: arrived,
+            first_event: None,
+            max_pause: Duration::ZERO,
+        }
+    }
+
     /// Returns the model and adapter that the request needs; `None` if its service has no engines or it names
     /// no model.
     pub fn model_target(&self) -> Option<ModelTarget> {
@@ -116,9 +177,15 @@
             service: self.service.clone(),
             model: self.caller_headers.model.clone()?,
             adapter: self.caller_headers.adapter.clone(),
+            version: self.version().cloned(),
         })
     }
 
+    /// Returns the software version of the servers that may take the request; `None` if all may.
+    pub fn version(&self) -> Option<&SoftwareVersion> {
+        self.origin.as_ref().map(|origin| &origin.version)
+    }
+
     /// Returns the key under which the request counts towards the workload of `server`.
     pub fn workload_key(&self, server: &Server) -> WorkloadKey {
         WorkloadKey { server: server.instance(), model: self.model_target().map(|i| i.model) }
@@ -177,7 +244,15 @@
     }
 
     /// Records the first event of the response.
+    ///
+    /// The version of the server whose first event the caller gets becomes that of the stream, which later sends keep.
     pub fn record_first_event(&mut self, daemon: &DaemonState, first: Moment) {
+        let began =
+            StreamOrigin { service: self.service.clone(), version: self.last_version.clone() };
+        let origin = self.origin.get_or_insert(began).clone();
+        if !origin.version.is_empty() {
+            publish_origin(daemon, self, &origin);
+        }
         self.first_event = Some(first);
         self.unproven_since = Some(first);
         self.trial = None;
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -15,6 +15,7 @@
 use crate::cluster::workloads::Workload;
 use crate::cluster::workloads::Workloads;
 use crate::ids::CentreId;
+use crate::ids::SoftwareVersion;
 use crate::placement::demand::ModelTarget;
 use crate::serve::near_best;
 use crate::serve::near_best::Candidate;
@@ -51,6 +52,8 @@
 pub struct Chooser<'a> {
     /// All known servers.
     pub directory: &'a Directory,
+    /// Software version of the servers to choose from; `None` for all.
+    pub version: Option<&'a SoftwareVersion>,
     /// Models and adapters that engines hold and are loading.
     pub inventories: &'a EngineInventories,
     /// Workload of each server.
@@ -151,13 +154,43 @@
                 let queue_wait = self.queue_wait(&chosen.server, work);
                 EngineChoice::Server(ChosenServer { queue_wait, ..chosen })
             }
-            None if self.directory.all_servers().any(|s| s.service == model_target.service) => {
-                EngineChoice::NotLoaded
-            }
+            None if self.has_server(&model_target.service) => EngineChoice::NotLoaded,
             None => EngineChoice::NoServer,
         }
     }
 
+    /// Returns whether a server may be chosen: it is of the given service and of the required software version.
+    fn is_eligible(&self, server: &Server, service: &str) -> bool {
+        server.service == service
+            && self.version.is_none_or(|version| server.version == *version && !version.is_empty())
+    }
+
+    /// Returns the eligible servers of a service that are not leaving.
+    pub fn eligible_servers<'s>(
+        &'s self,
+        service: &'s str,
+    ) -> impl Iterator<Item = &'s Rc<Server>> {
+        self.directory.servers().filter(move |s| self.is_eligible(s, service) && !s.leaving)
+    }
+
+    /// Returns whether the service has a server that may be chosen now or later. A server of the required software
+    /// version that is leaving or unreachable will not take requests again soon, while others of its version may be
+    /// gone for good.
+    fn has_server(&self, service: &str) -> bool {
+        let mut servers = self.directory.all_servers().filter(|s| self.is_eligible(s, service));
+        match self.version {
+            None => servers.next().is_some(),
+            Some(_) => {
+                servers.any(|s| !s.leaving && !self.health.is_unreachable(&s.instance(), self.now))
+            }
+        }
+    }
+
+    /// Returns whether a service has an eligible server that is neither leaving nor in `tried`.
+    pub fn has_other(&self, service: &str, tried: &[ServerInstance]) -> bool {
+        self.eligible_servers(service).any(|s| !tried.contains(&s.instance()))
+    }
+
     /// Chooses a server that can take a request at once: healthy, with a free slot, and with the model and
     /// adapter of `model_target` loaded if given.
     pub fn choose_available(
@@ -190,7 +223,8 @@
     ///
     /// If no engine of the service reports local copies, any model may have one, so returns true.
     pub fn has_copy(&self, model_target: &ModelTarget) -> bool {
-        let engines = self.directory.all_servers().filter(|s| s.service == model_target.service);
+        let engines =
+            self.directory.all_servers().filter(|s| self.is_eligible(s, &model_target.service));
         let mut reports_copies = false;
         for server in engines {
             let copies = &server.copies;
@@ -210,7 +244,7 @@
     /// Returns the servers of a service that are unreachable from this daemon.
     pub fn unreachable_servers(&self, service: &str) -> Vec<ServerInstance> {
         let unreachable = |s: &&Rc<Server>| {
-            s.service == service && self.health.is_unreachable(&s.instance(), self.now)
+            self.is_eligible(s, service) && self.health.is_unreachable(&s.instance(), self.now)
         };
         self.directory.servers().filter(unreachable).map(|s| s.instance()).collect()
     }
@@ -240,7 +274,7 @@
     /// Returns the rate-limited servers of a service whose send permits are not granted within `MAX_PERMIT_WAIT`.
     pub fn rate_limited(&self, service: &str) -> Vec<ServerInstance> {
         let is_late = |permit: &SendPermit| permit.wait.is_none_or(|wait| wait > MAX_PERMIT_WAIT);
-        let servers = self.directory.servers().filter(|s| s.service == service);
+        let servers = self.directory.servers().filter(|s| self.is_eligible(s, service));
         servers.filter(|s| self.permit(s).is_some_and(is_late)).map(|s| s.instance()).collect()
     }
 
@@ -255,12 +289,9 @@
         let holds = |s: &Server| {
             model_target.is_none_or(|i| self.inventories.holds(s, &i.model, i.adapter.as_deref()))
         };
-        let is_usable = |s: &Server| {
-            s.service == service
-                && !s.leaving
-                && !self.health.is_unreachable(&s.instance(), self.now)
-        };
-        let servers = self.directory.servers().filter(|s| is_usable(s) && holds(s));
+        let is_usable =
+            |s: &Server| !self.health.is_unreachable(&s.instance(), self.now) && holds(s);
+        let servers = self.eligible_servers(service).filter(|s| is_usable(s));
         let permits: Option<Vec<SendPermit>> = servers.map(|s| self.permit(s).copied()).collect();
         permits?.into_iter().min_by_key(|permit| permit.wait.unwrap_or(Duration::MAX))
     }
@@ -276,12 +307,9 @@
         cost_error: f64,
     ) -> Option<ChosenServer> {
         let usable: Vec<&Rc<Server>> = self
-            .directory
-            .servers()
+            .eligible_servers(service)
             .filter(|s| {
-                s.service == service
-                    && !s.leaving
-                    && !tried.contains(&s.instance())
+                !tried.contains(&s.instance())
                     && self.permit(s).is_none_or(SendPermit::is_granted)
                     && is_suitable(s)
             })
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -2,7 +2,9 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 
 use slog::Logger;
@@ -32,10 +34,13 @@
 use crate::cluster::server_paths::ServerPaths;
 use crate::cluster::server_rests::ServerRests;
 use crate::cluster::store_health::StoreHealth;
+use crate::cluster::stream_origins::StreamOrigins;
 use crate::cluster::unreadable_records::UnreadableRecords;
+use crate::cluster::version_history::VersionHistory;
 use crate::cluster::workloads::Workloads;
 use crate::host_clock::HostClock;
 use crate::ids::Fence;
+use crate::ids::SoftwareVersion;
 use crate::metrics::Metrics;
 use crate::placement::demand::Demand;
 use crate::placement::engine_table::EngineTable;
@@ -45,11 +50,13 @@
 use crate::serve::choose::Chooser;
 use crate::serve::connector::Connector;
 use crate::serve::connector::TcpConnector;
+use crate::serve::datagram_sender::DatagramSender;
 use crate::serve::entry_settings::EntrySettings;
 use crate::serve::freshness::Freshness;
 use crate::serve::graceful_stop::GracefulStop;
 use crate::serve::link_share::LinkShare;
 use crate::serve::model_waits::ModelWaits;
+use crate::serve::origin_queries::OriginQueries;
 use crate::serve::pool::ConnectionPool;
 use crate::serve::random_source::RandomSource;
 use crate::serve::relay_slots::RelaySlots;
@@ -107,6 +114,12 @@
     pub quarantine: RefCell<Quarantine>,
     /// Trials of suspected requests in progress at engines.
     pub trials: Trials,
+    /// Software versions that began recent streams.
+    pub stream_origins: RefCell<StreamOrigins>,
+    /// Queries to peers for such versions.
+    pub origin_queries: OriginQueries,
+    /// Software versions of each service's servers.
+    pub version_history: RefCell<VersionHistory>,
     /// The other daemons.
     pub peers: RefCell<PeerTable>,
     /// Requests that wait for a model to be loaded.
@@ -165,6 +178,8 @@
     pub transfer_slots: TransferSlots,
     /// The share of the host's link that transfers to peers take.
     pub link_share: LinkShare,
+    /// Sends datagrams to other daemons, while the task that receives them runs.
+    pub datagrams: RefCell<Option<Weak<dyn DatagramSender>>>,
     /// Opens connections to other daemons.
     pub connector: RefCell<Rc<dyn Connector>>,
     /// Random numbers.
@@ -217,6 +232,9 @@
             server_rests: RefCell::default(),
             quarantine: RefCell::default(),
             trials: Trials::default(),
+            stream_origins: RefCell::default(),
+            origin_queries: OriginQueries::default(),
+            version_history: RefCell::default(),
             peers: RefCell::new(peers),
             model_waits: ModelWaits::default(),
             peers_known: Cell::default(),
@@ -246,6 +264,7 @@
             relay_slots: RelaySlots::default(),
             transfer_slots: TransferSlots::default(),
             link_share: LinkShare::default(),
+            datagrams: RefCell::default(),
             connector: RefCell::new(Rc::new(TcpConnector)),
             random: RefCell::default(),
             metrics: Metrics::new(),
@@ -441,8 +460,22 @@
         self.model_waits.inventories_changed.notify_waiters();
     }
 
-    /// Calls `f` with a [`Chooser`] that borrows the current state.
-    pub fn with_chooser<T>(&self, f: impl FnOnce(&Chooser<'_>) -> T) -> T {
+    /// Sends a datagram to another daemon, and counts its bytes as of `kind`.
+    pub fn send_datagram(&self, to: SocketAddr, bytes: &[u8], kind: &'static str) {
+        let sender = self.datagrams.borrow().as_ref().and_then(Weak::upgrade);
+        // A datagram that cannot be sent now is dropped, like one that is lost on the way.
+        if sender.is_some_and(|sender| sender.send(to, bytes)) {
+            self.metrics.record_control_bytes(kind, bytes.len());
+        }
+    }
+
+    /// Calls `f` with a [`Chooser`] that borrows the current state and chooses among servers of a software version, or
+    /// all with `None`.
+    pub fn with_chooser<T>(
+        &self,
+        version: Option<&SoftwareVersion>,
+        f: impl FnOnce(&Chooser<'_>) -> T,
+    ) -> T {
         let send_permits = self.send_permits();
         let directory = self.directory.borrow();
         let inventories = self.inventories.borrow();
@@ -450,6 +483,7 @@
         let settings = self.settings.borrow();
         f(&Chooser {
             directory: &directory,
+            version,
             inventories: &inventories,
             workloads: &self.workloads,
             health: &health,
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -46,8 +46,9 @@
             return Err(refusal);
         }
         let Some(chosen) = choose(daemon, attempt) else {
-            let permit = daemon
-                .with_chooser(|c| c.next_permit(&attempt.service, attempt.model_target().as_ref()));
+            let permit = daemon.with_chooser(attempt.version(), |c| {
+                c.next_permit(&attempt.service, attempt.model_target().as_ref())
+            });
             if let Some(permit) = permit.filter(|_| !attempt.must_not_retry()) {
                 let goal_left = (attempt.arrived + attempt.route.latency_goal).saturating_sub(now);
                 if let Some(retry) = retry_after(permit, goal_left) {
@@ -104,9 +105,12 @@
 
 fn choose(daemon: &DaemonState, attempt: &Attempt) -> Option<ChosenServer> {
     match attempt.model_target() {
-        None => daemon.with_chooser(|c| c.choose_plain(&attempt.service, &attempt.tried)),
+        None => daemon
+            .with_chooser(attempt.version(), |c| c.choose_plain(&attempt.service, &attempt.tried)),
         Some(model_target) => {
-            match daemon.with_chooser(|c| c.choose_engine(&model_target, &attempt.tried)) {
+            match daemon
+                .with_chooser(attempt.version(), |c| c.choose_engine(&model_target, &attempt.tried))
+            {
                 EngineChoice::Server(chosen) => Some(chosen),
                 EngineChoice::NotLoaded | EngineChoice::NoServer => None,
             }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -17,6 +17,7 @@
 use crate::serve::event_stream::StreamItem;
 use crate::serve::failover::SendFuture;
 use crate::serve::failover::await_with_failover;
+use crate::serve::find_origin::find_origin;
 use crate::serve::find_server::DEFAULT_RETRY_AFTER;
 use crate::serve::find_server::find_server;
 use crate::serve::headers::strip_hop_by_hop;
@@ -62,6 +63,7 @@
     attempt: &mut Attempt,
 ) -> Result<OpenOutcome, Refusal> {
     let resume = attempt.caller_headers.last_event;
+    find_origin(daemon, attempt).await?;
     loop {
         let chosen = find_server(daemon, attempt).await?;
         if attempt.failed_deliveries > 0 && !daemon.take_retry(attempt) {
--- a/lib/src/serve/failover.rs
+++ b/lib/src/serve/failover.rs
@@ -160,8 +160,9 @@
     }
     let model_target = attempt.model_target();
     let tried = attempt.all_tried();
-    let chosen = daemon
-        .with_chooser(|c| c.choose_available(&attempt.service, model_target.as_ref(), &tried))?;
+    let chosen = daemon.with_chooser(attempt.version(), |c| {
+        c.choose_available(&attempt.service, model_target.as_ref(), &tried)
+    })?;
     let server = &chosen.server;
     if daemon.ensure_idle(&server.instance(), server.addr).await.is_err() {
         daemon.record_health(&attempt.service, &server.instance(), Evidence::Unreachable);
@@ -186,7 +187,7 @@
     let model_target = attempt.model_target()?;
     let tried = attempt.all_tried();
     if matches!(
-        daemon.with_chooser(|c| c.choose_engine(&model_target, &tried)),
+        daemon.with_chooser(attempt.version(), |c| c.choose_engine(&model_target, &tried)),
         EngineChoice::Server(_)
     ) {
         return None;
@@ -195,6 +196,6 @@
         model_target,
         until,
         until,
-        unusable_engines(daemon, &attempt.service, &tried),
+        unusable_engines(daemon, attempt, &tried),
     ))
 }
--- /dev/null
+++ b/lib/src/serve/find_origin.rs
@@ -0,0 +1,103 @@
+//! Finds out which service and software version began the stream that a caller resumes.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::cluster::stream_origin::OriginHash;
+use crate::cluster::stream_origin::StreamOrigin;
+use crate::cluster::stream_origin::stream_key;
+use crate::serve::attempt::Attempt;
+use crate::serve::daemon_state::DaemonState;
+use crate::serve::origin_exchange::OriginLookup;
+use crate::serve::origin_exchange::look_up_origin;
+use crate::serve::reply::Refusal;
+
+/// Reason for a refusal: servers of several versions serve, and nobody knows which of them began the stream.
+const VERSION_UNKNOWN: &str = "the stream's software version is not known";
+/// Reason for a refusal: no server of the version that began the stream can be used.
+pub const VERSION_GONE: &str = "no server of the stream's software version";
+/// Retry delay if a daemon that may know the version did not reply: it may be back by then.
+const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry delay if only a change of the servers can help.
+pub const VERSION_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+/// Sets the origin of the stream that the caller resumes, so that only servers of its version are chosen; does nothing
+/// for other requests.
+///
+/// # Errors
+///
+/// Returns the refusal to send to the caller if the version is not known, or no server has it.
+pub async fn find_origin(daemon: &Rc<DaemonState>, attempt: &mut Attempt) -> Result<(), Refusal> {
+    let headers = &attempt.caller_headers;
+    if headers.last_event.is_none() {
+        return Ok(());
+    }
+    let lookup = match headers.resumes.as_ref().or(headers.attempt.as_ref()) {
+        Some(id) => look_up_origin(daemon, stream_key(id)).await,
+        None => OriginLookup::Unknown,
+    };
+    let (result, source, age) = match lookup {
+        OriginLookup::Known(known) => {
+            let origin = known.hash.ok_or_else(|| unknown(VERSION_RETRY_AFTER));
+            let origin = origin.and_then(|hash| find_by_hash(daemon, attempt, hash));
+            (origin, known.source.name(), daemon.now().saturating_sub(known.known_since))
+        }
+        OriginLookup::Unknown => {
+            (only_origin(daemon, attempt, VERSION_RETRY_AFTER), "only-version", Duration::ZERO)
+        }
+        OriginLookup::Unanswered => {
+            (only_origin(daemon, attempt, UNANSWERED_RETRY_AFTER), "only-version", Duration::ZERO)
+        }
+    };
+    let outcome = result.as_ref().map_or_else(|refusal| refusal.reason, |_| "found");
+    slog::info!(daemon.log, "stream-origin"; "attempt" => attempt.id(),
+        "resumes" => attempt.caller_headers.resumes.as_deref().unwrap_or("-"),
+        "after" => attempt.caller_headers.last_event.unwrap_or(0),
+        "version" => result.as_ref().map_or("-", |origin| origin.version.as_str()),
+        "source" => source, "age_ms" => age.as_millis(), "outcome" => outcome);
+    daemon.metrics.record_origin(source, outcome);
+    let origin = result?;
+    attempt.service = origin.service.clone();
+    attempt.origin = Some(origin);
+    Ok(())
+}
+
+fn unknown(retry_after: Duration) -> Refusal {
+    Refusal::not_run(VERSION_UNKNOWN, retry_after)
+}
+
+/// Returns the origin with this hash, among the versions of the services that the route allows now.
+fn find_by_hash(
+    daemon: &DaemonState,
+    attempt: &Attempt,
+    hash: OriginHash,
+) -> Result<StreamOrigin, Refusal> {
+    let now = daemon.now();
+    let history = daemon.version_history.borrow();
+    for (service, _) in &attempt.route.targets {
+        for version in history.versions(service, now) {
+            let origin = StreamOrigin { service: service.clone(), version: version.clone() };
+            if origin.hash() == hash {
+                return Ok(origin);
+            }
+        }
+    }
+    Err(Refusal::not_run(VERSION_GONE, VERSION_RETRY_AFTER))
+}
+
+/// Returns the origin of a stream that nobody knows, if its service has had servers of one version only for as long as
+/// any stream can be resumed.
+fn only_origin(
+    daemon: &DaemonState,
+    attempt: &Attempt,
+    retry_after: Duration,
+) -> Result<StreamOrigin, Refusal> {
+    let now = daemon.now();
+    let list_age = now.saturating_sub(daemon.freshness.servers_at.get());
+    let history = daemon.version_history.borrow();
+    // Servers of another version may have joined since an old list was read.
+    let only = history.only_version(&attempt.service, now);
+    let only = only.filter(|_| list_age <= daemon.settings().drain);
+    let version = only.cloned().ok_or_else(|| unknown(retry_after))?;
+    Ok(StreamOrigin { service: attempt.service.clone(), version })
+}
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -17,6 +17,8 @@
 use crate::serve::choose::ChosenServer;
 use crate::serve::choose::EngineChoice;
 use crate::serve::daemon_state::DaemonState;
+use crate::serve::find_origin::VERSION_GONE;
+use crate::serve::find_origin::VERSION_RETRY_AFTER;
 use crate::serve::handle::OTHER_DAEMON_RETRY_AFTER;
 use crate::serve::reply::Refusal;
 use crate::serve::server_feedback::RATE_LIMITED;
@@ -52,9 +54,9 @@
         return Err(refusal);
     }
     let Some(model_target) = attempt.model_target() else {
-        let chosen = daemon.with_chooser(|c| c.choose_plain(&attempt.service, &attempt.tried));
-        return chosen
-            .ok_or_else(|| Refusal::failed(attempt.verdict, "no server", DEFAULT_RETRY_AFTER));
+        let chosen = daemon
+            .with_chooser(attempt.version(), |c| c.choose_plain(&attempt.service, &attempt.tried));
+        return chosen.ok_or_else(|| no_server(daemon, attempt));
     };
     let began = daemon.now();
     let mut guard = None;
@@ -69,9 +71,7 @@
                 attempt.model_wait += daemon.now().saturating_sub(began);
                 return admit(daemon, attempt, chosen);
             }
-            EngineChoice::NoServer => {
-                return Err(Refusal::failed(attempt.verdict, "no server", DEFAULT_RETRY_AFTER));
-            }
+            EngineChoice::NoServer => return Err(no_server(daemon, attempt)),
             EngineChoice::NotLoaded => {}
         }
         let now = daemon.now();
@@ -91,7 +91,7 @@
                 model_target.clone(),
                 (attempt.arrived + attempt.route.latency_goal).saturating_sub(FIRST_EVENT_TIME),
                 wait_until,
-                unusable_engines(daemon, &attempt.service, &attempt.tried),
+                unusable_engines(daemon, attempt, &attempt.tried),
             ));
         }
         // Engines that refused the request may have a free slot again.
@@ -102,6 +102,18 @@
     }
 }
 
+/// Returns the refusal of a request whose service has no server, or none of the software version that began the stream.
+fn no_server(daemon: &DaemonState, attempt: &Attempt) -> Refusal {
+    let version = attempt.version();
+    let Some(_) = version else {
+        return Refusal::failed(attempt.verdict, "no server", DEFAULT_RETRY_AFTER);
+    };
+    // An unreachable server may be back shortly.
+    let is_listed = daemon.with_chooser(version, |c| c.has_other(&attempt.service, &[]));
+    let retry_after = if is_listed { DEFAULT_RETRY_AFTER } else { VERSION_RETRY_AFTER };
+    Refusal::failed(attempt.verdict, VERSION_GONE, retry_after)
+}
+
 /// Waits until the trial of a suspect may start; returns at once if the request is no suspect.
 ///
 /// Without this wait, all daemons would send the suspects of a crash to the next engine at the same time, before any daemon
@@ -148,11 +160,13 @@
         return EngineChoice::NotLoaded;
     }
     let Some(trial) = &attempt.trial else {
-        return daemon.with_chooser(|c| c.choose_engine(model_target, &attempt.tried));
+        return daemon
+            .with_chooser(attempt.version(), |c| c.choose_engine(model_target, &attempt.tried));
     };
     let mut excluded = daemon.trials.occupied_servers(daemon.now());
     excluded.extend_from_slice(&attempt.tried);
-    let choice = daemon.with_chooser(|c| c.choose_engine(model_target, &excluded));
+    let choice =
+        daemon.with_chooser(attempt.version(), |c| c.choose_engine(model_target, &excluded));
     if let EngineChoice::Server(chosen) = &choice {
         trial.assign(chosen.server.instance());
     }
@@ -191,11 +205,12 @@
 /// Returns the engines that a request cannot use: those already tried, unreachable ones and rate-limited ones.
 pub fn unusable_engines(
     daemon: &DaemonState,
-    service: &str,
+    attempt: &Attempt,
     tried: &[ServerInstance],
 ) -> Vec<ServerInstance> {
-    let mut list = daemon.with_chooser(|c| c.unreachable_servers(service));
-    list.extend(daemon.with_chooser(|c| c.rate_limited(service)));
+    let service = &attempt.service;
+    let mut list = daemon.with_chooser(attempt.version(), |c| c.unreachable_servers(service));
+    list.extend(daemon.with_chooser(attempt.version(), |c| c.rate_limited(service)));
     list.extend_from_slice(tried);
     list
 }
@@ -210,9 +225,8 @@
     wait_until: Moment,
 ) -> Option<Refusal> {
     let now = daemon.now();
-    let expected = daemon.with_chooser(|c| {
-        let servers =
-            c.directory.servers().filter(|s| s.service == model_target.service && !s.leaving);
+    let expected = daemon.with_chooser(attempt.version(), |c| {
+        let servers = c.eligible_servers(&model_target.service);
         let times = servers.filter_map(|s| {
             c.inventories.expected_at(
                 &s.instance(),
@@ -224,12 +238,13 @@
         times.min()
     });
     let verdict = attempt.verdict;
-    if let Some(retry) = delay_of_service(daemon, &model_target.service, wait_until) {
+    if let Some(retry) = delay_of_service(daemon, attempt, wait_until) {
         return Some(Refusal::failed(verdict, RATE_LIMITED, retry));
     }
     if expected.is_none() && now > began + ORDER_TIME {
-        let permit =
-            daemon.with_chooser(|c| c.next_permit(&model_target.service, Some(model_target)));
+        let permit = daemon.with_chooser(attempt.version(), |c| {
+            c.next_permit(&model_target.service, Some(model_target))
+        });
         if let Some(retry) =
             permit.and_then(|permit| retry_after(permit, wait_until.saturating_sub(now)))
         {
@@ -251,7 +266,7 @@
         _ if now + FIRST_EVENT_TIME > wait_until => {
             Some(Refusal::failed(verdict, "the model was not loaded in time", DEFAULT_RETRY_AFTER))
         }
-        None if !daemon.with_chooser(|c| c.has_copy(model_target)) => {
+        None if !daemon.with_chooser(attempt.version(), |c| c.has_copy(model_target)) => {
             let load = fetch_time(attempt, model_target);
             let is_overdue = now > began + ORDER_TIME;
             (is_overdue || now + load > wait_until)
@@ -270,8 +285,13 @@
 
 /// Returns when a caller should retry if no engine of the service takes a request by `wait_until`, so that no load can
 /// help; `None` if one may.
-fn delay_of_service(daemon: &DaemonState, service: &str, wait_until: Moment) -> Option<Duration> {
-    let permit = daemon.with_chooser(|c| c.next_permit(service, None))?;
+fn delay_of_service(
+    daemon: &DaemonState,
+    attempt: &Attempt,
+    wait_until: Moment,
+) -> Option<Duration> {
+    let permit =
+        daemon.with_chooser(attempt.version(), |c| c.next_permit(&attempt.service, None))?;
     permit.wait?;
     retry_after(permit, wait_until.saturating_sub(daemon.now()))
 }
@@ -322,12 +342,18 @@
         if let EngineChoice::Server(chosen) = select_engine(daemon, attempt, &model_target) {
             return Some(chosen);
         }
+        if !daemon
+            .with_chooser(attempt.version(), |c| c.has_other(&attempt.service, &attempt.tried))
+        {
+            attempt.reason = VERSION_GONE;
+            return None;
+        }
         let left = until.saturating_sub(daemon.now());
         if left.is_zero() {
             return None;
         }
         guard.get_or_insert_with(|| {
-            let avoid = unusable_engines(daemon, &attempt.service, &attempt.tried);
+            let avoid = unusable_engines(daemon, attempt, &attempt.tried);
             daemon.model_waits.begin(model_target.clone(), until, until, avoid)
         });
         let _notified = timeout(left.min(FULL_RETRY_DELAY * 2), changed).await;
--- /dev/null
+++ b/lib/src/serve/follow_versions.rs
@@ -0,0 +1,84 @@
+//! Keeps the history of services' software versions up to date, and stores it for daemons that start later.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::cluster::configuration::ServiceName;
+use crate::ids::SoftwareVersion;
+use crate::placement::entries;
+use crate::serve::daemon_state::DaemonState;
+use crate::serve::store_calls::track_call;
+use crate::store::Batch;
+use crate::store::Feed;
+use crate::store::FeedRecord;
+
+/// Interval at which the servers' versions are compared with the stored ones.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay before a failed listing is retried.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Versions by service, as stored.
+type StoredVersions = BTreeMap<ServiceName, Vec<SoftwareVersion>>;
+
+/// Reads the stored versions; then records those of listed servers, and stores them as the lease holder.
+pub async fn follow_versions(daemon: Rc<DaemonState>) {
+    let mut stored = loop {
+        let call = daemon.store.list_latest(Feed::Versions);
+        match track_call(&daemon, Feed::Versions, call).await {
+            Ok(batch) => break parse_versions(&daemon, &batch),
+            Err(_failed) => sleep(RETRY_DELAY).await,
+        }
+    };
+    daemon.version_history.borrow_mut().load(stored.clone(), daemon.now());
+    loop {
+        observe_servers(&daemon);
+        if daemon.fence().is_some() {
+            store_changes(&daemon, &mut stored).await;
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+fn parse_versions(daemon: &DaemonState, batch: &Batch) -> StoredVersions {
+    daemon.log_unreadable_records(Feed::Versions, batch);
+    let mut stored = StoredVersions::new();
+    for record in &batch.records {
+        let Some(value) = &record.value else { continue };
+        match entries::decode(value) {
+            Ok(versions) => {
+                stored.insert(record.key.clone(), versions);
+            }
+            Err(error) => daemon.log_unreadable(Feed::Versions, &record.key, &error.0),
+        }
+    }
+    stored
+}
+
+fn observe_servers(daemon: &DaemonState) {
+    let now = daemon.now();
+    let mut history = daemon.version_history.borrow_mut();
+    for server in daemon.directory.borrow().all_servers().filter(|s| !s.version.is_empty()) {
+        history.observe(&server.service, &server.version, now);
+    }
+}
+
+/// Stores the versions of each service for which they have changed.
+async fn store_changes(daemon: &DaemonState, stored: &mut StoredVersions) {
+    let all = daemon.version_history.borrow().all(daemon.now());
+    for (service, versions) in all {
+        if stored.get(&service) == Some(&versions) {
+            continue;
+        }
+        let value = Some(entries::encode(&versions));
+        let record = FeedRecord { key: service.clone(), value };
+        let call = daemon.store.append(Feed::Versions, record, None);
+        if track_call(daemon, Feed::Versions, call).await.is_ok() {
+            slog::info!(daemon.log, "software-versions"; "service" => service.as_str(),
+                "versions" => versions.join(","));
+            stored.insert(service, versions);
+        }
+    }
+}
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -12,6 +12,7 @@
 
 use crate::boot_clock::Moment;
 use crate::cluster::digest::Digest;
+use crate::cluster::digest::MessageError;
 use crate::cluster::digest::Payload;
 use crate::cluster::digest::PeerMessage;
 use crate::cluster::digest::ProcessId;
@@ -20,6 +21,7 @@
 use crate::cluster::directory::Change;
 use crate::cluster::engine_inventories::EngineInventory;
 use crate::cluster::latest_instances::InstanceOrder;
+use crate::cluster::origin_message::OriginMessage;
 use crate::cluster::reader_report::ReaderReport;
 use crate::cluster::reader_report::WorkloadScope;
 use crate::cluster::readers::ReaderStatus;
@@ -32,6 +34,8 @@
 use crate::ids::ServerId;
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
+use crate::serve::datagram_sender::DatagramSender;
+use crate::serve::origin_exchange;
 use crate::serve::suspects;
 
 /// Delay after a failed receive.
@@ -43,7 +47,7 @@
 #[derive(Debug)]
 pub struct Gossip {
     pub(super) daemon: Rc<DaemonState>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     malformed: Cell<u64>,
     /// When this daemon last published a digest.
     pub(super) last_digest: Cell<Moment>,
@@ -56,6 +60,9 @@
 impl Gossip {
     /// Exchanges datagrams on `socket`, which is bound to the peer address.
     pub fn new(daemon: Rc<DaemonState>, socket: UdpSocket) -> Rc<Self> {
+        let socket = Rc::new(socket);
+        let sender: Rc<dyn DatagramSender> = Rc::<UdpSocket>::clone(&socket);
+        *daemon.datagrams.borrow_mut() = Some(Rc::downgrade(&sender));
         let (malformed, last_digest, last_broadcast, digest_round) = <_>::default();
         Rc::new(Self { daemon, socket, malformed, last_digest, last_broadcast, digest_round })
     }
@@ -72,10 +79,7 @@
     }
 
     pub(super) fn send(&self, to: SocketAddr, bytes: &[u8], kind: &'static str) {
-        // A datagram that cannot be sent now is dropped; a later one carries newer state.
-        if self.socket.try_send_to(bytes, to).is_ok() {
-            self.daemon.metrics.record_control_bytes(kind, bytes.len());
-        }
+        self.daemon.send_datagram(to, bytes, kind);
     }
 
     /// Receives datagrams and applies their messages, for as long as the daemon runs.
@@ -86,21 +90,31 @@
                 sleep(RECEIVE_PAUSE).await;
                 continue;
             };
-            match PeerMessage::decode(&buffer[..length]) {
-                Ok(message) => self.apply_message(message, from),
-                Err(error) => {
-                    let count = self.malformed.get() + 1;
-                    self.malformed.set(count);
-                    // Logs the first and then every thousandth, so that a flood does not fill the log.
-                    if count % 1000 == 1 {
-                        slog::warn!(self.daemon.log, "datagram-malformed"; "from" => %from,
-                            "error" => %error, "count" => count);
-                    }
-                }
+            if let Err(error) = self.apply_datagram(&buffer[..length], from) {
+                self.log_malformed(&error, from);
             }
         }
     }
 
+    fn apply_datagram(&self, bytes: &[u8], from: SocketAddr) -> Result<(), MessageError> {
+        if OriginMessage::matches(bytes) {
+            origin_exchange::apply_message(&self.daemon, OriginMessage::decode(bytes)?, from);
+        } else {
+            self.apply_message(PeerMessage::decode(bytes)?, from);
+        }
+        Ok(())
+    }
+
+    fn log_malformed(&self, error: &MessageError, from: SocketAddr) {
+        let count = self.malformed.get() + 1;
+        self.malformed.set(count);
+        // Logs the first and then every thousandth, so that a flood does not fill the log.
+        if count % 1000 == 1 {
+            slog::warn!(self.daemon.log, "datagram-malformed"; "from" => %from,
+                "error" => %error, "count" => count);
+        }
+    }
+
     /// Applies a message, unless it is this daemon's own.
     fn apply_message(&self, message: PeerMessage, from: SocketAddr) {
         let daemon = &self.daemon;
@@ -124,6 +138,12 @@
             Payload::ReaderReport(report) => {
                 self.apply_reader_report(&message.from, addr, message.process, report);
             }
+            Payload::VersionDemand(reports) => {
+                if daemon.fence().is_some() {
+                    daemon.demand.borrow_mut().update_versions(&message.from, reports, now);
+                    daemon.plan_due.notify_one();
+                }
+            }
             Payload::Trials(reports) => {
                 if daemon.trials.update_peer(&message.from, reports, now) {
                     daemon.model_waits.inventories_changed.notify_waiters();
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -24,9 +24,9 @@
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::quarantine_report::RequestProgress;
-use crate::ids::SoftwareVersion;
 use crate::serve::active_request::ActiveRequest;
 use crate::serve::attempt::Attempt;
+use crate::serve::attempt::ParsedRequest;
 use crate::serve::body::ReplyBody;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::exchange_plain;
@@ -129,37 +129,8 @@
     let time_limit = caller_headers.timeout.map_or(route.timeout, |p| p.min(route.timeout));
     let target = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let fingerprint = Fingerprint::new(&parts.method, host(&parts), target, &body);
-    Ok(Attempt {
-        parts,
-        body,
-        fingerprint,
-        caller_headers,
-        config: Rc::clone(&config),
-        route,
-        service,
-        arrived,
-        deadline: arrived + time_limit,
-        verdict: Verdict::DidNotRun,
-        sending: false,
-        tried: Vec::new(),
-        failed_over: false,
-        possible_runs: 0,
-        sends: 0,
-        failed_deliveries: 0,
-        last_server: None,
-        last_version: SoftwareVersion::new("-"),
-        is_late: false,
-        queue_wait: Duration::ZERO,
-        cost: 0.0,
-        candidate_count: 0,
-        reason: "",
-        model_wait: Duration::ZERO,
-        trial: None,
-        unproven_since: None,
-        sent_at: arrived,
-        first_event: None,
-        max_pause: Duration::ZERO,
-    })
+    let parsed = ParsedRequest { parts, body, fingerprint, caller_headers };
+    Ok(Attempt::new(parsed, config, route, service, arrived, arrived + time_limit))
 }
 
 async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
@@ -285,6 +256,7 @@
         "adapter" => attempt.caller_headers.adapter.as_deref().unwrap_or("-"),
         "server" => attempt.last_server.as_ref().map_or("-", |s| s.id.as_str()),
         "version" => attempt.last_version.as_str(),
+        "origin" => attempt.version().map_or("-", |version| version.as_str()),
         "resumes" => attempt.caller_headers.resumes.as_deref().unwrap_or("-"),
         "after" => attempt.caller_headers.last_event.unwrap_or(0),
         "among" => attempt.candidate_count, "cost_ms" => attempt.cost.round() as i64,
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -16,9 +16,11 @@
 use crate::serve::entry_settings::EntrySettings;
 use crate::serve::follow_config;
 use crate::serve::follow_servers;
+use crate::serve::follow_versions;
 use crate::serve::gossip::Gossip;
 use crate::serve::graceful_stop::GracefulStop;
 use crate::serve::lease_manager::LeaseManager;
+use crate::serve::origin_exchange;
 use crate::serve::peer_sync;
 use crate::serve::peer_transfer;
 use crate::serve::placement_controller::PlacementController;
@@ -69,6 +71,7 @@
     spawn_local(follow_servers::follow_servers(Rc::clone(daemon)));
     spawn_local(apply_updates::follow_daemons(Rc::clone(daemon)));
     spawn_local(suspects::load_quarantine(Rc::clone(daemon)));
+    spawn_local(follow_versions::follow_versions(Rc::clone(daemon)));
     spawn_local(peer_transfer::serve_peers(Rc::clone(daemon), peers));
     spawn_local(Rc::clone(&gossip).receive());
     spawn_local(Rc::clone(&gossip).publish_digests());
@@ -143,6 +146,7 @@
     let stop = GracefulStop::new(began, daemon.settings().grace);
     daemon.stopping.set(Some(stop));
     slog::info!(daemon.log, "stop"; "phase" => "begun", "active" => daemon.active.get());
+    spawn_local(origin_exchange::hand_over_origins(Rc::clone(daemon)));
     let mut next_release = began;
     loop {
         if daemon.now() >= next_release {
--- a/lib/src/serve/model_waits.rs
+++ b/lib/src/serve/model_waits.rs
@@ -11,6 +11,7 @@
 use crate::cluster::digest::ArrivalCount;
 use crate::cluster::digest::DemandReport;
 use crate::cluster::digest::QueuedDemand;
+use crate::cluster::digest::VersionDemand;
 use crate::cluster::server_instance::ServerInstance;
 use crate::placement::demand::ModelTarget;
 
@@ -94,6 +95,7 @@
         let queued = tables
             .waiting
             .iter()
+            .filter(|(target, _)| target.version.is_none())
             .map(|(target, requests)| queued_demand(target, requests, now))
             .collect();
         let recent =
@@ -106,6 +108,16 @@
         });
         DemandReport { queued, arrivals: arrivals.collect() }
     }
+
+    /// Returns the waiting streams that only servers of one software version can continue, to publish them.
+    pub fn version_demand(&self, now: Moment) -> Vec<VersionDemand> {
+        let tables = self.tables.borrow();
+        let demand = |(target, requests): (&ModelTarget, _)| {
+            let version = target.version.clone()?;
+            Some(VersionDemand { version, queued: queued_demand(target, requests, now) })
+        };
+        tables.waiting.iter().filter_map(demand).collect()
+    }
 }
 
 fn queued_demand(
--- a/lib/src/serve/publish.rs
+++ b/lib/src/serve/publish.rs
@@ -269,19 +269,23 @@
         let daemon = &self.daemon;
         let now = daemon.now();
         let report = daemon.model_waits.demand_report(now);
-        if report == DemandReport::default() {
-            return;
-        }
-        if daemon.fence().is_some() {
+        let versions = daemon.model_waits.version_demand(now);
+        let (has_report, has_versions) = (report != DemandReport::default(), !versions.is_empty());
+        if daemon.fence().is_some() && (has_report || has_versions) {
             let id = daemon.settings().id.clone();
-            daemon.demand.borrow_mut().update(&id, report, now);
+            let mut demand = daemon.demand.borrow_mut();
+            demand.update(&id, report, now);
+            demand.update_versions(&id, versions, now);
             daemon.plan_due.notify_one();
             return;
         }
         let holder = daemon.peers.borrow().holder(now).map(|(_, peer, _)| peer.addr);
-        if let Some(addr) = holder {
-            let bytes = self.encode(Payload::Demand(report));
-            self.send(addr, &bytes, "demand");
+        let Some(addr) = holder else { return };
+        if has_report {
+            self.send(addr, &self.encode(Payload::Demand(report)), "demand");
+        }
+        if has_versions {
+            self.send(addr, &self.encode(Payload::VersionDemand(versions)), "demand");
         }
     }
 
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -26,6 +26,8 @@
     Leases,
     /// Requests that are held back because several servers crashed while running them.
     Quarantine,
+    /// Software versions of each service's servers.
+    Versions,
 }
 
 impl Feed {
@@ -37,6 +39,7 @@
             Self::Daemons => "daemons",
             Self::Leases => "leases",
             Self::Quarantine => "quarantine",
+            Self::Versions => "versions",
         }
     }
 }
--- a/lib/tests/test_demand.rs
+++ b/lib/tests/test_demand.rs
@@ -14,7 +14,7 @@
 }
 
 fn target() -> ModelTarget {
-    ModelTarget { service: "draft".into(), model: "rare".into(), adapter: None }
+    ModelTarget { service: "draft".into(), model: "rare".into(), adapter: None, version: None }
 }
 
 fn queued(waiting: u32, avoid: &[&str]) -> DemandReport {
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -228,6 +228,7 @@
     directory.suspend("a", ms(0));
     let send_permits = SendPermits::new();
     let chooser = Chooser {
+        version: None,
         send_permits: &send_permits,
         directory: &directory,
         inventories: &EngineInventories::default(),
@@ -239,7 +240,8 @@
         load_uncertainty: 1.0,
         random: 0.0,
     };
-    let target = ModelTarget { service: "draft".into(), model: "m1".into(), adapter: None };
+    let target =
+        ModelTarget { service: "draft".into(), model: "m1".into(), adapter: None, version: None };
     assert!(matches!(chooser.choose_engine(&target, &[]), EngineChoice::NotLoaded));
     assert!(chooser.has_copy(&target));
     let other = ModelTarget { model: "m2".into(), ..target };
