serve: a stream goes on only at a server that is still the instance of its entry

A server may start again under its id and address with another version; it accepts requests that name its id.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -66,3 +66,4 @@
 pub mod transfer_slots;
 pub mod trials;
 pub mod unanswered;
+pub mod verify_instance;
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -27,6 +27,7 @@
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
 use crate::serve::suspects;
+use crate::serve::verify_instance::verify_instance;
 
 /// Largest response other than a stream.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -129,6 +130,9 @@
     let id = attempt.caller_headers.attempt.clone();
     let daemon = Rc::clone(daemon);
     Box::pin(async move {
+        if resume.is_some() {
+            verify_instance(&daemon, &server).await?;
+        }
         let response = send::send(&daemon, &server, id.as_ref(), request).await?;
         if let Some(send) = &mut brittle_send {
             send.mark_answered();
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// The server is another instance than the request is meant for, or may be; nothing was sent.
+    pub fn unverified(reason: &'static str) -> Self {
+        Self { delivered: false, ..Self::not_run(reason) }
+    }
+
     /// A healthy server reported that the request did not run.
     fn not_run(reason: &'static str) -> Self {
         let verdict = Verdict::DidNotRun;
