--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -74,10 +74,16 @@
     // A server never changes its service. An entry that another writer put under its id, with a greater
     // heartbeat, would hide all later entries of the server itself.
     let directory = daemon.directory.borrow();
-    match directory.get(key).filter(|known| known.service != server.service) {
-        Some(known) => Err(FormatError(format!("its service was {} before", known.service))),
-        None => Ok(server),
+    let Some(known) = directory.get(key) else { return Ok(server) };
+    if known.service != server.service {
+        return Err(FormatError(format!("its service was {} before", known.service)));
     }
+    // Nor does one instance change its software version, which is unknown before the instance's first entry.
+    let is_same = known.born.is_some() && known.born == server.born;
+    if is_same && !known.version.is_empty() && known.version != server.version {
+        return Err(FormatError(format!("its software version was {} before", known.version)));
+    }
+    Ok(server)
 }
 
 /// Applies one server's entry, or its removal if `value` is `None`.
