soak: rolling releases of engines, and callers that take up interrupted streams

Engines state a software version; at random a release replaces all of them in turn, and a server that restarts has the newest version. Callers resume streams at random daemons and check that all events of a stream come from one version.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::resumed_streams;
 use comfreymux_platform_testutils::caller::Ask;
 use comfreymux_platform_testutils::caller::event_ids;
 use comfreymux_platform_testutils::http::Message;
@@ -71,6 +72,8 @@
     pub faults: RefCell<Vec<String>>,
     /// Good responses and all responses since the counts were reset; a missing response counts as not good.
     pub responses: Cell<(u64, u64)>,
+    /// Tries for interrupted streams that were answered with events, and all such tries.
+    pub resumed: Cell<(u32, u32)>,
     /// Whether graceful stops are the only fault injected now.
     pub only_stops: Cell<bool>,
     /// Attempts during `only_stops` whose connection closed without a response.
@@ -122,6 +125,9 @@
         match timeout(limit, exchange).await {
             Ok(Some((wire, answer))) => {
                 check_response(&seen, &attempt, kind, &answer);
+                if kind == Kind::Draft && answer.status() == 200 {
+                    resumed_streams::check_stream(&seen, &fronts, &ask, &answer).await;
+                }
                 if had_only_stops && seen.only_stops.get() && answer.status() == UNKNOWN_OUTCOME {
                     let fault = format!("{attempt} {kind:?} was left in doubt by a planned stop");
                     seen.faults.borrow_mut().push(fault);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod process;
 mod proxy;
+mod resumed_streams;
 mod socket_owner;
 mod world;
 
@@ -108,6 +109,7 @@
     let mut again = ChaCha8Rng::seed_from_u64(!seed.rotate_left(32));
     let mut notices = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     let mut cuts = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    let mut releases = ChaCha8Rng::seed_from_u64(!seed.rotate_left(16));
     let began = Instant::now();
     while began.elapsed() < time {
         plan::inject_fault(&world, &mut rng).await;
@@ -116,6 +118,7 @@
         plan::restart(&world, &mut again).await;
         plan::inject_notices(&world, &mut notices);
         plan::inject_cut(&world, &mut cuts);
+        plan::roll_release(&world, &mut releases);
         let pause = Duration::from_millis(rng.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
@@ -135,8 +138,10 @@
     }
     let attempts = outcome.attempts.borrow().len();
     let crashes = crashes(&world);
-    let summary =
-        format!("{attempts} requests, {good} of {all} good after recovery, crashes {crashes:?}");
+    let (resumed, tries) = outcome.resumed.get();
+    let summary = format!(
+        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, crashes {crashes:?}"
+    );
     Ok((faults, summary))
 }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -129,6 +129,30 @@
     });
 }
 
+/// Probability that a rolling release of all engines begins with an injected fault.
+const RELEASE_PROBABILITY: f64 = 0.4;
+
+/// Begins a rolling release with probability [`RELEASE_PROBABILITY`], unless one is in progress: engines of the next
+/// software version replace all others, one after the other.
+///
+/// Uses a random generator of its own, as [`inject_bad_responses`] does.
+pub fn roll_release(world: &Rc<World>, rng: &mut ChaCha8Rng) {
+    let pause = Duration::from_millis(rng.random_range(100..1500));
+    if !rng.random_bool(RELEASE_PROBABILITY) || world.is_releasing.replace(true) {
+        return;
+    }
+    world.release.set(world.release.get() + 1);
+    world.note(&format!("release version={} pause={pause:?}", world.release.get()));
+    let world = Rc::clone(world);
+    spawn_local(async move {
+        while let Some(index) = world.outdated_engine() {
+            world.leave(index).await;
+            sleep(pause).await;
+        }
+        world.is_releasing.set(false);
+    });
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::callers::EVENTS;
 use crate::process::Daemon;
 use crate::proxy::Cut;
 use crate::proxy::Proxy;
@@ -35,6 +36,9 @@
 /// Time that an engine takes to load a model.
 const LOAD_TIME: Duration = Duration::from_millis(300);
 
+/// Time between two events: faults interrupt some streams.
+const EVENT_GAP: Duration = Duration::from_millis(20);
+
 /// Number of processes and servers in a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -71,6 +75,10 @@
     pub removed: RefCell<Vec<Rc<ServerStandin>>>,
     /// Whether a daemon is cut off from all servers.
     pub is_cut: Cell<bool>,
+    /// Number of the engines' newest software version.
+    pub release: Cell<u64>,
+    /// Whether engines are being replaced by those of the newest version.
+    pub is_releasing: Cell<bool>,
     version: Cell<u64>,
     number: Cell<u64>,
     started_at: Instant,
@@ -121,6 +129,8 @@
             crashed_since: RefCell::default(),
             removed: RefCell::default(),
             is_cut: Cell::default(),
+            release: Cell::default(),
+            is_releasing: Cell::default(),
             version: Cell::new(1),
             number: Cell::new(0),
             started_at: Instant::now(),
@@ -156,6 +166,10 @@
         let id = format!("s{number}");
         let (runs, fatal) = (&self.runs, &self.fatal);
         let server = ServerStandin::start(&id, service, "north", engine, runs, fatal).await?;
+        if is_engine {
+            server.events.set((EVENTS, EVENT_GAP));
+            *server.version.borrow_mut() = self.newest_version();
+        }
         let proxy = Proxy::start(server.addr).await?;
         server.listed.set(proxy.addr);
         self.list(&server);
@@ -238,6 +252,10 @@
         match server.start_again(server.addr).await {
             Ok(again) => {
                 again.listed.set(server.listed.get());
+                if again.engine.is_some() {
+                    *again.version.borrow_mut() = self.newest_version();
+                    again.events.set((EVENTS, EVENT_GAP));
+                }
                 self.list(&again);
                 // The list of servers may have changed while this waited for the port.
                 let mut servers = self.servers.borrow_mut();
@@ -271,6 +289,18 @@
         });
     }
 
+    fn newest_version(&self) -> String {
+        format!("v{}", self.release.get())
+    }
+
+    /// Returns the place of an engine that does not have the newest software version; `None` if all have.
+    pub fn outdated_engine(&self) -> Option<usize> {
+        let newest = self.newest_version();
+        let is_outdated =
+            |s: &Rc<ServerStandin>| s.engine.is_some() && *s.version.borrow() != newest;
+        self.servers.borrow().iter().position(is_outdated)
+    }
+
     /// Sends a signal to a daemon.
     pub fn signal(&self, daemon: usize, signal: Signal) {
         self.daemons[daemon].borrow_mut().signal(signal);
