--- a/lib/tests/test_planner.rs
+++ b/lib/tests/test_planner.rs
@@ -1,5 +1,6 @@
 //! Tests which engine loads which model: as soon as possible for waiting requests, and never beyond an engine's memory.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use comfreymux_lib::cluster::digest::DemandReport;
@@ -340,3 +341,18 @@
         }
     }
 }
+
+/// Guards against a stream that waits for its model at an engine of its software version while the lease holder counts
+/// on an engine of another one.
+#[rstest]
+#[case::held_elsewhere("v1", Some("e1"))]
+#[case::held("v2", None)]
+#[case::no_server("v3", None)]
+fn version_served(#[case] version: &str, #[case] server: Option<&str>) {
+    let mut site = Site::new(&[("a", 70_000, 0), ("rare", 70_000, 0)]);
+    site.engine("e1", &["a"], &["rare"]);
+    let engine = site.engine("e2", &["a", "rare"], &[]);
+    Rc::get_mut(&mut engine.server).expect("one reference").version = "v2".into();
+    site.add_stream("rare", version);
+    assert_eq!(load_of(&site.plan(), "rare").map(|(id, ..)| id), server);
+}
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -13,6 +13,7 @@
 use comfreymux_lib::cluster::digest::ArrivalCount;
 use comfreymux_lib::cluster::digest::DemandReport;
 use comfreymux_lib::cluster::digest::QueuedDemand;
+use comfreymux_lib::cluster::digest::VersionDemand;
 use comfreymux_lib::cluster::directory::LoadedModel;
 use comfreymux_lib::cluster::directory::Server;
 use comfreymux_lib::cluster::directory::WeightCopies;
@@ -141,6 +142,21 @@
         self.demand.update(&format!("d-{model}").into(), report, NOW);
     }
 
+    /// Adds one queued stream that only servers of a software version can continue.
+    pub fn add_stream(&mut self, model: &str, version: &str) {
+        let queued = QueuedDemand {
+            service: SERVICE.into(),
+            model: model.into(),
+            adapter: None,
+            waiting: 1,
+            remaining_ms: 10_000,
+            due_ms: 4_000,
+            avoid: Vec::new(),
+        };
+        let demand = VersionDemand { version: version.into(), queued };
+        self.demand.update_versions(&format!("d-{model}").into(), vec![demand], NOW);
+    }
+
     /// Sets the arrival rate of a model's requests, per second.
     pub fn busy(&mut self, model: &str, rate: u32) {
         self.add_arrivals(model, rate * 6);
