--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
 use std::time::Duration;
@@ -460,15 +459,6 @@
         self.model_waits.inventories_changed.notify_waiters();
     }
 
-    /// Sends a datagram to another daemon, and counts its bytes as of `kind`.
-    pub fn send_datagram(&self, to: SocketAddr, bytes: &[u8], kind: &'static str) {
-        let sender = self.datagrams.borrow().as_ref().and_then(Weak::upgrade);
-        // A datagram that cannot be sent now is dropped, like one that is lost on the way.
-        if sender.is_some_and(|sender| sender.send(to, bytes)) {
-            self.metrics.record_control_bytes(kind, bytes.len());
-        }
-    }
-
     /// Calls `f` with a [`Chooser`] that borrows the current state and chooses among servers of a software version, or
     /// all with `None`.
     pub fn with_chooser<T>(
