placement: unanswered orders are no evidence against an engine while own links are in doubt

A lease holder whose links to engines are cut gives up an order after three tries without a response, and then counted the engine as unreachable for its callers' requests too, though peers relayed these to the engine: no engine for 0.4 to 0.5 s after each order in vain. The engine is left alone by the plan as before (backoff, unconfirmed).

--- a/lib/src/cluster/server_paths.rs
+++ b/lib/src/cluster/server_paths.rs
@@ -36,6 +36,12 @@
     broken: u32,
 }
 
+impl Path {
+    fn was_relayed(&self, now: Moment) -> bool {
+        self.relayed_until > Moment::ZERO && now < self.relayed_until + EVIDENCE_TIME
+    }
+}
+
 /// The paths to servers that this daemon does not, or did not lately, reach over its own links.
 #[derive(Debug, Default)]
 pub struct ServerPaths {
@@ -111,11 +117,13 @@
 
     /// Returns whether this daemon reaches no server at all, while peers reach several.
     pub fn is_cut(&self, now: Moment) -> bool {
-        let is_recent = |path: &&Path| {
-            path.relayed_until > Moment::ZERO && now < path.relayed_until + EVIDENCE_TIME
-        };
         now > self.last_response + CUT_TIME
-            && self.paths.values().filter(is_recent).count() >= MIN_RELAYED
+            && self.paths.values().filter(|path| path.was_relayed(now)).count() >= MIN_RELAYED
+    }
+
+    /// Returns whether a connection to any server was relayed lately, so that this daemon's own links are in doubt.
+    pub fn has_relayed(&self, now: Moment) -> bool {
+        self.paths.values().any(|path| path.was_relayed(now))
     }
 
     /// Records that peers could not relay to a server.
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -179,7 +179,10 @@
                     slog::info!(self.daemon.log, "order-given-up"; "server" => %server,
                         "expect" => order.expected_sequence, "tries" => tries);
                     let target = self.target(server)?;
-                    self.daemon.record_health(&target.service, server, Evidence::Unreachable);
+                    // Orders are never relayed, so a cut link of this daemon says nothing about the engine.
+                    if !self.daemon.server_paths.borrow().has_relayed(self.daemon.now()) {
+                        self.daemon.record_health(&target.service, server, Evidence::Unreachable);
+                    }
                     return Err(OrderFailure::Silent);
                 }
             }
