cluster: daemons tell each other servers' rejection limits

Trace: at the beginning of the rush four of six daemons had not heard of the second server's limit, in 8 of 8 runs, though the test takes it that all have; each of them may send it requests without a limit. The same after ten seconds for a daemon without a share, which hears nothing.

Change: a limit that a server tells is sent to all daemons at once and every three seconds; a daemon's own recent knowledge goes first.

--- a/lib/src/cluster/brittle_servers.rs
+++ b/lib/src/cluster/brittle_servers.rs
@@ -27,6 +27,8 @@
     /// Requests that the server may turn away in a second.
     limit: u32,
     said_at: Moment,
+    /// When the server last said so to this daemon itself.
+    heard_at: Option<Moment>,
     /// When it turned requests of this daemon away, within `REFUSAL_TIME`.
     refusals: VecDeque<Moment>,
     /// Requests of this daemon that the server has, as far as known.
@@ -100,6 +102,25 @@
         let entry = entries.entry(server.clone()).or_default();
         entry.limit = limit;
         entry.said_at = now;
+        entry.heard_at = Some(now);
+    }
+
+    /// Records a limit that a server told a peer, unless it told this daemon lately.
+    pub fn record_peer(&self, server: &ServerInstance, limit: u32, now: Moment) {
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.entry(server.clone()).or_default();
+        entry.said_at = now;
+        if entry.heard_at.is_none_or(|heard| now > heard + EXPIRY) {
+            entry.limit = limit;
+        }
+    }
+
+    /// Returns the limits that servers told this daemon lately, for its peers.
+    pub fn own_limits(&self, now: Moment) -> Vec<(ServerInstance, u32)> {
+        let entries = self.entries.borrow();
+        let is_own = |entry: &Entry| entry.heard_at.is_some_and(|heard| now <= heard + EXPIRY);
+        let own = entries.iter().filter(|(_, entry)| is_own(entry));
+        own.map(|(server, entry)| (server.clone(), entry.limit)).collect()
     }
 
     /// Records that a server turned a request away.
--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -165,6 +165,8 @@
     Trials(Vec<TrialReport>),
     /// The sender's demand of streams that only servers of one software version can continue.
     VersionDemand(Vec<VersionDemand>),
+    /// Requests that servers may turn away in a second before they fail, as they told the sender.
+    RejectionLimits(Vec<(ServerInstance, u32)>),
 }
 
 /// Version number of the datagram format; increment it whenever these types change, except for a variant of [`Payload`]
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -133,6 +133,8 @@
     pub report_due: Notify,
     /// Signalled when a server announced in a response that it is leaving, which must be sent to peers at once.
     pub departure_heard: Notify,
+    /// Signalled when a server told this daemon a new rejection limit, which must be sent to peers at once.
+    pub limit_heard: Notify,
     /// Signalled when a crash report or quarantine must be sent to peers at once.
     pub quarantine_changed: Notify,
     /// Signalled when a digest or reader report shows that state must be fetched from a peer.
@@ -241,6 +243,7 @@
             freshness: Freshness::default(),
             report_due: Notify::new(),
             departure_heard: Notify::new(),
+            limit_heard: Notify::new(),
             quarantine_changed: Notify::new(),
             fetch_due: Notify::new(),
             lease: RefCell::new(lease),
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -53,6 +53,8 @@
     pub(super) last_digest: Cell<Moment>,
     /// When this daemon, as lease holder, last sent its digest to all daemons of a large fleet.
     pub(super) last_broadcast: Cell<Moment>,
+    /// When this daemon last told its peers the rejection limits of servers.
+    pub(super) last_limits: Cell<Moment>,
     /// Number of digests published; wraps around.
     pub(super) digest_round: Cell<u64>,
 }
@@ -63,8 +65,15 @@
         let socket = Rc::new(socket);
         let sender: Rc<dyn DatagramSender> = Rc::<UdpSocket>::clone(&socket);
         *daemon.datagrams.borrow_mut() = Some(Rc::downgrade(&sender));
-        let (malformed, last_digest, last_broadcast, digest_round) = <_>::default();
-        Rc::new(Self { daemon, socket, malformed, last_digest, last_broadcast, digest_round })
+        Rc::new(Self {
+            daemon,
+            socket,
+            malformed: Cell::default(),
+            last_digest: Cell::default(),
+            last_broadcast: Cell::default(),
+            last_limits: Cell::default(),
+            digest_round: Cell::default(),
+        })
     }
 
     pub(super) fn encode(&self, content: Payload) -> Vec<u8> {
@@ -138,6 +147,12 @@
             Payload::ReaderReport(report) => {
                 self.apply_reader_report(&message.from, addr, message.process, report);
             }
+            Payload::RejectionLimits(limits) => {
+                let known = daemon.directory.borrow();
+                for (server, limit) in limits.iter().filter(|(s, _)| known.is_current(s)) {
+                    daemon.brittle_servers.record_peer(server, *limit, now);
+                }
+            }
             Payload::VersionDemand(reports) => {
                 if daemon.fence().is_some() {
                     daemon.demand.borrow_mut().update_versions(&message.from, reports, now);
--- a/lib/src/serve/publish.rs
+++ b/lib/src/serve/publish.rs
@@ -28,6 +28,10 @@
 const MIN_DEMAND_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between demand reports while no request begins to wait.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between messages with rejection limits; several arrive before a limit that is not renewed expires.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(3);
+/// Most rejection limits in one message, which then fits into an Ethernet frame.
+const LIMITS_PER_MESSAGE: usize = 40;
 /// Most inventories in one message; further ones are sent in more messages.
 const INVENTORIES_PER_MESSAGE: usize = 24;
 /// Most bytes of joined servers' entries in one reader report. If more servers joined at once, peers fetch a full
@@ -151,6 +155,7 @@
                 () = self.daemon.report_due.notified() => self.send_reader_reports(),
                 () = self.daemon.quarantine_changed.notified() => self.send_digest(false),
                 () = self.daemon.departure_heard.notified() => self.send_digest(false),
+                () = self.daemon.limit_heard.notified() => self.send_limits(),
                 () = self.daemon.trials.changed.notified() => {
                     self.daemon.model_waits.inventories_changed.notify_waiters();
                     self.send_trials();
@@ -198,11 +203,28 @@
             }
         }
         self.send_reader_reports();
+        if now >= self.last_limits.get() + LIMITS_INTERVAL {
+            self.send_limits();
+        }
         if !self.daemon.trials.own().is_empty() {
             self.send_trials();
         }
     }
 
+    /// Sends the rejection limits that servers told this daemon to all daemons: one that has not heard of a limit would
+    /// send that server requests without any.
+    fn send_limits(&self) {
+        let now = self.daemon.now();
+        self.last_limits.set(now);
+        let limits = self.daemon.brittle_servers.own_limits(now);
+        for part in limits.chunks(LIMITS_PER_MESSAGE) {
+            let bytes = self.encode(Payload::RejectionLimits(part.to_vec()));
+            for (_, peer) in self.daemon.peers.borrow().all() {
+                self.send(peer.addr, &bytes, "limits");
+            }
+        }
+    }
+
     /// Sends the suspected requests at this daemon to all daemons: each must know them before it sends a copy of one.
     fn send_trials(&self) {
         let bytes = self.encode(Payload::Trials(self.daemon.trials.own()));
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -116,6 +116,7 @@
         let known = self.brittle_servers.limit(server);
         self.brittle_servers.record_response(server, headers.brittle, self.now());
         if known != headers.brittle {
+            self.limit_heard.notify_one();
             slog::info!(self.log, "server-brittle"; "server" => %server,
                 "limit" => headers.brittle.map_or(-1, i64::from));
         }
