--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -173,9 +173,8 @@
         self.directory.servers().filter(move |s| self.is_eligible(s, service) && !s.leaving)
     }
 
-    /// Returns whether the service has a server that may be chosen now or later. A server of the required software
-    /// version that is leaving or unreachable will not take requests again soon, while others of its version may be
-    /// gone for good.
+    /// Returns whether a wait may help because the service has a server that may be chosen later. Leaving and
+    /// unreachable servers do not count if a software version is required: no load makes up for them.
     fn has_server(&self, service: &str) -> bool {
         let mut servers = self.directory.all_servers().filter(|s| self.is_eligible(s, service));
         match self.version {
