tests: rigs keep the daemons' log lines, shown when a test fails

A rig test that failed once left nothing to trace it by: both rigs wrote the daemons' lines to nowhere. They are printed now, so the test harness shows them for a failed test and drops them otherwise. The demo keeps its quiet rig.

--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -197,6 +197,26 @@
     LineLog::with_output(io::stdout())
 }
 
+/// Prints with `print!`, whose output a test harness captures.
+struct PrintWriter;
+
+impl io::Write for PrintWriter {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        print!("{}", String::from_utf8_lossy(buf));
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Creates a logger for tests: the test harness shows the lines of a test that fails.
+pub fn to_test_output() -> Logger {
+    let drain = LineDrain { writer: Mutex::new(PrintWriter) };
+    Logger::root(drain.ignore_res(), slog::o!())
+}
+
 /// Creates a logger that discards all lines.
 pub fn to_nowhere() -> Logger {
     Logger::root(slog::Discard, slog::o!())
--- a/lib/testutils/src/rig.rs
+++ b/lib/testutils/src/rig.rs
@@ -76,7 +76,7 @@
 
 impl Default for Rig {
     fn default() -> Self {
-        Self::new(logging::to_nowhere())
+        Self::new(logging::to_test_output())
     }
 }
 
--- a/tools/src/demo.rs
+++ b/tools/src/demo.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use comfreymux_lib::event::EditAnswer;
+use comfreymux_lib::logging;
 use comfreymux_lib::node::ControlInput;
 use comfreymux_lib::table::Edit;
 use comfreymux_lib::table::Row;
@@ -39,7 +40,7 @@
 ///
 /// Writing to `out` failed.
 pub fn run(out: &mut dyn Write) -> io::Result<u32> {
-    let rig = Rig::default();
+    let rig = Rig::new(logging::to_nowhere());
     let mut demo = Demo { out, rig, broken: 0 };
     demo.start()?;
     demo.burst()?;
