quarantine: a trial ends once its crash is recorded

Seen: four or five servers crashed under one request in 5 of 60 runs of bystanders_served (eight at once); in outputs of failed runs the next copy left between the failure of one and the record of its crash, for instance f17 failed at .714, f23 sent at .716, third crash recorded at .735.

Cause: the trial of a suspect ended when its send failed, and only then the daemon asked whether the server refuses connections (its own connection, then peers: 6 to 20 ms there, up to 350 ms). The next copy was sent with a crash too few known.

Change: the trial ends with the check. The check is a task of its own, since it was also lost with a caller who left in between. A failover keeps the trial, at the server that has the request; the first event is recorded before the trial ends.

Tests, both failing before: copy_after_record (5 crashes, 3 of 3 runs; 3 now) and left_in_check (no crash known, 3 of 3 runs). Ruled out by copy_after_record: the supposed late report of a peer, as there is one daemon only.

--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -98,7 +98,7 @@
     pub reason: &'static str,
     /// Time spent waiting for a model.
     pub model_wait: Duration,
-    /// Trial of the request while it is a suspect; `None` otherwise.
+    /// Trial of the request while it is a suspect; `None` once its outcome is recorded.
     pub trial: Option<Trial>,
     /// Time of the last send.
     pub sent_at: Moment,
@@ -255,8 +255,13 @@
         }
         self.first_event = Some(first);
         self.unproven_since = Some(first);
-        self.trial = None;
         daemon.record_progress(self, RequestProgress::FirstEvent);
+        self.end_trial();
+    }
+
+    /// Ends the trial of a suspect, so that its next copy may be sent: whether a server crashed is recorded by now.
+    pub fn end_trial(&mut self) {
+        self.trial = None;
     }
 
     /// Returns the tried servers and the server of the last send.
@@ -291,6 +296,7 @@
         self.last_server = origin.server;
         self.last_version = origin.version;
         self.sending = true;
+        self.assign_trial();
     }
 
     /// Records a send to a chosen server.
@@ -305,6 +311,14 @@
         self.queue_wait = chosen.queue_wait;
         self.cost = chosen.cost;
         self.candidate_count = chosen.candidate_count;
+        self.assign_trial();
+    }
+
+    /// Records that the trial of a suspect is at the server of the last send.
+    fn assign_trial(&self) {
+        if let (Some(trial), Some(server)) = (&self.trial, &self.last_server) {
+            trial.assign(server.clone());
+        }
     }
 
     /// Returns the refusal for a cancelled request; its verdict states whether the request may have run.
@@ -318,7 +332,6 @@
     /// Records a failed send, and what it shows about the server's health and models.
     pub fn record_failure(&mut self, daemon: &DaemonState, failure: &SendFailure) {
         self.sending = false;
-        self.trial = None;
         self.reason = failure.reason;
         self.failed_deliveries += u32::from(failure.delivered);
         self.verdict = self.verdict.combine(failure.verdict);
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -83,6 +83,7 @@
                     return Ok(OpenOutcome::Whole(head, body));
                 }
                 attempt.record_failure(daemon, &SendFailure::may_have_run("the server failed"));
+                attempt.end_trial();
                 if !attempt.may_retry(daemon.now()) {
                     return Ok(OpenOutcome::Whole(head, body));
                 }
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -191,7 +191,7 @@
     /// Records that the server failed, and checks whether it crashed.
     async fn record_failure(&mut self, failure: &SendFailure) {
         self.attempt.record_failure(&self.daemon, failure);
-        suspects::check_for_crash(&self.daemon, &self.attempt, failure).await;
+        suspects::check_for_crash(&self.daemon, &mut self.attempt, failure).await;
     }
 
     /// Sends the request to another server, to resume after the event `after`, if the route, the attempt and the retry
@@ -246,6 +246,7 @@
                 Ok(OpenOutcome::Whole(..)) => {
                     let failure = SendFailure::may_have_run("the server did not resume the stream");
                     self.attempt.record_failure(&self.daemon, &failure);
+                    self.attempt.end_trial();
                 }
                 Err(failure) => self.record_failure(&failure).await,
             }
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::boot_clock::Moment;
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::quarantine::HOLD_TIME;
 use crate::cluster::quarantine_report::CrashId;
@@ -25,6 +26,7 @@
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
 use crate::serve::store_calls::track_call;
+use crate::serve::trials::Trial;
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
@@ -78,20 +80,47 @@
     }
 }
 
-/// Checks after a failed send whether the server crashed; if so, records that the request may have caused it.
+/// A request that a server had when the connection to it ended.
+#[derive(Debug)]
+struct Exposure {
+    fingerprint: Fingerprint,
+    server: ServerInstance,
+    sent_at: Moment,
+    stage: CrashStage,
+}
+
+/// Checks after a failed send whether the server crashed; if so, records that the request may have caused it. Either way
+/// the trial of a suspect ends.
 ///
 /// A crashed server refuses connections. One that only dropped this connection, sends wrong responses or is
 /// unreachable does not, and one that is leaving ends as planned.
-pub async fn check_for_crash(daemon: &Rc<DaemonState>, attempt: &Attempt, failure: &SendFailure) {
+pub async fn check_for_crash(
+    daemon: &Rc<DaemonState>,
+    attempt: &mut Attempt,
+    failure: &SendFailure,
+) {
+    let trial = attempt.trial.take();
     let (Some(disconnect), Some(server)) = (failure.disconnect, attempt.last_server.clone()) else {
         return;
     };
-    let Some(addr) = active_addr(daemon, &server) else { return };
     let stage = crash_stage(daemon, attempt, disconnect);
-    let is_known = daemon.quarantine.borrow().has_crashed(&server, attempt.sent_at);
-    if is_known || refuses_connections(daemon, &server, addr).await {
-        record_crash(daemon, attempt, &server, stage);
+    let (fingerprint, sent_at) = (attempt.fingerprint, attempt.sent_at);
+    let exposure = Exposure { fingerprint, server, sent_at, stage };
+    // A task of its own: the caller may leave before the check is over.
+    let check = spawn_local(record_if_crashed(Rc::clone(daemon), exposure, trial));
+    let result = check.await;
+    debug_assert!(result.is_ok(), "the check neither panics nor is aborted");
+}
+
+/// Records a crash of the server if there was one. The trial ends afterwards, so that the next copy of the request is sent
+/// with the crash known.
+async fn record_if_crashed(daemon: Rc<DaemonState>, exposure: Exposure, trial: Option<Trial>) {
+    let Some(addr) = active_addr(&daemon, &exposure.server) else { return };
+    let is_known = daemon.quarantine.borrow().has_crashed(&exposure.server, exposure.sent_at);
+    if is_known || refuses_connections(&daemon, &exposure.server, addr).await {
+        record_crash(&daemon, &exposure);
     }
+    drop(trial);
 }
 
 /// Returns the address of a server instance; `None` if it is leaving or no longer in the directory.
@@ -126,16 +155,10 @@
     }
 }
 
-fn record_crash(
-    daemon: &Rc<DaemonState>,
-    attempt: &Attempt,
-    server: &ServerInstance,
-    stage: CrashStage,
-) {
-    let fingerprint = attempt.fingerprint;
+fn record_crash(daemon: &Rc<DaemonState>, exposure: &Exposure) {
+    let Exposure { fingerprint, ref server, sent_at, stage } = *exposure;
     let mut quarantine = daemon.quarantine.borrow_mut();
-    let is_held =
-        quarantine.record_crash(server, attempt.sent_at, fingerprint, stage, daemon.now());
+    let is_held = quarantine.record_crash(server, sent_at, fingerprint, stage, daemon.now());
     let crashes = quarantine.suspected_crashes(&fingerprint).len();
     drop(quarantine);
     if stage < CrashStage::Other || crashes > 1 {
--- a/lib/src/serve/trials.rs
+++ b/lib/src/serve/trials.rs
@@ -46,7 +46,7 @@
     pub changed: Rc<Notify>,
 }
 
-/// A trial of this daemon; it ends when this is dropped.
+/// A trial of this daemon; it ends when this is dropped, which must not happen before its outcome is recorded.
 #[derive(Debug)]
 pub struct Trial {
     trials: Trials,
