quarantine: a suspect claims its engine before it is sent

So no crash had a sole suspect, three crashes did not hold the request, and the fourth copy went off half a second later.

Cause: all suspects of one crash wait from that crash on, and their daemons choose by the same order at the same instant, before either hears of the other.

Change: a daemon claims an engine, tells its peers (three times in 30 ms, as datagrams are lost), and sends only if no peer's claim comes first: two suspects are ranked by fingerprint and engine, two copies by fingerprint and daemon, and what is sent comes before any claim. It replaces a random delay of 30 to 60 ms, so a suspect waits 60 ms in place of 30 to 60. Failover of a suspect leaves out engines that have another one.

--- a/lib/src/serve/failover.rs
+++ b/lib/src/serve/failover.rs
@@ -159,7 +159,10 @@
         return None;
     }
     let model_target = attempt.model_target();
-    let tried = attempt.all_tried();
+    let mut tried = attempt.all_tried();
+    if attempt.trial.is_some() {
+        tried.extend(daemon.trials.occupied_servers(daemon.now()));
+    }
     let chosen = daemon.with_chooser(attempt.version(), |c| {
         c.choose_available(&attempt.service, model_target.as_ref(), &tried)
     })?;
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::RngExt as _;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -24,6 +23,8 @@
 use crate::serve::server_feedback::RATE_LIMITED;
 use crate::serve::server_feedback::retry_after;
 use crate::serve::suspects::QUARANTINED_REASON;
+use crate::serve::trials::Claim;
+use crate::serve::trials::REPORT_DELAY;
 use crate::verdict::Verdict;
 
 /// Retry time given to a caller when no better estimate is available.
@@ -34,9 +35,6 @@
 const ORDER_TIME: Duration = Duration::from_millis(700);
 /// Delay before a request is sent again to engines that all refused it.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(80);
-/// Longest random delay before a trial, so that suspects of one crash do not start at the same time: a few times
-/// the one-way delay of a datagram between data centres.
-const MAX_TRIAL_DELAY: Duration = Duration::from_millis(60);
 /// Time within which another engine must be found for an interrupted stream.
 pub const RESUME_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -67,12 +65,16 @@
             return Err(refusal);
         }
         match select_engine(daemon, attempt, &model_target) {
-            EngineChoice::Server(chosen) => {
+            Selection::Server(chosen) => {
                 attempt.model_wait += daemon.now().saturating_sub(began);
                 return admit(daemon, attempt, chosen);
             }
-            EngineChoice::NoServer => return Err(no_server(daemon, attempt)),
-            EngineChoice::NotLoaded => {}
+            Selection::NoServer => return Err(no_server(daemon, attempt)),
+            Selection::Claimed(left) => {
+                let _notified = timeout(left, changed).await;
+                continue;
+            }
+            Selection::NotLoaded => {}
         }
         let now = daemon.now();
         let caller_timeout = attempt.deadline.min(attempt.arrived + attempt.route.stall_timeout());
@@ -116,9 +118,8 @@
 
 /// Waits until the trial of a suspect may start; returns at once if the request is no suspect.
 ///
-/// Without this wait, all daemons would send the suspects of a crash to the next engine at the same time, before any daemon
-/// could report that one is there. Attempts at one request are tried one at a time across all daemons. A request that
-/// would be quarantined after one more crash also waits until the other suspects of its last crash have had time to
+/// Attempts at one request are tried one at a time across all daemons, which must have reported them before. A request
+/// that would be quarantined after one more crash also waits until the other suspects of its last crash have had time to
 /// be cleared.
 async fn wait_for_trial(daemon: &Rc<DaemonState>, attempt: &mut Attempt) {
     attempt.trial = None;
@@ -126,19 +127,19 @@
         return;
     }
     attempt.trial = Some(daemon.trials.enqueue(attempt.fingerprint, daemon.now()));
-    sleep(MAX_TRIAL_DELAY.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+    sleep(REPORT_DELAY).await;
     while daemon.now() < attempt.deadline && daemon.quarantine_refusal(attempt).is_none() {
         let changed = daemon.model_waits.inventories_changed.notified();
         let delay = daemon.quarantine.borrow().decision_delay(&attempt.fingerprint, daemon.now());
-        if delay.is_zero() && may_send(daemon, attempt) {
+        if delay.is_zero() && may_claim(daemon, attempt) {
             return;
         }
         let _changed = timeout(delay.max(FULL_RETRY_DELAY), changed).await;
     }
 }
 
-/// Returns whether the request may be sent now: it is no suspect, or its trial is next.
-fn may_send(daemon: &DaemonState, attempt: &mut Attempt) -> bool {
+/// Returns whether the request may claim an engine or be sent now: it is no suspect, or its trial is next.
+fn may_claim(daemon: &DaemonState, attempt: &mut Attempt) -> bool {
     if !daemon.is_suspect(&attempt.fingerprint) {
         attempt.trial = None;
         return true;
@@ -150,27 +151,83 @@
     daemon.trials.is_next(trial, &daemon.settings().id, daemon.now())
 }
 
-/// Chooses an engine. A suspect gets one only when its trial is next, and never one that has another suspect.
+/// Result of the selection of an engine.
+#[derive(Debug)]
+enum Selection {
+    /// The request may be sent to this engine now.
+    Server(ChosenServer),
+    /// An engine is claimed for the suspect, for this time until it may be sent.
+    Claimed(Duration),
+    /// No usable engine holds the model and adapter, or the trial of the suspect is not next.
+    NotLoaded,
+    /// The service has no server.
+    NoServer,
+}
+
+impl From<EngineChoice> for Selection {
+    fn from(choice: EngineChoice) -> Self {
+        match choice {
+            EngineChoice::Server(chosen) => Self::Server(chosen),
+            EngineChoice::NotLoaded => Self::NotLoaded,
+            EngineChoice::NoServer => Self::NoServer,
+        }
+    }
+}
+
+/// Selects an engine. A suspect claims one first, when its trial is next, and never one that has another suspect.
 fn select_engine(
     daemon: &DaemonState,
     attempt: &mut Attempt,
     model_target: &ModelTarget,
-) -> EngineChoice {
-    if !may_send(daemon, attempt) {
-        return EngineChoice::NotLoaded;
+) -> Selection {
+    if let Some(selection) = resolve_claim(daemon, attempt, model_target) {
+        return selection;
+    }
+    if !may_claim(daemon, attempt) {
+        return Selection::NotLoaded;
     }
     let Some(trial) = &attempt.trial else {
-        return daemon
+        let choice = daemon
             .with_chooser(attempt.version(), |c| c.choose_engine(model_target, &attempt.tried));
+        return choice.into();
     };
     let mut excluded = daemon.trials.occupied_servers(daemon.now());
     excluded.extend_from_slice(&attempt.tried);
     let choice =
         daemon.with_chooser(attempt.version(), |c| c.choose_engine(model_target, &excluded));
-    if let EngineChoice::Server(chosen) = &choice {
-        trial.assign(chosen.server.instance());
+    let EngineChoice::Server(chosen) = choice else { return choice.into() };
+    trial.claim(chosen.server.instance(), daemon.now());
+    Selection::Claimed(REPORT_DELAY)
+}
+
+/// Returns the result of the attempt's claim on an engine; `None` if it has none, or no longer.
+fn resolve_claim(
+    daemon: &DaemonState,
+    attempt: &Attempt,
+    model_target: &ModelTarget,
+) -> Option<Selection> {
+    let trial = attempt.trial.as_ref()?;
+    let server = match daemon.trials.claim(trial, &daemon.settings().id, daemon.now()) {
+        Claim::None => return None,
+        Claim::Pending(left) => return Some(Selection::Claimed(left)),
+        Claim::Granted(server) => server,
+        Claim::Lost => {
+            trial.release();
+            return None;
+        }
+    };
+    // The claimed engine is the only one that may be chosen, if it still may.
+    let choice = daemon.with_chooser(attempt.version(), |c| {
+        let others = c.eligible_servers(&model_target.service).map(|s| s.instance());
+        let others: Vec<_> = others.filter(|other| *other != server).collect();
+        c.choose_engine(model_target, &others)
+    });
+    if let EngineChoice::Server(chosen) = choice {
+        trial.assign(server);
+        return Some(Selection::Server(chosen));
     }
-    choice
+    trial.release();
+    None
 }
 
 /// Returns the chosen engine, or a refusal if its queue is too long for the caller.
@@ -339,8 +396,13 @@
             attempt.reason = QUARANTINED_REASON;
             return None;
         }
-        if let EngineChoice::Server(chosen) = select_engine(daemon, attempt, &model_target) {
-            return Some(chosen);
+        match select_engine(daemon, attempt, &model_target) {
+            Selection::Server(chosen) => return Some(chosen),
+            Selection::Claimed(left) => {
+                let _notified = timeout(left, changed).await;
+                continue;
+            }
+            Selection::NotLoaded | Selection::NoServer => {}
         }
         if !daemon
             .with_chooser(attempt.version(), |c| c.has_other(&attempt.service, &attempt.tried))
--- a/lib/src/serve/publish.rs
+++ b/lib/src/serve/publish.rs
@@ -23,6 +23,7 @@
 use crate::ids::DaemonId;
 use crate::ids::Fence;
 use crate::serve::gossip::Gossip;
+use crate::serve::trials::CLAIM_REPEAT_INTERVAL;
 
 /// Shortest interval between two demand reports.
 const MIN_DEMAND_INTERVAL: Duration = Duration::from_millis(10);
@@ -156,6 +157,7 @@
                 () = self.daemon.quarantine_changed.notified() => self.send_digest(false),
                 () = self.daemon.departure_heard.notified() => self.send_digest(false),
                 () = self.daemon.limit_heard.notified() => self.send_limits(),
+                () = sleep(CLAIM_REPEAT_INTERVAL), if self.daemon.trials.has_claim() => self.send_trials(),
                 () = self.daemon.trials.changed.notified() => {
                     self.daemon.model_waits.inventories_changed.notify_waiters();
                     self.send_trials();
--- a/lib/src/serve/trials.rs
+++ b/lib/src/serve/trials.rs
@@ -1,5 +1,8 @@
 //! Trials of suspected requests. An engine gets one suspect at a time, so that a crash shows which of them caused it.
 //! The whole fleet sends one copy of each at a time, so that a fatal one crashes no more than one engine.
+//!
+//! Daemons decide at the same instant, since the suspects of one crash all wait from that crash on. So a daemon claims an
+//! engine first, tells its peers, and sends the request only if no peer's claim comes first.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -14,13 +17,16 @@
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::server_instance::ServerInstance;
 use crate::cluster::trial_report::TrialReport;
+use crate::cluster::trial_report::TrialStage;
 use crate::ids::DaemonId;
 
 /// Time for which a peer's report of its trials is valid: two digests.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(600);
-/// Shortest wait of a suspect. Within it, peers that have copies of the request receive each other's reports: several
-/// one-way delays of a datagram between data centres.
-const MIN_TRIAL_WAIT: Duration = Duration::from_millis(30);
+/// Time within which daemons receive each other's reports: several one-way delays of a datagram between data centres.
+/// A suspect waits this long before it may claim an engine, and a claim before the request is sent.
+pub const REPORT_DELAY: Duration = Duration::from_millis(30);
+/// Interval at which a claim is reported again, since datagrams are lost.
+pub const CLAIM_REPEAT_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Number of a trial; later ones are greater.
 type TrialNumber = u64;
@@ -28,6 +34,8 @@
 #[derive(Debug)]
 struct OwnTrial {
     queued_at: Moment,
+    /// Time of the last claim.
+    claimed_at: Moment,
     report: TrialReport,
 }
 
@@ -53,14 +61,27 @@
     number: TrialNumber,
 }
 
+/// State of a trial's claim on an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// The trial has no claim.
+    None,
+    /// Peers may still report better claims, for this time.
+    Pending(Duration),
+    /// The request may be sent to this engine.
+    Granted(ServerInstance),
+    /// The engine has another suspect, or will get it, or another copy of the request comes first.
+    Lost,
+}
+
 impl Trials {
     /// Queues a suspect for its trial.
     pub fn enqueue(&self, fingerprint: Fingerprint, now: Moment) -> Trial {
         let mut tables = self.tables.borrow_mut();
         tables.last_number += 1;
         let number = tables.last_number;
-        let report = TrialReport { fingerprint, server: None };
-        tables.own.insert(number, OwnTrial { queued_at: now, report });
+        let report = TrialReport { fingerprint, stage: TrialStage::Queued };
+        tables.own.insert(number, OwnTrial { queued_at: now, claimed_at: now, report });
         self.changed.notify_one();
         Trial { trials: self.clone(), number }
     }
@@ -70,6 +91,12 @@
         self.tables.borrow().own.values().map(|own| own.report.clone()).collect()
     }
 
+    /// Returns whether a trial of this daemon has a claim.
+    pub fn has_claim(&self) -> bool {
+        let tables = self.tables.borrow();
+        tables.own.values().any(|own| matches!(own.report.stage, TrialStage::Claimed(_)))
+    }
+
     /// Replaces the trials of a peer; returns whether they changed.
     pub fn update_peer(&self, peer: &DaemonId, reports: Vec<TrialReport>, now: Moment) -> bool {
         let mut tables = self.tables.borrow_mut();
@@ -81,12 +108,12 @@
         is_changed
     }
 
-    /// Returns the servers that have a suspect and must not get another one now.
+    /// Returns the servers that have a suspect or are claimed for one, and must not get another one now.
     pub fn occupied_servers(&self, now: Moment) -> Vec<ServerInstance> {
         let tables = self.tables.borrow();
         let peers = tables.fresh_reports(now).map(|(_, report)| report);
         let own = tables.own.values().map(|own| &own.report);
-        own.chain(peers).filter_map(|report| report.server.clone()).collect()
+        own.chain(peers).filter_map(|report| report.stage.server().cloned()).collect()
     }
 
     /// Returns whether a queued trial of this daemon is the next of all copies of its request: no engine has a copy,
@@ -96,20 +123,53 @@
     /// copies that waited for the same model are not sent all at once.
     pub fn is_next(&self, trial: &Trial, daemon_id: &str, now: Moment) -> bool {
         let tables = self.tables.borrow();
-        let Some(OwnTrial { queued_at, report: TrialReport { fingerprint, .. } }) =
+        let Some(OwnTrial { queued_at, report: TrialReport { fingerprint, .. }, .. }) =
             tables.own.get(&trial.number)
         else {
             return false;
         };
+        let is_queued = |report: &TrialReport| report.stage == TrialStage::Queued;
         let mut own = tables.own.iter().filter(|(_, own)| own.report.fingerprint == *fingerprint);
-        let is_first = own.all(|(n, own)| *n >= trial.number && own.report.server.is_none());
+        let is_first = own.all(|(n, own)| *n >= trial.number && is_queued(&own.report));
         let own_rank = rank(fingerprint, daemon_id);
         let mut copies =
             tables.fresh_reports(now).filter(|(_, report)| report.fingerprint == *fingerprint);
         is_first
-            && now >= *queued_at + MIN_TRIAL_WAIT
-            && copies
-                .all(|(peer, report)| report.server.is_none() && rank(fingerprint, peer) > own_rank)
+            && now >= *queued_at + REPORT_DELAY
+            && copies.all(|(peer, report)| is_queued(report) && rank(fingerprint, peer) > own_rank)
+    }
+
+    /// Returns the state of the claim of a trial of this daemon, `daemon_id`.
+    ///
+    /// Of two claims that conflict, all daemons prefer the same one: two suspects are ranked by the engine, two copies of
+    /// a request by their daemons. A request that has been sent comes before any claim.
+    pub fn claim(&self, trial: &Trial, daemon_id: &str, now: Moment) -> Claim {
+        let tables = self.tables.borrow();
+        let Some(own) = tables.own.get(&trial.number) else { return Claim::None };
+        let TrialStage::Claimed(server) = &own.report.stage else { return Claim::None };
+        let fingerprint = &own.report.fingerprint;
+        let comes_first = |daemon: &str, other: &TrialReport| {
+            let is_copy = other.fingerprint == *fingerprint;
+            match &other.stage {
+                TrialStage::Queued => false,
+                TrialStage::Sent(at) => is_copy || at == server,
+                TrialStage::Claimed(_) if is_copy => {
+                    rank(fingerprint, daemon) < rank(fingerprint, daemon_id)
+                }
+                TrialStage::Claimed(at) => {
+                    at == server && rank(&other.fingerprint, &at.id) < rank(fingerprint, &at.id)
+                }
+            }
+        };
+        let mut others = tables.own.iter().filter(|(number, _)| **number != trial.number);
+        let mut peers = tables.fresh_reports(now);
+        if others.any(|(_, other)| comes_first(daemon_id, &other.report))
+            || peers.any(|(peer, report)| comes_first(peer, report))
+        {
+            return Claim::Lost;
+        }
+        let left = (own.claimed_at + REPORT_DELAY).saturating_sub(now);
+        if left.is_zero() { Claim::Granted(server.clone()) } else { Claim::Pending(left) }
     }
 }
 
@@ -123,21 +183,41 @@
     }
 }
 
-/// Returns a daemon's rank among those that have copies of a request; the lowest comes first.
-fn rank(fingerprint: &Fingerprint, daemon_id: &str) -> u64 {
+/// Returns the rank of a daemon among those that have copies of a request, or of a request among those that claim a
+/// server; the lowest comes first.
+fn rank(fingerprint: &Fingerprint, id: &str) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(fingerprint.key().as_bytes());
-    hasher.update(daemon_id.as_bytes());
+    hasher.update(id.as_bytes());
     hasher.digest()
 }
 
 impl Trial {
-    /// Records the server that gets the request, which ends the wait.
-    pub fn assign(&self, server: ServerInstance) {
+    /// Claims a server for the request; [`Trials::claim`] tells when it may be sent there.
+    pub fn claim(&self, server: ServerInstance, now: Moment) {
         if let Some(own) = self.trials.tables.borrow_mut().own.get_mut(&self.number) {
-            own.report.server = Some(server);
+            own.claimed_at = now;
+        }
+        self.set_stage(TrialStage::Claimed(server));
+    }
+
+    /// Gives up the claim.
+    pub fn release(&self) {
+        self.set_stage(TrialStage::Queued);
+    }
+
+    /// Records the server that gets the request.
+    pub fn assign(&self, server: ServerInstance) {
+        self.set_stage(TrialStage::Sent(server));
+    }
+
+    fn set_stage(&self, stage: TrialStage) {
+        let mut tables = self.trials.tables.borrow_mut();
+        let Some(own) = tables.own.get_mut(&self.number) else { return };
+        if own.report.stage != stage {
+            own.report.stage = stage;
+            self.trials.changed.notify_one();
         }
-        self.trials.changed.notify_one();
     }
 }
 
--- a/lib/tests/test_trials.rs
+++ b/lib/tests/test_trials.rs
@@ -5,6 +5,8 @@
 use comfreymux_lib::boot_clock::Moment;
 use comfreymux_lib::cluster::fingerprint::Fingerprint;
 use comfreymux_lib::cluster::server_instance::ServerInstance;
+use comfreymux_lib::serve::trials::Claim;
+use comfreymux_lib::serve::trials::REPORT_DELAY;
 use comfreymux_lib::serve::trials::Trial;
 use comfreymux_lib::serve::trials::Trials;
 use http::Method;
@@ -70,3 +72,62 @@
     let later = SECOND * 3;
     assert_eq!(next_daemons(&fleet, &copies, later), [0, 1, 2, 3, 4]);
 }
+
+fn suspect(body: &[u8]) -> Fingerprint {
+    Fingerprint::new(&Method::POST, "shop.example", "/draft/7", body)
+}
+
+/// Returns the claims of all daemons' trials.
+fn claims(fleet: &[Trials], trials: &[Trial], now: Moment) -> Vec<Claim> {
+    let all = fleet.iter().zip(trials).zip(names());
+    all.map(|((t, trial), name)| t.claim(trial, &name, now)).collect()
+}
+
+/// Suspects of several daemons were sent to one engine at the same moment, so that its crash did not show
+/// which of them was to blame.
+#[test]
+fn one_claim() {
+    let fleet: Vec<Trials> = (0..5).map(|_| Trials::default()).collect();
+    let bodies = ["a", "b", "c", "d", "e"];
+    let enqueue = |(t, body): (&Trials, &str)| t.enqueue(suspect(body.as_bytes()), SECOND);
+    let trials: Vec<Trial> = fleet.iter().zip(bodies).map(enqueue).collect();
+    let claimed = SECOND * 2;
+    for trial in &trials {
+        trial.claim(ServerInstance::from("e1"), claimed);
+    }
+    assert!(claims(&fleet, &trials, claimed).iter().all(|c| *c == Claim::Pending(REPORT_DELAY)));
+    exchange_reports(&fleet, claimed);
+    let now = claimed + REPORT_DELAY;
+    let all = claims(&fleet, &trials, now);
+    let granted = Claim::Granted(ServerInstance::from("e1"));
+    assert_eq!(all.iter().filter(|c| **c == granted).count(), 1);
+    assert_eq!(all.iter().filter(|c| **c == Claim::Lost).count(), 4);
+}
+
+/// A claim must not displace a suspect that an engine already has, whatever their ranks.
+#[test]
+fn sent_first() {
+    for bodies in [["a", "b"], ["b", "a"]] {
+        let fleet: Vec<Trials> = (0..2).map(|_| Trials::default()).collect();
+        let enqueue = |(t, body): (&Trials, &str)| t.enqueue(suspect(body.as_bytes()), SECOND);
+        let trials: Vec<Trial> = fleet.iter().zip(bodies).map(enqueue).collect();
+        trials[0].assign(ServerInstance::from("e1"));
+        trials[1].claim(ServerInstance::from("e1"), SECOND);
+        exchange_reports(&fleet, SECOND);
+        let now = SECOND + REPORT_DELAY;
+        assert_eq!(claims(&fleet, &trials, now), [Claim::None, Claim::Lost]);
+    }
+}
+
+/// Two copies of one request, at different engines, when a lost datagram lets two daemons take their own for the
+/// next one.
+#[test]
+fn copies_claim() {
+    let fleet: Vec<Trials> = (0..2).map(|_| Trials::default()).collect();
+    let trials: Vec<Trial> = fleet.iter().map(|t| t.enqueue(fingerprint(), SECOND)).collect();
+    trials[0].claim(ServerInstance::from("e1"), SECOND);
+    trials[1].claim(ServerInstance::from("e2"), SECOND);
+    exchange_reports(&fleet, SECOND);
+    let all = claims(&fleet, &trials, SECOND + REPORT_DELAY);
+    assert_eq!(all.iter().filter(|c| **c == Claim::Lost).count(), 1);
+}
