quarantine: a crash of a server that restarted unnoticed is recorded

Cause: the request had been sent to the instance that its daemon knew, reached the next one at the same address, and that was listed before the crash. The check then found that the instance of the send is not the listed one, and gave up.

Change: the listed instance is asked and named. A connection ends when its server does, so one that ends after a newer instance was listed was to that instance.

Gossip no longer owns the socket.

--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -43,11 +43,12 @@
 /// Largest datagram in bytes.
 const MAX_DATAGRAM: usize = 60_000;
 
-/// The socket for datagrams between daemons, and when digests were last sent on it.
+/// The exchange of datagrams between daemons, and when digests were last sent.
 #[derive(Debug)]
 pub struct Gossip {
     pub(super) daemon: Rc<DaemonState>,
-    socket: Rc<UdpSocket>,
+    /// Kept because the daemon does not own it.
+    _sender: Rc<dyn DatagramSender>,
     malformed: Cell<u64>,
     /// When this daemon last published a digest.
     pub(super) last_digest: Cell<Moment>,
@@ -60,14 +61,12 @@
 }
 
 impl Gossip {
-    /// Exchanges datagrams on `socket`, which is bound to the peer address.
-    pub fn new(daemon: Rc<DaemonState>, socket: UdpSocket) -> Rc<Self> {
-        let socket = Rc::new(socket);
-        let sender: Rc<dyn DatagramSender> = Rc::<UdpSocket>::clone(&socket);
+    /// Exchanges datagrams, which the daemon sends with `sender` while this lives.
+    pub fn new(daemon: Rc<DaemonState>, sender: Rc<dyn DatagramSender>) -> Rc<Self> {
         *daemon.datagrams.borrow_mut() = Some(Rc::downgrade(&sender));
         Rc::new(Self {
             daemon,
-            socket,
+            _sender: sender,
             malformed: Cell::default(),
             last_digest: Cell::default(),
             last_broadcast: Cell::default(),
@@ -91,21 +90,26 @@
         self.daemon.send_datagram(to, bytes, kind);
     }
 
-    /// Receives datagrams and applies their messages, for as long as the daemon runs.
-    pub async fn receive(self: Rc<Self>) {
+    /// Receives datagrams on `socket` and applies their messages, for as long as the daemon runs.
+    pub async fn receive(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+            let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
                 sleep(RECEIVE_PAUSE).await;
                 continue;
             };
-            if let Err(error) = self.apply_datagram(&buffer[..length], from) {
-                self.log_malformed(&error, from);
-            }
+            self.apply_datagram(&buffer[..length], from);
+        }
+    }
+
+    /// Applies the message of a datagram from `from`; one that is malformed is logged.
+    pub fn apply_datagram(&self, bytes: &[u8], from: SocketAddr) {
+        if let Err(error) = self.try_apply(bytes, from) {
+            self.log_malformed(&error, from);
         }
     }
 
-    fn apply_datagram(&self, bytes: &[u8], from: SocketAddr) -> Result<(), MessageError> {
+    fn try_apply(&self, bytes: &[u8], from: SocketAddr) -> Result<(), MessageError> {
         if OriginMessage::matches(bytes) {
             origin_exchange::apply_message(&self.daemon, OriginMessage::decode(bytes)?, from);
         } else {
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::spawn_local;
@@ -60,7 +61,8 @@
     let ready = socket::listen(settings.ready)?;
     let peers = socket::listen(settings.peer)?;
     daemon.lease.borrow_mut().set_address(settings.peer, daemon.now());
-    let gossip = Gossip::new(Rc::clone(daemon), socket::bind_udp(settings.peer)?);
+    let datagrams = Rc::new(socket::bind_udp(settings.peer)?);
+    let gossip = Gossip::new(Rc::clone(daemon), Rc::<UdpSocket>::clone(&datagrams));
     let calls = Rc::new(PooledEngineClient::new(Rc::clone(daemon)));
     let placement = PlacementController::new(Rc::clone(daemon), Rc::clone(&gossip), calls);
     let lease = LeaseManager::new(Rc::clone(daemon), Rc::clone(&gossip));
@@ -73,7 +75,7 @@
     spawn_local(suspects::load_quarantine(Rc::clone(daemon)));
     spawn_local(follow_versions::follow_versions(Rc::clone(daemon)));
     spawn_local(peer_transfer::serve_peers(Rc::clone(daemon), peers));
-    spawn_local(Rc::clone(&gossip).receive());
+    spawn_local(Rc::clone(&gossip).receive(datagrams));
     spawn_local(Rc::clone(&gossip).publish_digests());
     spawn_local(Rc::clone(&gossip).publish_demand());
     spawn_local(peer_sync::sync_from_peers(Rc::clone(daemon)));
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -115,7 +115,10 @@
 /// Records a crash of the server if there was one. The trial ends afterwards, so that the next copy of the request is sent
 /// with the crash known.
 async fn record_if_crashed(daemon: Rc<DaemonState>, exposure: Exposure, trial: Option<Trial>) {
-    let Some(addr) = active_addr(&daemon, &exposure.server) else { return };
+    // The server may have restarted unnoticed before the request was sent: the connection ends at the time of the crash,
+    // so it was one to the instance that is listed now.
+    let Some((server, addr)) = active_instance(&daemon, &exposure.server) else { return };
+    let exposure = Exposure { server, ..exposure };
     let is_known = daemon.quarantine.borrow().has_crashed(&exposure.server, exposure.sent_at);
     if is_known || refuses_connections(&daemon, &exposure.server, addr).await {
         record_crash(&daemon, &exposure);
@@ -123,11 +126,14 @@
     drop(trial);
 }
 
-/// Returns the address of a server instance; `None` if it is leaving or no longer in the directory.
-fn active_addr(daemon: &DaemonState, server: &ServerInstance) -> Option<SocketAddr> {
+/// Returns the current instance of a server and its address; `None` if it is leaving or no longer in the directory.
+fn active_instance(
+    daemon: &DaemonState,
+    server: &ServerInstance,
+) -> Option<(ServerInstance, SocketAddr)> {
     let directory = daemon.directory.borrow();
-    let known = directory.get(&server.id).filter(|s| s.born == server.born && !s.leaving);
-    known.map(|s| s.addr)
+    let known = directory.get(&server.id).filter(|s| !s.leaving);
+    known.map(|s| (s.instance(), s.addr))
 }
 
 fn crash_stage(daemon: &DaemonState, attempt: &Attempt, disconnect: Disconnect) -> CrashStage {
