quarantine: a suspect waits for crashes that are reported while it waits

Cause: the delay was checked once, before the wait for an engine. A copy that had passed it with one crash known and waited for an engine, or for the copy before it, went off at once after the second crash.

Change: the delay is checked whenever the request may claim an engine, and releases a claim. Test: late_second_crash, failing before (sent after 182 ms).

--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -130,10 +130,10 @@
     sleep(REPORT_DELAY).await;
     while daemon.now() < attempt.deadline && daemon.quarantine_refusal(attempt).is_none() {
         let changed = daemon.model_waits.inventories_changed.notified();
-        let delay = daemon.quarantine.borrow().decision_delay(&attempt.fingerprint, daemon.now());
-        if delay.is_zero() && may_claim(daemon, attempt) {
+        if may_claim(daemon, attempt) {
             return;
         }
+        let delay = decision_delay(daemon, attempt);
         let _changed = timeout(delay.max(FULL_RETRY_DELAY), changed).await;
     }
 }
@@ -144,11 +144,18 @@
         attempt.trial = None;
         return true;
     }
+    let delay = decision_delay(daemon, attempt);
     // The request may have become a suspect while it waited for a model.
     let trial = attempt
         .trial
         .get_or_insert_with(|| daemon.trials.enqueue(attempt.fingerprint, daemon.now()));
-    daemon.trials.is_next(trial, &daemon.settings().id, daemon.now())
+    delay.is_zero() && daemon.trials.is_next(trial, &daemon.settings().id, daemon.now())
+}
+
+/// Returns for how long the request must not be sent yet, because other suspects may be cleared meanwhile. Crashes that
+/// peers report may prolong it at any time until the request is sent.
+fn decision_delay(daemon: &DaemonState, attempt: &Attempt) -> Duration {
+    daemon.quarantine.borrow().decision_delay(&attempt.fingerprint, daemon.now())
 }
 
 /// Result of the selection of an engine.
@@ -207,6 +214,10 @@
     model_target: &ModelTarget,
 ) -> Option<Selection> {
     let trial = attempt.trial.as_ref()?;
+    if !decision_delay(daemon, attempt).is_zero() {
+        trial.release();
+        return None;
+    }
     let server = match daemon.trials.claim(trial, &daemon.settings().id, daemon.now()) {
         Claim::None => return None,
         Claim::Pending(left) => return Some(Selection::Claimed(left)),
