quarantine: daemons hear of crashes before they send a copy

Seen: fatal requests in virtual time with 1% of datagrams lost.

Cause: the news of a crash is one datagram to each daemon and then the digest of 300 ms later; in a large fleet it goes to readers and a few others only, and takes several digests to all.

Change: crashes under a request that had just begun go to all daemons at once, and whoever claims an engine for a request is told by those that detected a crash under it, and by three others, what they know. The claim leaves time for that.

Wire: a variant added at the end of the payloads.

--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -167,6 +167,8 @@
     VersionDemand(Vec<VersionDemand>),
     /// Requests that servers may turn away in a second before they fail, as they told the sender.
     RejectionLimits(Vec<(ServerInstance, u32)>),
+    /// Crashes that the sender has just detected, or what it knows of requests that the receiver is about to send.
+    CrashNews(QuarantineReport),
 }
 
 /// Version number of the datagram format; increment it whenever these types change, except for a variant of [`Payload`]
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -184,12 +184,41 @@
 
     /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
     pub fn report(&self, now: Moment, is_reader: bool) -> QuarantineReport {
-        let is_fresh = |since: Moment| now <= since + REPORT_TIME;
-        let mut crashes: Vec<_> = self
-            .crashes
-            .iter()
-            .filter(|(_, c)| is_fresh(c.updated_at) && (c.is_own || is_reader))
-            .collect();
+        let is_fresh = |crash: &Crash| now <= crash.updated_at + REPORT_TIME;
+        QuarantineReport {
+            cleared: newest_entries(&self.cleared, now, REPORT_TIME),
+            held: newest_entries(&self.held, now, HOLD_TIME),
+            ..self.crash_report(|crash| is_fresh(crash) && (crash.is_own || is_reader), now)
+        }
+    }
+
+    /// Returns the crashes that this daemon detected, or learned more of, at or after `since`.
+    pub fn own_crashes(&self, since: Moment, now: Moment) -> QuarantineReport {
+        let is_news = |crash: &Crash| crash.is_own && crash.updated_at >= since;
+        self.crash_report(is_news, now)
+    }
+
+    /// Returns what is known of a request that a peer is about to send: the crashes that it is suspected of, and whether it
+    /// is held. With `only_own`, only if this daemon detected one of the crashes. `None` if nothing is known.
+    pub fn known_of(
+        &self,
+        fingerprint: &Fingerprint,
+        only_own: bool,
+        now: Moment,
+    ) -> Option<QuarantineReport> {
+        let is_own = |crash: &Crash| crash.is_own && self.is_suspect(fingerprint, crash);
+        if only_own && !self.crashes.values().any(is_own) {
+            return None;
+        }
+        let mut report = self.crash_report(|crash| self.is_suspect(fingerprint, crash), now);
+        let held = self.held.get(fingerprint);
+        report.held.extend(held.map(|at| (*fingerprint, now.saturating_sub(*at))));
+        (!report.crashes.is_empty() || !report.held.is_empty()).then_some(report)
+    }
+
+    /// Returns a report of the newest of some crashes.
+    fn crash_report(&self, is_reported: impl Fn(&Crash) -> bool, now: Moment) -> QuarantineReport {
+        let mut crashes: Vec<_> = self.crashes.iter().filter(|(_, c)| is_reported(c)).collect();
         crashes.sort_by_key(|(_, c)| std::cmp::Reverse(c.updated_at));
         let crash = |(id, crash): (&CrashId, &Crash)| {
             // If there are too many requests for a report, the most suspicious ones are reported.
@@ -200,11 +229,8 @@
             let age = now.saturating_sub(crash.at);
             CrashReport { id: id.clone(), age, worst_stage: crash.worst_stage, requests }
         };
-        QuarantineReport {
-            crashes: crashes.into_iter().take(MAX_REPORTED).map(crash).collect(),
-            cleared: newest_entries(&self.cleared, now, REPORT_TIME),
-            held: newest_entries(&self.held, now, HOLD_TIME),
-        }
+        let crashes = crashes.into_iter().take(MAX_REPORTED).map(crash).collect();
+        QuarantineReport { crashes, ..QuarantineReport::default() }
     }
 
     /// Merges a peer's report; returns the requests that are held from now on.
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -26,6 +26,8 @@
 use crate::cluster::reader_report::WorkloadScope;
 use crate::cluster::readers::ReaderStatus;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::trial_report::TrialReport;
+use crate::cluster::trial_report::TrialStage;
 use crate::cluster::workloads::Workload;
 use crate::cluster::workloads::WorkloadKey;
 use crate::ids::DaemonId;
@@ -56,6 +58,8 @@
     pub(super) last_broadcast: Cell<Moment>,
     /// When this daemon last told its peers the rejection limits of servers.
     pub(super) last_limits: Cell<Moment>,
+    /// When this daemon last told all its peers of crashes.
+    pub(super) last_crashes: Cell<Moment>,
     /// Number of digests published; wraps around.
     pub(super) digest_round: Cell<u64>,
 }
@@ -71,6 +75,7 @@
             last_digest: Cell::default(),
             last_broadcast: Cell::default(),
             last_limits: Cell::default(),
+            last_crashes: Cell::default(),
             digest_round: Cell::default(),
         })
     }
@@ -163,7 +168,9 @@
                     daemon.plan_due.notify_one();
                 }
             }
+            Payload::CrashNews(report) => suspects::merge_report(daemon, &report, &message.from),
             Payload::Trials(reports) => {
+                self.answer_claims(&message.from, addr, &reports);
                 if daemon.trials.update_peer(&message.from, reports, now) {
                     daemon.model_waits.inventories_changed.notify_waiters();
                 }
@@ -171,6 +178,23 @@
         }
     }
 
+    /// Tells a peer what this daemon knows of the requests that it has claimed engines for: news of crashes may have been
+    /// lost on their way, and the claim leaves time for the answer.
+    ///
+    /// Besides daemons that detected a crash, a few others answer, since those may be gone.
+    fn answer_claims(&self, from: &DaemonId, addr: SocketAddr, reports: &[TrialReport]) {
+        let daemon = &self.daemon;
+        let now = daemon.now();
+        let claimed = reports.iter().filter(|r| matches!(r.stage, TrialStage::Claimed(_)));
+        for fingerprint in claimed.map(|report| report.fingerprint) {
+            let only_own = !daemon.answers_for(&fingerprint, from);
+            let known = daemon.quarantine.borrow().known_of(&fingerprint, only_own, now);
+            if let Some(report) = known {
+                self.send(addr, &self.encode(Payload::CrashNews(report)), "crashes");
+            }
+        }
+    }
+
     /// Records an instance that a peer named; returns whether it is not older than the newest known one, so that the
     /// peer's report on it counts.
     fn accepts_instance(&self, instance: &ServerInstance, from: &DaemonId) -> bool {
--- a/lib/src/serve/publish.rs
+++ b/lib/src/serve/publish.rs
@@ -154,7 +154,10 @@
                 () = sleep(remaining) => {}
                 () = self.daemon.config_changed.notified() => self.send_config_version(),
                 () = self.daemon.report_due.notified() => self.send_reader_reports(),
-                () = self.daemon.quarantine_changed.notified() => self.send_digest(false),
+                () = self.daemon.quarantine_changed.notified() => {
+                    self.send_crashes();
+                    self.send_digest(false);
+                }
                 () = self.daemon.departure_heard.notified() => self.send_digest(false),
                 () = self.daemon.limit_heard.notified() => self.send_limits(),
                 () = sleep(CLAIM_REPEAT_INTERVAL), if self.daemon.trials.has_claim() => self.send_trials(),
@@ -227,6 +230,21 @@
         }
     }
 
+    /// Sends the crashes that this daemon has just detected to all daemons. Digests take several rounds to all of a large
+    /// fleet, in which copies of a fatal request would be sent as if it were none.
+    fn send_crashes(&self) {
+        let now = self.daemon.now();
+        let since = self.last_crashes.replace(now);
+        let report = self.daemon.quarantine.borrow().own_crashes(since, now);
+        if report.crashes.is_empty() {
+            return;
+        }
+        let bytes = self.encode(Payload::CrashNews(report));
+        for (_, peer) in self.daemon.peers.borrow().all() {
+            self.send(peer.addr, &bytes, "crashes");
+        }
+    }
+
     /// Sends the suspected requests at this daemon to all daemons: each must know them before it sends a copy of one.
     fn send_trials(&self) {
         let bytes = self.encode(Payload::Trials(self.daemon.trials.own()));
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -19,6 +19,7 @@
 use crate::cluster::quarantine_report::QuarantineReport;
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
+use crate::ids::DaemonId;
 use crate::placement::entries;
 use crate::serve::attempt::Attempt;
 use crate::serve::daemon_state::DaemonState;
@@ -26,6 +27,7 @@
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
 use crate::serve::store_calls::track_call;
+use crate::serve::trials;
 use crate::serve::trials::Trial;
 use crate::store::Feed;
 use crate::store::FeedRecord;
@@ -36,6 +38,8 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after its first event during which a stream counts as just begun.
 const EARLY_STREAM_TIME: Duration = Duration::from_millis(500);
+/// Daemons that tell a peer what they know of a request without having detected a crash: some may be gone.
+const MAX_ANSWERS: usize = 3;
 /// Delay before a failed call to the store is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -74,6 +78,15 @@
         is_held.then(|| Refusal::failed(attempt.verdict, QUARANTINED_REASON, HOLD_TIME))
     }
 
+    /// Returns whether this daemon is one of the few that tell `asker` what they know of a request, though they detected no
+    /// crash under it.
+    pub fn answers_for(&self, fingerprint: &Fingerprint, asker: &DaemonId) -> bool {
+        let own_rank = trials::rank(fingerprint, &self.settings().id);
+        let peers = self.peers.borrow();
+        let others = peers.reachable(self.now()).filter(|(id, _)| *id != asker);
+        others.filter(|(id, _)| trials::rank(fingerprint, id) < own_rank).count() < MAX_ANSWERS
+    }
+
     /// Returns whether servers crashed under a request that has not been cleared of these crashes.
     pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
         !self.quarantine.borrow().suspected_crashes(fingerprint).is_empty()
--- a/lib/src/serve/trials.rs
+++ b/lib/src/serve/trials.rs
@@ -26,7 +26,7 @@
 /// A suspect waits this long before it may claim an engine, and a claim before the request is sent.
 pub const REPORT_DELAY: Duration = Duration::from_millis(30);
 /// Interval at which a claim is reported again, since datagrams are lost.
-pub const CLAIM_REPEAT_INTERVAL: Duration = Duration::from_millis(10);
+pub const CLAIM_REPEAT_INTERVAL: Duration = Duration::from_millis(12);
 
 /// Number of a trial; later ones are greater.
 type TrialNumber = u64;
@@ -185,7 +185,7 @@
 
 /// Returns the rank of a daemon among those that have copies of a request, or of a request among those that claim a
 /// server; the lowest comes first.
-fn rank(fingerprint: &Fingerprint, id: &str) -> u64 {
+pub fn rank(fingerprint: &Fingerprint, id: &str) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(fingerprint.key().as_bytes());
     hasher.update(id.as_bytes());
