quarantine: the most suspected request of a crash is held

Cause: three crashes held a request only if it was the only suspect left of one. Requests whose callers do not send them again are never cleared.

Change: it is also held if every other suspect of one crash, which had half a second to be cleared, is suspected of fewer crashes, 100 ms after the last one at the earliest, so that all have told who shares it. Equals are not held, as before.

--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -14,9 +14,10 @@
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
 
-/// Number of suspected crashes after which a request is held, if it is the only suspect of at least one.
+/// Number of suspected crashes after which a request is held, if it is the only suspect of at least one, or the others
+/// of one are suspected of fewer.
 const SOLE_SUSPECT_CRASHES: usize = 3;
-/// Number of suspected crashes after which a request is held, if each has other suspects as well.
+/// Number of suspected crashes after which a request is held, if each has other suspects of as many as well.
 const JOINT_SUSPECT_CRASHES: usize = 5;
 /// Time within which all reachable daemons have reported which requests a server had when it crashed.
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(100);
@@ -152,13 +153,35 @@
         now >= crash.at + CRASH_REPORT_TIME && suspects.take(2).count() == 1
     }
 
+    /// Returns whether a request is suspected of more crashes than every other suspect of one of them, which its other
+    /// suspects had time to be cleared of. Some never are, because their callers do not send them again.
+    ///
+    /// `false` until all reachable daemons have reported the last of its crashes, which others may share.
+    fn is_most_suspected(
+        &self,
+        fingerprint: &Fingerprint,
+        crashes: &[&Crash],
+        now: Moment,
+    ) -> bool {
+        let is_reported = |crash: &&Crash| now >= crash.at + CRASH_REPORT_TIME;
+        let count = |fingerprint: &Fingerprint| self.suspected_crashes(fingerprint).len();
+        let is_most = |crash: &&Crash| {
+            let mut others = crash.requests.keys().filter(|other| *other != fingerprint);
+            now >= crash.at + SUSPECT_CLEAR_TIME
+                && others
+                    .all(|other| !self.is_suspect(other, crash) || count(other) < crashes.len())
+        };
+        crashes.iter().all(is_reported) && crashes.iter().any(is_most)
+    }
+
     /// Holds a request if it is suspected of enough crashes; returns whether it is held from now on.
     pub fn evaluate(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
         let suspected = self.crashes.values().filter(|crash| self.is_suspect(&fingerprint, crash));
         let crashes: Vec<&Crash> = suspected.collect();
         let is_sole = || crashes.iter().any(|crash| self.has_sole_suspect(crash, now));
         let must_hold = crashes.len() >= JOINT_SUSPECT_CRASHES
-            || crashes.len() >= SOLE_SUSPECT_CRASHES && is_sole();
+            || crashes.len() >= SOLE_SUSPECT_CRASHES
+                && (is_sole() || self.is_most_suspected(&fingerprint, &crashes, now));
         must_hold && self.hold(fingerprint, now)
     }
 
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -125,6 +125,42 @@
     assert!(quarantine.evaluate(fingerprint(1), now));
 }
 
+/// Records crashes a second apart with the requests that each server had, and returns the time of the last one.
+fn record_crashes(quarantine: &mut Quarantine, crashes: &[&[u32]]) -> Moment {
+    let stage = CrashStage::BeforeEvents;
+    for (n, requests) in crashes.iter().enumerate() {
+        let now = start() + SECOND * n as u32;
+        for request in *requests {
+            quarantine.record_crash(&server(n), Moment::ZERO, fingerprint(*request), stage, now);
+        }
+    }
+    start() + SECOND * (crashes.len() as u32 - 1)
+}
+
+/// A fatal request crashed four servers and more, since other requests were at each of them and were never cleared:
+/// their callers did not send them again.
+#[test]
+fn others_gone() {
+    let mut quarantine = Quarantine::default();
+    let now = record_crashes(&mut quarantine, &[&[1, 2], &[3, 1], &[1, 4]]);
+    assert!(!quarantine.evaluate(fingerprint(1), now), "others may share the last crash");
+    let later = now + SECOND / 5;
+    assert!(quarantine.evaluate(fingerprint(1), later));
+    for other in 2..=4 {
+        assert!(!quarantine.evaluate(fingerprint(other), later));
+    }
+}
+
+/// Requests that are suspected of equally many crashes must not be held for them.
+#[test]
+fn equals_free() {
+    let mut quarantine = Quarantine::default();
+    let now = record_crashes(&mut quarantine, &[&[1, 2], &[2, 1], &[1, 2, 3], &[1, 2]]) + SECOND;
+    for request in 1..=3 {
+        assert!(!quarantine.evaluate(fingerprint(request), now));
+    }
+}
+
 /// A harmless request runs on another server after the crashes. Its first event must clear it of crashes at
 /// the stage before events, so that its whole response need not be awaited before the other request is held.
 #[test]
