readiness: a daemon without a list of servers is not ready

Cause: a daemon was ready with a configuration alone. Beside a store that answers calls for the configuration and is slow or gone for the servers it had no list, and did not ask its peers for one, since the answer for another feed counted as the store's. Ruled out: the retry budget that was supposed; the refused request had no send.

Change: ready means a configuration and a list of servers, each received once from the store or a peer; no other feed is awaited, so that no silent feed keeps a daemon unready that could serve. A daemon without a list fetches it from a peer that has one. Callers who come all the same are told that the servers are not known yet. The line start-awaits names what a start still waits for.

--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -184,6 +184,7 @@
     directory.advance(batch.end);
     if is_whole {
         directory.clear_history();
+        daemon.freshness.is_listed.set(true);
     }
     drop(directory);
     if changed {
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -338,8 +338,19 @@
     }
 
     /// Returns whether the load balancer should send new callers here.
+    ///
+    /// A daemon that lacks either the configuration or the list of servers serves nobody. No other feed is awaited: callers
+    /// are served without it.
     pub fn is_ready(&self) -> bool {
-        self.stopping.get().is_none() && self.config.borrow().is_some() && !self.isolated.get()
+        self.stopping.get().is_none() && self.awaited_state().is_none() && !self.isolated.get()
+    }
+
+    /// Returns the name of the state that this daemon lacks and without which it serves nobody; `None` if it has all of it.
+    pub fn awaited_state(&self) -> Option<&'static str> {
+        if self.config.borrow().is_none() {
+            return Some("configuration");
+        }
+        (!self.freshness.is_listed.get()).then_some("servers")
     }
 
     /// Returns the latest time at which a request with this deadline may be started.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -14,6 +14,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::failover::SendFuture;
 use crate::serve::failover::await_with_failover;
+use crate::serve::find_server::no_server;
 use crate::serve::reply::Refusal;
 use crate::serve::send;
 use crate::serve::server_feedback::RATE_LIMITED;
@@ -58,7 +59,7 @@
                 continue;
             }
             if attempt.tried.is_empty() {
-                return Err(Refusal::failed(attempt.verdict, "no server", FULL_RETRY_AFTER));
+                return Err(no_server(daemon, attempt, FULL_RETRY_AFTER));
             }
             if attempt.must_not_retry() || attempt.verdict != Verdict::DidNotRun {
                 return Err(Refusal::failed(attempt.verdict, attempt.reason, FULL_RETRY_AFTER));
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -19,6 +19,7 @@
 use crate::serve::find_origin::VERSION_GONE;
 use crate::serve::find_origin::VERSION_RETRY_AFTER;
 use crate::serve::handle::OTHER_DAEMON_RETRY_AFTER;
+use crate::serve::handle::UNREADY_RETRY_AFTER;
 use crate::serve::reply::Refusal;
 use crate::serve::server_feedback::RATE_LIMITED;
 use crate::serve::server_feedback::retry_after;
@@ -54,7 +55,7 @@
     let Some(model_target) = attempt.model_target() else {
         let chosen = daemon
             .with_chooser(attempt.version(), |c| c.choose_plain(&attempt.service, &attempt.tried));
-        return chosen.ok_or_else(|| no_server(daemon, attempt));
+        return chosen.ok_or_else(|| no_server(daemon, attempt, DEFAULT_RETRY_AFTER));
     };
     let began = daemon.now();
     let mut guard = None;
@@ -69,7 +70,7 @@
                 attempt.model_wait += daemon.now().saturating_sub(began);
                 return admit(daemon, attempt, chosen);
             }
-            Selection::NoServer => return Err(no_server(daemon, attempt)),
+            Selection::NoServer => return Err(no_server(daemon, attempt, DEFAULT_RETRY_AFTER)),
             Selection::Claimed(left) => {
                 let _notified = timeout(left, changed).await;
                 continue;
@@ -105,10 +106,14 @@
 }
 
 /// Returns the refusal of a request whose service has no server, or none of the software version that began the stream.
-fn no_server(daemon: &DaemonState, attempt: &Attempt) -> Refusal {
+pub fn no_server(daemon: &DaemonState, attempt: &Attempt, retry_after: Duration) -> Refusal {
+    if !daemon.freshness.is_listed.get() {
+        let reason = "the servers are not known yet";
+        return Refusal::failed(attempt.verdict, reason, UNREADY_RETRY_AFTER);
+    }
     let version = attempt.version();
     let Some(_) = version else {
-        return Refusal::failed(attempt.verdict, "no server", DEFAULT_RETRY_AFTER);
+        return Refusal::failed(attempt.verdict, "no server", retry_after);
     };
     // An unreachable server may be back shortly.
     let is_listed = daemon.with_chooser(version, |c| c.has_other(&attempt.service, &[]));
--- a/lib/src/serve/freshness.rs
+++ b/lib/src/serve/freshness.rs
@@ -14,6 +14,8 @@
     /// Time up to which the configuration in force is known to be the newest, according to this daemon's own reads of
     /// the store or to reader reports.
     pub config_at: Cell<Moment>,
+    /// Whether the whole list was received once, from the store or from a peer.
+    pub is_listed: Cell<bool>,
     /// Whether a part of the list came from reader reports, which omit the models that servers hold.
     pub is_partial: Cell<bool>,
     /// Whether changes before those in a reader report were missed, or the directory has differed from a reader's for
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -42,8 +42,8 @@
 const MAX_DECLARED_BODY: usize = 64 * 1024 * 1024;
 /// Time limit for a caller to send the body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
-/// Retry delay for a caller if this daemon's configuration is missing, incomplete or possibly old.
-const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay for a caller if this daemon's configuration or list of servers is missing, incomplete or possibly old.
+pub const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Retry delay for a caller if this daemon is stopping or isolated, so that another daemon should take the request.
 pub const OTHER_DAEMON_RETRY_AFTER: Duration = Duration::from_millis(50);
--- a/lib/src/serve/peer_sync.rs
+++ b/lib/src/serve/peer_sync.rs
@@ -44,9 +44,11 @@
     let mut behind_since = None;
     // Starts daemons at different peers.
     let mut rotation = daemon.process as usize;
+    let mut awaited = None;
     loop {
         sleep(CHECK_INTERVAL).await;
         update_isolation(&daemon);
+        log_start_progress(&daemon, &mut awaited);
         let config_source = config_source(&daemon, rotation);
         let servers_source = servers_source(&daemon, rotation);
         if config_source.is_none() && servers_source.is_none() {
@@ -205,6 +207,14 @@
         "config" => daemon.config_version());
 }
 
+/// Logs what a starting daemon still waits for, whenever that changes.
+fn log_start_progress(daemon: &DaemonState, awaited: &mut Option<&'static str>) {
+    let awaits = daemon.awaited_state().unwrap_or("-");
+    if awaited.replace(awaits) != Some(awaits) {
+        slog::info!(daemon.log, "start-awaits"; "awaits" => awaits, "ready" => daemon.is_ready());
+    }
+}
+
 fn update_isolation(daemon: &DaemonState) {
     let now = daemon.now();
     let centre = daemon.settings().centre.clone();
@@ -236,10 +246,12 @@
     daemon.peers.borrow().update_source(is_ahead, centre, rotation, daemon.now())
 }
 
-/// Returns a peer with a later server feed if the store does not respond; `rotation` varies the choice between several.
+/// Returns a peer with a later server feed if the store does not respond, or has not told this daemon the list of servers
+/// yet, though it may answer calls for other feeds; `rotation` varies the choice between several.
 fn servers_source(daemon: &DaemonState, rotation: usize) -> Option<SocketAddr> {
     let now = daemon.now();
-    if daemon.time_since_store(now) <= store_response_timeout(daemon) {
+    let is_answered = daemon.time_since_store(now) <= store_response_timeout(daemon);
+    if is_answered && daemon.freshness.is_listed.get() {
         return None;
     }
     let end = daemon.directory.borrow().feed_end();
@@ -274,6 +286,7 @@
         slog::info!(daemon.log, "server"; "server" => %id, "change" => ?change, "from" => apply_updates::FROM_PEER);
     }
     daemon.directory.borrow_mut().advance(snapshot.servers_end);
+    daemon.freshness.is_listed.set(true);
     if changed {
         apply_updates::on_servers_changed(daemon);
     }
