claims: time in which the daemon stood still is no silence of the log

Cause: the limits for reads of the log (4 s), for appends and claims (1.5 s) and for the request's wait (3 s) count the time in which the process did not run, so all have passed before the log can be read again.

Change: a second without an event is a pause. Silence of the log counts from its end on, waiting claims have their time again, and the request waits in short steps.

Tests: claim_after_stall and claim_in_stall, failing before.

--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -45,6 +45,8 @@
 
 /// Time without a successful read after which the log counts as down.
 const LOG_READ_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time without an event after which this process has stood still: many times the interval of ticks.
+const STALL_TIME: Duration = Duration::from_secs(1);
 /// Log entries between two checkpoints, at which daemons compare hashes of their states.
 const CHECKPOINT_INTERVAL: Offset = 1024;
 
@@ -98,6 +100,10 @@
     pub(crate) orders_given: u64,
     /// When the log last answered a read; `None` before the first one.
     log_read_at: Option<Duration>,
+    /// When the last event was handled.
+    handled_at: Duration,
+    /// When this process last ran again after it had stood still.
+    resumed_at: Duration,
     /// Offset of the last checkpoint, and the state's hash there.
     checkpoint: (Offset, u64),
     /// The last logged reason why each model waits for a load.
@@ -132,6 +138,8 @@
             hints: HintTable::default(),
             orders_given: 0,
             log_read_at: None,
+            handled_at: Duration::ZERO,
+            resumed_at: Duration::ZERO,
             checkpoint: (0, 0),
             logged_holds: BTreeMap::new(),
             logged_fence: None,
@@ -179,14 +187,29 @@
             .collect()
     }
 
-    /// Returns whether the log answers reads and appends.
+    /// Returns whether the log answers reads and appends. Time in which this process stood still does not count against
+    /// the log.
     pub fn is_log_up(&self, now: Duration) -> bool {
-        let read = self.log_read_at.is_some_and(|at| now < at + LOG_READ_TIMEOUT);
+        let running = now.saturating_sub(self.resumed_at);
+        let read = self
+            .log_read_at
+            .is_some_and(|at| now.saturating_sub(at).min(running) < LOG_READ_TIMEOUT);
         let timeout = crate::pending_claims::CLAIM_TIMEOUT;
-        let append = self.appender.pending_for(now).is_none_or(|waited| waited < timeout);
+        let pending = self.appender.pending_for(now);
+        let append = pending.is_none_or(|waited| waited.min(running) < timeout);
         read && append
     }
 
+    /// Notices that this process has stood still; claims then have their whole time again, since the log could not be read
+    /// meanwhile.
+    fn observe_time(&mut self, now: Duration) {
+        if now >= self.handled_at + STALL_TIME {
+            self.resumed_at = now;
+            self.claims.restart_timeouts(now);
+        }
+        self.handled_at = now;
+    }
+
     /// Returns the fencing number of this daemon's lease, as read from the log; `None` if it holds
     /// none.
     pub fn held_fence(&self) -> Option<Fence> {
@@ -198,6 +221,7 @@
 
     /// Processes an event and returns the effects to carry out.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        self.observe_time(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Entry(offset, entry) => self.apply_entry(now, offset, &entry),
--- a/lib/src/pending_claims.rs
+++ b/lib/src/pending_claims.rs
@@ -131,6 +131,13 @@
         own.then(|| release_settlement(key))
     }
 
+    /// Gives all claims that still wait their whole time again.
+    pub fn restart_timeouts(&mut self, now: Duration) {
+        for pending in self.pending.values_mut().filter(|pending| !pending.cancelled) {
+            pending.since = now;
+        }
+    }
+
     /// Cancels and returns the claims that the log has not decided within [`CLAIM_TIMEOUT`].
     ///
     /// Their requests are refused with the verdict "did not run". That is correct: a claim that is
--- a/lib/src/unary.rs
+++ b/lib/src/unary.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use flume::RecvTimeoutError;
 use tiny_http::Request;
 
 use crate::caller_request::CallerRequest;
@@ -29,9 +30,11 @@
 
 /// Largest response body in bytes that the log keeps for repeated requests.
 const MAX_KEPT_BODY: usize = 1024;
-/// How long to wait for the decision on a claim before it is cancelled here. Longer than the
+/// Steps for which to wait for the decision on a claim before it is cancelled here. Longer than the
 /// control state machine's own timeout, which normally ends the wait.
-const CLAIM_REPLY_TIMEOUT: Duration = Duration::from_secs(3);
+const CLAIM_REPLY_STEPS: u32 = 30;
+/// One step of that wait.
+const CLAIM_REPLY_STEP: Duration = Duration::from_millis(100);
 /// Retry delay for callers while the log does not answer.
 const LOG_RETRY: Duration = Duration::from_secs(5);
 /// Retry delay for callers while another daemon runs the request.
@@ -114,10 +117,16 @@
 fn request_claim(node: &Node, key: ClaimKey) -> ClaimAnswer {
     let (sender, receiver) = flume::bounded(1);
     node.send(ControlInput::Claim(key, sender));
-    receiver.recv_timeout(CLAIM_REPLY_TIMEOUT).unwrap_or_else(|_timeout| {
-        node.send(ControlInput::Event(Event::Unclaim(key)));
-        ClaimAnswer::LogDown
-    })
+    // Waits in short steps: time in which this process stands still ends one of them at most.
+    for _ in 0..CLAIM_REPLY_STEPS {
+        match receiver.recv_timeout(CLAIM_REPLY_STEP) {
+            Ok(answer) => return answer,
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => break,
+        }
+    }
+    node.send(ControlInput::Event(Event::Unclaim(key)));
+    ClaimAnswer::LogDown
 }
 
 fn run_claimed(
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
+use comfreymux_lib::control::ControlSettings;
+use comfreymux_lib::control::Controller;
 use comfreymux_lib::event::ClaimAnswer;
+use comfreymux_lib::event::Effect;
+use comfreymux_lib::event::Event;
+use comfreymux_lib::keep_warm::KeepWarmPolicy;
 use comfreymux_lib::pending_claims::CLAIM_TIMEOUT;
 use comfreymux_lib::pending_claims::ClaimDecision;
 use comfreymux_lib::pending_claims::ClaimStep;
@@ -81,3 +86,48 @@
     assert_eq!(answers, [(7, ClaimAnswer::Granted)]);
     assert_eq!(records, [comfreymux_lib::record::Record::Claim(8)]);
 }
+
+/// Returns a controller that has just read the log, and ticked, at `NOW`.
+fn controller() -> Controller {
+    let mut control = Controller::new(ControlSettings {
+        id: "d1".into(),
+        incarnation: 1,
+        centre: "makati-a".into(),
+        append_gap: Duration::ZERO,
+        keep_warm: KeepWarmPolicy::Learned,
+        poll_interval: Duration::from_secs(1),
+    });
+    control.handle(NOW, Event::LogRead);
+    control.handle(NOW, Event::Tick);
+    control
+}
+
+fn is_refused(effects: &[Effect]) -> bool {
+    effects.iter().any(|e| matches!(e, Effect::Claimed(7, ClaimAnswer::LogDown)))
+}
+
+/// Time for which the process stands still: longer than the log may be silent.
+const STALL: Duration = Duration::from_secs(8);
+
+/// A daemon stood still for some seconds and then refused bookings, because it took the time in which it
+/// could not read the log for an outage of the log.
+#[test]
+fn claim_after_stall() {
+    let mut control = controller();
+    let effects = control.handle(NOW + STALL, Event::Claim(7));
+    assert!(!is_refused(&effects));
+    assert!(control.is_log_up(NOW + STALL));
+}
+
+/// As above, with a claim that waits for the log's decision meanwhile. The claim is refused later if the log is really
+/// silent.
+#[test]
+fn claim_in_stall() {
+    let mut control = controller();
+    control.handle(NOW, Event::Claim(7));
+    let resumed = NOW + STALL;
+    assert!(!is_refused(&control.handle(resumed, Event::Tick)));
+    assert!(!is_refused(&control.handle(resumed + CLAIM_TIMEOUT / 2, Event::Tick)));
+    assert!(is_refused(&control.handle(resumed + CLAIM_TIMEOUT, Event::Tick)));
+    assert!(!control.is_log_up(resumed + STALL));
+}
