soak: the owner of a connection is found without splitting the kernel's table

Cause: while a daemon is cut off, the soak splits every row of /proc/net/tcp for each new connection; earlier tests leave thousands of rows, and its one thread, which also plays store, servers and callers, falls behind for good.

--- a/soak/src/socket_owner.rs
+++ b/soak/src/socket_owner.rs
@@ -5,9 +5,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
-/// Column of the local address in the kernel's table of TCP sockets.
-const LOCAL_COLUMN: usize = 1;
-/// Column of the socket's inode there.
+/// Column of the socket's inode in the kernel's table of TCP sockets.
 const INODE_COLUMN: usize = 9;
 
 /// Returns whether a process has the socket whose own address is `local`.
@@ -17,11 +15,12 @@
 /// The kernel's tables cannot be read, for example because the process has ended.
 pub fn is_owner(pid: u32, local: SocketAddr) -> io::Result<bool> {
     let IpAddr::V4(ip) = local.ip() else { return Ok(false) };
-    let shown = format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), local.port());
+    // A row begins with its number, a colon and the socket's own address. The table has thousands of rows after a
+    // while, so it is searched as a whole.
+    let shown = format!(": {:08X}:{:04X} ", u32::from_le_bytes(ip.octets()), local.port());
     let table = fs::read_to_string("/proc/net/tcp")?;
-    let rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>());
-    let found = rows.into_iter().find(|row| row.get(LOCAL_COLUMN) == Some(&shown.as_str()));
-    let Some(inode) = found.and_then(|row| row.get(INODE_COLUMN).map(ToString::to_string)) else {
+    let row = table.find(&shown).and_then(|at| table[at..].lines().next());
+    let Some(inode) = row.and_then(|row| row.split_whitespace().nth(INODE_COLUMN)) else {
         return Ok(false);
     };
     let target = format!("socket:[{inode}]");
