--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -15,6 +15,7 @@
 pub mod origin_message;
 pub mod peer_table;
 pub mod peer_update;
+pub mod prompt_part;
 pub mod quarantine;
 pub mod quarantine_report;
 pub mod rate_limit;
--- a/lib/src/cluster/fingerprint.rs
+++ b/lib/src/cluster/fingerprint.rs
@@ -9,6 +9,7 @@
 use sha2::Sha256;
 use smol_str::SmolStr;
 
+use crate::ids::PartId;
 use crate::protocol::FormatError;
 
 /// Length of a fingerprint in bytes: long enough that nobody can forge a request with another one's fingerprint.
@@ -28,11 +29,20 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request; `path` includes the query.
     pub fn new(method: &Method, host: &str, path: &str, body: &[u8]) -> Self {
+        Self::of_fields(&[method.as_str().as_bytes(), host.as_bytes(), path.as_bytes(), body])
+    }
+
+    /// Computes the fingerprint of a part of prompts at a service, which no request has.
+    pub fn of_prompt_part(service: &str, id: PartId) -> Self {
+        Self::of_fields(&[b"prompt part", service.as_bytes(), &id.to_be_bytes()])
+    }
+
+    fn of_fields(fields: &[&[u8]]) -> Self {
         let mut hash = Sha256::new();
-        // Each part is prefixed with its length, so that bytes cannot shift from one part to the next.
-        for part in [method.as_str().as_bytes(), host.as_bytes(), path.as_bytes(), body] {
-            hash.update((part.len() as u64).to_be_bytes());
-            hash.update(part);
+        // Each field is prefixed with its length, so that bytes cannot shift from one field to the next.
+        for field in fields {
+            hash.update((field.len() as u64).to_be_bytes());
+            hash.update(field);
         }
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&hash.finalize()[..FINGERPRINT_BYTES]);
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -11,6 +11,8 @@
 pub type ServerId = SmolStr;
 /// Name of a daemon, unique among the entry hosts.
 pub type DaemonId = SmolStr;
+/// Id of a part of a prompt, which requests share.
+pub type PartId = u128;
 /// Name of a data centre. Each has one lease, whose holder gives orders to its backend servers.
 pub type CentreId = SmolStr;
 /// Name of a caller; request limits and idempotency keys are kept per caller.
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -20,6 +20,7 @@
 use crate::cluster::workloads::ReportedWorkload;
 use crate::ids::Fence;
 use crate::ids::ModelName;
+use crate::ids::PartId;
 use crate::ids::ServerId;
 use crate::ids::StartTime;
 
@@ -48,6 +49,8 @@
     pub adapter: Option<SmolStr>,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
+    /// Parts of the prompt that other requests may share, in their order and each once.
+    pub prompt_parts: Vec<PartId>,
 }
 
 /// Headers that a send to a backend server adds to the caller's request.
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -14,6 +14,7 @@
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::directory::Server;
 use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
 use crate::cluster::stream_origin::StreamOrigin;
@@ -45,6 +46,9 @@
 /// another server the rest.
 const FIRST_EVENT_FRACTION: f64 = 0.6;
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// An attempt whose request was read whole and matched a route.
 #[derive(Debug)]
 pub struct Attempt {
@@ -56,6 +60,8 @@
     pub fingerprint: Fingerprint,
     /// Parsed protocol headers of the caller.
     pub caller_headers: CallerHeaders,
+    /// Parts of its prompt that other requests may share, in their order; empty unless the service has engines.
+    pub prompt_parts: Vec<PromptPart>,
     /// Configuration in force when the request arrived.
     pub config: Rc<Configuration>,
     /// Route that the request matched.
@@ -134,11 +140,15 @@
         deadline: Moment,
     ) -> Self {
         let ParsedRequest { parts, body, fingerprint, caller_headers } = request;
+        let has_engines = config.services.get(&service).is_some_and(|s| s.engine.is_some());
+        let ids = caller_headers.prompt_parts.iter().filter(|_| has_engines);
+        let prompt_parts = ids.map(|id| PromptPart { service: service.clone(), id: *id }).collect();
         Self {
             parts,
             body,
             fingerprint,
             caller_headers,
+            prompt_parts,
             config,
             route,
             service,
@@ -345,7 +355,7 @@
         daemon.record_health(&self.service, &server, failure.evidence);
         slog::info!(daemon.log, "send-failed"; "attempt" => self.id(), "print" => %self.fingerprint,
             "server" => %server, "reason" => failure.reason, "verdict" => %failure.verdict,
-            "broke" => failure.disconnect.map_or("-", Disconnect::name),
+            "broke" => failure.disconnect.map_or("-", Disconnect::name), "parts" => self.shown_parts(),
             "ms" => daemon.now().saturating_sub(self.arrived).as_millis());
         self.tried.push(server);
     }
@@ -362,6 +372,13 @@
         }
     }
 
+    /// Returns the ids of the first prompt parts for log lines, or `-` if there are none.
+    pub fn shown_parts(&self) -> String {
+        let ids = self.prompt_parts.iter().take(MAX_LOGGED_PARTS);
+        let ids: Vec<_> = ids.map(|part| format!("{:x}", part.id)).collect();
+        if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
+    }
+
     /// Returns the caller's id of this attempt for log lines, or `-` if there is none.
     pub fn id(&self) -> &str {
         self.caller_headers.attempt.as_deref().unwrap_or("-")
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -254,6 +254,7 @@
         "route" => attempt.route.name.as_str(), "service" => attempt.service.as_str(),
         "model" => attempt.caller_headers.model.as_deref().unwrap_or("-"),
         "adapter" => attempt.caller_headers.adapter.as_deref().unwrap_or("-"),
+        "parts" => attempt.shown_parts(),
         "server" => attempt.last_server.as_ref().map_or("-", |s| s.id.as_str()),
         "version" => attempt.last_version.as_str(),
         "origin" => attempt.version().map_or("-", |version| version.as_str()),
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -97,6 +97,8 @@
 #[derive(Debug)]
 struct Exposure {
     fingerprint: Fingerprint,
+    /// Prompt parts of the request, for the log.
+    shown_parts: String,
     server: ServerInstance,
     sent_at: Moment,
     stage: CrashStage,
@@ -118,7 +120,8 @@
     };
     let stage = crash_stage(daemon, attempt, disconnect);
     let (fingerprint, sent_at) = (attempt.fingerprint, attempt.sent_at);
-    let exposure = Exposure { fingerprint, server, sent_at, stage };
+    let shown_parts = attempt.shown_parts();
+    let exposure = Exposure { fingerprint, shown_parts, server, sent_at, stage };
     // A task of its own: the caller may leave before the check is over.
     let check = spawn_local(record_if_crashed(Rc::clone(daemon), exposure, trial));
     let result = check.await;
@@ -175,14 +178,14 @@
 }
 
 fn record_crash(daemon: &Rc<DaemonState>, exposure: &Exposure) {
-    let Exposure { fingerprint, ref server, sent_at, stage } = *exposure;
+    let Exposure { fingerprint, ref shown_parts, ref server, sent_at, stage } = *exposure;
     let mut quarantine = daemon.quarantine.borrow_mut();
     let is_held = quarantine.record_crash(server, sent_at, fingerprint, stage, daemon.now());
     let crashes = quarantine.suspected_crashes(&fingerprint).len();
     drop(quarantine);
     if stage < CrashStage::Other || crashes > 1 {
         slog::info!(daemon.log, "request-suspected"; "print" => %fingerprint, "server" => %server,
-            "stage" => stage.name(), "crashes" => crashes);
+            "stage" => stage.name(), "crashes" => crashes, "parts" => shown_parts);
     }
     if stage == CrashStage::BeforeEvents {
         daemon.quarantine_changed.notify_one();
