--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -11,6 +11,7 @@
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::directory::LoadedModel;
 use crate::cluster::engine_inventories::EngineInventory;
+use crate::cluster::part_report::PartReport;
 use crate::cluster::quarantine_report::QuarantineReport;
 use crate::cluster::rate_limits::LimitReport;
 use crate::cluster::reader_report::ReaderReport;
@@ -169,6 +170,8 @@
     RejectionLimits(Vec<(ServerInstance, u32)>),
     /// Crashes that the sender has just detected, or what it knows of requests that the receiver is about to send.
     CrashNews(QuarantineReport),
+    /// Prompt parts that are suspected of crashing servers, or quarantined.
+    PromptParts(PartReport),
 }
 
 /// Version number of the datagram format; increment it whenever these types change, except for a variant of [`Payload`]
--- /dev/null
+++ b/lib/src/cluster/part_quarantine.rs
@@ -0,0 +1,395 @@
+//! Quarantine of prompt parts: records which prompts servers had when they crashed, and holds a part back once it is
+//! found to crash servers whatever else a request contains.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::boot_clock::Moment;
+use crate::cluster::configuration::ServiceName;
+use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::part_report::ExposedPrompt;
+use crate::cluster::part_report::HeldPart;
+use crate::cluster::part_report::PartReport;
+use crate::cluster::part_report::PromptCrashReport;
+use crate::cluster::prompt_crash::PromptCrash;
+use crate::cluster::prompt_part::PromptPart;
+use crate::cluster::quarantine::CRASH_RETENTION;
+use crate::cluster::quarantine::HOLD_TIME;
+use crate::cluster::quarantine::REPORT_TIME;
+use crate::cluster::quarantine::SUSPECT_CLEAR_TIME;
+use crate::cluster::quarantine_report::CrashId;
+use crate::cluster::quarantine_report::RequestProgress;
+
+/// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
+/// prompts begin alike would wait for each other.
+const SUSPECT_CRASHES: usize = 2;
+/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer.
+const SOLE_SUSPECT_CRASHES: usize = 3;
+/// Number of crashes after which a part is held that has equals at each. Of parts of one prompt, the last one is held:
+/// it is shared by fewer requests.
+const JOINT_SUSPECT_CRASHES: usize = 5;
+/// Different requests under which servers crashed before their common part is held; one alone may itself be the cause.
+const MIN_REQUESTS: usize = 2;
+/// Least time from the first to the last crash before a part is held: the loss of many hosts at one instant exposes
+/// every common part to several crashes.
+const MIN_SPREAD: Duration = Duration::from_millis(150);
+/// Maximum number of crashes that are remembered.
+const MAX_CRASHES: usize = 256;
+/// Maximum number of held parts, and of cleared ones, that are remembered.
+const MAX_PARTS: usize = 1024;
+/// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
+const MAX_REPORTED: usize = 16;
+
+/// A part that goes to no server.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    /// When it was found to crash servers; a request with it that gets further later releases it.
+    since: Moment,
+    /// When a caller last sent it.
+    last_attempt: Moment,
+}
+
+/// What a request's progress changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PartChange {
+    /// Whether a suspected part was cleared, for which requests may be waiting.
+    pub is_urgent: bool,
+    /// Parts that are no longer held.
+    pub released: Vec<PromptPart>,
+}
+
+/// What is known of prompt parts that crash servers.
+///
+/// A fatal part crashes each server that begins to answer a request with it. So a request that gets further clears all
+/// its parts of earlier crashes. Reports can be merged in any order, and a repeated one changes nothing.
+#[derive(Debug, Default)]
+pub struct PartQuarantine {
+    crashes: HashMap<CrashId, PromptCrash>,
+    /// Parts with which a request reached a stage of progress without a crash, and when.
+    cleared: HashMap<(PromptPart, RequestProgress), Moment>,
+    held: HashMap<PromptPart, Hold>,
+}
+
+impl PartQuarantine {
+    /// Records a crash that this daemon detected, under a request with these parts.
+    pub fn record_crash(
+        &mut self,
+        id: &CrashId,
+        service: &ServiceName,
+        prompt: ExposedPrompt,
+        now: Moment,
+    ) {
+        let stage = prompt.stage;
+        let crash = self.crash_entry(id, service, now, now);
+        crash.is_own = true;
+        crash.worst_stage = crash.worst_stage.min(stage);
+        crash.add_prompt(prompt, now);
+    }
+
+    /// Records that a server progressed with a request without a crash.
+    pub fn record_progress(
+        &mut self,
+        parts: &[PromptPart],
+        progress: RequestProgress,
+        now: Moment,
+    ) -> PartChange {
+        let mut change = PartChange::default();
+        for part in parts {
+            let is_exposed = self.suspected_crashes(part).any(|c| progress.clears(c.worst_stage));
+            let is_released = releases(progress) && self.held.contains_key(part);
+            if !is_exposed && !is_released {
+                continue;
+            }
+            change.is_urgent |= is_released || self.is_suspect(part);
+            if self.clear_at(part, progress, now) {
+                change.released.push(part.clone());
+            }
+        }
+        change
+    }
+
+    /// Returns the most suspected of a request's parts, for which requests are tried one at a time; `None` if none is
+    /// suspected of several crashes.
+    pub fn main_suspect<'a>(&self, parts: &'a [PromptPart]) -> Option<&'a PromptPart> {
+        let suspects = parts.iter().filter(|part| self.is_suspect(part));
+        suspects.max_by_key(|part| self.count(part))
+    }
+
+    /// Returns how long to delay a request with these parts, one of which may be held after one more crash: the others
+    /// may be cleared meanwhile.
+    pub fn decision_delay(&self, parts: &[PromptPart], now: Moment) -> Duration {
+        let suspects = parts.iter().filter(|part| self.is_suspect(part));
+        let newest = suspects.flat_map(|part| self.suspected_crashes(part)).map(|c| c.at).max();
+        newest.map_or(Duration::ZERO, |at| (at + SUSPECT_CLEAR_TIME).saturating_sub(now))
+    }
+
+    /// Holds those of some parts that are suspected of enough crashes; returns which are held from now on.
+    pub fn evaluate(&mut self, parts: &[PromptPart], now: Moment) -> Vec<PromptPart> {
+        let is_fatal =
+            |part: &&PromptPart| !self.held.contains_key(part) && self.is_fatal(part, now);
+        let fatal: Vec<_> = parts.iter().filter(is_fatal).cloned().collect();
+        fatal.into_iter().filter(|part| self.hold(part, now)).collect()
+    }
+
+    /// Returns whether a part is found to crash servers.
+    fn is_fatal(&self, part: &PromptPart, now: Moment) -> bool {
+        let crashes: Vec<_> = self.suspected_crashes(part).collect();
+        if crashes.len() < SOLE_SUSPECT_CRASHES {
+            return false;
+        }
+        let requests: BTreeSet<_> = crashes.iter().flat_map(|c| c.requests_with(part)).collect();
+        let times = || crashes.iter().map(|crash| crash.at);
+        let spread = times().max().unwrap_or(now).saturating_sub(times().min().unwrap_or(now));
+        requests.len() >= MIN_REQUESTS
+            && spread >= MIN_SPREAD
+            && crashes.iter().any(|crash| self.is_most_suspected(part, crash, crashes.len(), now))
+    }
+
+    /// Returns whether a part is suspected of more crashes, `count`, than all others that a server had when it crashed,
+    /// or at least of as many and long enough. `false` until other parts had time to be cleared.
+    fn is_most_suspected(
+        &self,
+        part: &PromptPart,
+        crash: &PromptCrash,
+        count: usize,
+        now: Moment,
+    ) -> bool {
+        if now < crash.at + SUSPECT_CLEAR_TIME {
+            return false;
+        }
+        let is_joint = count >= JOINT_SUSPECT_CRASHES;
+        crash.parts().into_iter().filter(|id| *id != part.id).all(|id| {
+            let other = self.count(&PromptPart { service: part.service.clone(), id });
+            other < count || is_joint && other == count && !crash.is_behind(id, part.id)
+        })
+    }
+
+    /// Returns whether requests with a part are tried one at a time.
+    fn is_suspect(&self, part: &PromptPart) -> bool {
+        self.suspected_crashes(part).nth(SUSPECT_CRASHES - 1).is_some()
+    }
+
+    fn count(&self, part: &PromptPart) -> usize {
+        self.suspected_crashes(part).count()
+    }
+
+    /// Returns the crashes that a part is suspected of and that no other, held part explains.
+    fn suspected_crashes<'a>(
+        &'a self,
+        part: &'a PromptPart,
+    ) -> impl Iterator<Item = &'a PromptCrash> {
+        self.crashes.values().filter(move |crash| {
+            crash.requests_with(part).next().is_some()
+                && !self.is_cleared(part, crash)
+                && !self.is_explained(part, crash)
+        })
+    }
+
+    fn is_cleared(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
+        let clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(crash.worst_stage));
+        let mut times = clearing.filter_map(|p| self.cleared.get(&(part.clone(), p)));
+        times.any(|at| *at >= crash.at)
+    }
+
+    fn is_explained(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
+        let others = self.held.keys().filter(|held| *held != part);
+        others.into_iter().any(|held| crash.requests_with(held).next().is_some())
+    }
+
+    /// Returns the first of a request's parts that is held, and must not be sent to any server; the call restarts its
+    /// [`HOLD_TIME`].
+    pub fn held_part<'a>(
+        &mut self,
+        parts: &'a [PromptPart],
+        now: Moment,
+    ) -> Option<&'a PromptPart> {
+        let part = parts.iter().find(|part| self.held.contains_key(part))?;
+        if let Some(hold) = self.held.get_mut(part) {
+            hold.last_attempt = now;
+        }
+        Some(part)
+    }
+
+    /// Returns the ids of the crashes that a part is suspected of.
+    pub fn crash_ids(&self, part: &PromptPart) -> Vec<CrashId> {
+        let suspected = self.crashes.iter().filter(|(_, crash)| {
+            crash.requests_with(part).next().is_some() && !self.is_cleared(part, crash)
+        });
+        suspected.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the number of held parts.
+    pub fn held_count(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Holds a part from `since` on; returns whether it was not held before.
+    pub fn hold(&mut self, part: &PromptPart, since: Moment) -> bool {
+        self.merge_hold(part, Hold { since, last_attempt: since })
+    }
+
+    fn merge_hold(&mut self, part: &PromptPart, hold: Hold) -> bool {
+        let cleared = |progress| self.cleared.get(&(part.clone(), progress)).copied();
+        let released =
+            RequestProgress::ALL.into_iter().filter(|p| releases(*p)).filter_map(cleared);
+        if released.max().is_some_and(|at| at >= hold.since) {
+            return false;
+        }
+        if let Some(known) = self.held.get_mut(part) {
+            known.since = known.since.max(hold.since);
+            known.last_attempt = known.last_attempt.max(hold.last_attempt);
+            return false;
+        }
+        if self.held.len() >= MAX_PARTS {
+            let oldest = self.held.iter().min_by_key(|(_, hold)| hold.last_attempt);
+            let oldest = oldest.map(|(part, _)| part.clone());
+            oldest.and_then(|part| self.held.remove(&part));
+        }
+        self.held.insert(part.clone(), hold);
+        true
+    }
+
+    /// Clears a part of crashes before `at`; returns whether it was held until now.
+    fn clear_at(&mut self, part: &PromptPart, progress: RequestProgress, at: Moment) -> bool {
+        if self.cleared.len() >= MAX_PARTS {
+            let oldest = self.cleared.iter().min_by_key(|(_, at)| **at).map(|(key, _)| key.clone());
+            oldest.and_then(|key| self.cleared.remove(&key));
+        }
+        let known = self.cleared.entry((part.clone(), progress)).or_insert(at);
+        *known = (*known).max(at);
+        let is_released =
+            releases(progress) && self.held.get(part).is_some_and(|hold| hold.since <= at);
+        is_released && self.held.remove(part).is_some()
+    }
+
+    /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
+    pub fn report(&self, now: Moment, is_reader: bool) -> PartReport {
+        let is_fresh = |crash: &PromptCrash| now <= crash.updated_at + REPORT_TIME;
+        let cleared = self.cleared.iter().map(|(key, at)| (key.clone(), now.saturating_sub(*at)));
+        let mut cleared: Vec<_> = cleared.filter(|(_, age)| *age <= REPORT_TIME).collect();
+        cleared.sort_by_key(|(_, age)| *age);
+        cleared.truncate(MAX_REPORTED);
+        let mut held: Vec<_> =
+            self.held.iter().map(|(part, h)| held_report(part, h, now)).collect();
+        held.sort_by_key(|held| held.idle);
+        held.truncate(MAX_REPORTED);
+        let crashes =
+            self.crash_reports(|crash| is_fresh(crash) && (crash.is_own || is_reader), now);
+        PartReport { crashes, cleared, held }
+    }
+
+    /// Returns what this daemon detected, or learned more of, at or after `since`.
+    pub fn own_news(&self, since: Moment, now: Moment) -> PartReport {
+        let crashes = self.crash_reports(|crash| crash.is_own && crash.updated_at >= since, now);
+        let news = self.held.iter().filter(|(_, hold)| hold.since >= since);
+        let held = news.map(|(part, hold)| held_report(part, hold, now)).collect();
+        PartReport { crashes, cleared: Vec::new(), held }
+    }
+
+    /// Returns what is known of a part that a peer is about to send a request with: the crashes that it is suspected
+    /// of, and whether it is held. With `only_own`, only if this daemon detected one of the crashes.
+    pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
+        let Some(part) = self.part_of(fingerprint) else { return PartReport::default() };
+        if only_own && !self.suspected_crashes(&part).any(|crash| crash.is_own) {
+            return PartReport::default();
+        }
+        let is_known = |crash: &PromptCrash| {
+            crash.requests_with(&part).next().is_some() && !self.is_cleared(&part, crash)
+        };
+        let held = self.held.get(&part).map(|hold| held_report(&part, hold, now));
+        let crashes = self.crash_reports(is_known, now);
+        PartReport { crashes, cleared: Vec::new(), held: held.into_iter().collect() }
+    }
+
+    /// Returns the part, held or of a crash, that has a fingerprint.
+    fn part_of(&self, fingerprint: &Fingerprint) -> Option<PromptPart> {
+        let exposed = self.crashes.values().flat_map(|crash| {
+            let part = |id| PromptPart { service: crash.service.clone(), id };
+            crash.parts().into_iter().map(part)
+        });
+        let all: BTreeSet<_> = self.held.keys().cloned().chain(exposed).collect();
+        all.into_iter().find(|part| part.fingerprint() == *fingerprint)
+    }
+
+    /// Returns reports of the newest of some crashes.
+    fn crash_reports(
+        &self,
+        is_reported: impl Fn(&PromptCrash) -> bool,
+        now: Moment,
+    ) -> Vec<PromptCrashReport> {
+        let mut crashes: Vec<_> = self.crashes.iter().filter(|(_, c)| is_reported(c)).collect();
+        crashes.sort_by_key(|(_, c)| std::cmp::Reverse(c.updated_at));
+        let report = |(id, crash): (&CrashId, &PromptCrash)| crash.report(id, MAX_REPORTED, now);
+        crashes.into_iter().take(MAX_REPORTED).map(report).collect()
+    }
+
+    /// Merges a peer's report; returns the parts that are held from now on.
+    pub fn merge(&mut self, report: &PartReport, now: Moment) -> Vec<PromptPart> {
+        for ((part, progress), age) in &report.cleared {
+            self.clear_at(part, *progress, now.saturating_sub(*age));
+        }
+        for reported in &report.crashes {
+            let at = now.saturating_sub(reported.age);
+            let crash = self.crash_entry(&reported.id, &reported.service, at, now);
+            crash.worst_stage = crash.worst_stage.min(reported.worst_stage);
+            for prompt in &reported.prompts {
+                crash.add_prompt(prompt.clone(), now);
+            }
+        }
+        let exposed = report.crashes.iter().flat_map(|crash| {
+            let ids = crash.prompts.iter().flat_map(|prompt| &prompt.parts);
+            ids.map(|id| PromptPart { service: crash.service.clone(), id: *id })
+        });
+        let exposed: BTreeSet<_> = exposed.collect();
+        let mut held = self.evaluate(&exposed.into_iter().collect::<Vec<_>>(), now);
+        for HeldPart { part, age, idle } in &report.held {
+            let (since, last_attempt) = (now.saturating_sub(*age), now.saturating_sub(*idle));
+            if self.merge_hold(part, Hold { since, last_attempt }) {
+                held.push(part.clone());
+            }
+        }
+        held
+    }
+
+    /// Removes expired records; returns the parts that are no longer held.
+    pub fn sweep(&mut self, now: Moment) -> Vec<PromptPart> {
+        self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
+        self.cleared.retain(|_, at| now <= *at + CRASH_RETENTION);
+        let expired = self.held.extract_if(|_, hold| now > hold.last_attempt + HOLD_TIME);
+        expired.map(|(part, _)| part).collect()
+    }
+
+    fn crash_entry(
+        &mut self,
+        id: &CrashId,
+        service: &ServiceName,
+        at: Moment,
+        now: Moment,
+    ) -> &mut PromptCrash {
+        if self.crashes.len() >= MAX_CRASHES && !self.crashes.contains_key(id) {
+            let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at).map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.crashes.remove(&id));
+        }
+        let crash = self
+            .crashes
+            .entry(id.clone())
+            .or_insert_with(|| PromptCrash::new(service.clone(), at, now));
+        crash.at = crash.at.min(at);
+        crash
+    }
+}
+
+fn held_report(part: &PromptPart, hold: &Hold, now: Moment) -> HeldPart {
+    HeldPart {
+        part: part.clone(),
+        age: now.saturating_sub(hold.since),
+        idle: now.saturating_sub(hold.last_attempt),
+    }
+}
+
+/// Returns whether a request that got this far releases its parts: a fatal part crashes a server soon after the beginning
+/// of the response.
+fn releases(progress: RequestProgress) -> bool {
+    progress != RequestProgress::FirstEvent
+}
--- /dev/null
+++ b/lib/src/cluster/prompt_crash.rs
@@ -0,0 +1,106 @@
+//! A server's crash, and the prompts of the requests that it had.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::boot_clock::Moment;
+use crate::cluster::configuration::ServiceName;
+use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::part_report::ExposedPrompt;
+use crate::cluster::part_report::PromptCrashReport;
+use crate::cluster::prompt_part::PromptPart;
+use crate::cluster::quarantine_report::CrashId;
+use crate::cluster::quarantine_report::CrashStage;
+use crate::ids::PartId;
+
+/// Maximum number of prompts that are remembered for each crash.
+const MAX_PROMPTS: usize = 64;
+
+/// A prompt that a server had when it crashed.
+#[derive(Debug)]
+struct Exposure {
+    stage: CrashStage,
+    parts: Vec<PartId>,
+}
+
+/// A server's crash, and the prompts that it had.
+#[derive(Debug)]
+pub(super) struct PromptCrash {
+    /// Service of the server.
+    pub service: ServiceName,
+    /// When it happened, by the earliest report.
+    pub at: Moment,
+    /// When this daemon last learned of the crash or of another of its prompts.
+    pub updated_at: Moment,
+    /// Whether this daemon detected it.
+    pub is_own: bool,
+    /// The prompts, by request.
+    prompts: BTreeMap<Fingerprint, Exposure>,
+    /// The most suspicious stage of all requests, including those that are not remembered.
+    pub worst_stage: CrashStage,
+}
+
+impl PromptCrash {
+    /// Creates a crash without prompts.
+    pub fn new(service: ServiceName, at: Moment, now: Moment) -> Self {
+        let (prompts, worst_stage) = (BTreeMap::new(), CrashStage::Other);
+        Self { service, at, updated_at: now, is_own: false, prompts, worst_stage }
+    }
+
+    /// Adds a request that the server had, unless there are too many.
+    pub fn add_prompt(&mut self, prompt: ExposedPrompt, now: Moment) {
+        let ExposedPrompt { fingerprint, stage, parts } = prompt;
+        if let Some(known) = self.prompts.get_mut(&fingerprint) {
+            known.stage = known.stage.min(stage);
+        } else if !parts.is_empty() && self.prompts.len() < MAX_PROMPTS {
+            self.prompts.insert(fingerprint, Exposure { stage, parts });
+            self.updated_at = now;
+        }
+    }
+
+    /// Returns the prompts of the requests that were at the most suspicious stage.
+    fn worst_prompts(&self) -> impl Iterator<Item = (&Fingerprint, &[PartId])> {
+        let worst = self.prompts.iter().filter(|(_, prompt)| prompt.stage == self.worst_stage);
+        worst.map(|(fingerprint, prompt)| (fingerprint, prompt.parts.as_slice()))
+    }
+
+    /// Returns the requests at that stage whose prompts contain a part.
+    pub fn requests_with(&self, part: &PromptPart) -> impl Iterator<Item = &Fingerprint> {
+        let is_service = self.service == part.service;
+        let with =
+            self.worst_prompts().filter(move |(_, ids)| is_service && ids.contains(&part.id));
+        with.map(|(fingerprint, _)| fingerprint)
+    }
+
+    /// Returns whether a part stands behind another in one of the prompts.
+    pub fn is_behind(&self, part: PartId, other: PartId) -> bool {
+        let place = |ids: &[PartId], id| ids.iter().position(|known| *known == id);
+        self.worst_prompts().any(|(_, ids)| {
+            matches!((place(ids, part), place(ids, other)), (Some(part), Some(other)) if part > other)
+        })
+    }
+
+    /// Returns the parts of its prompts, each once.
+    pub fn parts(&self) -> BTreeSet<PartId> {
+        self.worst_prompts().flat_map(|(_, ids)| ids).copied().collect()
+    }
+
+    /// Returns its report for peers, with at most `max_prompts` prompts: the most suspicious ones.
+    pub fn report(&self, id: &CrashId, max_prompts: usize, now: Moment) -> PromptCrashReport {
+        let prompt = |(fingerprint, prompt): (&Fingerprint, &Exposure)| ExposedPrompt {
+            fingerprint: *fingerprint,
+            stage: prompt.stage,
+            parts: prompt.parts.clone(),
+        };
+        let mut prompts: Vec<_> = self.prompts.iter().map(prompt).collect();
+        prompts.sort_by_key(|prompt| prompt.stage);
+        prompts.truncate(max_prompts);
+        PromptCrashReport {
+            id: id.clone(),
+            service: self.service.clone(),
+            age: now.saturating_sub(self.at),
+            worst_stage: self.worst_stage,
+            prompts,
+        }
+    }
+}
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -23,14 +23,14 @@
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(100);
 /// Other suspects of a crash that did not cause it get an event from another server within this time of
 /// the crash.
-const SUSPECT_CLEAR_TIME: Duration = Duration::from_millis(500);
+pub(super) const SUSPECT_CLEAR_TIME: Duration = Duration::from_millis(500);
 /// A request is held until callers have made no attempt at it for this long.
 pub const HOLD_TIME: Duration = Duration::from_hours(1);
 /// How long crashes and cleared suspects are remembered; long enough for callers that retry rarely.
-const CRASH_RETENTION: Duration = Duration::from_mins(10);
+pub(super) const CRASH_RETENTION: Duration = Duration::from_mins(10);
 /// How long a new fact is reported to peers. This takes ten digests: packet loss alone does not explain that a
 /// reachable peer misses all of them.
-const REPORT_TIME: Duration = Duration::from_secs(3);
+pub(super) const REPORT_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 /// Maximum number of requests that are remembered for each crash, and of held and of cleared ones.
@@ -95,7 +95,7 @@
     }
 
     /// Returns the id of a server's first crash after `sent`, whether or not that crash is known.
-    fn crash_after(&self, server: &ServerInstance, sent: Moment) -> CrashId {
+    pub fn crash_after(&self, server: &ServerInstance, sent: Moment) -> CrashId {
         let mut id = CrashId { server: server.clone(), earlier: 0 };
         while self.crashes.get(&id).is_some_and(|crash| crash.at < sent) {
             id.earlier += 1;
--- a/lib/src/cluster/trial_report.rs
+++ b/lib/src/cluster/trial_report.rs
@@ -7,7 +7,7 @@
 use crate::cluster::server_instance::ServerInstance;
 
 /// How far the trial of a suspected request is. The order of the variants is that of the wire format.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum TrialStage {
     /// The request waits for its trial or for a model.
     Queued,
@@ -28,7 +28,7 @@
 }
 
 /// A suspected request of one daemon.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TrialReport {
     /// The request.
     pub fingerprint: Fingerprint,
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -41,6 +41,7 @@
     relays: Counter<u64>,
     load_time: Histogram<f64>,
     quarantined: Gauge<u64>,
+    quarantined_parts: Gauge<u64>,
     origins: Counter<u64>,
     dropped_origins: Gauge<u64>,
 }
@@ -122,6 +123,10 @@
                 "held_requests",
                 "Requests that go to no server, since several crashed under each",
             ),
+            quarantined_parts: gauge(
+                "held_prompt_parts",
+                "Prompt parts that go to no server, since several crashed under requests with each",
+            ),
             origins: counter(
                 "resumed_streams",
                 "Streams that callers resumed, by how their software version is known and what came of it",
@@ -221,6 +226,11 @@
         self.quarantined.record(count as u64, &[]);
     }
 
+    /// Sets the number of prompt parts in quarantine, which are sent to no server.
+    pub fn set_quarantined_parts(&self, count: usize) {
+        self.quarantined_parts.record(count as u64, &[]);
+    }
+
     /// Counts a stream that a caller resumed.
     pub fn record_origin(&self, source: &'static str, outcome: &'static str) {
         self.origins.add(1, &[KeyValue::new("source", source), KeyValue::new("outcome", outcome)]);
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -45,6 +45,7 @@
 mod orders_guard;
 pub mod origin_exchange;
 pub mod origin_queries;
+pub mod part_suspects;
 pub mod peer_sync;
 pub mod peer_transfer;
 pub mod placement_controller;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -256,7 +256,7 @@
     /// Records the first event of the response.
     ///
     /// The version of the server whose first event the caller gets becomes that of the stream, which later sends keep.
-    pub fn record_first_event(&mut self, daemon: &DaemonState, first: Moment) {
+    pub fn record_first_event(&mut self, daemon: &Rc<DaemonState>, first: Moment) {
         let began =
             StreamOrigin { service: self.service.clone(), version: self.last_version.clone() };
         let origin = self.origin.get_or_insert(began).clone();
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -20,6 +20,7 @@
 use crate::cluster::directory::Directory;
 use crate::cluster::engine_inventories::EngineInventories;
 use crate::cluster::engine_inventories::EngineInventory;
+use crate::cluster::part_quarantine::PartQuarantine;
 use crate::cluster::peer_table::PeerTable;
 use crate::cluster::quarantine::Quarantine;
 use crate::cluster::rate_limits::RateLimits;
@@ -111,6 +112,8 @@
     pub server_rests: RefCell<ServerRests>,
     /// Requests held back because servers crashed under them.
     pub quarantine: RefCell<Quarantine>,
+    /// Prompt parts held back because servers crashed under requests with them.
+    pub part_quarantine: RefCell<PartQuarantine>,
     /// Trials of suspected requests in progress at engines.
     pub trials: Trials,
     /// Software versions that began recent streams.
@@ -137,6 +140,8 @@
     pub limit_heard: Notify,
     /// Signalled when a crash report or quarantine must be sent to peers at once.
     pub quarantine_changed: Notify,
+    /// Signalled when a prompt part is held from now on.
+    pub part_held: Notify,
     /// Signalled when a digest or reader report shows that state must be fetched from a peer.
     pub fetch_due: Notify,
     /// The placement lease, as this daemon holds it or bids for it.
@@ -232,6 +237,7 @@
             server_paths: RefCell::default(),
             server_rests: RefCell::default(),
             quarantine: RefCell::default(),
+            part_quarantine: RefCell::default(),
             trials: Trials::default(),
             stream_origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
@@ -245,6 +251,7 @@
             departure_heard: Notify::new(),
             limit_heard: Notify::new(),
             quarantine_changed: Notify::new(),
+            part_held: Notify::new(),
             fetch_due: Notify::new(),
             lease: RefCell::new(lease),
             renewal_due: Notify::new(),
--- a/lib/src/serve/failover.rs
+++ b/lib/src/serve/failover.rs
@@ -154,8 +154,8 @@
 }
 
 /// Returns another server that can take the request now, after taking the retry from the budget.
-async fn reserve_server(daemon: &DaemonState, attempt: &Attempt) -> Option<ChosenServer> {
-    if daemon.is_quarantined(&attempt.fingerprint) || !daemon.has_retry(&attempt.service) {
+async fn reserve_server(daemon: &Rc<DaemonState>, attempt: &Attempt) -> Option<ChosenServer> {
+    if daemon.quarantine_refusal(attempt).is_some() || !daemon.has_retry(&attempt.service) {
         return None;
     }
     let model_target = attempt.model_target();
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -128,41 +128,33 @@
 /// be cleared.
 async fn wait_for_trial(daemon: &Rc<DaemonState>, attempt: &mut Attempt) {
     attempt.trial = None;
-    if !daemon.is_suspect(&attempt.fingerprint) {
-        return;
-    }
-    attempt.trial = Some(daemon.trials.enqueue(attempt.fingerprint, daemon.now()));
+    let Some(key) = daemon.trial_key(attempt) else { return };
+    attempt.trial = Some(daemon.trials.enqueue(key, daemon.now()));
     sleep(REPORT_DELAY).await;
     while daemon.now() < attempt.deadline && daemon.quarantine_refusal(attempt).is_none() {
         let changed = daemon.model_waits.inventories_changed.notified();
         if may_claim(daemon, attempt) {
             return;
         }
-        let delay = decision_delay(daemon, attempt);
+        let delay = daemon.decision_delay(attempt);
         let _changed = timeout(delay.max(FULL_RETRY_DELAY), changed).await;
     }
 }
 
 /// Returns whether the request may claim an engine or be sent now: it is no suspect, or its trial is next.
 fn may_claim(daemon: &DaemonState, attempt: &mut Attempt) -> bool {
-    if !daemon.is_suspect(&attempt.fingerprint) {
+    let Some(key) = daemon.trial_key(attempt) else {
         attempt.trial = None;
         return true;
-    }
-    let delay = decision_delay(daemon, attempt);
-    // The request may have become a suspect while it waited for a model.
-    let trial = attempt
-        .trial
-        .get_or_insert_with(|| daemon.trials.enqueue(attempt.fingerprint, daemon.now()));
+    };
+    let delay = daemon.decision_delay(attempt);
+    // The request may have become a suspect, or another part of it the main one, while it waited for a model.
+    let trial = attempt.trial.take().filter(|trial| trial.fingerprint() == key);
+    let trial = trial.unwrap_or_else(|| daemon.trials.enqueue(key, daemon.now()));
+    let trial = attempt.trial.insert(trial);
     delay.is_zero() && daemon.trials.is_next(trial, &daemon.settings().id, daemon.now())
 }
 
-/// Returns for how long the request must not be sent yet, because other suspects may be cleared meanwhile. Crashes that
-/// peers report may prolong it at any time until the request is sent.
-fn decision_delay(daemon: &DaemonState, attempt: &Attempt) -> Duration {
-    daemon.quarantine.borrow().decision_delay(&attempt.fingerprint, daemon.now())
-}
-
 /// Result of the selection of an engine.
 #[derive(Debug)]
 enum Selection {
@@ -219,7 +211,7 @@
     model_target: &ModelTarget,
 ) -> Option<Selection> {
     let trial = attempt.trial.as_ref()?;
-    if !decision_delay(daemon, attempt).is_zero() {
+    if !daemon.decision_delay(attempt).is_zero() {
         trial.release();
         return None;
     }
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -38,6 +38,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::datagram_sender::DatagramSender;
 use crate::serve::origin_exchange;
+use crate::serve::part_suspects;
 use crate::serve::suspects;
 
 /// Delay after a failed receive.
@@ -169,6 +170,9 @@
                 }
             }
             Payload::CrashNews(report) => suspects::merge_report(daemon, &report, &message.from),
+            Payload::PromptParts(report) => {
+                part_suspects::merge_report(daemon, &report, &message.from);
+            }
             Payload::Trials(reports) => {
                 self.answer_claims(&message.from, addr, &reports);
                 if daemon.trials.update_peer(&message.from, reports, now) {
@@ -192,6 +196,8 @@
             if let Some(report) = known {
                 self.send(addr, &self.encode(Payload::CrashNews(report)), "crashes");
             }
+            let known = daemon.part_quarantine.borrow().known_of(&fingerprint, only_own, now);
+            self.send_parts(known, &[addr]);
         }
     }
 
--- /dev/null
+++ b/lib/src/serve/part_suspects.rs
@@ -0,0 +1,108 @@
+//! Quarantine of prompt parts under which servers crash: records what requests show of them, refuses requests with
+//! quarantined ones, reports and stores these.
+
+use std::rc::Rc;
+
+use tokio::task::spawn_local;
+
+use crate::cluster::part_report::PartReport;
+use crate::cluster::prompt_part::PromptPart;
+use crate::cluster::quarantine_report::RequestProgress;
+use crate::placement::entries;
+use crate::serve::attempt::Attempt;
+use crate::serve::daemon_state::DaemonState;
+use crate::serve::suspects::QuarantineRecord;
+use crate::serve::suspects::append;
+use crate::store::Feed;
+use crate::store::FeedRecord;
+
+/// Records how far a server progressed with a request, which clears its prompt parts of earlier crashes.
+pub(super) fn record_progress(
+    daemon: &Rc<DaemonState>,
+    attempt: &Attempt,
+    progress: RequestProgress,
+) {
+    let mut parts = daemon.part_quarantine.borrow_mut();
+    let change = parts.record_progress(&attempt.prompt_parts, progress, daemon.now());
+    drop(parts);
+    for part in &change.released {
+        release(daemon, part, "served");
+        spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
+    }
+    if change.is_urgent {
+        daemon.quarantine_changed.notify_one();
+        daemon.model_waits.inventories_changed.notify_waiters();
+    }
+}
+
+/// Returns whether a request has a quarantined prompt part; each call extends the quarantine. Evaluates the parts first:
+/// peers may have reported more since the last check.
+pub(super) fn is_held(daemon: &Rc<DaemonState>, attempt: &Attempt) -> bool {
+    let parts = &attempt.prompt_parts;
+    let held = daemon.part_quarantine.borrow_mut().evaluate(parts, daemon.now());
+    for part in held {
+        daemon.quarantine_changed.notify_one();
+        log_held(daemon, &part, "own");
+        spawn_local(store(Rc::clone(daemon), part));
+    }
+    daemon.part_quarantine.borrow_mut().held_part(parts, daemon.now()).is_some()
+}
+
+/// Merges a peer's report on prompt parts.
+pub(super) fn merge_report(daemon: &Rc<DaemonState>, report: &PartReport, from: &str) {
+    let held = daemon.part_quarantine.borrow_mut().merge(report, daemon.now());
+    for part in held {
+        log_held(daemon, &part, from);
+        // If every daemon learned of the part only from reports, none has stored it.
+        if daemon.fence().is_some() {
+            spawn_local(store(Rc::clone(daemon), part));
+        }
+    }
+    if !report.cleared.is_empty() {
+        daemon.model_waits.inventories_changed.notify_waiters();
+    }
+}
+
+/// Loads a prompt part that was quarantined before this daemon started, by its key in the store.
+pub(super) fn load(daemon: &DaemonState, key: &str) {
+    match PromptPart::try_from(key) {
+        Ok(part) => {
+            daemon.part_quarantine.borrow_mut().hold(&part, daemon.now());
+            log_held(daemon, &part, "store");
+        }
+        Err(error) => daemon.log_unreadable(Feed::Quarantine, key, &error.0),
+    }
+}
+
+/// Releases prompt parts that no caller has sent again for long.
+pub(super) fn release_expired(daemon: &Rc<DaemonState>) {
+    let released = daemon.part_quarantine.borrow_mut().sweep(daemon.now());
+    for part in released {
+        release(daemon, &part, "unused");
+        if daemon.fence().is_some() {
+            spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
+        }
+    }
+}
+
+fn release(daemon: &DaemonState, part: &PromptPart, reason: &str) {
+    slog::info!(daemon.log, "part-released"; "part" => %part, "reason" => reason);
+    daemon.metrics.set_quarantined_parts(daemon.part_quarantine.borrow().held_count());
+}
+
+fn log_held(daemon: &DaemonState, part: &PromptPart, from: &str) {
+    let parts = daemon.part_quarantine.borrow();
+    let crashes = parts.crash_ids(part);
+    let servers: Vec<_> = crashes.iter().map(|c| c.server.id.as_str()).collect();
+    slog::warn!(daemon.log, "part-held"; "part" => %part, "from" => from,
+        "servers" => servers.join(","), "held" => parts.held_count());
+    daemon.metrics.set_quarantined_parts(parts.held_count());
+    daemon.part_held.notify_waiters();
+}
+
+/// Writes a quarantined prompt part to the store, since all daemons may be replaced at once.
+async fn store(daemon: Rc<DaemonState>, part: PromptPart) {
+    let crashes = daemon.part_quarantine.borrow().crash_ids(&part);
+    let value = Some(entries::encode(&QuarantineRecord { crashes }));
+    append(daemon, FeedRecord { key: part.key(), value }).await;
+}
--- a/lib/src/serve/publish.rs
+++ b/lib/src/serve/publish.rs
@@ -15,6 +15,7 @@
 use crate::cluster::digest::ServerDeparture;
 use crate::cluster::digest::WorkloadReport;
 use crate::cluster::engine_inventories::EngineInventory;
+use crate::cluster::part_report::PartReport;
 use crate::cluster::reader_report::ReaderReport;
 use crate::cluster::reader_report::WorkloadScope;
 use crate::cluster::workloads::Workload;
@@ -38,6 +39,8 @@
 /// Most bytes of joined servers' entries in one reader report. If more servers joined at once, peers fetch a full
 /// snapshot.
 const MAX_JOINED_BYTES: usize = 30_000;
+/// Maximum number of crashes in one datagram on prompt parts: each may have many prompts with many parts.
+const CRASHES_PER_MESSAGE: usize = 4;
 
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
@@ -200,6 +203,7 @@
         for addr in &addrs {
             self.send(*addr, &bytes, "digest");
         }
+        self.send_part_report(&addrs);
         if self.daemon.peers.borrow().reachable(now).next().is_none() {
             for seed in &self.daemon.settings().seeds {
                 if !addrs.contains(seed) && *seed != self.daemon.settings().peer {
@@ -236,12 +240,33 @@
         let now = self.daemon.now();
         let since = self.last_crashes.replace(now);
         let report = self.daemon.quarantine.borrow().own_crashes(since, now);
-        if report.crashes.is_empty() {
-            return;
+        let peers: Vec<_> = self.daemon.peers.borrow().all().map(|(_, p)| p.addr).collect();
+        if !report.crashes.is_empty() {
+            let bytes = self.encode(Payload::CrashNews(report));
+            for addr in &peers {
+                self.send(*addr, &bytes, "crashes");
+            }
         }
-        let bytes = self.encode(Payload::CrashNews(report));
-        for (_, peer) in self.daemon.peers.borrow().all() {
-            self.send(peer.addr, &bytes, "crashes");
+        let parts = self.daemon.part_quarantine.borrow().own_news(since, now);
+        self.send_parts(parts, &peers);
+    }
+
+    /// Sends what this daemon knows of fatal prompt parts along with a digest or reader report.
+    fn send_part_report(&self, addrs: &[SocketAddr]) {
+        let (now, is_reader) = (self.daemon.now(), self.daemon.is_reader());
+        let report = self.daemon.part_quarantine.borrow().report(now, is_reader);
+        self.send_parts(report, addrs);
+    }
+
+    /// Sends a report of prompt parts in datagrams of limited size; nothing if it is empty.
+    pub(super) fn send_parts(&self, mut report: PartReport, addrs: &[SocketAddr]) {
+        while !report.is_empty() {
+            let rest = report.crashes.split_off(report.crashes.len().min(CRASHES_PER_MESSAGE));
+            let bytes = self.encode(Payload::PromptParts(report));
+            for addr in addrs {
+                self.send(*addr, &bytes, "parts");
+            }
+            report = PartReport { crashes: rest, ..PartReport::default() };
         }
     }
 
@@ -280,9 +305,11 @@
         let local_report = self.reader_report_message(WorkloadScope::Fleet);
         let remote_report = self.reader_report_message(WorkloadScope::Centre);
         let peers = daemon.peers.borrow();
-        for peer in peers.in_centre(&centre) {
-            self.send(peer.addr, &local_report, "word");
+        let local: Vec<_> = peers.in_centre(&centre).map(|peer| peer.addr).collect();
+        for addr in &local {
+            self.send(*addr, &local_report, "word");
         }
+        self.send_part_report(&local);
         let mut addrs: Vec<SocketAddr> = peers
             .centres()
             .filter(|other| **other != centre)
@@ -291,9 +318,10 @@
         addrs.extend(peers.holder(now).map(|(_, peer, _)| peer.addr));
         addrs.sort_unstable();
         addrs.dedup();
-        for addr in addrs {
-            self.send(addr, &remote_report, "word");
+        for addr in &addrs {
+            self.send(*addr, &remote_report, "word");
         }
+        self.send_part_report(&addrs);
     }
 
     /// Sends the demand of waiting requests to the holder of the placement lease: at once when a request begins to
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -12,7 +12,10 @@
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
+use crate::cluster::configuration::ServiceName;
 use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::part_report::ExposedPrompt;
+use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine::HOLD_TIME;
 use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::CrashStage;
@@ -20,9 +23,11 @@
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
 use crate::ids::DaemonId;
+use crate::ids::PartId;
 use crate::placement::entries;
 use crate::serve::attempt::Attempt;
 use crate::serve::daemon_state::DaemonState;
+use crate::serve::part_suspects;
 use crate::serve::reply::Refusal;
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
@@ -43,11 +48,11 @@
 /// Delay before a failed call to the store is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// A quarantined request in the store, for daemons that start later and for operators.
+/// A quarantined request or prompt part in the store, for daemons that start later and for operators.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct QuarantineRecord {
-    /// Crashes that the request is suspected to have caused.
-    crashes: Vec<CrashId>,
+pub(super) struct QuarantineRecord {
+    /// Crashes that the request, or prompt part, is suspected to have caused.
+    pub(super) crashes: Vec<CrashId>,
 }
 
 impl DaemonState {
@@ -57,24 +62,27 @@
     }
 
     /// Records how far a server progressed with a request.
-    pub fn record_progress(&self, attempt: &Attempt, progress: RequestProgress) {
+    pub fn record_progress(self: &Rc<Self>, attempt: &Attempt, progress: RequestProgress) {
+        part_suspects::record_progress(self, attempt, progress);
         if self.quarantine.borrow_mut().record_progress(attempt.fingerprint, progress, self.now()) {
             self.quarantine_changed.notify_one();
         }
     }
 
     /// Records that events of a stream were just received.
-    pub fn record_events(&self, attempt: &mut Attempt) {
+    pub fn record_events(self: &Rc<Self>, attempt: &mut Attempt) {
         if attempt.unproven_since.is_some_and(|first| self.now() >= first + EARLY_STREAM_TIME) {
             attempt.unproven_since = None;
             self.record_progress(attempt, RequestProgress::Streaming);
         }
     }
 
-    /// Returns the refusal of a quarantined request; `None` if the request is not in quarantine.
+    /// Returns the refusal of a quarantined request, or of one with a quarantined prompt part; `None` if neither is in
+    /// quarantine.
     pub fn quarantine_refusal(self: &Rc<Self>, attempt: &Attempt) -> Option<Refusal> {
         evaluate(self, attempt.fingerprint);
-        let is_held = self.is_quarantined(&attempt.fingerprint);
+        let is_held =
+            self.is_quarantined(&attempt.fingerprint) || part_suspects::is_held(self, attempt);
         is_held.then(|| Refusal::failed(attempt.verdict, QUARANTINED_REASON, HOLD_TIME))
     }
 
@@ -91,12 +99,31 @@
     pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
         !self.quarantine.borrow().suspected_crashes(fingerprint).is_empty()
     }
+
+    /// Returns the fingerprint of what a request is suspected for: one of its prompt parts, or itself. Requests that have
+    /// it in common are tried one at a time. `None` if it is no suspect.
+    pub fn trial_key(&self, attempt: &Attempt) -> Option<Fingerprint> {
+        let parts = self.part_quarantine.borrow();
+        let part = parts.main_suspect(&attempt.prompt_parts).map(PromptPart::fingerprint);
+        part.or_else(|| self.is_suspect(&attempt.fingerprint).then_some(attempt.fingerprint))
+    }
+
+    /// Returns for how long a suspected request must not be sent yet, because other suspects may be cleared meanwhile.
+    /// Crashes that peers report may prolong it at any time until the request is sent.
+    pub fn decision_delay(&self, attempt: &Attempt) -> Duration {
+        let now = self.now();
+        let of_request = self.quarantine.borrow().decision_delay(&attempt.fingerprint, now);
+        let of_parts = self.part_quarantine.borrow().decision_delay(&attempt.prompt_parts, now);
+        of_request.max(of_parts)
+    }
 }
 
 /// A request that a server had when the connection to it ended.
 #[derive(Debug)]
 struct Exposure {
     fingerprint: Fingerprint,
+    service: ServiceName,
+    parts: Vec<PartId>,
     /// Prompt parts of the request, for the log.
     shown_parts: String,
     server: ServerInstance,
@@ -120,8 +147,15 @@
     };
     let stage = crash_stage(daemon, attempt, disconnect);
     let (fingerprint, sent_at) = (attempt.fingerprint, attempt.sent_at);
-    let shown_parts = attempt.shown_parts();
-    let exposure = Exposure { fingerprint, shown_parts, server, sent_at, stage };
+    let exposure = Exposure {
+        fingerprint,
+        service: attempt.service.clone(),
+        parts: attempt.prompt_parts.iter().map(|part| part.id).collect(),
+        shown_parts: attempt.shown_parts(),
+        server,
+        sent_at,
+        stage,
+    };
     // A task of its own: the caller may leave before the check is over.
     let check = spawn_local(record_if_crashed(Rc::clone(daemon), exposure, trial));
     let result = check.await;
@@ -178,11 +212,14 @@
 }
 
 fn record_crash(daemon: &Rc<DaemonState>, exposure: &Exposure) {
-    let Exposure { fingerprint, ref shown_parts, ref server, sent_at, stage } = *exposure;
+    let Exposure { fingerprint, ref shown_parts, ref server, sent_at, stage, .. } = *exposure;
     let mut quarantine = daemon.quarantine.borrow_mut();
+    let id = quarantine.crash_after(server, sent_at);
     let is_held = quarantine.record_crash(server, sent_at, fingerprint, stage, daemon.now());
     let crashes = quarantine.suspected_crashes(&fingerprint).len();
     drop(quarantine);
+    let prompt = ExposedPrompt { fingerprint, stage, parts: exposure.parts.clone() };
+    daemon.part_quarantine.borrow_mut().record_crash(&id, &exposure.service, prompt, daemon.now());
     if stage < CrashStage::Other || crashes > 1 {
         slog::info!(daemon.log, "request-suspected"; "print" => %fingerprint, "server" => %server,
             "stage" => stage.name(), "crashes" => crashes, "parts" => shown_parts);
@@ -232,8 +269,9 @@
     }
 }
 
-/// Releases quarantined requests that no caller has sent again for [`HOLD_TIME`].
+/// Releases quarantined requests and prompt parts that no caller has sent again for [`HOLD_TIME`].
 pub fn release_expired(daemon: &Rc<DaemonState>) {
+    part_suspects::release_expired(daemon);
     let released = daemon.quarantine.borrow_mut().sweep(daemon.now());
     for fingerprint in released {
         slog::info!(daemon.log, "request-released"; "print" => %fingerprint);
@@ -257,7 +295,7 @@
         .await;
 }
 
-async fn append(daemon: Rc<DaemonState>, record: FeedRecord) {
+pub(super) async fn append(daemon: Rc<DaemonState>, record: FeedRecord) {
     loop {
         let call = daemon.store.append(Feed::Quarantine, record.clone(), None);
         if track_call(&daemon, Feed::Quarantine, call).await.is_ok() {
@@ -280,6 +318,10 @@
             if record.value.is_none() {
                 continue;
             }
+            if PromptPart::is_key(&record.key) {
+                part_suspects::load(&daemon, &record.key);
+                continue;
+            }
             match Fingerprint::try_from(record.key.as_str()) {
                 Ok(fingerprint) => {
                     daemon.quarantine.borrow_mut().hold(fingerprint, daemon.now());
--- a/lib/src/serve/trials.rs
+++ b/lib/src/serve/trials.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,6 +60,7 @@
 pub struct Trial {
     trials: Trials,
     number: TrialNumber,
+    fingerprint: Fingerprint,
 }
 
 /// State of a trial's claim on an engine.
@@ -81,14 +83,20 @@
         tables.last_number += 1;
         let number = tables.last_number;
         let report = TrialReport { fingerprint, stage: TrialStage::Queued };
+        // Many requests may wait for one prompt part; peers need to know of it once.
+        let is_news = tables.own.values().all(|own| own.report != report);
         tables.own.insert(number, OwnTrial { queued_at: now, claimed_at: now, report });
-        self.changed.notify_one();
-        Trial { trials: self.clone(), number }
+        if is_news {
+            self.changed.notify_one();
+        }
+        Trial { trials: self.clone(), number, fingerprint }
     }
 
-    /// Returns this daemon's trials, for its peers.
+    /// Returns this daemon's trials, for its peers; those that are alike once.
     pub fn own(&self) -> Vec<TrialReport> {
-        self.tables.borrow().own.values().map(|own| own.report.clone()).collect()
+        let tables = self.tables.borrow();
+        let reports: BTreeSet<_> = tables.own.values().map(|own| &own.report).collect();
+        reports.into_iter().cloned().collect()
     }
 
     /// Returns whether a trial of this daemon has a claim.
@@ -193,6 +201,11 @@
 }
 
 impl Trial {
+    /// Returns the fingerprint of the request or prompt part that is tried.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
     /// Claims a server for the request; [`Trials::claim`] tells when it may be sent there.
     pub fn claim(&self, server: ServerInstance, now: Moment) {
         if let Some(own) = self.trials.tables.borrow_mut().own.get_mut(&self.number) {
--- /dev/null
+++ b/lib/tests/test_part_quarantine.rs
@@ -0,0 +1,337 @@
+//! Tests when a prompt part under which servers crash is held and when not, and how reports of it merge.
+
+use std::time::Duration;
+
+use comfreymux_lib::boot_clock::Moment;
+use comfreymux_lib::cluster::fingerprint::Fingerprint;
+use comfreymux_lib::cluster::part_quarantine::PartQuarantine;
+use comfreymux_lib::cluster::part_report::ExposedPrompt;
+use comfreymux_lib::cluster::part_report::HeldPart;
+use comfreymux_lib::cluster::part_report::PartReport;
+use comfreymux_lib::cluster::prompt_part::PromptPart;
+use comfreymux_lib::cluster::quarantine::HOLD_TIME;
+use comfreymux_lib::cluster::quarantine_report::CrashId;
+use comfreymux_lib::cluster::quarantine_report::CrashStage;
+use comfreymux_lib::cluster::quarantine_report::RequestProgress;
+use comfreymux_lib::cluster::server_instance::ServerInstance;
+use comfreymux_lib::ids::PartId;
+use http::Method;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+const SERVICE: &str = "drafting";
+/// A part with which the prompts of all requests begin, and one that crashes servers.
+const COMMON: PartId = 1;
+const FATAL: PartId = 0xdead;
+
+fn start() -> Moment {
+    Moment::ZERO + SECOND * 1000
+}
+
+fn crash(n: usize) -> CrashId {
+    CrashId { server: ServerInstance::from(format!("s{n}").as_str()), earlier: 0 }
+}
+
+fn prompt(request: usize, stage: CrashStage, parts: &[PartId]) -> ExposedPrompt {
+    let body = request.to_be_bytes();
+    let fingerprint = Fingerprint::new(&Method::POST, "shop.example", "/draft/7", &body);
+    ExposedPrompt { fingerprint, stage, parts: parts.to_vec() }
+}
+
+fn part(id: PartId) -> PromptPart {
+    PromptPart { service: SERVICE.into(), id }
+}
+
+/// A quarantine and its time.
+#[derive(Debug, Default)]
+struct Site {
+    quarantine: PartQuarantine,
+    now: Moment,
+    crashes: usize,
+}
+
+impl Site {
+    fn new() -> Self {
+        Self { now: start(), ..Self::default() }
+    }
+
+    /// Records a crash, a second after the last one, under a request that is the only one of its kind.
+    fn crash(&mut self, parts: &[PartId]) {
+        self.crash_with(self.crashes, parts);
+    }
+
+    fn crash_with(&mut self, request: usize, parts: &[PartId]) {
+        self.now += SECOND;
+        let prompt = prompt(request, CrashStage::BeforeEvents, parts);
+        let id = crash(self.crashes);
+        self.quarantine.record_crash(&id, &SERVICE.into(), prompt, self.now);
+        self.crashes += 1;
+    }
+
+    fn progress(&mut self, parts: &[PartId], progress: RequestProgress) {
+        let parts: Vec<_> = parts.iter().copied().map(part).collect();
+        self.quarantine.record_progress(&parts, progress, self.now);
+    }
+
+    fn held(&mut self, parts: &[PartId]) -> Vec<PartId> {
+        let all: Vec<_> = parts.iter().copied().map(part).collect();
+        self.quarantine.evaluate(&all, self.now + SECOND);
+        let is_held = |part: &&PromptPart| {
+            self.quarantine.held_part(std::slice::from_ref(*part), self.now).is_some()
+        };
+        all.iter().filter(is_held).map(|part| part.id).collect()
+    }
+}
+
+/// Guards against a part being held too late, or a part being held that sound requests have.
+#[rstest]
+#[case::middle(&[COMMON, FATAL, 7])]
+#[case::first(&[FATAL, COMMON, 7])]
+#[case::last(&[COMMON, 7, FATAL])]
+fn held_at_third(#[case] parts: &[PartId]) {
+    let mut site = Site::new();
+    for n in 0..3 {
+        assert_eq!(site.held(parts), [0; 0], "after {n} crashes");
+        site.crash(parts);
+        site.progress(&[COMMON, 7], RequestProgress::FirstEvent);
+    }
+    assert_eq!(site.held(parts), [FATAL]);
+}
+
+/// Guards against the parts of a request being held with it: it may itself be the cause.
+#[test]
+fn one_request() {
+    let mut site = Site::new();
+    for _copy in 0..9 {
+        site.crash_with(1, &[COMMON, 5]);
+    }
+    assert_eq!(site.held(&[COMMON, 5]), [0; 0]);
+}
+
+/// Guards against a part being held that comes only together with the fatal one: at five crashes the last of them is,
+/// which the fewest requests share.
+#[test]
+fn always_together() {
+    let mut site = Site::new();
+    for n in 0..5 {
+        assert_eq!(site.held(&[COMMON, FATAL]), [0; 0], "after {n} crashes");
+        site.crash(&[COMMON, FATAL]);
+    }
+    assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
+    assert_eq!(site.held(&[COMMON]), [0; 0]);
+}
+
+/// Guards against a fatal part not being found if nothing is served meanwhile that clears the other parts.
+#[test]
+fn other_parts_differ() {
+    let mut site = Site::new();
+    for n in 0..3 {
+        site.crash(&[FATAL, 100 + n]);
+    }
+    assert_eq!(site.held(&[FATAL, 100, 101, 102]), [FATAL]);
+}
+
+/// Guards against common parts being held because many hosts were lost at one instant.
+#[test]
+fn lost_at_once() {
+    let mut site = Site::new();
+    for n in 0..40 {
+        let id = crash(n);
+        let prompt = prompt(n, CrashStage::BeforeEvents, &[COMMON, 100 + n as PartId % 3]);
+        let at = site.now + Duration::from_millis(2) * n as u32;
+        site.quarantine.record_crash(&id, &SERVICE.into(), prompt, at);
+    }
+    site.now += SECOND;
+    assert_eq!(site.held(&[COMMON, 100, 101, 102]), [0; 0]);
+}
+
+/// Guards against a part being blamed for the crash of another part that is held for it.
+#[test]
+fn crash_explained() {
+    let mut site = Site::new();
+    for n in 0..3 {
+        site.crash(&[COMMON, FATAL, 100 + n]);
+    }
+    site.progress(&[COMMON], RequestProgress::FirstEvent);
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+    assert_eq!(site.quarantine.main_suspect(&[part(COMMON)]), None);
+}
+
+/// Guards against requests that had been served for long, or that had not begun, being blamed beside one that had just
+/// begun.
+#[test]
+fn worst_stage_only() {
+    let mut site = Site::new();
+    for n in 0..4 {
+        site.crash(&[FATAL]);
+        let bystander = prompt(100 + n, CrashStage::FirstEvent, &[COMMON]);
+        site.quarantine.record_crash(&crash(n), &SERVICE.into(), bystander, site.now);
+    }
+    assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
+}
+
+/// Guards against a part counting as sound for ever because a request with it was served before it began to crash servers.
+#[test]
+fn served_before() {
+    let mut site = Site::new();
+    site.progress(&[FATAL], RequestProgress::Complete);
+    for n in 0..3 {
+        site.crash(&[FATAL, 100 + n]);
+    }
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+}
+
+/// Guards against one service refusing requests because another one's servers crash.
+#[test]
+fn other_service() {
+    let mut site = Site::new();
+    for n in 0..3 {
+        site.crash(&[FATAL, 100 + n]);
+    }
+    let other = PromptPart { service: "summaries".into(), ..part(FATAL) };
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+    assert!(site.quarantine.held_part(&[other], site.now).is_none());
+}
+
+/// Guards against all requests of a service being tried one at a time after a single crash, or after each of several.
+#[test]
+fn suspect_at_second() {
+    let mut site = Site::new();
+    site.crash(&[COMMON, FATAL]);
+    assert_eq!(site.quarantine.main_suspect(&[part(COMMON), part(FATAL)]), None);
+    site.progress(&[COMMON], RequestProgress::FirstEvent);
+    site.crash(&[COMMON, FATAL]);
+    assert_eq!(site.quarantine.main_suspect(&[part(COMMON)]), None);
+    assert_eq!(site.quarantine.main_suspect(&[part(COMMON), part(FATAL)]), Some(&part(FATAL)));
+    assert!(site.quarantine.decision_delay(&[part(FATAL)], site.now) > Duration::ZERO);
+    assert_eq!(site.quarantine.decision_delay(&[part(FATAL)], site.now + SECOND), Duration::ZERO);
+}
+
+/// Guards against a release being undone by peers that go on reporting the hold.
+#[test]
+fn release_told() {
+    let mut here = Site::new();
+    for n in 0..3 {
+        here.crash(&[FATAL, 100 + n]);
+    }
+    let mut there = PartQuarantine::default();
+    assert_eq!(here.held(&[FATAL]), [FATAL]);
+    there.merge(&here.quarantine.report(here.now, false), here.now);
+    here.now += SECOND * 60;
+    assert!(there.held_part(&[part(FATAL)], here.now).is_some());
+    here.progress(&[FATAL], RequestProgress::FirstEvent);
+    assert_eq!(here.held(&[FATAL]), [FATAL], "an event may precede the crash");
+    here.progress(&[FATAL], RequestProgress::Streaming);
+    assert_eq!(here.held(&[FATAL]), [0; 0]);
+    here.quarantine.merge(&there.report(here.now, false), here.now);
+    there.merge(&here.quarantine.report(here.now, false), here.now);
+    assert!(there.held_part(&[part(FATAL)], here.now).is_none());
+    assert_eq!(here.held(&[FATAL]), [0; 0]);
+}
+
+/// Guards against a daemon that starts later, or was cut off, not learning of a part that is held for long.
+#[test]
+fn hold_told() {
+    let mut here = Site::new();
+    for n in 0..3 {
+        here.crash(&[FATAL, 100 + n]);
+    }
+    assert_eq!(here.held(&[FATAL]), [FATAL]);
+    here.now += HOLD_TIME / 2;
+    let mut there = PartQuarantine::default();
+    let held = there.merge(&here.quarantine.report(here.now, false), here.now);
+    assert_eq!(held, [part(FATAL)]);
+    assert!(there.held_part(&[part(FATAL)], here.now).is_some());
+}
+
+#[test]
+fn released_unasked() {
+    let mut site = Site::new();
+    assert!(site.quarantine.hold(&part(FATAL), site.now));
+    let asked = site.now + HOLD_TIME;
+    assert!(site.quarantine.sweep(asked).is_empty());
+    assert!(site.quarantine.held_part(&[part(FATAL)], asked).is_some());
+    assert!(site.quarantine.sweep(asked + HOLD_TIME).is_empty());
+    assert_eq!(site.quarantine.sweep(asked + HOLD_TIME + SECOND), [part(FATAL)]);
+}
+
+/// Guards against callers who invent parts exceeding the bounds on memory and datagrams, or pushing out evidence against
+/// a real one.
+#[test]
+fn invented_parts() {
+    let mut site = Site::new();
+    for n in 0..3_u128 {
+        site.crash(&[COMMON, FATAL, 100 + n]);
+        let invented: Vec<_> = (0..32).map(|i| 1_000_000 * (n + 1) + i).collect();
+        for request in 0..200 {
+            let prompt = prompt(10_000 + request, CrashStage::BeforeEvents, &invented);
+            let id = crash(n as usize);
+            site.quarantine.record_crash(&id, &SERVICE.into(), prompt, site.now);
+        }
+        site.progress(&[COMMON], RequestProgress::FirstEvent);
+        site.progress(&invented, RequestProgress::FirstEvent);
+    }
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+    let report = site.quarantine.report(site.now, true);
+    assert!(report.crashes.len() <= 16 && report.cleared.len() <= 16 && report.held.len() <= 16);
+    assert!(report.crashes.iter().all(|crash| crash.prompts.len() <= 16));
+}
+
+proptest! {
+    /// The order of reports and duplicates among them must not matter, or daemons would disagree permanently.
+    #[test]
+    fn order_irrelevant(
+        sightings in prop::collection::vec((0..5_usize, 0..6_usize, 0..3_usize), 1..24),
+        cleared in prop::collection::vec((0..4_u128, 0..3_usize, 0..4_u32), 0..4),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let now = start() + SECOND * 9;
+        let sighting = |(at, request, stage): &(usize, usize, usize)| {
+            let stage = [CrashStage::BeforeEvents, CrashStage::FirstEvent, CrashStage::Other][*stage];
+            let mut observer = PartQuarantine::default();
+            // The parts of a request are the same in all reports.
+            let prompt = prompt(*request, stage, &[*request as PartId % 4, 10 + *request as PartId]);
+            let crashed_at = start() + SECOND * *at as u32;
+            observer.record_crash(&crash(*at), &SERVICE.into(), prompt, crashed_at);
+            let mut report = observer.report(crashed_at, false);
+            report.crashes[0].age = now - crashed_at;
+            report
+        };
+        let clearing = |(id, progress, age): &(PartId, usize, u32)| PartReport {
+            cleared: vec![((part(*id), RequestProgress::ALL[*progress]), SECOND * *age)],
+            ..PartReport::default()
+        };
+        let reports: Vec<_> =
+            sightings.iter().map(sighting).chain(cleared.iter().map(clearing)).collect();
+        let suspected = |reports: &[PartReport]| {
+            let mut receiver = PartQuarantine::default();
+            for report in reports {
+                receiver.merge(report, now);
+            }
+            (0..4).map(|id| {
+                let mut ids = receiver.crash_ids(&part(id));
+                ids.sort();
+                ids
+            }).collect::<Vec<_>>()
+        };
+        let mut reordered = reports.clone();
+        reordered.rotate_left(order.index(reports.len()));
+        reordered.extend(reports.iter().rev().cloned());
+        prop_assert_eq!(suspected(&reports), suspected(&reordered));
+    }
+
+    /// A hold that a peer reports must last as long as that peer's own.
+    #[test]
+    fn hold_kept(age in 0..1000_u64, idle in 0..1000_u64) {
+        let now = start();
+        let (age, idle) = (Duration::from_secs(age.max(idle)), Duration::from_secs(idle));
+        let report = PartReport {
+            held: vec![HeldPart { part: part(FATAL), age, idle }],
+            ..PartReport::default()
+        };
+        let mut here = PartQuarantine::default();
+        here.merge(&report, now);
+        prop_assert_eq!(here.report(now, false).held, report.held);
+    }
+}
