--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -295,7 +295,7 @@
             let crashed_at = start() + SECOND * *at as u32;
             observer.record_crash(&crash(*at), &SERVICE.into(), prompt, crashed_at);
             let mut report = observer.report(crashed_at, false);
-            report.crashes[0].age = now - crashed_at;
+            report.crashes[0].age = now.saturating_sub(crashed_at);
             report
         };
         let clearing = |(id, progress, age): &(PartId, usize, u32)| PartReport {
