failover: a request in a server's queue is withdrawn once a part of its prompt is held

What callers saw: an engine ended under a request with the fatal part although the part was held by then: the request was in the engine's queue, its answer not begun. All places that wait for a model, a trial or a permit ask again; the wait for an answer did not.

The wait for the first event now also ends when a part is held; the connection is closed, and the caller gets the refusal with the verdict that the request may have run.

--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -352,7 +352,9 @@
         if failure.lacks_model {
             self.record_missing_model(daemon, &server);
         }
-        daemon.record_health(&self.service, &server, failure.evidence);
+        if let Some(evidence) = failure.evidence {
+            daemon.record_health(&self.service, &server, evidence);
+        }
         slog::info!(daemon.log, "send-failed"; "attempt" => self.id(), "print" => %self.fingerprint,
             "server" => %server, "reason" => failure.reason, "verdict" => %failure.verdict,
             "broke" => failure.disconnect.map_or("-", Disconnect::name), "parts" => self.shown_parts(),
--- a/lib/src/serve/failover.rs
+++ b/lib/src/serve/failover.rs
@@ -18,7 +18,9 @@
 use crate::serve::find_server::RESUME_TIMEOUT;
 use crate::serve::find_server::unusable_engines;
 use crate::serve::model_waits::WaitGuard;
+use crate::serve::part_suspects;
 use crate::serve::send::SendFailure;
+use crate::serve::suspects::QUARANTINED_REASON;
 use crate::verdict::Verdict;
 
 /// Longest time between checks for another server, if no change of inventories is reported: a few batch steps,
@@ -49,7 +51,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the last send failed or the deadline has passed.
+/// Returns an error if the last send failed, the deadline has passed, or a part of the prompt is quarantined: the server
+/// may still have the request in its queue.
 pub async fn await_with_failover<T: 'static>(
     daemon: &Rc<DaemonState>,
     attempt: &mut Attempt,
@@ -58,7 +61,14 @@
 ) -> Result<T, SendFailure> {
     let mut current = sent;
     loop {
-        match wait_response(daemon, attempt, attempt.response_timeout(), &mut current).await {
+        let outcome = tokio::select! {
+            biased;
+            outcome = wait_response(daemon, attempt, attempt.response_timeout(), &mut current) => outcome,
+            () = part_suspects::wait_until_held(daemon, attempt) => {
+                return Err(SendFailure::withdrawn(QUARANTINED_REASON));
+            }
+        };
+        match outcome {
             WaitOutcome::Response(response) => return response,
             WaitOutcome::DeadlinePassed => {
                 return Err(SendFailure::may_have_run("no answer in time"));
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -48,8 +48,19 @@
     daemon.part_quarantine.borrow_mut().held_part(parts, daemon.now()).is_some()
 }
 
+/// Waits until a part of a request's prompt is quarantined.
+pub(super) async fn wait_until_held(daemon: &Rc<DaemonState>, attempt: &Attempt) {
+    loop {
+        let changed = daemon.part_held.notified();
+        if is_held(daemon, attempt) {
+            return;
+        }
+        changed.await;
+    }
+}
+
 /// Merges a peer's report on prompt parts.
-pub(super) fn merge_report(daemon: &Rc<DaemonState>, report: &PartReport, from: &str) {
+pub fn merge_report(daemon: &Rc<DaemonState>, report: &PartReport, from: &str) {
     let held = daemon.part_quarantine.borrow_mut().merge(report, daemon.now());
     for part in held {
         log_held(daemon, &part, from);
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -56,8 +56,8 @@
 pub struct SendFailure {
     /// Whether the request may have run.
     pub verdict: Verdict,
-    /// What the failure indicates about the server's health.
-    pub evidence: Evidence,
+    /// What the failure indicates about the server's health; `None` if nothing.
+    pub evidence: Option<Evidence>,
     /// What happened, for the log.
     pub reason: &'static str,
     /// Whether the server received the request.
@@ -70,7 +70,7 @@
 
 impl SendFailure {
     fn unreachable(reason: &'static str) -> Self {
-        Self { evidence: Evidence::Unreachable, delivered: false, ..Self::not_run(reason) }
+        Self { evidence: Some(Evidence::Unreachable), delivered: false, ..Self::not_run(reason) }
     }
 
     fn connect_failed(error: &io::Error) -> Self {
@@ -90,7 +90,7 @@
         let verdict = Verdict::DidNotRun;
         Self {
             verdict,
-            evidence: Evidence::Sound,
+            evidence: Some(Evidence::Sound),
             reason,
             delivered: true,
             lacks_model: false,
@@ -101,7 +101,7 @@
     fn misdirected(is_other_server: bool) -> Self {
         if is_other_server {
             let other = Self::not_run("another server has the address");
-            return Self { evidence: Evidence::Misdirected, ..other };
+            return Self { evidence: Some(Evidence::Misdirected), ..other };
         }
         Self { lacks_model: true, ..Self::not_run("the server lacks the model") }
     }
@@ -113,7 +113,12 @@
     /// Returns a failure after which the request may have run.
     pub fn may_have_run(reason: &'static str) -> Self {
         let verdict = Verdict::MayHaveRun;
-        Self { verdict, evidence: Evidence::Failed, ..Self::not_run(reason) }
+        Self { verdict, evidence: Some(Evidence::Failed), ..Self::not_run(reason) }
+    }
+
+    /// Returns the failure of a request that this daemon withdrew from its server.
+    pub fn withdrawn(reason: &'static str) -> Self {
+        Self { evidence: None, ..Self::may_have_run(reason) }
     }
 
     /// Returns the failure of a connection that ended while the server had the request.
