trials: requests with a suspected prompt part do not wait for each other's models

What callers would see: while a part that a whole route shares is suspected of two crashes, one request whose model is not loaded holds up all others with that part until it is refused.

Cause: copies of one request need one model, so the first in the queue may wait for it; requests with one part need different ones.

--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -26,6 +26,7 @@
 use crate::serve::suspects::QUARANTINED_REASON;
 use crate::serve::trials::Claim;
 use crate::serve::trials::REPORT_DELAY;
+use crate::serve::trials::TrialKey;
 use crate::verdict::Verdict;
 
 /// Retry time given to a caller when no better estimate is available.
@@ -130,7 +131,9 @@
     attempt.trial = None;
     let Some(key) = daemon.trial_key(attempt) else { return };
     attempt.trial = Some(daemon.trials.enqueue(key, daemon.now()));
-    sleep(REPORT_DELAY).await;
+    if matches!(key, TrialKey::Request(_)) {
+        sleep(REPORT_DELAY).await;
+    }
     while daemon.now() < attempt.deadline && daemon.quarantine_refusal(attempt).is_none() {
         let changed = daemon.model_waits.inventories_changed.notified();
         if may_claim(daemon, attempt) {
@@ -149,7 +152,7 @@
     };
     let delay = daemon.decision_delay(attempt);
     // The request may have become a suspect, or another part of it the main one, while it waited for a model.
-    let trial = attempt.trial.take().filter(|trial| trial.fingerprint() == key);
+    let trial = attempt.trial.take().filter(|trial| trial.key() == key);
     let trial = trial.unwrap_or_else(|| daemon.trials.enqueue(key, daemon.now()));
     let trial = attempt.trial.insert(trial);
     delay.is_zero() && daemon.trials.is_next(trial, &daemon.settings().id, daemon.now())
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -34,6 +34,7 @@
 use crate::serve::store_calls::track_call;
 use crate::serve::trials;
 use crate::serve::trials::Trial;
+use crate::serve::trials::TrialKey;
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
@@ -100,12 +101,15 @@
         !self.quarantine.borrow().suspected_crashes(fingerprint).is_empty()
     }
 
-    /// Returns the fingerprint of what a request is suspected for: one of its prompt parts, or itself. Requests that have
-    /// it in common are tried one at a time. `None` if it is no suspect.
-    pub fn trial_key(&self, attempt: &Attempt) -> Option<Fingerprint> {
+    /// Returns what a request is suspected for: one of its prompt parts, or itself. Requests that have it in common are
+    /// tried one at a time. `None` if it is no suspect.
+    pub fn trial_key(&self, attempt: &Attempt) -> Option<TrialKey> {
         let parts = self.part_quarantine.borrow();
-        let part = parts.main_suspect(&attempt.prompt_parts).map(PromptPart::fingerprint);
-        part.or_else(|| self.is_suspect(&attempt.fingerprint).then_some(attempt.fingerprint))
+        if let Some(part) = parts.main_suspect(&attempt.prompt_parts) {
+            return Some(TrialKey::Part(part.fingerprint()));
+        }
+        let is_suspect = self.is_suspect(&attempt.fingerprint);
+        is_suspect.then_some(TrialKey::Request(attempt.fingerprint))
     }
 
     /// Returns for how long a suspected request must not be sent yet, because other suspects may be cleared meanwhile.
--- a/lib/src/serve/trials.rs
+++ b/lib/src/serve/trials.rs
@@ -60,7 +60,25 @@
 pub struct Trial {
     trials: Trials,
     number: TrialNumber,
-    fingerprint: Fingerprint,
+    key: TrialKey,
+}
+
+/// What is tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TrialKey {
+    /// A request, all of whose copies need the same model.
+    Request(Fingerprint),
+    /// A prompt part, under whose fingerprint requests for any model are tried.
+    Part(Fingerprint),
+}
+
+impl TrialKey {
+    /// Returns the fingerprint of the request or part.
+    pub fn fingerprint(self) -> Fingerprint {
+        match self {
+            Self::Request(fingerprint) | Self::Part(fingerprint) => fingerprint,
+        }
+    }
 }
 
 /// State of a trial's claim on an engine.
@@ -78,18 +96,18 @@
 
 impl Trials {
     /// Queues a suspect for its trial.
-    pub fn enqueue(&self, fingerprint: Fingerprint, now: Moment) -> Trial {
+    pub fn enqueue(&self, key: TrialKey, now: Moment) -> Trial {
         let mut tables = self.tables.borrow_mut();
         tables.last_number += 1;
         let number = tables.last_number;
-        let report = TrialReport { fingerprint, stage: TrialStage::Queued };
+        let report = TrialReport { fingerprint: key.fingerprint(), stage: TrialStage::Queued };
         // Many requests may wait for one prompt part; peers need to know of it once.
         let is_news = tables.own.values().all(|own| own.report != report);
         tables.own.insert(number, OwnTrial { queued_at: now, claimed_at: now, report });
         if is_news {
             self.changed.notify_one();
         }
-        Trial { trials: self.clone(), number, fingerprint }
+        Trial { trials: self.clone(), number, key }
     }
 
     /// Returns this daemon's trials, for its peers; those that are alike once.
@@ -129,6 +147,8 @@
     ///
     /// The ranking of daemons differs from request to request. Each daemon computes it from its peers' reports, so that
     /// copies that waited for the same model are not sent all at once.
+    ///
+    /// Requests with the same prompt part may need different models, so that one that waits does not hold up the others.
     pub fn is_next(&self, trial: &Trial, daemon_id: &str, now: Moment) -> bool {
         let tables = self.tables.borrow();
         let Some(OwnTrial { queued_at, report: TrialReport { fingerprint, .. }, .. }) =
@@ -137,6 +157,12 @@
             return false;
         };
         let is_queued = |report: &TrialReport| report.stage == TrialStage::Queued;
+        if matches!(trial.key, TrialKey::Part(_)) {
+            let own = tables.own.values().map(|own| &own.report);
+            let peers = tables.fresh_reports(now).map(|(_, report)| report);
+            let mut alike = own.chain(peers).filter(|report| report.fingerprint == *fingerprint);
+            return alike.all(is_queued);
+        }
         let mut own = tables.own.iter().filter(|(_, own)| own.report.fingerprint == *fingerprint);
         let is_first = own.all(|(n, own)| *n >= trial.number && is_queued(&own.report));
         let own_rank = rank(fingerprint, daemon_id);
@@ -201,9 +227,9 @@
 }
 
 impl Trial {
-    /// Returns the fingerprint of the request or prompt part that is tried.
-    pub fn fingerprint(&self) -> Fingerprint {
-        self.fingerprint
+    /// Returns what is tried.
+    pub fn key(&self) -> TrialKey {
+        self.key
     }
 
     /// Claims a server for the request; [`Trials::claim`] tells when it may be sent there.
--- a/lib/tests/test_trials.rs
+++ b/lib/tests/test_trials.rs
@@ -8,6 +8,7 @@
 use comfreymux_lib::serve::trials::Claim;
 use comfreymux_lib::serve::trials::REPORT_DELAY;
 use comfreymux_lib::serve::trials::Trial;
+use comfreymux_lib::serve::trials::TrialKey;
 use comfreymux_lib::serve::trials::Trials;
 use http::Method;
 
@@ -40,7 +41,7 @@
 #[test]
 fn one_next() {
     let fleet: Vec<Trials> = (0..5).map(|_| Trials::default()).collect();
-    let mut copies: Vec<Trial> = fleet.iter().map(|t| t.enqueue(fingerprint(), SECOND)).collect();
+    let mut copies: Vec<Trial> = fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
     assert_eq!(
         next_daemons(&fleet, &copies, SECOND),
         [0; 0],
@@ -58,7 +59,7 @@
         [0; 0],
         "no copy is sent while an engine has one"
     );
-    copies[first[0]] = fleet[first[0]].enqueue(fingerprint(), now);
+    copies[first[0]] = fleet[first[0]].enqueue(TrialKey::Request(fingerprint()), now);
     exchange_reports(&fleet, now + SECOND);
     assert_eq!(next_daemons(&fleet, &copies, now + SECOND).len(), 1);
 }
@@ -67,7 +68,7 @@
 #[test]
 fn silent_passed() {
     let fleet: Vec<Trials> = (0..5).map(|_| Trials::default()).collect();
-    let copies: Vec<Trial> = fleet.iter().map(|t| t.enqueue(fingerprint(), SECOND)).collect();
+    let copies: Vec<Trial> = fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
     exchange_reports(&fleet, SECOND);
     let later = SECOND * 3;
     assert_eq!(next_daemons(&fleet, &copies, later), [0, 1, 2, 3, 4]);
@@ -89,7 +90,8 @@
 fn one_claim() {
     let fleet: Vec<Trials> = (0..5).map(|_| Trials::default()).collect();
     let bodies = ["a", "b", "c", "d", "e"];
-    let enqueue = |(t, body): (&Trials, &str)| t.enqueue(suspect(body.as_bytes()), SECOND);
+    let enqueue =
+        |(t, body): (&Trials, &str)| t.enqueue(TrialKey::Request(suspect(body.as_bytes())), SECOND);
     let trials: Vec<Trial> = fleet.iter().zip(bodies).map(enqueue).collect();
     let claimed = SECOND * 2;
     for trial in &trials {
@@ -109,7 +111,9 @@
 fn sent_first() {
     for bodies in [["a", "b"], ["b", "a"]] {
         let fleet: Vec<Trials> = (0..2).map(|_| Trials::default()).collect();
-        let enqueue = |(t, body): (&Trials, &str)| t.enqueue(suspect(body.as_bytes()), SECOND);
+        let enqueue = |(t, body): (&Trials, &str)| {
+            t.enqueue(TrialKey::Request(suspect(body.as_bytes())), SECOND)
+        };
         let trials: Vec<Trial> = fleet.iter().zip(bodies).map(enqueue).collect();
         trials[0].assign(ServerInstance::from("e1"));
         trials[1].claim(ServerInstance::from("e1"), SECOND);
@@ -124,7 +128,7 @@
 #[test]
 fn copies_claim() {
     let fleet: Vec<Trials> = (0..2).map(|_| Trials::default()).collect();
-    let trials: Vec<Trial> = fleet.iter().map(|t| t.enqueue(fingerprint(), SECOND)).collect();
+    let trials: Vec<Trial> = fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
     trials[0].claim(ServerInstance::from("e1"), SECOND);
     trials[1].claim(ServerInstance::from("e2"), SECOND);
     exchange_reports(&fleet, SECOND);
