quarantine: of parts that crash servers together, the one that was never served is held

What callers would see: of parts that only come together, the last was held, after five crashes. That may be the caller's own part, which its sound requests share.

At as many crashes, a part that was never served is held before one that was, at three already.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -24,7 +24,8 @@
 /// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
 /// prompts begin alike would wait for each other.
 const SUSPECT_CRASHES: usize = 2;
-/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer.
+/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer, or of as many
+/// but was served before as this part was not.
 const SOLE_SUSPECT_CRASHES: usize = 3;
 /// Number of crashes after which a part is held that has equals at each. Of parts of one prompt, the last one is held:
 /// it is shared by fewer requests.
@@ -38,6 +39,8 @@
 const MAX_CRASHES: usize = 256;
 /// Maximum number of held parts, and of cleared ones, that are remembered.
 const MAX_PARTS: usize = 1024;
+/// Maximum number of parts that are remembered as served: those of several minutes' requests.
+const MAX_SERVED: usize = 4096;
 /// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
 const MAX_REPORTED: usize = 16;
 
@@ -69,6 +72,8 @@
     /// Parts with which a request reached a stage of progress without a crash, and when.
     cleared: HashMap<(PromptPart, RequestProgress), Moment>,
     held: HashMap<PromptPart, Hold>,
+    /// When a request with a part last got an event from a server, by what this daemon saw.
+    served: HashMap<PromptPart, Moment>,
 }
 
 impl PartQuarantine {
@@ -96,6 +101,7 @@
     ) -> PartChange {
         let mut change = PartChange::default();
         for part in parts {
+            self.record_served(part, now);
             let is_exposed = self.suspected_crashes(part).any(|c| progress.clears(c.worst_stage));
             let is_released = releases(progress) && self.held.contains_key(part);
             if !is_exposed && !is_released {
@@ -109,6 +115,19 @@
         change
     }
 
+    fn record_served(&mut self, part: &PromptPart, now: Moment) {
+        if let Some(known) = self.served.get_mut(part) {
+            *known = now;
+            return;
+        }
+        if self.served.len() >= MAX_SERVED {
+            let oldest =
+                self.served.iter().min_by_key(|(_, at)| **at).map(|(part, _)| part.clone());
+            oldest.and_then(|part| self.served.remove(&part));
+        }
+        self.served.insert(part.clone(), now);
+    }
+
     /// Returns the most suspected of a request's parts, for which requests are tried one at a time; `None` if none is
     /// suspected of several crashes.
     pub fn main_suspect<'a>(&self, parts: &'a [PromptPart]) -> Option<&'a PromptPart> {
@@ -147,7 +166,7 @@
     }
 
     /// Returns whether a part is suspected of more crashes, `count`, than all others that a server had when it crashed,
-    /// or at least of as many and long enough. `false` until other parts had time to be cleared.
+    /// or is preferred to those that are suspected of as many. `false` until other parts had time to be cleared.
     fn is_most_suspected(
         &self,
         part: &PromptPart,
@@ -155,14 +174,19 @@
         count: usize,
         now: Moment,
     ) -> bool {
-        if now < crash.at + SUSPECT_CLEAR_TIME {
-            return false;
-        }
-        let is_joint = count >= JOINT_SUSPECT_CRASHES;
-        crash.parts().into_iter().filter(|id| *id != part.id).all(|id| {
-            let other = self.count(&PromptPart { service: part.service.clone(), id });
-            other < count || is_joint && other == count && !crash.is_behind(id, part.id)
-        })
+        let is_preferred = |other: &PromptPart| {
+            let (is_served, other_served) =
+                (self.served.contains_key(part), self.served.contains_key(other));
+            let is_joint = count >= JOINT_SUSPECT_CRASHES && is_served == other_served;
+            !is_served && other_served || is_joint && !crash.is_behind(other.id, part.id)
+        };
+        let others = crash.parts().into_iter().filter(|id| *id != part.id);
+        now >= crash.at + SUSPECT_CLEAR_TIME
+            && others.into_iter().all(|id| {
+                let other = PromptPart { service: part.service.clone(), id };
+                let other_count = self.count(&other);
+                other_count < count || other_count == count && is_preferred(&other)
+            })
     }
 
     /// Returns whether requests with a part are tried one at a time.
@@ -356,6 +380,7 @@
     pub fn sweep(&mut self, now: Moment) -> Vec<PromptPart> {
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
         self.cleared.retain(|_, at| now <= *at + CRASH_RETENTION);
+        self.served.retain(|_, at| now <= *at + HOLD_TIME);
         let expired = self.held.extract_if(|_, hold| now > hold.last_attempt + HOLD_TIME);
         expired.map(|(part, _)| part).collect()
     }
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -122,6 +122,19 @@
     assert_eq!(site.held(&[COMMON]), [0; 0]);
 }
 
+/// Guards against a caller's part being held in place of the fatal one, which comes only together with it.
+#[test]
+fn callers_part_spared() {
+    const CALLER: PartId = 7;
+    let mut site = Site::new();
+    site.progress(&[COMMON, CALLER], RequestProgress::FirstEvent);
+    for n in 0..3 {
+        assert_eq!(site.held(&[COMMON, FATAL, CALLER]), [0; 0], "after {n} crashes");
+        site.crash(&[COMMON, FATAL, CALLER]);
+    }
+    assert_eq!(site.held(&[COMMON, FATAL, CALLER]), [FATAL]);
+}
+
 /// Guards against a fatal part not being found if nothing is served meanwhile that clears the other parts.
 #[test]
 fn other_parts_differ() {
--- a/lib/tests/test_trials.rs
+++ b/lib/tests/test_trials.rs
@@ -41,7 +41,8 @@
 #[test]
 fn one_next() {
     let fleet: Vec<Trials> = (0..5).map(|_| Trials::default()).collect();
-    let mut copies: Vec<Trial> = fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
+    let mut copies: Vec<Trial> =
+        fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
     assert_eq!(
         next_daemons(&fleet, &copies, SECOND),
         [0; 0],
@@ -68,7 +69,8 @@
 #[test]
 fn silent_passed() {
     let fleet: Vec<Trials> = (0..5).map(|_| Trials::default()).collect();
-    let copies: Vec<Trial> = fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
+    let copies: Vec<Trial> =
+        fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
     exchange_reports(&fleet, SECOND);
     let later = SECOND * 3;
     assert_eq!(next_daemons(&fleet, &copies, later), [0, 1, 2, 3, 4]);
@@ -128,7 +130,8 @@
 #[test]
 fn copies_claim() {
     let fleet: Vec<Trials> = (0..2).map(|_| Trials::default()).collect();
-    let trials: Vec<Trial> = fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
+    let trials: Vec<Trial> =
+        fleet.iter().map(|t| t.enqueue(TrialKey::Request(fingerprint()), SECOND)).collect();
     trials[0].claim(ServerInstance::from("e1"), SECOND);
     trials[1].claim(ServerInstance::from("e2"), SECOND);
     exchange_reports(&fleet, SECOND);
