streams: an answer without a length that ends with its server is no whole one

The request counted as answered, which cleared it of crashes and lifted a hold.

Cause: the kernel closes a crashed process's connections in order, which is also how such an answer ends. Class: an end taken for a result. A reset, and an end within an event, were right before.

At such an end the server is asked: if another start of it is listed, or it refuses connections (of this daemon, and of a peer that can tell), the answer has broken off: it is resumed or repeated where the route allows, and the crash counts. A connection that is accepted is kept for the next request. Ruled out: counting events, as the number a request allows is only the most. A server that restarts within the few milliseconds under the same start time is not found; a connection that cannot be made for another reason leaves the answer whole.

Whole answers at HTTP/1.1 and 1.0 stay whole.

--- a/lib/src/serve/event_stream.rs
+++ b/lib/src/serve/event_stream.rs
@@ -1,16 +1,21 @@
 //! Reading of the events in one server's response.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 
 use crate::cluster::brittle_servers::BrittleSend;
+use crate::cluster::directory::Server;
 use crate::cluster::workloads::WorkloadGuard;
+use crate::serve::daemon_state::DaemonState;
 use crate::serve::events::EventOrder;
 use crate::serve::events::EventSplitter;
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
 use crate::serve::send::ServerResponse;
+use crate::serve::suspects;
 
 /// The event stream of one server's response.
 #[derive(Debug)]
@@ -22,6 +27,9 @@
     /// Counts the request towards the server's workload until dropped.
     pub workload_guard: WorkloadGuard,
     _brittle_send: Option<BrittleSend>,
+    daemon: Rc<DaemonState>,
+    server: Rc<Server>,
+    ends_with_connection: bool,
 }
 
 /// The next item of a stream.
@@ -34,20 +42,26 @@
 }
 
 impl EventStream {
-    /// Makes a reader of `response`, whose first event must follow `last`, the last one that the caller has.
+    /// Makes a reader of `response` from a server, whose first event must follow `last`, the last one that the caller
+    /// has.
     pub fn new(
+        (daemon, server): (Rc<DaemonState>, Rc<Server>),
         response: ServerResponse,
         last: Option<u64>,
         workload_guard: WorkloadGuard,
         brittle_send: Option<BrittleSend>,
     ) -> Self {
         let splitter = EventSplitter::default();
+        let ends_with_connection = response.ends_with_connection();
         Self {
             response,
             splitter,
             order: EventOrder::after(last),
             workload_guard,
             _brittle_send: brittle_send,
+            daemon,
+            server,
+            ends_with_connection,
         }
     }
 
@@ -88,6 +102,13 @@
                     let reason = "the stream ended within an event";
                     return Err(SendFailure::disconnected(reason, Disconnect::AfterHead));
                 }
+                // Without a length, a server that ends between two events looks like the end of the stream.
+                None if self.ends_with_connection
+                    && suspects::has_ended(&self.daemon, &self.server).await =>
+                {
+                    let reason = "the stream ended with its server";
+                    return Err(SendFailure::disconnected(reason, Disconnect::AfterHead));
+                }
                 None => return Ok(StreamItem::End),
                 Some(Err(_broken)) => {
                     return Err(SendFailure::disconnected(
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -158,6 +158,6 @@
         let _workload_guard = workload_guard;
         let _brittle_send = brittle_send;
         let response = send::send(&daemon, &server, id.as_ref(), request).await?;
-        send::read_whole(&daemon.pool, response, MAX_RESPONSE_BYTES).await
+        send::read_whole(&daemon, &server, response, MAX_RESPONSE_BYTES).await
     })
 }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -139,11 +139,13 @@
             send.mark_answered();
         }
         if response.head.status != StatusCode::OK {
-            let (head, body) = send::read_whole(&daemon.pool, response, MAX_RESPONSE_BYTES).await?;
+            let (head, body) =
+                send::read_whole(&daemon, &server, response, MAX_RESPONSE_BYTES).await?;
             return Ok(OpenOutcome::Whole(head, body));
         }
         let head = response.head.clone();
-        let mut stream = EventStream::new(response, resume, workload_guard, brittle_send);
+        let origin = (Rc::clone(&daemon), Rc::clone(&server));
+        let mut stream = EventStream::new(origin, response, resume, workload_guard, brittle_send);
         let first_events = match stream.next().await? {
             StreamItem::Events(events) => events,
             // A caller may resume a stream after its last event, so an empty rest is valid.
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -1,13 +1,16 @@
 //! Sends a request to one backend server and classifies the result.
 
 use std::io;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
+use http::header;
 use http::response;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 
 use crate::cluster::directory::Server;
@@ -16,7 +19,7 @@
 use crate::protocol::ResponseHeaders;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::pool::Connection;
-use crate::serve::pool::ConnectionPool;
+use crate::serve::suspects;
 use crate::verdict::Verdict;
 
 /// The head of a server's response, and what is needed to read the rest.
@@ -68,6 +71,14 @@
     pub disconnect: Option<Disconnect>,
 }
 
+impl ServerResponse {
+    /// Returns whether the end of the connection is that of the body, which has neither a length nor chunks and is unread.
+    pub fn ends_with_connection(&self) -> bool {
+        let is_chunked = self.head.headers.contains_key(header::TRANSFER_ENCODING);
+        !is_chunked && self.body.size_hint().exact().is_none()
+    }
+}
+
 impl SendFailure {
     fn unreachable(reason: &'static str) -> Self {
         Self { evidence: Some(Evidence::Unreachable), delivered: false, ..Self::not_run(reason) }
@@ -213,10 +224,12 @@
 ///
 /// Returns a failure if the response is cut off or too long.
 pub async fn read_whole(
-    pool: &ConnectionPool,
+    daemon: &Rc<DaemonState>,
+    server: &Server,
     response: ServerResponse,
     limit: usize,
 ) -> Result<(response::Parts, Bytes), SendFailure> {
+    let ends_with_connection = response.ends_with_connection();
     let ServerResponse { head, headers, mut body, connection } = response;
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -230,6 +243,10 @@
             return Err(SendFailure::may_have_run("the answer is too long"));
         }
     }
-    pool.release(connection, headers.keep_alive);
+    if ends_with_connection && suspects::has_ended(daemon, server).await {
+        let reason = "the answer ended with its server";
+        return Err(SendFailure::disconnected(reason, Disconnect::AfterHead));
+    }
+    daemon.pool.release(connection, headers.keep_alive);
     Ok((head, Bytes::from(bytes)))
 }
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -13,6 +13,7 @@
 
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
+use crate::cluster::directory::Server;
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::part_report::ExposedPrompt;
 use crate::cluster::prompt_part::PromptPart;
@@ -200,6 +201,14 @@
     }
 }
 
+/// Returns whether a server has ended: another instance is listed in its place, or it refuses connections.
+pub async fn has_ended(daemon: &DaemonState, server: &Server) -> bool {
+    let instance = server.instance();
+    let listed = daemon.directory.borrow().get(&server.id).map(|s| s.instance());
+    listed.is_some_and(|listed| listed != instance)
+        || refuses_connections(daemon, &instance, server.addr).await
+}
+
 /// Returns whether a server refuses connections, of this daemon and of peers that can tell. If it accepts one, the
 /// connection is kept for the next request.
 async fn refuses_connections(
