configuration: an overdue read that is not needed does not spin

What was seen: a test of large configurations that did not end, once in a whole run of the tests (docs/incidents/overdue-read.md has the stacks).

Cause: repeat_reason checks again after the time until a read is overdue, which is zero once it is; while readers confirm the configuration it does not return, and turns at once. On a host a daemon burns its core until the read ends. overdue_confirmed failed before: virtual time stood still for 30 s.

--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -205,7 +205,9 @@
 async fn repeat_reason(daemon: &DaemonState, last: &LastRead, retry_delay: Duration) -> Repeat {
     let overdue_after = (last.wait + OVERDUE_AFTER).max(retry_delay);
     loop {
-        let check = overdue_after.saturating_sub(age(daemon, last)).min(CHECK_INTERVAL);
+        // An overdue read that is not needed is still awaited.
+        let left = overdue_after.checked_sub(age(daemon, last)).filter(|left| !left.is_zero());
+        let check = left.map_or(CHECK_INTERVAL, |left| left.min(CHECK_INTERVAL));
         if timeout(check, daemon.newer_config.notified()).await.is_ok() {
             sleep(PEER_VERSION_DELAY).await;
         }
