quarantine: one function removes the oldest entry of a full table

Four copies of the same steps become one. A part that is cleared again no longer takes the place of another.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
@@ -120,11 +121,7 @@
             *known = now;
             return;
         }
-        if self.served.len() >= MAX_SERVED {
-            let oldest =
-                self.served.iter().min_by_key(|(_, at)| **at).map(|(part, _)| part.clone());
-            oldest.and_then(|part| self.served.remove(&part));
-        }
+        make_room(&mut self.served, MAX_SERVED, |at| *at);
         self.served.insert(part.clone(), now);
     }
 
@@ -180,9 +177,9 @@
             let is_joint = count >= JOINT_SUSPECT_CRASHES && is_served == other_served;
             !is_served && other_served || is_joint && !crash.is_behind(other.id, part.id)
         };
-        let others = crash.parts().into_iter().filter(|id| *id != part.id);
+        let mut others = crash.parts().into_iter().filter(|id| *id != part.id);
         now >= crash.at + SUSPECT_CLEAR_TIME
-            && others.into_iter().all(|id| {
+            && others.all(|id| {
                 let other = PromptPart { service: part.service.clone(), id };
                 let other_count = self.count(&other);
                 other_count < count || other_count == count && is_preferred(&other)
@@ -217,8 +214,8 @@
     }
 
     fn is_explained(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
-        let others = self.held.keys().filter(|held| *held != part);
-        others.into_iter().any(|held| crash.requests_with(held).next().is_some())
+        let mut others = self.held.keys().filter(|held| *held != part);
+        others.any(|held| crash.requests_with(held).next().is_some())
     }
 
     /// Returns the first of a request's parts that is held, and must not be sent to any server; the call restarts its
@@ -265,23 +262,20 @@
             known.last_attempt = known.last_attempt.max(hold.last_attempt);
             return false;
         }
-        if self.held.len() >= MAX_PARTS {
-            let oldest = self.held.iter().min_by_key(|(_, hold)| hold.last_attempt);
-            let oldest = oldest.map(|(part, _)| part.clone());
-            oldest.and_then(|part| self.held.remove(&part));
-        }
+        make_room(&mut self.held, MAX_PARTS, |hold| hold.last_attempt);
         self.held.insert(part.clone(), hold);
         true
     }
 
     /// Clears a part of crashes before `at`; returns whether it was held until now.
     fn clear_at(&mut self, part: &PromptPart, progress: RequestProgress, at: Moment) -> bool {
-        if self.cleared.len() >= MAX_PARTS {
-            let oldest = self.cleared.iter().min_by_key(|(_, at)| **at).map(|(key, _)| key.clone());
-            oldest.and_then(|key| self.cleared.remove(&key));
+        let key = (part.clone(), progress);
+        if let Some(known) = self.cleared.get_mut(&key) {
+            *known = (*known).max(at);
+        } else {
+            make_room(&mut self.cleared, MAX_PARTS, |at| *at);
+            self.cleared.insert(key, at);
         }
-        let known = self.cleared.entry((part.clone(), progress)).or_insert(at);
-        *known = (*known).max(at);
         let is_released =
             releases(progress) && self.held.get(part).is_some_and(|hold| hold.since <= at);
         is_released && self.held.remove(part).is_some()
@@ -392,9 +386,8 @@
         at: Moment,
         now: Moment,
     ) -> &mut PromptCrash {
-        if self.crashes.len() >= MAX_CRASHES && !self.crashes.contains_key(id) {
-            let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at).map(|(id, _)| id.clone());
-            oldest.and_then(|id| self.crashes.remove(&id));
+        if !self.crashes.contains_key(id) {
+            make_room(&mut self.crashes, MAX_CRASHES, |crash| crash.at);
         }
         let crash = self
             .crashes
@@ -405,6 +398,18 @@
     }
 }
 
+/// Removes the oldest entry of a map that has `max_entries`.
+fn make_room<K: Clone + Eq + Hash, V>(
+    map: &mut HashMap<K, V>,
+    max_entries: usize,
+    time: impl Fn(&V) -> Moment,
+) {
+    if map.len() >= max_entries {
+        let oldest = map.iter().min_by_key(|(_, value)| time(value)).map(|(key, _)| key.clone());
+        oldest.and_then(|key| map.remove(&key));
+    }
+}
+
 fn held_report(part: &PromptPart, hold: &Hold, now: Moment) -> HeldPart {
     HeldPart {
         part: part.clone(),
