quarantine: a whole answer clears a request also after its first event did

Cause: a first event clears a request of a crash before events, and the next crash voids that; the whole answer that would clear it for good was not recorded, as the request was no suspect any more. Ruled out: the quarantine of prompt parts (the test's requests have none). answered_each_time failed before (held at the third crash).

--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -113,8 +113,11 @@
     ) -> bool {
         let is_released =
             progress == RequestProgress::Complete && self.held.contains_key(&fingerprint);
-        let is_cleared =
-            |c: &Crash| progress.clears(c.worst_stage) && self.is_suspect(&fingerprint, c);
+        // A later crash voids what an event cleared, but not what a whole answer did.
+        let is_cleared = |c: &Crash| match progress {
+            RequestProgress::Complete => c.requests.contains_key(&fingerprint),
+            _ => progress.clears(c.worst_stage) && self.is_suspect(&fingerprint, c),
+        };
         let is_change = is_released || self.crashes.values().any(is_cleared);
         if is_change {
             self.clear_at(fingerprint, progress, now);
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -311,6 +311,23 @@
     assert!(!quarantine.is_held(&fingerprint(1), now));
 }
 
+/// Guards against a request being held that was answered whole after each crash: its first event had cleared it before,
+/// and the next crash voids that.
+#[test]
+fn answered_each_time() {
+    let mut quarantine = Quarantine::default();
+    let mut now = start();
+    for n in 0..6 {
+        now += SECOND;
+        let stage = CrashStage::BeforeEvents;
+        let is_held = quarantine.record_crash(&server(n), Moment::ZERO, fingerprint(1), stage, now);
+        assert!(!is_held, "after {n} crashes");
+        for progress in RequestProgress::ALL {
+            quarantine.record_progress(fingerprint(1), progress, now + SECOND / 2);
+        }
+    }
+}
+
 /// One daemon knows that a request has been answered. Its report must keep other daemons from holding the
 /// request.
 #[test]
