--- a/lib/src/serve/event_stream.rs
+++ b/lib/src/serve/event_stream.rs
@@ -29,7 +29,8 @@
     _brittle_send: Option<BrittleSend>,
     daemon: Rc<DaemonState>,
     server: Rc<Server>,
-    ends_with_connection: bool,
+    /// Whether the end of the connection is that of the stream.
+    is_unframed: bool,
 }
 
 /// The next item of a stream.
@@ -52,7 +53,7 @@
         brittle_send: Option<BrittleSend>,
     ) -> Self {
         let splitter = EventSplitter::default();
-        let ends_with_connection = response.ends_with_connection();
+        let is_unframed = response.ends_with_connection();
         Self {
             response,
             splitter,
@@ -61,7 +62,7 @@
             _brittle_send: brittle_send,
             daemon,
             server,
-            ends_with_connection,
+            is_unframed,
         }
     }
 
@@ -103,7 +104,7 @@
                     return Err(SendFailure::disconnected(reason, Disconnect::AfterHead));
                 }
                 // Without a length, a server that ends between two events looks like the end of the stream.
-                None if self.ends_with_connection
+                None if self.is_unframed
                     && suspects::has_ended(&self.daemon, &self.server).await =>
                 {
                     let reason = "the stream ended with its server";
