quarantine: sound prompt parts are neither held nor tried in large fleets

Cause: crashes are told to all daemons at once, but what clears their parts only with digests, which take several rounds in a large fleet; each daemon there serves few requests of its own. So a daemon knows many crashes under a common part and no request that was served since: it holds the part for all, or sends a whole route in single file.

Change: what clears suspects is told to all at once, like crashes; a decision waits a second, not half of one; requests with a part that this daemon served in the last minute are not tried one at a time (it can still be held). Reports name only the prompts at the most suspicious stage.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -18,13 +18,14 @@
 use crate::cluster::quarantine::CRASH_RETENTION;
 use crate::cluster::quarantine::HOLD_TIME;
 use crate::cluster::quarantine::REPORT_TIME;
-use crate::cluster::quarantine::SUSPECT_CLEAR_TIME;
 use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::RequestProgress;
 
 /// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
 /// prompts begin alike would wait for each other.
 const SUSPECT_CRASHES: usize = 2;
+/// Time after a request with a part was served during which others are not tried one at a time.
+const SERVED_TRUST: Duration = Duration::from_mins(1);
 /// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer, or of as many
 /// but was served before as this part was not.
 const SOLE_SUSPECT_CRASHES: usize = 3;
@@ -36,6 +37,8 @@
 /// Least time from the first to the last crash before a part is held: the loss of many hosts at one instant exposes
 /// every common part to several crashes.
 const MIN_SPREAD: Duration = Duration::from_millis(150);
+/// Time within which other parts of a crash are cleared by requests with them at any daemon.
+const CLEAR_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 /// Maximum number of held parts, and of cleared ones, that are remembered.
@@ -127,17 +130,17 @@
 
     /// Returns the most suspected of a request's parts, for which requests are tried one at a time; `None` if none is
     /// suspected of several crashes.
-    pub fn main_suspect<'a>(&self, parts: &'a [PromptPart]) -> Option<&'a PromptPart> {
-        let suspects = parts.iter().filter(|part| self.is_suspect(part));
+    pub fn main_suspect<'a>(&self, parts: &'a [PromptPart], now: Moment) -> Option<&'a PromptPart> {
+        let suspects = parts.iter().filter(|part| self.is_tried(part, now));
         suspects.max_by_key(|part| self.count(part))
     }
 
     /// Returns how long to delay a request with these parts, one of which may be held after one more crash: the others
     /// may be cleared meanwhile.
     pub fn decision_delay(&self, parts: &[PromptPart], now: Moment) -> Duration {
-        let suspects = parts.iter().filter(|part| self.is_suspect(part));
+        let suspects = parts.iter().filter(|part| self.is_tried(part, now));
         let newest = suspects.flat_map(|part| self.suspected_crashes(part)).map(|c| c.at).max();
-        newest.map_or(Duration::ZERO, |at| (at + SUSPECT_CLEAR_TIME).saturating_sub(now))
+        newest.map_or(Duration::ZERO, |at| (at + CLEAR_TIME).saturating_sub(now))
     }
 
     /// Holds those of some parts that are suspected of enough crashes; returns which are held from now on.
@@ -178,7 +181,7 @@
             !is_served && other_served || is_joint && !crash.is_behind(other.id, part.id)
         };
         let mut others = crash.parts().into_iter().filter(|id| *id != part.id);
-        now >= crash.at + SUSPECT_CLEAR_TIME
+        now >= crash.at + CLEAR_TIME
             && others.all(|id| {
                 let other = PromptPart { service: part.service.clone(), id };
                 let other_count = self.count(&other);
@@ -186,7 +189,14 @@
             })
     }
 
-    /// Returns whether requests with a part are tried one at a time.
+    /// Returns whether requests with a part are tried one at a time. Those with a part that was just served are not: a
+    /// whole route may share it, and would go in single file whenever several servers crash.
+    fn is_tried(&self, part: &PromptPart, now: Moment) -> bool {
+        let is_sound = self.served.get(part).is_some_and(|at| now <= *at + SERVED_TRUST);
+        !is_sound && self.is_suspect(part)
+    }
+
+    /// Returns whether a part is suspected of several crashes.
     fn is_suspect(&self, part: &PromptPart) -> bool {
         self.suspected_crashes(part).nth(SUSPECT_CRASHES - 1).is_some()
     }
@@ -297,12 +307,16 @@
         PartReport { crashes, cleared, held }
     }
 
-    /// Returns what this daemon detected, or learned more of, at or after `since`.
+    /// Returns what this daemon detected, or learned more of, at or after `since`. What clears suspects is told to all
+    /// daemons as fast as crashes are: one that knows only the latter would hold a sound part.
     pub fn own_news(&self, since: Moment, now: Moment) -> PartReport {
         let crashes = self.crash_reports(|crash| crash.is_own && crash.updated_at >= since, now);
+        let cleared = self.cleared.iter().filter(|(_, at)| **at >= since);
+        let cleared = cleared.map(|(key, at)| (key.clone(), now.saturating_sub(*at)));
+        let cleared = cleared.take(MAX_REPORTED).collect();
         let news = self.held.iter().filter(|(_, hold)| hold.since >= since);
         let held = news.map(|(part, hold)| held_report(part, hold, now)).collect();
-        PartReport { crashes, cleared: Vec::new(), held }
+        PartReport { crashes, cleared, held }
     }
 
     /// Returns what is known of a part that a peer is about to send a request with: the crashes that it is suspected
--- a/lib/src/cluster/prompt_crash.rs
+++ b/lib/src/cluster/prompt_crash.rs
@@ -85,16 +85,15 @@
         self.worst_prompts().flat_map(|(_, ids)| ids).copied().collect()
     }
 
-    /// Returns its report for peers, with at most `max_prompts` prompts: the most suspicious ones.
+    /// Returns its report for peers, with at most `max_prompts` prompts of the most suspicious stage.
     pub fn report(&self, id: &CrashId, max_prompts: usize, now: Moment) -> PromptCrashReport {
         let prompt = |(fingerprint, prompt): (&Fingerprint, &Exposure)| ExposedPrompt {
             fingerprint: *fingerprint,
             stage: prompt.stage,
             parts: prompt.parts.clone(),
         };
-        let mut prompts: Vec<_> = self.prompts.iter().map(prompt).collect();
-        prompts.sort_by_key(|prompt| prompt.stage);
-        prompts.truncate(max_prompts);
+        let worst = self.prompts.iter().filter(|(_, prompt)| prompt.stage == self.worst_stage);
+        let prompts = worst.map(prompt).take(max_prompts).collect();
         PromptCrashReport {
             id: id.clone(),
             service: self.service.clone(),
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -23,7 +23,7 @@
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(100);
 /// Other suspects of a crash that did not cause it get an event from another server within this time of
 /// the crash.
-pub(super) const SUSPECT_CLEAR_TIME: Duration = Duration::from_millis(500);
+const SUSPECT_CLEAR_TIME: Duration = Duration::from_millis(500);
 /// A request is held until callers have made no attempt at it for this long.
 pub const HOLD_TIME: Duration = Duration::from_hours(1);
 /// How long crashes and cleared suspects are remembered; long enough for callers that retry rarely.
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -106,7 +106,7 @@
     /// tried one at a time. `None` if it is no suspect.
     pub fn trial_key(&self, attempt: &Attempt) -> Option<TrialKey> {
         let parts = self.part_quarantine.borrow();
-        if let Some(part) = parts.main_suspect(&attempt.prompt_parts) {
+        if let Some(part) = parts.main_suspect(&attempt.prompt_parts, self.now()) {
             return Some(TrialKey::Part(part.fingerprint()));
         }
         let is_suspect = self.is_suspect(&attempt.fingerprint);
