--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -16,6 +16,12 @@
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
+/// Returns whether prompt parts are held at all. In a large fleet a daemon serves too few requests, and hears too late of
+/// those that others serve, to tell a sound part from a fatal one while many servers crash.
+pub(super) fn is_enabled(daemon: &DaemonState) -> bool {
+    !daemon.is_large_fleet()
+}
+
 /// Records how far a server progressed with a request, which clears its prompt parts of earlier crashes.
 pub(super) fn record_progress(
     daemon: &Rc<DaemonState>,
@@ -38,6 +44,9 @@
 /// Returns whether a request has a quarantined prompt part; each call extends the quarantine. Evaluates the parts first:
 /// peers may have reported more since the last check.
 pub(super) fn is_held(daemon: &Rc<DaemonState>, attempt: &Attempt) -> bool {
+    if !is_enabled(daemon) {
+        return false;
+    }
     let parts = &attempt.prompt_parts;
     let held = daemon.part_quarantine.borrow_mut().evaluate(parts, daemon.now());
     for part in held {
@@ -61,6 +70,9 @@
 
 /// Merges a peer's report on prompt parts.
 pub fn merge_report(daemon: &Rc<DaemonState>, report: &PartReport, from: &str) {
+    if !is_enabled(daemon) {
+        return;
+    }
     let held = daemon.part_quarantine.borrow_mut().merge(report, daemon.now());
     for part in held {
         log_held(daemon, &part, from);
