--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -136,7 +136,7 @@
     }
 
     /// Returns how long to delay a request with these parts, one of which may be held after one more crash: the others
-    /// may be cleared meanwhile.
+    /// may be cleared until then.
     pub fn decision_delay(&self, parts: &[PromptPart], now: Moment) -> Duration {
         let suspects = parts.iter().filter(|part| self.is_tried(part, now));
         let newest = suspects.flat_map(|part| self.suspected_crashes(part)).map(|c| c.at).max();
@@ -307,8 +307,8 @@
         PartReport { crashes, cleared, held }
     }
 
-    /// Returns what this daemon detected, or learned more of, at or after `since`. What clears suspects is told to all
-    /// daemons as fast as crashes are: one that knows only the latter would hold a sound part.
+    /// Returns what this daemon detected, or learned more of, at or after `since`. Progress that clears
+    /// suspects is sent as early as crashes are: with only the latter, a sound part would be held.
     pub fn own_news(&self, since: Moment, now: Moment) -> PartReport {
         let crashes = self.crash_reports(|crash| crash.is_own && crash.updated_at >= since, now);
         let cleared = self.cleared.iter().filter(|(_, at)| **at >= since);
--- a/lib/src/cluster/prompt_crash.rs
+++ b/lib/src/cluster/prompt_crash.rs
@@ -72,7 +72,7 @@
         with.map(|(fingerprint, _)| fingerprint)
     }
 
-    /// Returns whether a part stands behind another in one of the prompts.
+    /// Returns whether a part comes after another in one of the prompts.
     pub fn is_behind(&self, part: PartId, other: PartId) -> bool {
         let place = |ids: &[PartId], id| ids.iter().position(|known| *known == id);
         self.worst_prompts().any(|(_, ids)| {
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -16,8 +16,8 @@
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
-/// Returns whether prompt parts are held at all. In a large fleet a daemon serves too few requests, and hears too late of
-/// those that others serve, to tell a sound part from a fatal one while many servers crash.
+/// Returns whether prompt parts are suspected and held. In a large fleet a daemon receives reports of crashes long before
+/// those of the progress that clears their parts, so that sound parts would be held.
 pub(super) fn is_enabled(daemon: &DaemonState) -> bool {
     !daemon.is_large_fleet()
 }
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -135,7 +135,7 @@
     assert_eq!(site.held(&[COMMON, FATAL, CALLER]), [FATAL]);
 }
 
-/// Guards against a fatal part not being found if nothing is served meanwhile that clears the other parts.
+/// Guards against a fatal part not being found if no request clears the other parts.
 #[test]
 fn other_parts_differ() {
     let mut site = Site::new();
@@ -159,7 +159,7 @@
     assert_eq!(site.held(&[COMMON, 100, 101, 102]), [0; 0]);
 }
 
-/// Guards against a daemon that hears of crashes at once, but late of what clears their parts, holding a sound part.
+/// Guards against a sound part being held because reports of crashes arrive before those of the progress that clears it.
 #[test]
 fn clearing_told() {
     let mut here = Site::new();
