quarantine: an isolated data centre holds fatal prompt parts for itself

What callers saw: in a data centre that is cut off from the others, requests with one part in their prompts crashed one engine after the other; whoever was at these engines lost the answer.

Cause: since a part is held only if another data centre was heard a second after the crash, so that an isolated one holds nothing at all.

Change: each daemon there holds the part for itself, neither reported nor stored, if servers of the service answered other requests since the first of the crashes and never one with the part. Once others are heard again the hold becomes one for all by the usual rule, or ends if they refute it.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -14,6 +14,7 @@
 pub mod latest_instances;
 pub mod origin_holders;
 pub mod origin_message;
+mod part_hold;
 pub mod part_quarantine;
 pub mod part_report;
 pub mod peer_table;
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -9,6 +9,8 @@
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::part_hold::HoldScope;
+use crate::cluster::part_hold::PartHold;
 use crate::cluster::part_report::ExposedPrompt;
 use crate::cluster::part_report::HeldPart;
 use crate::cluster::part_report::PartReport;
@@ -39,6 +41,8 @@
 const MIN_SPREAD: Duration = Duration::from_millis(150);
 /// Time within which other parts of a crash are cleared by requests with them at any daemon.
 const CLEAR_TIME: Duration = Duration::from_secs(1);
+/// Time without a message of another data centre after which this one counts as isolated: several digests.
+const ISOLATION_TIME: Duration = Duration::from_millis(1500);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 /// Maximum number of held parts, and of cleared ones, that are remembered.
@@ -48,15 +52,6 @@
 /// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
 const MAX_REPORTED: usize = 16;
 
-/// A part that goes to no server.
-#[derive(Clone, Copy, Debug)]
-struct Hold {
-    /// When it was found to crash servers; a request with it that gets further later releases it.
-    since: Moment,
-    /// When a caller last sent it.
-    last_attempt: Moment,
-}
-
 /// What a request's progress changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PartChange {
@@ -75,7 +70,7 @@
     crashes: HashMap<CrashId, PromptCrash>,
     /// Parts with which a request reached a stage of progress without a crash, and when.
     cleared: HashMap<(PromptPart, RequestProgress), Moment>,
-    held: HashMap<PromptPart, Hold>,
+    held: HashMap<PromptPart, PartHold>,
     /// When a request with a part last got an event from a server, by what this daemon saw.
     served: HashMap<PromptPart, Moment>,
     /// When the last message of another data centre was received; `None` if there is no other data centre.
@@ -147,9 +142,8 @@
 
     /// Records when the last message of another data centre was received; `None` if there is no other data centre.
     ///
-    /// Requests that clear a part may be served in any data centre, so no part is held on crashes after which no message
-    /// of another one was received: an isolated data centre would hold sound parts, and report the holds once it is
-    /// reconnected.
+    /// Requests that clear a part may be served in any data centre, so a hold that binds all daemons is decided only on
+    /// crashes after which a message of another one was received. An isolated data centre decides for itself.
     pub fn set_remote_heard(&mut self, heard: Option<Moment>) {
         self.remote_heard = heard;
     }
@@ -159,38 +153,60 @@
         self.crashes.is_empty()
     }
 
-    /// Holds those of some parts that are suspected of enough crashes; returns which are held from now on.
+    /// Holds those of some parts that are suspected of enough crashes; returns which are held from now on, or bind all
+    /// daemons from now on.
     pub fn evaluate(&mut self, parts: &[PromptPart], now: Moment) -> Vec<PromptPart> {
-        let is_fatal =
-            |part: &&PromptPart| !self.held.contains_key(part) && self.is_fatal(part, now);
-        let fatal: Vec<_> = parts.iter().filter(is_fatal).cloned().collect();
-        fatal.into_iter().filter(|part| self.hold(part, now)).collect()
+        let is_open = |part: &&PromptPart| !self.held.get(part).is_some_and(PartHold::is_fleetwide);
+        let found = |part: &PromptPart| Some((part.clone(), self.find_fatal(part, now)?));
+        let fatal: Vec<_> = parts.iter().filter(is_open).filter_map(found).collect();
+        let new_hold = |scope| PartHold { since: now, last_attempt: now, scope };
+        let held =
+            fatal.into_iter().filter(|(part, scope)| self.merge_hold(part, new_hold(*scope)));
+        held.map(|(part, _)| part).collect()
     }
 
-    /// Returns whether a part is found to crash servers.
-    fn is_fatal(&self, part: &PromptPart, now: Moment) -> bool {
+    /// Returns whether a part is found to crash servers, and which daemons this binds.
+    fn find_fatal(&self, part: &PromptPart, now: Moment) -> Option<HoldScope> {
         let crashes: Vec<_> = self.suspected_crashes(part).collect();
         if crashes.len() < SOLE_SUSPECT_CRASHES {
-            return false;
+            return None;
         }
         let requests: BTreeSet<_> = crashes.iter().flat_map(|c| c.requests_with(part)).collect();
         let times = || crashes.iter().map(|crash| crash.at);
         let spread = times().max().unwrap_or(now).saturating_sub(times().min().unwrap_or(now));
-        requests.len() >= MIN_REQUESTS
-            && spread >= MIN_SPREAD
-            && crashes.iter().any(|crash| self.is_most_suspected(part, crash, crashes.len(), now))
+        if requests.len() < MIN_REQUESTS || spread < MIN_SPREAD {
+            return None;
+        }
+        let suspecting = |until: Moment| {
+            crashes.iter().any(|crash| {
+                until >= crash.at + CLEAR_TIME && self.is_most_suspected(part, crash, crashes.len())
+            })
+        };
+        if suspecting(self.remote_heard.map_or(now, |heard| heard.min(now))) {
+            return Some(HoldScope::Fleet);
+        }
+        let since = times().min().unwrap_or(now);
+        (self.is_isolated(now) && self.is_contrasted(part, since) && suspecting(now))
+            .then_some(HoldScope::Isolated)
+    }
+
+    /// Returns whether no message of another data centre has been received for some time.
+    fn is_isolated(&self, now: Moment) -> bool {
+        self.remote_heard.is_some_and(|heard| now > heard + ISOLATION_TIME)
+    }
+
+    /// Returns whether servers of a part's service answered other requests after `since`, and never one with the part.
+    ///
+    /// Without other data centres, that nobody reports a request with the part as served says little: its servers may
+    /// be unreachable, or at work for others.
+    fn is_contrasted(&self, part: &PromptPart, since: Moment) -> bool {
+        let mut served = self.served.iter().filter(|(other, _)| other.service == part.service);
+        !self.served.contains_key(part) && served.any(|(_, at)| *at > since)
     }
 
     /// Returns whether a part is suspected of more crashes, `count`, than all others that a server had when it crashed,
-    /// or is preferred to those that are suspected of as many. `false` until requests in all data centres had time to
-    /// clear the parts.
-    fn is_most_suspected(
-        &self,
-        part: &PromptPart,
-        crash: &PromptCrash,
-        count: usize,
-        now: Moment,
-    ) -> bool {
+    /// or is preferred to those that are suspected of as many.
+    fn is_most_suspected(&self, part: &PromptPart, crash: &PromptCrash, count: usize) -> bool {
         let is_preferred = |other: &PromptPart| {
             let (is_served, other_served) =
                 (self.served.contains_key(part), self.served.contains_key(other));
@@ -198,13 +214,31 @@
             !is_served && other_served || is_joint && !crash.is_behind(other.id, part.id)
         };
         let mut others = crash.parts().into_iter().filter(|id| *id != part.id);
-        let heard_until = self.remote_heard.map_or(now, |heard| heard.min(now));
-        heard_until >= crash.at + CLEAR_TIME
-            && others.all(|id| {
-                let other = PromptPart { service: part.service.clone(), id };
-                let other_count = self.count(&other);
-                other_count < count || other_count == count && is_preferred(&other)
-            })
+        others.all(|id| {
+            let other = PromptPart { service: part.service.clone(), id };
+            let other_count = self.count(&other);
+            other_count < count || other_count == count && is_preferred(&other)
+        })
+    }
+
+    /// Releases parts that were held while this data centre was isolated and that others have refuted since; returns
+    /// them.
+    pub fn release_refuted(&mut self, now: Moment) -> Vec<PromptPart> {
+        let is_refuted =
+            |part: &PromptPart, hold: &PartHold| !hold.is_fleetwide() && self.is_refuted(part, now);
+        let refuted = self.held.iter().filter(|(part, hold)| is_refuted(part, hold));
+        let refuted: Vec<_> = refuted.map(|(part, _)| part.clone()).collect();
+        self.held.retain(|part, _| !refuted.contains(part));
+        refuted
+    }
+
+    /// Returns whether a part is not found to crash servers, though the data centre is in touch with others.
+    fn is_refuted(&self, part: &PromptPart, now: Moment) -> bool {
+        let newest = self.suspected_crashes(part).map(|crash| crash.at).max();
+        let is_heard = self.remote_heard.is_none_or(|heard| {
+            newest.is_none_or(|at| heard >= at + CLEAR_TIME) && !self.is_isolated(now)
+        });
+        is_heard && self.find_fatal(part, now).is_none()
     }
 
     /// Returns whether requests with a part are tried one at a time. Those with a part that was just served are not: a
@@ -268,17 +302,22 @@
         suspected.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns whether a part is held at all daemons; `false` also if only this one holds it while it is isolated.
+    pub fn is_held_fleetwide(&self, part: &PromptPart) -> bool {
+        self.held.get(part).is_some_and(PartHold::is_fleetwide)
+    }
+
     /// Returns the number of held parts.
     pub fn held_count(&self) -> usize {
         self.held.len()
     }
 
-    /// Holds a part from `since` on; returns whether it was not held before.
+    /// Holds a part at all daemons from `since` on; returns whether it was not held so before.
     pub fn hold(&mut self, part: &PromptPart, since: Moment) -> bool {
-        self.merge_hold(part, Hold { since, last_attempt: since })
+        self.merge_hold(part, PartHold { since, last_attempt: since, scope: HoldScope::Fleet })
     }
 
-    fn merge_hold(&mut self, part: &PromptPart, hold: Hold) -> bool {
+    fn merge_hold(&mut self, part: &PromptPart, hold: PartHold) -> bool {
         let cleared = |progress| self.cleared.get(&(part.clone(), progress)).copied();
         let released =
             RequestProgress::ALL.into_iter().filter(|p| releases(*p)).filter_map(cleared);
@@ -288,7 +327,11 @@
         if let Some(known) = self.held.get_mut(part) {
             known.since = known.since.max(hold.since);
             known.last_attempt = known.last_attempt.max(hold.last_attempt);
-            return false;
+            let was_fleetwide = known.is_fleetwide();
+            if hold.is_fleetwide() {
+                known.scope = HoldScope::Fleet;
+            }
+            return hold.is_fleetwide() && !was_fleetwide;
         }
         make_room(&mut self.held, MAX_PARTS, |hold| hold.last_attempt);
         self.held.insert(part.clone(), hold);
@@ -316,8 +359,8 @@
         let mut cleared: Vec<_> = cleared.filter(|(_, age)| *age <= REPORT_TIME).collect();
         cleared.sort_by_key(|(_, age)| *age);
         cleared.truncate(MAX_REPORTED);
-        let mut held: Vec<_> =
-            self.held.iter().map(|(part, h)| held_report(part, h, now)).collect();
+        let fleetwide = self.held.iter().filter(|(_, hold)| hold.is_fleetwide());
+        let mut held: Vec<_> = fleetwide.map(|(part, h)| held_report(part, h, now)).collect();
         held.sort_by_key(|held| held.idle);
         held.truncate(MAX_REPORTED);
         let crashes =
@@ -332,7 +375,7 @@
         let cleared = self.cleared.iter().filter(|(_, at)| **at >= since);
         let cleared = cleared.map(|(key, at)| (key.clone(), now.saturating_sub(*at)));
         let cleared = cleared.take(MAX_REPORTED).collect();
-        let news = self.held.iter().filter(|(_, hold)| hold.since >= since);
+        let news = self.held.iter().filter(|(_, h)| h.is_fleetwide() && h.since >= since);
         let held = news.map(|(part, hold)| held_report(part, hold, now)).collect();
         PartReport { crashes, cleared, held }
     }
@@ -347,7 +390,8 @@
         let is_known = |crash: &PromptCrash| {
             crash.requests_with(&part).next().is_some() && !self.is_cleared(&part, crash)
         };
-        let held = self.held.get(&part).map(|hold| held_report(&part, hold, now));
+        let held = self.held.get(&part).filter(|hold| hold.is_fleetwide());
+        let held = held.map(|hold| held_report(&part, hold, now));
         let crashes = self.crash_reports(is_known, now);
         PartReport { crashes, cleared: Vec::new(), held: held.into_iter().collect() }
     }
@@ -395,7 +439,8 @@
         let mut held = self.evaluate(&exposed.into_iter().collect::<Vec<_>>(), now);
         for HeldPart { part, age, idle } in &report.held {
             let (since, last_attempt) = (now.saturating_sub(*age), now.saturating_sub(*idle));
-            if self.merge_hold(part, Hold { since, last_attempt }) {
+            let reported = PartHold { since, last_attempt, scope: HoldScope::Fleet };
+            if self.merge_hold(part, reported) {
                 held.push(part.clone());
             }
         }
@@ -442,7 +487,7 @@
     }
 }
 
-fn held_report(part: &PromptPart, hold: &Hold, now: Moment) -> HeldPart {
+fn held_report(part: &PromptPart, hold: &PartHold, now: Moment) -> HeldPart {
     HeldPart {
         part: part.clone(),
         age: now.saturating_sub(hold.since),
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -53,9 +53,11 @@
     }
     let held = daemon.part_quarantine.borrow_mut().evaluate(parts, daemon.now());
     for part in held {
-        daemon.quarantine_changed.notify_one();
         log_held(daemon, &part, "own");
-        spawn_local(store(Rc::clone(daemon), part));
+        if daemon.part_quarantine.borrow().is_held_fleetwide(&part) {
+            daemon.quarantine_changed.notify_one();
+            spawn_local(store(Rc::clone(daemon), part));
+        }
     }
     daemon.part_quarantine.borrow_mut().held_part(parts, daemon.now()).is_some()
 }
@@ -78,7 +80,8 @@
     for part in held {
         log_held(daemon, &part, from);
         // If every daemon learned of the part only from reports, none has stored it.
-        if daemon.fence().is_some() {
+        let is_fleetwide = daemon.part_quarantine.borrow().is_held_fleetwide(&part);
+        if is_fleetwide && daemon.fence().is_some() {
             spawn_local(store(Rc::clone(daemon), part));
         }
     }
@@ -98,8 +101,14 @@
     }
 }
 
-/// Releases prompt parts that no caller has sent again for long.
+/// Releases prompt parts that no caller has sent again for long, or that were held only while this data centre was
+/// isolated.
 pub(super) fn release_expired(daemon: &Rc<DaemonState>) {
+    update_remote_heard(daemon);
+    let refuted = daemon.part_quarantine.borrow_mut().release_refuted(daemon.now());
+    for part in refuted {
+        release(daemon, &part, "refuted");
+    }
     let released = daemon.part_quarantine.borrow_mut().sweep(daemon.now());
     for part in released {
         release(daemon, &part, "unused");
@@ -118,7 +127,8 @@
     let parts = daemon.part_quarantine.borrow();
     let crashes = parts.crash_ids(part);
     let servers: Vec<_> = crashes.iter().map(|c| c.server.id.as_str()).collect();
-    slog::warn!(daemon.log, "part-held"; "part" => %part, "from" => from,
+    let scope = if parts.is_held_fleetwide(part) { "fleet" } else { "isolated" };
+    slog::warn!(daemon.log, "part-held"; "part" => %part, "from" => from, "scope" => scope,
         "servers" => servers.join(","), "held" => parts.held_count());
     daemon.metrics.set_quarantined_parts(parts.held_count());
     daemon.part_held.notify_waiters();
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -115,6 +115,53 @@
     assert_eq!(site.held(&[COMMON, 7]).len(), 1);
 }
 
+/// Crashes servers under a fatal part in a data centre that is isolated meanwhile and serves other requests.
+fn isolated_crashes() -> Site {
+    let mut site = Site::new();
+    site.quarantine.set_remote_heard(Some(site.now));
+    for n in 0..3 {
+        assert_eq!(site.held(&[COMMON, FATAL]), [0; 0], "after {n} crashes");
+        site.now += SECOND;
+        site.crash(&[COMMON, FATAL]);
+        site.progress(&[COMMON, 7], RequestProgress::FirstEvent);
+    }
+    site
+}
+
+/// Guards against an isolated data centre that serves other requests holding no fatal part, and against its hold binding
+/// data centres in which the part may be served.
+#[test]
+fn held_isolated() {
+    let mut site = isolated_crashes();
+    assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
+    assert!(!site.quarantine.is_held_fleetwide(&part(FATAL)));
+    assert!(site.quarantine.report(site.now, true).held.is_empty());
+    assert!(site.quarantine.own_news(Moment::ZERO, site.now).held.is_empty());
+    let known = site.quarantine.known_of(&part(FATAL).fingerprint(), false, site.now);
+    assert!(known.held.is_empty());
+    site.quarantine.set_remote_heard(Some(site.now + SECOND * 2));
+    assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
+    site.now += SECOND * 2;
+    assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
+    assert!(site.quarantine.is_held_fleetwide(&part(FATAL)), "reported once others are heard");
+    assert_eq!(site.quarantine.release_refuted(site.now), []);
+}
+
+/// Guards against a sound part staying held because it was held while the data centre was isolated.
+#[test]
+fn refuted_later() {
+    let mut site = isolated_crashes();
+    assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
+    assert_eq!(site.quarantine.release_refuted(site.now + SECOND), [], "still isolated");
+    let cleared = vec![((part(FATAL), RequestProgress::FirstEvent), Duration::ZERO)];
+    let report = PartReport { cleared, ..PartReport::default() };
+    site.now += SECOND * 2;
+    site.quarantine.set_remote_heard(Some(site.now));
+    site.quarantine.merge(&report, site.now);
+    assert_eq!(site.quarantine.release_refuted(site.now), [part(FATAL)]);
+    assert_eq!(site.held(&[COMMON, FATAL]), [0; 0]);
+}
+
 /// Guards against the parts of a request being held with it: it may itself be the cause.
 #[test]
 fn one_request() {
