--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -19,6 +19,8 @@
 pub type CallerId = SmolStr;
 /// Offset of an entry in the platform's log.
 pub type Offset = u64;
+/// Number of times that the platform's store was restored from an older copy.
+pub type StoreEra = u64;
 /// Position of a record in the log: the entry's offset combined with the record's index in it.
 pub type Position = u64;
 /// Fencing number of a lease: the position of the record that granted it.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -36,6 +36,7 @@
     config_age: Gauge<f64>,
     control_bytes: Counter<u64>,
     store_calls: Counter<u64>,
+    store_rollbacks: Counter<u64>,
     unreadable_records: Counter<u64>,
     reader_reports: Counter<u64>,
     relays: Counter<u64>,
@@ -114,6 +115,10 @@
                 "store_calls",
                 "Operations at the platform's store by feed and outcome; a listing takes a call a page",
             ),
+            store_rollbacks: counter(
+                "store_rollbacks",
+                "Times that the platform's store was found restored from an older copy",
+            ),
             unreadable_records: counter(
                 "unreadable_records",
                 "Records of the platform's store that cannot be read by feed, each time one is met",
@@ -205,6 +210,11 @@
         self.store_calls.add(1, &[KeyValue::new("feed", feed), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a return of the platform's store from an older copy.
+    pub fn record_store_rollback(&self) {
+        self.store_rollbacks.add(1, &[]);
+    }
+
     /// Counts a record of a feed that cannot be parsed.
     pub fn record_unreadable(&self, feed: &'static str) {
         self.unreadable_records.add(1, &[KeyValue::new("feed", feed)]);
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -41,6 +41,7 @@
 use crate::host_clock::HostClock;
 use crate::ids::Fence;
 use crate::ids::SoftwareVersion;
+use crate::ids::StoreEra;
 use crate::metrics::Metrics;
 use crate::placement::demand::Demand;
 use crate::placement::engine_table::EngineTable;
@@ -165,6 +166,8 @@
     pub newer_config: Notify,
     /// When the store last answered.
     pub store_answered: Cell<Moment>,
+    /// The era of the store that this daemon has adapted to; `None` before the first response that names one.
+    pub store_era: Cell<Option<StoreEra>>,
     /// Whether the store answers calls, by feed.
     pub store_health: RefCell<StoreHealth>,
     /// Signalled when the store answers calls for a feed again.
@@ -266,6 +269,7 @@
             config_changed: Notify::new(),
             newer_config: Notify::new(),
             store_answered: Cell::default(),
+            store_era: Cell::default(),
             store_health: RefCell::default(),
             store_recovered: Notify::new(),
             stopping: Cell::default(),
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::ids::Offset;
+use crate::ids::StoreEra;
 
 /// A future that is not `Send` and runs on the event loop's thread.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
@@ -117,8 +118,16 @@
     }
 }
 
-/// The platform's store. Acknowledged records are never lost, and its responses are linearizable.
+/// The platform's store. Its responses are linearizable, and within one era it loses no acknowledged record.
+///
+/// A new era begins when the store has been restored from an older copy: its last records are gone, and their offsets are
+/// given out again.
 pub trait Store: fmt::Debug {
+    /// Returns the latest era that a response was of; `None` before the first response, or if the store tells none.
+    fn era(&self) -> Option<StoreEra> {
+        None
+    }
+
     /// Returns the newest record of each key.
     fn list_latest(&self, feed: Feed) -> LocalFuture<'_, Result<Batch, StoreError>>;
 
