store: offsets contain the era in which they were given out

What callers saw: requests reached a server 2.1 and 2.3 s after the store had acknowledged that it leaves.

Cause: a restored store gives out the offsets of its lost records again. A read from beyond its end gets 410; but once the feed has grown past the old end the read succeeds, and what lies before it is never read. Ruled out by the own test: one late answer, a stalled process, a peer's older entry; none is at work there, and the leave is never seen.

Change: an offset has the era in its high bits, also on the wire between daemons and in records, so that all comparisons hold over eras. A reader that has not noticed yet confirms nothing.

Fencing numbers are offsets + 1, so they contain the era too.

--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -20,9 +20,9 @@
 use crate::cluster::trial_report::TrialReport;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
+use crate::ids::FeedOffset;
 use crate::ids::Fence;
 use crate::ids::ModelName;
-use crate::ids::Offset;
 use crate::ids::SoftwareVersion;
 use crate::placement::lease_state::LeaseClaim;
 
@@ -37,7 +37,7 @@
     /// Remaining validity of the lease, in milliseconds.
     pub remaining_ms: u32,
     /// End of the lease feed after the newest renewal.
-    pub feed_end: Offset,
+    pub feed_end: FeedOffset,
 }
 
 impl From<LeaseClaim> for LeaseReport {
@@ -84,7 +84,7 @@
     /// Time since the store last reported whether the configuration changed, in milliseconds.
     pub config_age: u32,
     /// Offset up to which the sender has read the store's feed of servers.
-    pub servers_end: Offset,
+    pub servers_end: FeedOffset,
     /// Servers that the sender saw leave in the last few seconds.
     pub departures: Vec<ServerDeparture>,
     /// Whether the sender accepts new callers.
--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -22,8 +22,8 @@
 use crate::cluster::server_instance::ServerInstance;
 use crate::cluster::workload_table::server_key;
 use crate::ids::CentreId;
+use crate::ids::FeedOffset;
 use crate::ids::ModelName;
-use crate::ids::Offset;
 use crate::ids::ServerId;
 use crate::ids::SoftwareVersion;
 use crate::ids::StartTime;
@@ -136,7 +136,7 @@
 pub struct Directory {
     entries: BTreeMap<ServerId, Entry>,
     /// Offset in the feed of servers up to which the entries were read.
-    feed_end: Offset,
+    feed_end: FeedOffset,
     /// When the feed was last read.
     last_read: Option<Moment>,
     /// When the feed was first read after the last outage of the store.
@@ -149,7 +149,7 @@
     /// Servers that recently joined, restarted or resumed, and when that was noticed.
     joins: Vec<(Moment, ServerId)>,
     /// Recent reads of the feed: the time and the offset at which each began.
-    recent_reads: VecDeque<(Moment, Offset)>,
+    recent_reads: VecDeque<(Moment, FeedOffset)>,
     latest_instances: LatestInstances,
     ended: EndedInstances,
 }
@@ -166,7 +166,7 @@
     }
 
     /// Records that a reader reported having read the feed at `read`, up to `end`.
-    pub fn record_relayed_read(&mut self, read: Moment, end: Offset) {
+    pub fn record_relayed_read(&mut self, read: Moment, end: FeedOffset) {
         self.advance(end);
         if self.last_read.is_none_or(|known| known < read) {
             self.detect_recovery(read);
@@ -188,7 +188,7 @@
 
     /// Returns the feed offset from which on [`Self::recent_departures`] and [`Self::recent_joins`] contain
     /// all changes.
-    pub fn history_start(&self) -> Offset {
+    pub fn history_start(&self) -> FeedOffset {
         self.recent_reads.front().map_or(self.feed_end, |(_, from)| *from)
     }
 
@@ -202,12 +202,12 @@
     }
 
     /// Returns the feed offset up to which the entries were read.
-    pub fn feed_end(&self) -> Offset {
+    pub fn feed_end(&self) -> FeedOffset {
         self.feed_end
     }
 
     /// Advances the feed offset to `end`; a lower one changes nothing.
-    pub fn advance(&mut self, end: Offset) {
+    pub fn advance(&mut self, end: FeedOffset) {
         self.feed_end = self.feed_end.max(end);
     }
 
--- a/lib/src/cluster/peer_table.rs
+++ b/lib/src/cluster/peer_table.rs
@@ -21,8 +21,8 @@
 use crate::cluster::server_instance::ServerInstance;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
+use crate::ids::FeedOffset;
 use crate::ids::Fence;
-use crate::ids::Offset;
 use crate::placement::bid_delay::Bidders;
 use crate::placement::entries::DaemonEntry;
 use crate::serve::entry_settings::EntrySettings;
@@ -83,7 +83,7 @@
     /// Latest time until which the lease is valid, on this host's clock.
     pub valid_until: Moment,
     /// End of the lease feed after the holder's newest renewal.
-    pub feed_end: Offset,
+    pub feed_end: FeedOffset,
 }
 
 /// What is known of another daemon.
@@ -102,7 +102,7 @@
     /// When the store last reported to it whether the configuration changed.
     pub config_checked: Moment,
     /// Offset up to which it has read the feed of servers.
-    pub servers_end: Offset,
+    pub servers_end: FeedOffset,
     /// Its claim to the placement lease, if it holds it.
     pub lease: Option<PeerLease>,
     /// Its rank among the daemons that may become readers.
--- a/lib/src/cluster/peer_update.rs
+++ b/lib/src/cluster/peer_update.rs
@@ -11,7 +11,7 @@
 use crate::cluster::configuration::ConfigVersion;
 use crate::cluster::server_instance::ServerInstance;
 use crate::delta;
-use crate::ids::Offset;
+use crate::ids::FeedOffset;
 use crate::ids::ServerId;
 
 /// Largest size of a configuration or of all servers' entries that is accepted from a peer, in bytes.
@@ -141,7 +141,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServerSnapshot {
     /// Offset in the feed of servers up to which `raw_servers` is complete.
-    pub servers_end: Offset,
+    pub servers_end: FeedOffset,
     /// Entries of servers as stored by the platform.
     pub raw_servers: Vec<(ServerId, Vec<u8>)>,
     /// Servers whose entries are missing or invalid but may return shortly.
--- a/lib/src/cluster/reader_report.rs
+++ b/lib/src/cluster/reader_report.rs
@@ -6,7 +6,7 @@
 
 use crate::cluster::digest::Digest;
 use crate::cluster::workload_table::WorkloadSummary;
-use crate::ids::Offset;
+use crate::ids::FeedOffset;
 use crate::ids::ServerId;
 
 /// Whose requests a reader report counts.
@@ -26,7 +26,7 @@
     pub digest: Digest,
     /// Offset in the servers' feed from which this report covers changes. A receiver whose own offset is
     /// lower must read the feed.
-    pub changes_from: Offset,
+    pub changes_from: FeedOffset,
     /// Time since the store answered the reader's latest read of the servers' feed, in milliseconds.
     pub read_age_ms: u32,
     /// Time since the reader last received a message from a daemon of another data centre, in milliseconds.
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -19,6 +19,8 @@
 pub type CallerId = SmolStr;
 /// Offset of an entry in the platform's log.
 pub type Offset = u64;
+/// Offset in a feed of the platform's store, which contains the store's era; see [`crate::feed_offset`].
+pub type FeedOffset = u64;
 /// Number of times that the platform's store was restored from an older copy.
 pub type StoreEra = u64;
 /// Position of a record in the log: the entry's offset combined with the record's index in it.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod engine_control;
 pub mod event;
 pub mod failure_backoff;
+pub mod feed_offset;
 pub mod fleet;
 pub mod fold;
 pub mod gateway;
--- a/lib/src/placement/entries.rs
+++ b/lib/src/placement/entries.rs
@@ -9,8 +9,8 @@
 use crate::cluster::digest::ProcessId;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
+use crate::ids::FeedOffset;
 use crate::ids::Fence;
-use crate::ids::Offset;
 use crate::placement::fetch_limiter::StoreShare;
 use crate::placement::recent_orders::OrderNote;
 use crate::protocol::FormatError;
@@ -49,7 +49,7 @@
     pub released: bool,
     /// Offset of this record, as given in its append. The feed also contains records of other keys.
     #[serde(default)]
-    pub at: Option<Offset>,
+    pub at: Option<FeedOffset>,
     /// What the holder knew about the weight store.
     #[serde(default)]
     pub share: StoreShare,
--- a/lib/src/placement/lease_events.rs
+++ b/lib/src/placement/lease_events.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
+use crate::ids::FeedOffset;
 use crate::ids::Fence;
-use crate::ids::Offset;
 use crate::placement::entries::LeaseEntry;
 use crate::placement::lease_state::HeldLease;
 use crate::placement::lease_state::LEASE_TTL;
 use crate::placement::lease_state::LeaseState;
 use crate::placement::lease_state::RETRY_INTERVAL;
+use crate::placement::lease_state::is_unused;
 
 impl LeaseState {
     /// Records that an append failed because the feed had grown: another daemon's append, or an earlier
@@ -36,7 +37,7 @@
     }
 
     /// Applies the newest record of the lease, `None` if none can be read, and the feed's end.
-    pub fn on_read(&mut self, now: Moment, entry: Option<LeaseEntry>, end: Offset) {
+    pub fn on_read(&mut self, now: Moment, entry: Option<LeaseEntry>, end: FeedOffset) {
         self.outage = None;
         let grew = self.end != Some(end);
         self.end = Some(end);
@@ -44,7 +45,7 @@
         // offset, the outcome is settled.
         let resolved = self.pending_append.take_if(|(_, at)| end > *at);
         match &entry {
-            None if end > 0 => self.on_unreadable(now, grew),
+            None if !is_unused(end) => self.on_unreadable(now, grew),
             Some(e) if e.process == self.process && !e.released => {
                 // A record with another offset is an older one of this daemon.
                 if let Some((sent, at)) = resolved.filter(|(_, at)| e.at == Some(*at)) {
@@ -57,7 +58,13 @@
     }
 
     /// Handles a newest record of another process, a released lease or an empty feed.
-    fn on_other_entry(&mut self, now: Moment, entry: Option<&LeaseEntry>, end: Offset, grew: bool) {
+    fn on_other_entry(
+        &mut self,
+        now: Moment,
+        entry: Option<&LeaseEntry>,
+        end: FeedOffset,
+        grew: bool,
+    ) {
         self.step_down();
         self.share = entry.map_or(self.share, |e| e.share);
         let at = entry.and_then(|e| e.at);
@@ -87,7 +94,7 @@
     }
 
     /// Records that an unanswered append of this daemon succeeded; `end` is the feed's end after it.
-    fn confirm_append(&mut self, fence: Option<Fence>, sent: Moment, now: Moment, end: Offset) {
+    fn confirm_append(&mut self, fence: Option<Fence>, sent: Moment, now: Moment, end: FeedOffset) {
         let fence = fence.unwrap_or(end);
         match &mut self.held {
             Some(held) if held.fence == fence => {
--- a/lib/src/placement/lease_state.rs
+++ b/lib/src/placement/lease_state.rs
@@ -10,9 +10,12 @@
 use crate::boot_clock::Moment;
 use crate::cluster::digest::ProcessId;
 use crate::cluster::peer_table::PeerLease;
+use crate::feed_offset::era_of;
+use crate::feed_offset::offset_in_era;
 use crate::ids::DaemonId;
+use crate::ids::FeedOffset;
 use crate::ids::Fence;
-use crate::ids::Offset;
+use crate::ids::StoreEra;
 use crate::placement::entries::LeaseEntry;
 use crate::placement::fetch_limiter::StoreShare;
 use crate::placement::recent_orders::EngineKey;
@@ -45,7 +48,7 @@
     /// When the newest acknowledged append was sent.
     pub(super) sent: Moment,
     /// The feed's end after that append.
-    pub(super) end: Offset,
+    pub(super) end: FeedOffset,
     /// No orders at all before this time: the previous holder did not record which engines it sent orders to.
     pub(super) orders_from: Moment,
     /// Whether the lease is being released and engines do not check fencing numbers: another daemon may already
@@ -61,7 +64,7 @@
     /// How long the lease is still valid.
     pub valid_for: Duration,
     /// The feed's end after the newest renewal.
-    pub end: Offset,
+    pub end: FeedOffset,
 }
 
 /// The next action for the lease.
@@ -70,11 +73,19 @@
     /// Read the feed's newest record.
     Read,
     /// Append a record if the feed still ends at the offset.
-    Append(Offset, LeaseEntry),
+    Append(FeedOffset, LeaseEntry),
     /// Check again at this time.
     Sleep(Moment),
 }
 
+/// First era of a store. In a later one a feed may be empty because its records were lost.
+const FIRST_ERA: StoreEra = 1;
+
+/// Returns whether a feed with this end never had a record.
+pub(super) fn is_unused(end: FeedOffset) -> bool {
+    offset_in_era(end) == 0 && era_of(end) <= FIRST_ERA
+}
+
 /// One daemon's view of the lease. `lease_events` applies what is read from the feed.
 #[derive(Debug)]
 pub struct LeaseState {
@@ -89,7 +100,7 @@
     /// How much longer this daemon waits than others before it bids.
     bid_delay: Duration,
     /// The feed's end as last read; `None` if it has to be read again.
-    pub(super) end: Option<Offset>,
+    pub(super) end: Option<FeedOffset>,
     /// The newest record.
     pub(super) newest_entry: Option<LeaseEntry>,
     /// Until when another daemon's lease may be valid.
@@ -100,7 +111,7 @@
     peer_seen: bool,
     pub(super) held: Option<HeldLease>,
     /// An append with an unknown outcome: when it was first sent and the feed's end that it named.
-    pub(super) pending_append: Option<(Moment, Offset)>,
+    pub(super) pending_append: Option<(Moment, FeedOffset)>,
     /// When the store last failed to respond.
     pub(super) outage: Option<Moment>,
     pub(super) retry_at: Moment,
@@ -268,7 +279,7 @@
             return LeaseStep::Sleep(now + POLL_INTERVAL);
         }
         let is_ended = |e: &LeaseEntry| e.released || self.replaced_since(e).is_some();
-        let is_free = self.newest_entry.as_ref().map_or(end == 0, is_ended);
+        let is_free = self.newest_entry.as_ref().map_or(is_unused(end), is_ended);
         let from = if is_free { Moment::ZERO } else { self.peer_expiry + CLOCK_MARGIN };
         if now < from + self.bid_delay {
             return LeaseStep::Sleep((from + self.bid_delay).min(now + POLL_INTERVAL));
@@ -278,10 +289,10 @@
     }
 
     /// Takes over the orders that the previous holder recorded; returns whether they are known.
-    fn inherit_orders(&mut self, end: Offset, now: Moment) -> bool {
+    fn inherit_orders(&mut self, end: FeedOffset, now: Moment) -> bool {
         self.recent.forget();
         let last = self.newest_entry.as_ref().filter(|e| e.at.is_some_and(|at| at + 1 == end));
-        let Some(last) = last else { return end == 0 };
+        let Some(last) = last else { return is_unused(end) };
         let Some(orders) = &last.orders else { return false };
         // If the record is this process's own, its orders may be newer than the expiry that peers reported.
         let is_lapsed = !last.released && last.process != self.process;
@@ -313,7 +324,7 @@
         self.peer_seen = peer_lease.is_some();
     }
 
-    fn build_entry(&mut self, fence: Option<Fence>, at: Offset, now: Moment) -> LeaseEntry {
+    fn build_entry(&mut self, fence: Option<Fence>, at: FeedOffset, now: Moment) -> LeaseEntry {
         let (holder, process, share) = (self.daemon.clone(), self.process, self.share);
         let addr = self.address.map(|(addr, _)| addr);
         // A holder that does not know earlier orders must not record that there were none.
@@ -330,7 +341,7 @@
     ///
     /// During an outage of the store no other daemon could take over: the holder keeps the lease as long as its
     /// process runs.
-    pub fn release(&mut self, now: Moment) -> Option<(Offset, LeaseEntry)> {
+    pub fn release(&mut self, now: Moment) -> Option<(FeedOffset, LeaseEntry)> {
         let held = self.held.filter(|h| now < h.sent + LEASE_TTL)?;
         let end = self.end?;
         let entry = LeaseEntry { released: true, ..self.build_entry(Some(held.fence), end, now) };
@@ -355,7 +366,7 @@
     }
 
     /// Records that an append, sent at `sent`, was acknowledged.
-    pub fn on_appended(&mut self, sent: Moment, now: Moment, offset: Offset) {
+    pub fn on_appended(&mut self, sent: Moment, now: Moment, offset: FeedOffset) {
         self.outage = None;
         self.pending_append = None;
         self.end = Some(offset + 1);
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -12,7 +12,8 @@
 use crate::cluster::directory::Server;
 use crate::cluster::latest_instances::InstanceOrder;
 use crate::cluster::server_instance::ServerInstance;
-use crate::ids::Offset;
+use crate::feed_offset;
+use crate::ids::FeedOffset;
 use crate::ids::ServerId;
 use crate::placement::entries;
 use crate::placement::entries::DaemonEntry;
@@ -155,7 +156,7 @@
         "centre" => server.map_or("-", |s| s.centre.as_str()),
         "version" => server.map_or("-", |s| s.version.as_str()), "models" => models,
         "beat" => server.map_or(0, |s| s.heartbeat),
-        "born" => server.and_then(|s| s.born).unwrap_or(0), "feed_end" => directory.feed_end());
+        "born" => server.and_then(|s| s.born).unwrap_or(0), "feed_end" => feed_offset::show(directory.feed_end()));
 }
 
 /// Applies records of the servers' feed: the whole list if `is_whole`, otherwise those after the last read.
@@ -259,7 +260,7 @@
 }
 
 /// Reads the list of daemons, or only its changes if `from` is set. Returns the offset of the next read.
-async fn read_daemons(daemon: &DaemonState, mut from: Option<Offset>) -> Offset {
+async fn read_daemons(daemon: &DaemonState, mut from: Option<FeedOffset>) -> FeedOffset {
     loop {
         let call = match from {
             None => daemon.store.list_latest(Feed::Daemons),
--- a/lib/src/serve/config_reads.rs
+++ b/lib/src/serve/config_reads.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
-use crate::ids::Offset;
+use crate::ids::FeedOffset;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::store_calls::track_read;
 use crate::store::Batch;
@@ -51,7 +51,7 @@
     }
 
     /// Starts a read from an offset that the store may hold for `wait` while nothing changes.
-    pub fn start(&mut self, daemon: &'a DaemonState, from: Offset, wait: Duration) {
+    pub fn start(&mut self, daemon: &'a DaemonState, from: FeedOffset, wait: Duration) {
         if self.pending.len() >= MAX_READS {
             self.pending.remove(0);
         }
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -38,7 +38,9 @@
 use crate::cluster::unreadable_records::UnreadableRecords;
 use crate::cluster::version_history::VersionHistory;
 use crate::cluster::workloads::Workloads;
+use crate::feed_offset::era_of;
 use crate::host_clock::HostClock;
+use crate::ids::FeedOffset;
 use crate::ids::Fence;
 use crate::ids::SoftwareVersion;
 use crate::ids::StoreEra;
@@ -309,6 +311,11 @@
         self.config.borrow().as_ref().map_or(0, |c| c.version)
     }
 
+    /// Returns whether the store was restored from an older copy since it gave out an offset.
+    pub fn is_restored_since(&self, offset: FeedOffset) -> bool {
+        self.store_era.get().is_some_and(|era| era_of(offset) < era)
+    }
+
     /// Returns whether a peer has reported a later version of the configuration.
     pub fn is_behind(&self) -> bool {
         self.peers.borrow().latest_config() > self.config_version()
--- a/lib/src/serve/follow_config.rs
+++ b/lib/src/serve/follow_config.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
-use crate::ids::Offset;
+use crate::ids::FeedOffset;
 use crate::serve::apply_updates::CONFIG_KEY;
 use crate::serve::apply_updates::apply_config;
 use crate::serve::config_reads::ConfigReads;
@@ -56,7 +56,7 @@
 }
 
 /// Reads and applies the newest version; returns the offset at which its changes begin.
-async fn list_config(daemon: &DaemonState) -> Offset {
+async fn list_config(daemon: &DaemonState) -> FeedOffset {
     loop {
         let sent_at = daemon.now();
         let call = daemon.store.list_latest(Feed::Configuration);
@@ -75,7 +75,7 @@
 }
 
 /// Reads and applies changes from an offset on, until the store has deleted the records there.
-async fn follow_changes(daemon: &DaemonState, mut from: Offset) {
+async fn follow_changes(daemon: &DaemonState, mut from: FeedOffset) {
     let mut reads = ConfigReads::default();
     let mut last = LastRead::default();
     let mut retry_delay = MIN_RETRY_DELAY;
@@ -87,8 +87,11 @@
         let response = tokio::select! {
             biased;
             response = reads.next(daemon) => response,
-            reason = repeat_reason(daemon, &last, retry_delay) => {
+            reason = repeat_reason(daemon, &last, retry_delay, from) => {
                 log_repeat(daemon, &last, reason);
+                if reason == Repeat::Restored {
+                    return;
+                }
                 if reason == Repeat::Overdue {
                     record_overdue(daemon, Feed::Configuration, last.sent_at);
                     retry_delay = next_delay(daemon, retry_delay);
@@ -138,6 +141,8 @@
     PeerAhead,
     /// The store should have responded.
     Overdue,
+    /// The store was restored from an older copy.
+    Restored,
 }
 
 impl Repeat {
@@ -145,11 +150,16 @@
         match self {
             Self::PeerAhead => "a peer has a later version",
             Self::Overdue => "no answer in time",
+            Self::Restored => "the store was restored",
         }
     }
 }
 
-fn start_read<'a>(daemon: &'a DaemonState, reads: &mut ConfigReads<'a>, from: Offset) -> LastRead {
+fn start_read<'a>(
+    daemon: &'a DaemonState,
+    reads: &mut ConfigReads<'a>,
+    from: FeedOffset,
+) -> LastRead {
     let was_behind = daemon.is_behind();
     let wait = poll_wait(daemon, was_behind);
     reads.start(daemon, from, wait);
@@ -202,7 +212,12 @@
 ///
 /// A read that was sent while this daemon was behind will return the version that peers have, so a peer's later version
 /// is no reason to repeat it.
-async fn repeat_reason(daemon: &DaemonState, last: &LastRead, retry_delay: Duration) -> Repeat {
+async fn repeat_reason(
+    daemon: &DaemonState,
+    last: &LastRead,
+    retry_delay: Duration,
+    from: FeedOffset,
+) -> Repeat {
     let overdue_after = (last.wait + OVERDUE_AFTER).max(retry_delay);
     loop {
         // An overdue read that is not needed is still awaited.
@@ -220,6 +235,9 @@
         if is_overdue && !is_confirmed(daemon) {
             return Repeat::Overdue;
         }
+        if daemon.is_restored_since(from) && !is_confirmed(daemon) {
+            return Repeat::Restored;
+        }
     }
 }
 
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -77,11 +77,17 @@
     daemon.held_fence().is_some() && daemon.freshness.is_partial.get()
 }
 
+/// Returns whether the store was restored from an older copy since it was read. A daemon that relies on readers hears of it
+/// from them.
+fn is_outdated(daemon: &DaemonState) -> bool {
+    daemon.polls_servers() && daemon.is_restored_since(daemon.directory.borrow().feed_end())
+}
+
 /// Waits until the feed is due to be read.
 async fn wait_until_due(daemon: &DaemonState) {
     loop {
         let remaining = due_at(daemon).saturating_sub(daemon.now());
-        if remaining.is_zero() || must_relist(daemon) {
+        if remaining.is_zero() || must_relist(daemon) || is_outdated(daemon) {
             return;
         }
         sleep(remaining.min(CHECK_INTERVAL)).await;
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -30,9 +30,11 @@
 use crate::cluster::trial_report::TrialStage;
 use crate::cluster::workloads::Workload;
 use crate::cluster::workloads::WorkloadKey;
+use crate::feed_offset;
+use crate::feed_offset::era_of;
 use crate::ids::DaemonId;
+use crate::ids::FeedOffset;
 use crate::ids::Fence;
-use crate::ids::Offset;
 use crate::ids::ServerId;
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
@@ -312,7 +314,7 @@
 
     /// Compares the directory with that of a reader after its report was applied. A difference means that a change was
     /// reported wrongly or not at all, and is found here long before requests go to a removed server.
-    fn check_divergence(&self, from: &DaemonId, end: Offset, checksum: u64) {
+    fn check_divergence(&self, from: &DaemonId, end: FeedOffset, checksum: u64) {
         let daemon = &self.daemon;
         let directory = daemon.directory.borrow();
         if directory.feed_end() != end {
@@ -320,7 +322,7 @@
         }
         if daemon.freshness.record_comparison(directory.checksum() == checksum, daemon.now()) {
             daemon.metrics.record_reader_report("differs");
-            slog::warn!(daemon.log, "picture-differs"; "reader" => %from, "feed_end" => end,
+            slog::warn!(daemon.log, "picture-differs"; "reader" => %from, "feed_end" => feed_offset::show(end),
                 "servers" => directory.servers().count());
             daemon.fetch_due.notify_one();
         }
@@ -331,8 +333,8 @@
     fn apply_changes(
         &self,
         status: &ReaderStatus,
-        from: Offset,
-        end: Offset,
+        from: FeedOffset,
+        end: FeedOffset,
         joined_servers: Vec<(ServerId, Vec<u8>)>,
     ) -> bool {
         let daemon = &self.daemon;
@@ -356,6 +358,11 @@
             daemon.fetch_due.notify_one();
             return false;
         }
+        if era_of(end) < era_of(daemon.directory.borrow().feed_end()) {
+            // The reader has not noticed yet that the store was restored.
+            daemon.metrics.record_reader_report("outdated");
+            return false;
+        }
         daemon.metrics.record_reader_report("taken");
         daemon.directory.borrow_mut().record_relayed_read(status.last_read, end);
         daemon.freshness.advance_servers(status.last_read);
--- a/lib/src/serve/lease_manager.rs
+++ b/lib/src/serve/lease_manager.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::feed_offset;
 use crate::placement::entries;
 use crate::placement::entries::LeaseEntry;
 use crate::placement::entries::PLACEMENT_KEY;
@@ -122,7 +123,7 @@
                 daemon.lease.borrow_mut().on_read(now, record.clone(), batch.end);
                 if was_held != daemon.fence().is_some() {
                     slog::info!(daemon.log, "lease"; "held" => !was_held,
-                        "record" => ?record, "end" => batch.end);
+                        "record" => ?record, "end" => feed_offset::show(batch.end));
                 }
             }
             Err(_failed) => daemon.lease.borrow_mut().on_store_failure(now),
@@ -167,12 +168,12 @@
                 self.gossip.publish_digest();
             }
             Err(StoreError::EndMismatch | StoreError::Expired) => {
-                slog::info!(daemon.log, "lease-append-refused"; "at" => at);
+                slog::info!(daemon.log, "lease-append-refused"; "at" => feed_offset::show(at));
                 lease.on_conflict();
             }
             Err(StoreError::Refused(_)) => lease.on_store_failure(now),
             Err(StoreError::UnknownOutcome(error)) => {
-                slog::info!(daemon.log, "lease-append-doubtful"; "at" => at, "error" => error);
+                slog::info!(daemon.log, "lease-append-doubtful"; "at" => feed_offset::show(at), "error" => error);
                 lease.on_unknown_outcome(sent_at, now);
             }
         }
@@ -198,7 +199,8 @@
         let feed_record = FeedRecord { key: SmolStr::new(PLACEMENT_KEY), value };
         let call = daemon.store.append(Feed::Leases, feed_record, Some(at));
         let result = track_call(daemon, Feed::Leases, call).await;
-        slog::info!(daemon.log, "lease-release"; "done" => result.is_ok(), "at" => at);
+        slog::info!(daemon.log, "lease-release"; "done" => result.is_ok(),
+            "at" => feed_offset::show(at));
         // An append with an unknown outcome may have released the lease, so the lease is kept only if the append
         // certainly failed.
         if matches!(result, Ok(_) | Err(StoreError::UnknownOutcome(_))) {
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -5,6 +5,7 @@
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
+use crate::feed_offset;
 use crate::ids::StoreEra;
 use crate::serve::daemon_state::DaemonState;
 use crate::store::Feed;
@@ -108,7 +109,7 @@
     slog::warn!(daemon.log, "store-era"; "era" => shown(era), "before" => shown(before), "feed" => %feed,
         "call_ms" => now.saturating_sub(sent_at).as_millis(),
         "seen_ms_ago" => now.saturating_sub(daemon.store_answered.get()).as_millis(),
-        "config" => daemon.config_version(), "feed_end" => daemon.directory.borrow().feed_end());
+        "config" => daemon.config_version(), "feed_end" => feed_offset::show(daemon.directory.borrow().feed_end()));
     if before.is_some() {
         daemon.metrics.record_store_rollback();
     }
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
-use crate::ids::Offset;
+use crate::ids::FeedOffset;
 use crate::ids::StoreEra;
 
 /// A future that is not `Send` and runs on the event loop's thread.
@@ -79,7 +79,7 @@
     /// Records that cannot be parsed; each takes up an offset like any other.
     pub unreadable: Vec<UnreadableRecord>,
     /// The offset from which to continue reading.
-    pub end: Offset,
+    pub end: FeedOffset,
 }
 
 impl Batch {
@@ -120,8 +120,8 @@
 
 /// The platform's store. Its responses are linearizable, and within one era it loses no acknowledged record.
 ///
-/// A new era begins when the store has been restored from an older copy: its last records are gone, and their offsets are
-/// given out again.
+/// A new era begins when the store has been restored from an older copy: its last records are gone. A read from an offset of
+/// an earlier era fails as if its records had been deleted, and an append there as if the feed had grown.
 pub trait Store: fmt::Debug {
     /// Returns the latest era that a response was of; `None` before the first response, or if the store tells none.
     fn era(&self) -> Option<StoreEra> {
@@ -135,7 +135,7 @@
     fn read(
         &self,
         feed: Feed,
-        from: Offset,
+        from: FeedOffset,
         wait: Duration,
     ) -> LocalFuture<'_, Result<Batch, StoreError>>;
 
@@ -145,6 +145,6 @@
         &self,
         feed: Feed,
         record: FeedRecord,
-        at: Option<Offset>,
-    ) -> LocalFuture<'_, Result<Offset, StoreError>>;
+        at: Option<FeedOffset>,
+    ) -> LocalFuture<'_, Result<FeedOffset, StoreError>>;
 }
