directory: entries of a restored store neither end nor revive servers

What callers would see: servers that registered in the seconds that the store lost are dropped at once when everything is listed anew, and one that left gets requests again, as the copy still has its entry.

Change: a restore counts as an outage of the store, after which missing entries may return for two seconds; they are read once more just before that time is over (a poll each 1.1 s would miss those that come back late).

newcomers_kept: dropped 0.5 s after the restore before, kept now. removed_stays: back after 1.1 s before, stays away now. fence_rises passes since offsets contain the era.

--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -31,6 +31,8 @@
 /// Servers renew entries that lapsed during an outage of the store within two seconds of its recovery. A
 /// server whose entry is still missing then is removed and must get no more requests.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
+/// Time from a recovery of the store to a read that shows which entries have returned, before `RETURN_GRACE` ends.
+const RETURN_READ_AFTER: Duration = Duration::from_secs(2);
 /// A gap between reads longer than this counts as an outage of the store: entries may have lapsed
 /// meanwhile, which takes three heartbeats.
 const OUTAGE_THRESHOLD: Duration = Duration::from_secs(3);
@@ -141,6 +143,8 @@
     last_read: Option<Moment>,
     /// When the feed was first read after the last outage of the store.
     recovered_at: Option<Moment>,
+    /// Whether the store was ever restored from an older copy, which may have entries of servers that ended since.
+    was_restored: bool,
     /// Recent departures read from the feed, and when each was noticed.
     departures: Vec<(Moment, ServerDeparture)>,
     /// Recent departures that a peer reported, and servers that did not return in time, with the time at which
@@ -180,6 +184,12 @@
         }
     }
 
+    /// Records that the store was restored from an older copy: servers write again what it lost.
+    pub fn record_restore(&mut self, now: Moment) {
+        self.recovered_at = Some(now);
+        self.was_restored = true;
+    }
+
     /// Discards the history because all entries were listed anew: the changes in between are unknown.
     pub fn clear_history(&mut self) {
         self.recent_reads.clear();
@@ -236,6 +246,11 @@
         if order == InstanceOrder::Older {
             return Change::None;
         }
+        let is_known = self.entries.contains_key(&server.id);
+        if self.was_restored && !is_known && !server.leaving && self.is_ended(&server) {
+            self.put_unconfirmed(server, raw, now);
+            return Change::None;
+        }
         // Entries may be older than the announcement.
         server.leaving |= self.ended.has_announced(&server.instance());
         let old = self.entries.get(&server.id);
@@ -279,13 +294,30 @@
         change
     }
 
+    /// Returns whether an entry was written before its instance ended.
+    fn is_ended(&self, server: &Server) -> bool {
+        self.ended.is_outdated(&server.instance(), server.heartbeat)
+    }
+
+    /// Adds a server that ended, by what was read before the store was restored. It gets no requests until it is still
+    /// listed after a while.
+    fn put_unconfirmed(&mut self, mut server: Server, raw: Bytes, now: Moment) {
+        if self.ended.has_announced(&server.instance()) {
+            return;
+        }
+        server.leaving = true;
+        let (lapsed_at, suspended_at, returned_at) = (None, None, Some(now));
+        let entry = Entry { server: Rc::new(server), raw, lapsed_at, suspended_at, returned_at };
+        self.entries.insert(entry.server.id.clone(), entry);
+    }
+
     /// Applies an entry relayed by a peer if it is newer than the known one.
     ///
     /// The known entry may have lapsed or been overwritten since, and a peer that got it from a third daemon
     /// does not know that. When such entries counted as a return, the entry of a crashed server stayed listed
     /// for twenty seconds. The same holds for a server that was removed: copies of its entry live on at peers.
     pub fn put_relayed(&mut self, server: Server, raw: Bytes, now: Moment) -> Change {
-        if !server.leaving && self.ended.is_outdated(&server.instance(), server.heartbeat) {
+        if !server.leaving && self.is_ended(&server) {
             return Change::None;
         }
         let known = self.entries.get(&server.id).filter(|e| e.server.born == server.born);
@@ -424,6 +456,12 @@
         returned
     }
 
+    /// Returns when to read which lapsed entries have returned; `None` if no entry has lapsed.
+    pub fn returns_due(&self) -> Option<Moment> {
+        let due = self.recovered_at? + RETURN_READ_AFTER;
+        self.entries.values().any(|e| e.lapsed_at.is_some()).then_some(due)
+    }
+
     /// Removes entries that did not return after an outage of the store or have been overwritten for
     /// `SUSPENSION_TIMEOUT`; returns their ids.
     pub fn sweep(&mut self, now: Moment) -> Vec<ServerId> {
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -104,5 +104,9 @@
     } else {
         POLL_FRACTION
     };
-    daemon.freshness.servers_at.get() + daemon.settings().drain.mul_f64(fraction)
+    let read_at = daemon.freshness.servers_at.get();
+    let usual = read_at + daemon.settings().drain.mul_f64(fraction);
+    // Entries that returned shortly before they would count as gone show in no earlier read.
+    let returns_due = daemon.directory.borrow().returns_due();
+    returns_due.filter(|due| read_at < *due).map_or(usual, |due| usual.min(due))
 }
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -112,6 +112,7 @@
         "config" => daemon.config_version(), "feed_end" => feed_offset::show(daemon.directory.borrow().feed_end()));
     if before.is_some() {
         daemon.metrics.record_store_rollback();
+        daemon.directory.borrow_mut().record_restore(now);
     }
 }
 
