leases: a holder of an earlier era of the store bids again

What users would see: a holder whose records were lost goes on with a fencing number of the earlier era while another daemon takes the lease with a higher one; or nobody orders for 1.6 s although nobody else can hold the lease.

Cause: that an append succeeds only where the feed ends proves nothing once the store was restored.

Change: on_restore. A read in a later era ends the lease. A daemon that held it bids again at once, where engines check fences or while its renewal is valid; all others wait as after a renewal. Orders of before are unknown then, so that engines without fences wait for the usual gap.

restored_holder fails in both cases before. restored_release and restored_empty passed before too (coverage).

--- a/lib/src/placement/lease_events.rs
+++ b/lib/src/placement/lease_events.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
+use crate::feed_offset::era_of;
 use crate::ids::FeedOffset;
 use crate::ids::Fence;
 use crate::placement::entries::LeaseEntry;
@@ -39,6 +40,10 @@
     /// Applies the newest record of the lease, `None` if none can be read, and the feed's end.
     pub fn on_read(&mut self, now: Moment, entry: Option<LeaseEntry>, end: FeedOffset) {
         self.outage = None;
+        if self.last_end.replace(end).is_some_and(|last| era_of(last) < era_of(end)) {
+            self.on_restore(now, entry, end);
+            return;
+        }
         let grew = self.end != Some(end);
         self.end = Some(end);
         // An append succeeds at the offset that it names or never. Once the feed has grown past this
@@ -57,6 +62,23 @@
         self.newest_entry = entry;
     }
 
+    /// Handles a feed that was restored from an older copy, in which the records of later holders may be lost.
+    ///
+    /// Nothing in it shows who holds the lease, so every daemon waits as if it had just been renewed. Only one that has
+    /// renewed it recently knows that nobody else does, and bids again at once: its fencing number is of the earlier era.
+    fn on_restore(&mut self, now: Moment, entry: Option<LeaseEntry>, end: FeedOffset) {
+        let is_unsettled = self.pending_append.is_some();
+        let held = self.held.filter(|held| now < held.sent + LEASE_TTL || self.fenced);
+        let is_last = entry.as_ref().is_none_or(|e| e.process == self.process);
+        self.step_down();
+        if held.is_none() || !is_last || is_unsettled && !self.fenced {
+            self.peer_expiry = self.peer_expiry.max(now + LEASE_TTL);
+        }
+        self.end = Some(end);
+        self.share = entry.as_ref().map_or(self.share, |e| e.share);
+        self.newest_entry = entry;
+    }
+
     /// Handles a newest record of another process, a released lease or an empty feed.
     fn on_other_entry(
         &mut self,
--- a/lib/src/placement/lease_state.rs
+++ b/lib/src/placement/lease_state.rs
@@ -101,6 +101,8 @@
     bid_delay: Duration,
     /// The feed's end as last read; `None` if it has to be read again.
     pub(super) end: Option<FeedOffset>,
+    /// The feed's end at the last read, even if it has to be read again.
+    pub(super) last_end: Option<FeedOffset>,
     /// The newest record.
     pub(super) newest_entry: Option<LeaseEntry>,
     /// Until when another daemon's lease may be valid.
@@ -141,6 +143,7 @@
             order_gap,
             bid_delay,
             end: None,
+            last_end: None,
             newest_entry: None,
             peer_expiry: Moment::ZERO,
             peer_claim: None,
--- a/lib/tests/test_lease_state.rs
+++ b/lib/tests/test_lease_state.rs
@@ -4,6 +4,9 @@
 
 use comfreymux_lib::boot_clock::Moment;
 use comfreymux_lib::cluster::peer_table::PeerLease;
+use comfreymux_lib::feed_offset::era_of;
+use comfreymux_lib::feed_offset::feed_offset;
+use comfreymux_lib::feed_offset::offset_in_era;
 use comfreymux_lib::placement::entries::LeaseEntry;
 use comfreymux_lib::placement::lease_state::LEASE_TTL;
 use comfreymux_lib::placement::lease_state::LeaseState;
@@ -93,6 +96,77 @@
     }
 }
 
+/// Begins a new era of the store, with the records before `end`.
+fn restore(feed: &mut Feed, end: u64, newest: Option<LeaseEntry>) {
+    feed.end = feed_offset(era_of(feed.end) + 1, end);
+    feed.newest = newest;
+}
+
+/// Guards against a holder that goes on with a fencing number of an earlier era, and against a wait in which nothing is
+/// loaded although nobody else can hold the lease.
+#[rstest]
+#[case::own_left(true)]
+#[case::nothing_left(false)]
+fn restored_holder(#[case] has_record: bool) {
+    let mut feed = Feed { end: feed_offset(1, 0), newest: None };
+    let (mut a, mut b) = (daemon(1, true), daemon(2, true));
+    feed.settle(&mut a, ms(100));
+    feed.settle(&mut b, ms(100));
+    let first = feed.newest.clone();
+    feed.settle(&mut a, ms(700));
+    let before = a.fence(ms(700)).expect("the lease");
+    restore(&mut feed, u64::from(has_record), first.filter(|_| has_record));
+    for t in (1_200..1_400).step_by(50) {
+        feed.settle(&mut b, ms(t));
+        feed.settle(&mut a, ms(t));
+        assert_eq!(b.fence(ms(t)), None);
+    }
+    assert!(a.fence(ms(1_400)).expect("the lease") > before);
+}
+
+/// Guards against two daemons that order engines without fences at the same time: the record of one that took the lease
+/// after the other is lost with the store's last seconds, and the other's release before it shows again.
+#[test]
+fn restored_release() {
+    let mut feed = Feed { end: feed_offset(1, 0), newest: None };
+    let (mut a, mut b, mut c) = (daemon(1, false), daemon(2, false), daemon(3, false));
+    feed.settle(&mut a, ms(100));
+    let (at, released) = a.release(ms(200)).expect("the lease");
+    feed.append(at, released).expect("the end");
+    a.on_released();
+    let copy = (offset_in_era(feed.end), feed.newest.clone());
+    feed.settle(&mut c, ms(300));
+    feed.settle(&mut b, ms(400));
+    let last_order = ms(400) + LEASE_TTL;
+    assert!(b.fence(ms(400)).is_some() || c.fence(ms(400)).is_some());
+    restore(&mut feed, copy.0, copy.1);
+    for t in (450..9_000).step_by(50) {
+        feed.settle(&mut a, ms(t));
+        if a.fence(ms(t)).is_some() {
+            assert!(ms(t) >= last_order, "both may order at {t} ms");
+            return;
+        }
+    }
+    panic!("nobody took the lease");
+}
+
+/// Guards against a daemon that starts after the restore taking an empty feed for one that never had a holder.
+#[test]
+fn restored_empty() {
+    let mut feed = Feed { end: feed_offset(2, 0), newest: None };
+    let mut a = daemon(1, true);
+    feed.settle(&mut a, ms(100));
+    assert_eq!(a.fence(ms(100)), None);
+    for t in (150..4_000).step_by(50) {
+        feed.settle(&mut a, ms(t));
+        if a.fence(ms(t)).is_some() {
+            assert!(ms(t) >= ms(100) + LEASE_TTL, "at {t} ms");
+            return;
+        }
+    }
+    panic!("nobody took the lease");
+}
+
 #[test]
 fn first_wins() {
     let mut feed = Feed::default();
