store: what was written once is written again after a restore

What operators would see: the entries of daemons, the software versions of services and the held requests and prompt parts were gone from the store after a restore and never came back, so that daemons that start later do not know them.

Change: each daemon writes its own entry again, spread over a second; the lease holder lists the feeds of versions and of the quarantine once and writes what they lack. A daemon hears of a new era from its own calls or from peers' digests. Lines store-era and record-rewritten.

--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -21,6 +21,7 @@
 use crate::cluster::latest_instances::LatestInstances;
 use crate::cluster::server_instance::ServerInstance;
 use crate::cluster::workload_table::server_key;
+use crate::feed_offset;
 use crate::ids::CentreId;
 use crate::ids::FeedOffset;
 use crate::ids::ModelName;
@@ -216,6 +217,11 @@
         self.feed_end
     }
 
+    /// Returns this offset as log lines show it.
+    pub fn shown_end(&self) -> String {
+        feed_offset::show(self.feed_end)
+    }
+
     /// Advances the feed offset to `end`; a lower one changes nothing.
     pub fn advance(&mut self, end: FeedOffset) {
         self.feed_end = self.feed_end.max(end);
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -307,6 +307,12 @@
         self.held.get(part).is_some_and(PartHold::is_fleetwide)
     }
 
+    /// Returns the parts that are held at all daemons.
+    pub fn held_fleetwide(&self) -> Vec<PromptPart> {
+        let held = self.held.iter().filter(|(_, hold)| hold.is_fleetwide());
+        held.map(|(part, _)| part.clone()).collect()
+    }
+
     /// Returns the number of held parts.
     pub fn held_count(&self) -> usize {
         self.held.len()
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -60,6 +60,7 @@
 pub mod relay;
 pub mod relay_slots;
 pub mod reply;
+pub mod restored_store;
 pub mod send;
 pub mod server_connections;
 pub mod server_feedback;
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -12,7 +12,6 @@
 use crate::cluster::directory::Server;
 use crate::cluster::latest_instances::InstanceOrder;
 use crate::cluster::server_instance::ServerInstance;
-use crate::feed_offset;
 use crate::ids::FeedOffset;
 use crate::ids::ServerId;
 use crate::placement::entries;
@@ -156,7 +155,7 @@
         "centre" => server.map_or("-", |s| s.centre.as_str()),
         "version" => server.map_or("-", |s| s.version.as_str()), "models" => models,
         "beat" => server.map_or(0, |s| s.heartbeat),
-        "born" => server.and_then(|s| s.born).unwrap_or(0), "feed_end" => feed_offset::show(directory.feed_end()));
+        "born" => server.and_then(|s| s.born).unwrap_or(0), "feed_end" => directory.shown_end());
 }
 
 /// Applies records of the servers' feed: the whole list if `is_whole`, otherwise those after the last read.
@@ -227,8 +226,8 @@
     daemon.plan_due.notify_one();
 }
 
-/// Registers this daemon in the store, and reads the list of the others.
-pub async fn follow_daemons(daemon: Rc<DaemonState>) {
+/// Writes this daemon's entry to the store, once it takes it.
+pub(super) async fn register_daemon(daemon: &DaemonState) {
     let settings = daemon.settings();
     let entry = DaemonEntry {
         addr: settings.peer,
@@ -239,11 +238,16 @@
     let record = || FeedRecord { key: settings.id.clone(), value: Some(entries::encode(&entry)) };
     loop {
         let call = daemon.store.append(Feed::Daemons, record(), None);
-        if track_call(&daemon, Feed::Daemons, call).await.is_ok() {
-            break;
+        if track_call(daemon, Feed::Daemons, call).await.is_ok() {
+            return;
         }
         sleep(RETRY_DELAY * 2).await;
     }
+}
+
+/// Registers this daemon in the store, and reads the list of the others.
+pub async fn follow_daemons(daemon: Rc<DaemonState>) {
+    register_daemon(&daemon).await;
     let mut last_read = Duration::ZERO;
     let mut from = None;
     for read_at in DAEMON_READS {
--- a/lib/src/serve/follow_versions.rs
+++ b/lib/src/serve/follow_versions.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use crate::cluster::configuration::ServiceName;
+use crate::ids::FeedOffset;
 use crate::ids::SoftwareVersion;
 use crate::placement::entries;
 use crate::serve::daemon_state::DaemonState;
@@ -17,6 +18,8 @@
 
 /// Interval at which the servers' versions are compared with the stored ones.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while the stored versions may be lost, until the lease holder has written them again.
+const RESTORED_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay before a failed listing is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -25,20 +28,29 @@
 
 /// Reads the stored versions; then records those of listed servers, and stores them as the lease holder.
 pub async fn follow_versions(daemon: Rc<DaemonState>) {
-    let mut stored = loop {
-        let call = daemon.store.list_latest(Feed::Versions);
-        match track_call(&daemon, Feed::Versions, call).await {
-            Ok(batch) => break parse_versions(&daemon, &batch),
-            Err(_failed) => sleep(RETRY_DELAY).await,
-        }
-    };
+    let (mut stored, mut end) = list_versions(&daemon).await;
     daemon.version_history.borrow_mut().load(stored.clone(), daemon.now());
     loop {
         observe_servers(&daemon);
+        let is_outdated = daemon.is_restored_since(end);
         if daemon.fence().is_some() {
+            if is_outdated {
+                (stored, end) = list_versions(&daemon).await;
+            }
             store_changes(&daemon, &mut stored).await;
         }
-        sleep(CHECK_INTERVAL).await;
+        sleep(if is_outdated { RESTORED_INTERVAL } else { CHECK_INTERVAL }).await;
+    }
+}
+
+/// Reads the stored versions, and up to where in the feed.
+async fn list_versions(daemon: &DaemonState) -> (StoredVersions, FeedOffset) {
+    loop {
+        let call = daemon.store.list_latest(Feed::Versions);
+        match track_call(daemon, Feed::Versions, call).await {
+            Ok(batch) => return (parse_versions(daemon, &batch), batch.end),
+            Err(_failed) => sleep(RETRY_DELAY).await,
+        }
     }
 }
 
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -42,6 +42,7 @@
 use crate::serve::origin_exchange;
 use crate::serve::part_suspects;
 use crate::serve::quotas;
+use crate::serve::restored_store::note_era;
 use crate::serve::suspects;
 
 /// Delay after a failed receive.
@@ -229,6 +230,9 @@
             slog::info!(daemon.log, "dependency-regained"; "dependency" => "peer", "peer" => %from,
                 "addr" => %addr, "config" => digest.config_version);
         }
+        if daemon.store_era.get().is_some() {
+            note_era(daemon, era_of(digest.servers_end), from);
+        }
         if digest.config_version > daemon.config_version() {
             daemon.newer_config.notify_one();
             daemon.fetch_due.notify_one();
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -26,6 +26,7 @@
 use crate::serve::peer_transfer;
 use crate::serve::placement_controller::PlacementController;
 use crate::serve::pooled_client::PooledEngineClient;
+use crate::serve::restored_store;
 use crate::serve::socket;
 use crate::serve::suspects;
 
@@ -73,6 +74,7 @@
     spawn_local(follow_servers::follow_servers(Rc::clone(daemon)));
     spawn_local(apply_updates::follow_daemons(Rc::clone(daemon)));
     spawn_local(suspects::load_quarantine(Rc::clone(daemon)));
+    spawn_local(restored_store::rewrite_records(Rc::clone(daemon)));
     spawn_local(follow_versions::follow_versions(Rc::clone(daemon)));
     spawn_local(peer_transfer::serve_peers(Rc::clone(daemon), peers));
     spawn_local(Rc::clone(&gossip).receive(datagrams));
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -136,7 +136,17 @@
 
 /// Writes a quarantined prompt part to the store, since all daemons may be replaced at once.
 async fn store(daemon: Rc<DaemonState>, part: PromptPart) {
-    let crashes = daemon.part_quarantine.borrow().crash_ids(&part);
-    let value = Some(entries::encode(&QuarantineRecord { crashes }));
-    append(daemon, FeedRecord { key: part.key(), value }).await;
+    let record = held_record(&daemon, &part);
+    append(daemon, record).await;
+}
+
+fn held_record(daemon: &DaemonState, part: &PromptPart) -> FeedRecord {
+    let crashes = daemon.part_quarantine.borrow().crash_ids(part);
+    FeedRecord { key: part.key(), value: Some(entries::encode(&QuarantineRecord { crashes })) }
+}
+
+/// Returns the records of the prompt parts that are quarantined at all daemons.
+pub(super) fn held_records(daemon: &DaemonState) -> Vec<FeedRecord> {
+    let held = daemon.part_quarantine.borrow().held_fleetwide();
+    held.iter().map(|part| held_record(daemon, part)).collect()
 }
--- /dev/null
+++ b/lib/src/serve/restored_store.rs
@@ -0,0 +1,86 @@
+//! Adapts a daemon to a store that was restored from an older copy, and writes again what was written once and is lost.
+//!
+//! Each daemon writes its own entry, and the holder of the placement lease what all daemons know. What nobody remembers is
+//! lost.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::ids::StoreEra;
+use crate::serve::apply_updates;
+use crate::serve::daemon_state::DaemonState;
+use crate::serve::store_calls::track_call;
+use crate::serve::suspects;
+use crate::store::Feed;
+use crate::store::StoreError;
+
+/// Interval at which a daemon checks whether records have to be written again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time over which the daemons spread their writes. The store takes more writes a second than there are daemons.
+const SPREAD_TIME: Duration = Duration::from_secs(1);
+
+/// Detects from an era, by an own call or a peer's message, that the store was restored from an older copy.
+pub fn note_era(daemon: &DaemonState, era: StoreEra, from: &str) {
+    let before = daemon.store_era.get();
+    if before.is_some_and(|before| era <= before) {
+        return;
+    }
+    daemon.store_era.set(Some(era));
+    let now = daemon.now();
+    slog::warn!(daemon.log, "store-era"; "era" => era,
+        "before" => before.map_or_else(|| "-".to_owned(), |before| before.to_string()), "from" => from,
+        "seen_ms_ago" => now.saturating_sub(daemon.store_answered.get()).as_millis(),
+        "config" => daemon.config_version(), "feed_end" => daemon.directory.borrow().shown_end());
+    if before.is_some() {
+        daemon.metrics.record_store_rollback();
+        daemon.directory.borrow_mut().record_restore(now);
+    }
+}
+
+/// Writes records again after each restore, for as long as the daemon runs.
+pub async fn rewrite_records(daemon: Rc<DaemonState>) {
+    let mut entry_era = None;
+    let mut quarantine_era = None;
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let Some(era) = daemon.store_era.get() else { continue };
+        if *entry_era.get_or_insert(era) != era {
+            entry_era = Some(era);
+            spawn_local(rewrite_entry(Rc::clone(&daemon)));
+        }
+        if *quarantine_era.get_or_insert(era) != era
+            && daemon.fence().is_some()
+            && rewrite_quarantine(&daemon).await.is_ok()
+        {
+            quarantine_era = Some(era);
+        }
+    }
+}
+
+/// Writes this daemon's own entry, at another moment than other daemons do.
+async fn rewrite_entry(daemon: Rc<DaemonState>) {
+    let delay = SPREAD_TIME.mul_f64(daemon.random.borrow().sample());
+    sleep(delay).await;
+    apply_updates::register_daemon(&daemon).await;
+    slog::info!(daemon.log, "record-rewritten"; "feed" => %Feed::Daemons,
+        "key" => daemon.settings().id.as_str());
+}
+
+/// Writes the quarantined requests and prompt parts that the store lacks.
+async fn rewrite_quarantine(daemon: &Rc<DaemonState>) -> Result<(), StoreError> {
+    let call = daemon.store.list_latest(Feed::Quarantine);
+    let batch = track_call(daemon, Feed::Quarantine, call).await?;
+    let listed = batch.records.iter().filter(|record| record.value.is_some());
+    let listed: BTreeSet<SmolStr> = listed.map(|record| record.key.clone()).collect();
+    for record in suspects::held_records(daemon).into_iter().filter(|r| !listed.contains(&r.key)) {
+        slog::info!(daemon.log, "record-rewritten"; "feed" => %Feed::Quarantine,
+            "key" => record.key.as_str());
+        suspects::append(Rc::clone(daemon), record).await;
+    }
+    Ok(())
+}
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -5,9 +5,8 @@
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
-use crate::feed_offset;
-use crate::ids::StoreEra;
 use crate::serve::daemon_state::DaemonState;
+use crate::serve::restored_store::note_era;
 use crate::store::Feed;
 use crate::store::LocalFuture;
 use crate::store::StoreError;
@@ -26,7 +25,9 @@
     let result = call.await;
     let outcome = result.as_ref().map_or_else(StoreError::name, |_| "done");
     daemon.metrics.record_store_call(feed.name(), outcome);
-    update_era(daemon, feed, sent_at);
+    if let Some(era) = daemon.store.era() {
+        note_era(daemon, era, feed.name());
+    }
     match &result {
         Ok(_) => on_answer(daemon, feed, sent_at),
         // These are responses as well, and no sign of a store failure.
@@ -97,25 +98,6 @@
     on_failure(daemon, feed, sent_at, &StoreError::UnknownOutcome("no answer yet".to_owned()));
 }
 
-/// Detects that the store was restored from an older copy.
-fn update_era(daemon: &DaemonState, feed: Feed, sent_at: Moment) {
-    let era = daemon.store.era();
-    let before = daemon.store_era.replace(era);
-    if before == era {
-        return;
-    }
-    let now = daemon.now();
-    let shown = |era: Option<StoreEra>| era.map_or_else(|| "-".to_owned(), |era| era.to_string());
-    slog::warn!(daemon.log, "store-era"; "era" => shown(era), "before" => shown(before), "feed" => %feed,
-        "call_ms" => now.saturating_sub(sent_at).as_millis(),
-        "seen_ms_ago" => now.saturating_sub(daemon.store_answered.get()).as_millis(),
-        "config" => daemon.config_version(), "feed_end" => feed_offset::show(daemon.directory.borrow().feed_end()));
-    if before.is_some() {
-        daemon.metrics.record_store_rollback();
-        daemon.directory.borrow_mut().record_restore(now);
-    }
-}
-
 fn on_answer(daemon: &DaemonState, feed: Feed, sent_at: Moment) {
     let now = daemon.now();
     daemon.store_answered.set(now);
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -303,11 +303,23 @@
 
 /// Writes a quarantined request to the store, since all daemons may be replaced at once.
 async fn store_quarantined(daemon: Rc<DaemonState>, fingerprint: Fingerprint) {
-    let crashes =
-        daemon.quarantine.borrow().suspected_crashes(&fingerprint).into_iter().cloned().collect();
-    let entry = QuarantineRecord { crashes };
-    append(daemon, FeedRecord { key: fingerprint.key(), value: Some(entries::encode(&entry)) })
-        .await;
+    let record = held_record(&daemon, &fingerprint);
+    append(daemon, record).await;
+}
+
+fn held_record(daemon: &DaemonState, fingerprint: &Fingerprint) -> FeedRecord {
+    let quarantine = daemon.quarantine.borrow();
+    let crashes = quarantine.suspected_crashes(fingerprint).into_iter().cloned().collect();
+    let value = Some(entries::encode(&QuarantineRecord { crashes }));
+    FeedRecord { key: fingerprint.key(), value }
+}
+
+/// Returns the records of all quarantined requests and prompt parts.
+pub(super) fn held_records(daemon: &DaemonState) -> Vec<FeedRecord> {
+    let held: Vec<_> = daemon.quarantine.borrow().held().copied().collect();
+    let mut records: Vec<_> = held.iter().map(|print| held_record(daemon, print)).collect();
+    records.extend(part_suspects::held_records(daemon));
+    records
 }
 
 pub(super) async fn append(daemon: Rc<DaemonState>, record: FeedRecord) {
