directory: a listing sets where the feed is read on, also further back

A store that names no era tells that it was restored only by a 410 for an offset beyond its end. What such a store has grown past before anybody reads stays unseen: an era is needed.

--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -227,6 +227,12 @@
         self.feed_end = self.feed_end.max(end);
     }
 
+    /// Sets the feed offset to that of a listing, also if it is lower: a restored store that names no era gives out offsets
+    /// again.
+    pub fn restart_feed(&mut self, end: FeedOffset) {
+        self.feed_end = end;
+    }
+
     /// Records that an entry or a peer's message names a server instance. Everything read or received about
     /// servers passes through here: callers ignore an older instance, and a newer one replaces what was known.
     pub fn observe_instance(&mut self, instance: &ServerInstance, now: Moment) -> InstanceOrder {
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -182,10 +182,12 @@
         }
     }
     let mut directory = daemon.directory.borrow_mut();
-    directory.advance(batch.end);
     if is_whole {
+        directory.restart_feed(batch.end);
         directory.clear_history();
         daemon.freshness.is_listed.set(true);
+    } else {
+        directory.advance(batch.end);
     }
     drop(directory);
     if changed {
