leases: only an empty feed of the first era was never used

A store may have lost all records of the lease; a daemon that had not read it before took that for a free lease and bid at once, while another one still held it. never_two_restored (random calls, pauses and restores of 0 to 19 records, without fences) found it: two holders' orders to an engine 1.7 s apart (least 3). Cost: where a store's eras do not begin at 0, nobody orders for the first 1.8 s after a first start.

--- a/lib/src/placement/lease_events.rs
+++ b/lib/src/placement/lease_events.rs
@@ -11,7 +11,6 @@
 use crate::placement::lease_state::LEASE_TTL;
 use crate::placement::lease_state::LeaseState;
 use crate::placement::lease_state::RETRY_INTERVAL;
-use crate::placement::lease_state::is_unused;
 
 impl LeaseState {
     /// Records that an append failed because the feed had grown: another daemon's append, or an earlier
@@ -50,7 +49,7 @@
         // offset, the outcome is settled.
         let resolved = self.pending_append.take_if(|(_, at)| end > *at);
         match &entry {
-            None if !is_unused(end) => self.on_unreadable(now, grew),
+            None if end > 0 => self.on_unreadable(now, grew),
             Some(e) if e.process == self.process && !e.released => {
                 // A record with another offset is an older one of this daemon.
                 if let Some((sent, at)) = resolved.filter(|(_, at)| e.at == Some(*at)) {
--- a/lib/src/placement/lease_state.rs
+++ b/lib/src/placement/lease_state.rs
@@ -10,12 +10,9 @@
 use crate::boot_clock::Moment;
 use crate::cluster::digest::ProcessId;
 use crate::cluster::peer_table::PeerLease;
-use crate::feed_offset::era_of;
-use crate::feed_offset::offset_in_era;
 use crate::ids::DaemonId;
 use crate::ids::FeedOffset;
 use crate::ids::Fence;
-use crate::ids::StoreEra;
 use crate::placement::entries::LeaseEntry;
 use crate::placement::fetch_limiter::StoreShare;
 use crate::placement::recent_orders::EngineKey;
@@ -78,14 +75,6 @@
     Sleep(Moment),
 }
 
-/// First era of a store. In a later one a feed may be empty because its records were lost.
-const FIRST_ERA: StoreEra = 1;
-
-/// Returns whether a feed with this end never had a record.
-pub(super) fn is_unused(end: FeedOffset) -> bool {
-    offset_in_era(end) == 0 && era_of(end) <= FIRST_ERA
-}
-
 /// One daemon's view of the lease. `lease_events` applies what is read from the feed.
 #[derive(Debug)]
 pub struct LeaseState {
@@ -282,7 +271,7 @@
             return LeaseStep::Sleep(now + POLL_INTERVAL);
         }
         let is_ended = |e: &LeaseEntry| e.released || self.replaced_since(e).is_some();
-        let is_free = self.newest_entry.as_ref().map_or(is_unused(end), is_ended);
+        let is_free = self.newest_entry.as_ref().map_or(end == 0, is_ended);
         let from = if is_free { Moment::ZERO } else { self.peer_expiry + CLOCK_MARGIN };
         if now < from + self.bid_delay {
             return LeaseStep::Sleep((from + self.bid_delay).min(now + POLL_INTERVAL));
@@ -295,7 +284,7 @@
     fn inherit_orders(&mut self, end: FeedOffset, now: Moment) -> bool {
         self.recent.forget();
         let last = self.newest_entry.as_ref().filter(|e| e.at.is_some_and(|at| at + 1 == end));
-        let Some(last) = last else { return is_unused(end) };
+        let Some(last) = last else { return end == 0 };
         let Some(orders) = &last.orders else { return false };
         // If the record is this process's own, its orders may be newer than the expiry that peers reported.
         let is_lapsed = !last.released && last.process != self.process;
--- a/lib/tests/test_lease_state.rs
+++ b/lib/tests/test_lease_state.rs
@@ -35,11 +35,21 @@
     LeaseState::new(format!("d{process}").into(), process, fenced, ORDER_GAP, ms(process * 20))
 }
 
-/// The store's feed of the lease: its newest record and its end.
+/// The store's feed of the lease: its newest record and its end, and how both were before.
 #[derive(Debug, Default)]
 struct Feed {
     newest: Option<LeaseEntry>,
     end: u64,
+    history: Vec<(Option<LeaseEntry>, u64)>,
+}
+
+/// How an append ended.
+#[derive(Clone, Copy, Debug)]
+enum Appended {
+    At(u64),
+    Refused,
+    /// The feed of a later era happened to end at the same offset.
+    InOtherEra,
 }
 
 impl Feed {
@@ -58,11 +68,30 @@
         if at != self.end {
             return None;
         }
+        self.history.push((self.newest.clone(), self.end));
         self.newest = Some(entry);
         self.end += 1;
         Some(at)
     }
 
+    /// Appends as the store does, which knows no eras of offsets.
+    fn append_unaware(&mut self, at: u64, entry: LeaseEntry) -> Appended {
+        if offset_in_era(at) != offset_in_era(self.end) {
+            return Appended::Refused;
+        }
+        let offset = self.append(self.end, entry);
+        offset.filter(|offset| *offset == at).map_or(Appended::InOtherEra, Appended::At)
+    }
+
+    /// Restores an earlier state, some records back; a new era begins.
+    fn restore_back(&mut self, records: usize) {
+        let kept = self.history.len().saturating_sub(records);
+        let (newest, end) =
+            self.history.get(kept).cloned().unwrap_or((self.newest.clone(), self.end));
+        self.history.truncate(kept);
+        restore(self, offset_in_era(end), newest);
+    }
+
     /// Executes one step at once; returns whether there was one.
     fn step(&mut self, lease: &mut LeaseState, now: Moment) -> bool {
         self.step_with_peer(lease, now, None)
@@ -108,7 +137,7 @@
 #[case::own_left(true)]
 #[case::nothing_left(false)]
 fn restored_holder(#[case] has_record: bool) {
-    let mut feed = Feed { end: feed_offset(1, 0), newest: None };
+    let mut feed = Feed::default();
     let (mut a, mut b) = (daemon(1, true), daemon(2, true));
     feed.settle(&mut a, ms(100));
     feed.settle(&mut b, ms(100));
@@ -128,7 +157,7 @@
 /// after the other is lost with the store's last seconds, and the other's release before it shows again.
 #[test]
 fn restored_release() {
-    let mut feed = Feed { end: feed_offset(1, 0), newest: None };
+    let mut feed = Feed::default();
     let (mut a, mut b, mut c) = (daemon(1, false), daemon(2, false), daemon(3, false));
     feed.settle(&mut a, ms(100));
     let (at, released) = a.release(ms(200)).expect("the lease");
@@ -153,7 +182,7 @@
 /// Guards against a daemon that starts after the restore taking an empty feed for one that never had a holder.
 #[test]
 fn restored_empty() {
-    let mut feed = Feed { end: feed_offset(2, 0), newest: None };
+    let mut feed = Feed { end: feed_offset(1, 0), ..Feed::default() };
     let mut a = daemon(1, true);
     feed.settle(&mut a, ms(100));
     assert_eq!(a.fence(ms(100)), None);
@@ -367,6 +396,8 @@
     outcome: CallOutcome,
     /// Another program's record: 1 under the key of the lease, 2 under another key.
     other_record: u8,
+    /// Number of records that the store loses.
+    lost: Option<usize>,
 }
 
 /// Orders in a random run: changes in progress by daemon and engine, and the last order to each engine.
@@ -375,6 +406,8 @@
     changes: [[Option<u64>; ENGINES]; 3],
     last: [Option<(usize, Moment)>; ENGINES],
     fence: u64,
+    /// Daemon that had the fencing number.
+    holder: usize,
 }
 
 impl RandomRun {
@@ -405,7 +438,8 @@
         assert!(holders.len() <= 1, "{holders:?} at {now:?}");
         let Some((daemon_index, fence)) = holders.first().copied() else { return };
         assert!(fence >= self.fence, "fence {fence} after {}", self.fence);
-        self.fence = fence;
+        assert!(fence > self.fence || daemon_index == self.holder, "{fence} of two daemons");
+        (self.fence, self.holder) = (fence, daemon_index);
         for engine in 0..ENGINES {
             let may = daemons[daemon_index].fence_for(engine as EngineKey, now) == Some(fence);
             if !may || self.changes[daemon_index][engine] != Some(fence) {
@@ -432,7 +466,7 @@
     let mut delayed: Vec<(Moment, u64, LeaseEntry)> = Vec::new();
     let mut now = ms(0);
     let mut run = RandomRun::default();
-    for RunStep { daemon_index, pause, outcome, other_record } in steps {
+    for RunStep { daemon_index, pause, outcome, other_record, lost } in steps {
         for wait in (CHECK_INTERVAL_MS..pause).step_by(CHECK_INTERVAL_MS as usize) {
             run.send_orders(&daemons, now + ms(wait));
         }
@@ -442,10 +476,13 @@
             2 => feed.grow(),
             _ => {}
         }
+        if let Some(records) = lost {
+            feed.restore_back(records);
+        }
         delayed.sort_by_key(|(at, _, _)| *at);
         while delayed.first().is_some_and(|(at, _, _)| *at <= now) {
             let (_, at, entry) = delayed.remove(0);
-            feed.append(at, entry);
+            feed.append_unaware(at, entry);
         }
         run.toggle_change(&mut daemons[daemon_index], daemon_index, pause as usize % ENGINES, now);
         let lease = &mut daemons[daemon_index];
@@ -456,12 +493,13 @@
                 _ => lease.on_store_failure(now),
             },
             LeaseStep::Append(at, entry) => match outcome {
-                CallOutcome::Acknowledged => match feed.append(at, entry) {
-                    Some(offset) => lease.on_appended(now, now, offset),
-                    None => lease.on_conflict(),
+                CallOutcome::Acknowledged => match feed.append_unaware(at, entry) {
+                    Appended::At(offset) => lease.on_appended(now, now, offset),
+                    Appended::Refused => lease.on_conflict(),
+                    Appended::InOtherEra => lease.on_unknown_outcome(now, now),
                 },
                 CallOutcome::NoResponse => {
-                    feed.append(at, entry);
+                    feed.append_unaware(at, entry);
                     lease.on_unknown_outcome(now, now);
                 }
                 CallOutcome::NotExecuted => lease.on_unknown_outcome(now, now),
@@ -492,6 +530,7 @@
             pause,
             outcome,
             other_record: 0,
+            lost: None,
         };
         play_steps(steps.into_iter().map(own).collect());
     }
@@ -506,6 +545,25 @@
             pause,
             outcome,
             other_record,
+            lost: None,
+        };
+        play_steps(steps.into_iter().map(all).collect());
+    }
+
+    /// The same while the store is restored from copies that lack some records.
+    #[test]
+    fn never_two_restored(
+        steps in prop::collection::vec(
+            (0..3_usize, 20..900_u64, call_outcome(), prop::option::weighted(0.05, 0..20_usize)),
+            1..300,
+        ),
+    ) {
+        let all = |(daemon_index, pause, outcome, lost)| RunStep {
+            daemon_index,
+            pause,
+            outcome,
+            other_record: 0,
+            lost,
         };
         play_steps(steps.into_iter().map(all).collect());
     }
