--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -110,6 +110,7 @@
     let mut notices = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     let mut cuts = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
     let mut releases = ChaCha8Rng::seed_from_u64(!seed.rotate_left(16));
+    let mut restores = ChaCha8Rng::seed_from_u64(!seed.rotate_left(48));
     let began = Instant::now();
     while began.elapsed() < time {
         plan::inject_fault(&world, &mut rng).await;
@@ -119,6 +120,7 @@
         plan::inject_notices(&world, &mut notices);
         plan::inject_cut(&world, &mut cuts);
         plan::roll_release(&world, &mut releases);
+        plan::inject_restore(&world, &mut restores);
         let pause = Duration::from_millis(rng.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -160,6 +160,38 @@
     });
 }
 
+/// Probability that the store is restored from a copy with an injected fault.
+const RESTORE_PROBABILITY: f64 = 0.15;
+
+/// Copies the store and restores it from the copy some seconds later, with probability [`RESTORE_PROBABILITY`]. What the
+/// operator and the servers wrote in between is written again a moment later, and nothing else.
+///
+/// Uses a random generator of its own, as [`inject_bad_responses`] does.
+pub fn inject_restore(world: &World, rng: &mut ChaCha8Rng) {
+    if !rng.random_bool(RESTORE_PROBABILITY) {
+        return;
+    }
+    let mut time = |from, to| Duration::from_millis(rng.random_range(from..to));
+    let (age, away, rewritten) = (time(300, 6000), time(0, 1200), time(0, 1000));
+    world.note(&format!("restore age={age:?} away={away:?} rewritten={rewritten:?}"));
+    let store = Rc::clone(&world.store);
+    let copy = store.copy();
+    spawn_local(async move {
+        sleep(age).await;
+        store.mood.set(Mood::Refusing);
+        sleep(away).await;
+        let lost = ["keyed.op", "keyed.servers"].map(|t| (t, store.records_since(&copy, t)));
+        store.restore(&copy);
+        store.mood.set(Mood::Well);
+        sleep(rewritten).await;
+        for (topic, records) in lost {
+            for (key, value) in records {
+                store.put_raw(topic, &key, &value);
+            }
+        }
+    });
+}
+
 /// Fleet size from which readers poll the store for the others, as in the daemon's settings.
 const LARGE_FLEET: usize = 37;
 
