store: what only a peer has heard of does not end own reads

A daemon that hears of a new era from a peer while the store does not answer it would give up its reads of the configuration and list again and again, with time-outs that double.

No test: by reading. Where the store names no era nothing changes.

--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -311,9 +311,10 @@
         self.config.borrow().as_ref().map_or(0, |c| c.version)
     }
 
-    /// Returns whether the store was restored from an older copy since it gave out an offset.
+    /// Returns whether the store was restored from an older copy since it gave out an offset, by its own responses: one that
+    /// only a peer has heard of may not respond to this daemon yet.
     pub fn is_restored_since(&self, offset: FeedOffset) -> bool {
-        self.store_era.get().is_some_and(|era| era_of(offset) < era)
+        self.store.era().is_some_and(|era| era_of(offset) < era)
     }
 
     /// Returns whether a peer has reported a later version of the configuration.
