--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -22,6 +22,7 @@
 use crate::cluster::quarantine::REPORT_TIME;
 use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::RequestProgress;
+use crate::cluster::server_instance::ServerInstance;
 
 /// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
 /// prompts begin alike would wait for each other.
@@ -148,6 +149,13 @@
         self.remote_heard = heard;
     }
 
+    /// Records which servers are in this daemon's data centre.
+    pub fn set_local(&mut self, is_local: impl Fn(&ServerInstance) -> bool) {
+        for (id, crash) in &mut self.crashes {
+            crash.is_local |= is_local(&id.server);
+        }
+    }
+
     /// Returns whether no crash is remembered, so that no part can be suspected.
     pub fn has_no_crashes(&self) -> bool {
         self.crashes.is_empty()
@@ -166,28 +174,38 @@
     }
 
     /// Returns whether a part is found to crash servers, and which daemons this binds.
+    ///
+    /// An isolated data centre counts crashes of its own servers only: links to others that are cut off may end as those of
+    /// a crashed server do.
     fn find_fatal(&self, part: &PromptPart, now: Moment) -> Option<HoldScope> {
         let crashes: Vec<_> = self.suspected_crashes(part).collect();
+        let heard_until = self.remote_heard.map_or(now, |heard| heard.min(now));
+        if self.is_proven(part, &crashes, heard_until) {
+            return Some(HoldScope::Fleet);
+        }
+        let local: Vec<_> = crashes.into_iter().filter(|crash| crash.is_local).collect();
+        let since = local.iter().map(|crash| crash.at).min()?;
+        let is_found = self.is_isolated(now)
+            && self.is_contrasted(part, since)
+            && self.is_proven(part, &local, now);
+        is_found.then_some(HoldScope::Isolated)
+    }
+
+    /// Returns whether crashes that a part is suspected of show that it crashes servers, if requests that clear others were
+    /// heard of until `heard_until`.
+    fn is_proven(&self, part: &PromptPart, crashes: &[&PromptCrash], heard_until: Moment) -> bool {
         if crashes.len() < SOLE_SUSPECT_CRASHES {
-            return None;
+            return false;
         }
         let requests: BTreeSet<_> = crashes.iter().flat_map(|c| c.requests_with(part)).collect();
-        let times = || crashes.iter().map(|crash| crash.at);
-        let spread = times().max().unwrap_or(now).saturating_sub(times().min().unwrap_or(now));
-        if requests.len() < MIN_REQUESTS || spread < MIN_SPREAD {
-            return None;
-        }
-        let suspecting = |until: Moment| {
-            crashes.iter().any(|crash| {
-                until >= crash.at + CLEAR_TIME && self.is_most_suspected(part, crash, crashes.len())
+        let first = crashes.iter().map(|crash| crash.at).min().unwrap_or_default();
+        let last = crashes.iter().map(|crash| crash.at).max().unwrap_or_default();
+        let count = self.count(part);
+        requests.len() >= MIN_REQUESTS
+            && last.saturating_sub(first) >= MIN_SPREAD
+            && crashes.iter().any(|crash| {
+                heard_until >= crash.at + CLEAR_TIME && self.is_most_suspected(part, crash, count)
             })
-        };
-        if suspecting(self.remote_heard.map_or(now, |heard| heard.min(now))) {
-            return Some(HoldScope::Fleet);
-        }
-        let since = times().min().unwrap_or(now);
-        (self.is_isolated(now) && self.is_contrasted(part, since) && suspecting(now))
-            .then_some(HoldScope::Isolated)
     }
 
     /// Returns whether no message of another data centre has been received for some time.
--- a/lib/src/cluster/prompt_crash.rs
+++ b/lib/src/cluster/prompt_crash.rs
@@ -34,6 +34,8 @@
     pub updated_at: Moment,
     /// Whether this daemon detected it.
     pub is_own: bool,
+    /// Whether the server is in this daemon's data centre.
+    pub is_local: bool,
     /// The prompts, by request.
     prompts: BTreeMap<Fingerprint, Exposure>,
     /// The most suspicious stage of all requests, including those that are not remembered.
@@ -44,7 +46,8 @@
     /// Creates a crash without prompts.
     pub fn new(service: ServiceName, at: Moment, now: Moment) -> Self {
         let (prompts, worst_stage) = (BTreeMap::new(), CrashStage::Other);
-        Self { service, at, updated_at: now, is_own: false, prompts, worst_stage }
+        let (is_own, is_local) = (false, false);
+        Self { service, at, updated_at: now, is_own, is_local, prompts, worst_stage }
     }
 
     /// Adds a request that the server had, unless there are too many.
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -16,13 +16,16 @@
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
-/// Records in the quarantine when the last message of another data centre was received.
-fn update_remote_heard(daemon: &DaemonState) {
+/// Records in the quarantine when the last message of another data centre was received, and which servers are in this one.
+fn update_surroundings(daemon: &DaemonState) {
     let centre = daemon.settings().centre.clone();
     let peers = daemon.peers.borrow();
     let has_remote = peers.centres().any(|other| *other != centre && !other.is_empty());
     let heard = has_remote.then(|| peers.remote_heard(&centre, daemon.now()));
-    daemon.part_quarantine.borrow_mut().set_remote_heard(heard);
+    let directory = daemon.directory.borrow();
+    let mut parts = daemon.part_quarantine.borrow_mut();
+    parts.set_remote_heard(heard);
+    parts.set_local(|server| directory.get(&server.id).is_some_and(|s| s.centre == centre));
 }
 
 /// Records how far a server progressed with a request, which clears its prompt parts of earlier crashes.
@@ -49,7 +52,7 @@
 pub(super) fn is_held(daemon: &Rc<DaemonState>, attempt: &Attempt) -> bool {
     let parts = &attempt.prompt_parts;
     if !daemon.part_quarantine.borrow().has_no_crashes() {
-        update_remote_heard(daemon);
+        update_surroundings(daemon);
     }
     let held = daemon.part_quarantine.borrow_mut().evaluate(parts, daemon.now());
     for part in held {
@@ -75,7 +78,7 @@
 
 /// Merges a peer's report on prompt parts.
 pub fn merge_report(daemon: &Rc<DaemonState>, report: &PartReport, from: &str) {
-    update_remote_heard(daemon);
+    update_surroundings(daemon);
     let held = daemon.part_quarantine.borrow_mut().merge(report, daemon.now());
     for part in held {
         log_held(daemon, &part, from);
@@ -104,7 +107,7 @@
 /// Releases prompt parts that no caller has sent again for long, or that were held only while this data centre was
 /// isolated.
 pub(super) fn release_expired(daemon: &Rc<DaemonState>) {
-    update_remote_heard(daemon);
+    update_surroundings(daemon);
     let refuted = daemon.part_quarantine.borrow_mut().release_refuted(daemon.now());
     for part in refuted {
         release(daemon, &part, "refuted");
