quarantine: crashes of an isolation count once others had time to clear them

Change: crashes from before an isolation ended are evidence for the fleet five seconds after its end only.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -44,6 +44,8 @@
 const CLEAR_TIME: Duration = Duration::from_secs(1);
 /// Time without a message of another data centre after which this one counts as isolated: several digests.
 const ISOLATION_TIME: Duration = Duration::from_millis(1500);
+/// Time after an isolation within which other data centres hear of its crashes, serve requests with the parts and report it.
+const NEWS_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 /// Maximum number of held parts, and of cleared ones, that are remembered.
@@ -76,6 +78,8 @@
     served: HashMap<PromptPart, Moment>,
     /// When the last message of another data centre was received; `None` if there is no other data centre.
     remote_heard: Option<Moment>,
+    /// When the last isolation ended, with the first message after it.
+    reconnected_at: Option<Moment>,
 }
 
 impl PartQuarantine {
@@ -146,9 +150,20 @@
     /// Requests that clear a part may be served in any data centre, so a hold that binds all daemons is decided only on
     /// crashes after which a message of another one was received. An isolated data centre decides for itself.
     pub fn set_remote_heard(&mut self, heard: Option<Moment>) {
+        if let (Some(before), Some(now)) = (self.remote_heard, heard)
+            && now > before + ISOLATION_TIME
+        {
+            self.reconnected_at = Some(now);
+        }
         self.remote_heard = heard;
     }
 
+    /// Returns whether requests in other data centres had time to clear a crash: one that happened before an isolation ended
+    /// was not told to them until then.
+    fn is_known_elsewhere(&self, crash: &PromptCrash, now: Moment) -> bool {
+        self.reconnected_at.is_none_or(|at| crash.at > at || now >= at + NEWS_TIME)
+    }
+
     /// Records which servers are in this daemon's data centre.
     pub fn set_local(&mut self, is_local: impl Fn(&ServerInstance) -> bool) {
         for (id, crash) in &mut self.crashes {
@@ -180,7 +195,9 @@
     fn find_fatal(&self, part: &PromptPart, now: Moment) -> Option<HoldScope> {
         let crashes: Vec<_> = self.suspected_crashes(part).collect();
         let heard_until = self.remote_heard.map_or(now, |heard| heard.min(now));
-        if self.is_proven(part, &crashes, heard_until) {
+        let told: Vec<_> =
+            crashes.iter().copied().filter(|c| self.is_known_elsewhere(c, now)).collect();
+        if self.is_proven(part, &told, heard_until) {
             return Some(HoldScope::Fleet);
         }
         let local: Vec<_> = crashes.into_iter().filter(|crash| crash.is_local).collect();
@@ -254,7 +271,9 @@
     fn is_refuted(&self, part: &PromptPart, now: Moment) -> bool {
         let newest = self.suspected_crashes(part).map(|crash| crash.at).max();
         let is_heard = self.remote_heard.is_none_or(|heard| {
-            newest.is_none_or(|at| heard >= at + CLEAR_TIME) && !self.is_isolated(now)
+            newest.is_none_or(|at| heard >= at + CLEAR_TIME)
+                && self.reconnected_at.is_none_or(|at| now >= at + NEWS_TIME)
+                && !self.is_isolated(now)
         });
         is_heard && self.find_fatal(part, now).is_none()
     }
