--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -33,6 +33,7 @@
 pub mod reader_report;
 pub mod reader_role;
 pub mod readers;
+mod remote_contact;
 pub mod retry_budgets;
 pub mod run_times;
 pub mod send_permit;
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -22,6 +22,7 @@
 use crate::cluster::quarantine::REPORT_TIME;
 use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::RequestProgress;
+use crate::cluster::remote_contact::RemoteContact;
 use crate::cluster::server_instance::ServerInstance;
 
 /// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
@@ -42,10 +43,6 @@
 const MIN_SPREAD: Duration = Duration::from_millis(150);
 /// Time within which other parts of a crash are cleared by requests with them at any daemon.
 const CLEAR_TIME: Duration = Duration::from_secs(1);
-/// Time without a message of another data centre after which this one counts as isolated: several digests.
-const ISOLATION_TIME: Duration = Duration::from_millis(1500);
-/// Time after an isolation within which other data centres hear of its crashes, serve requests with the parts and report it.
-const NEWS_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 /// Maximum number of held parts, and of cleared ones, that are remembered.
@@ -76,10 +73,8 @@
     held: HashMap<PromptPart, PartHold>,
     /// When a request with a part last got an event from a server, by what this daemon saw.
     served: HashMap<PromptPart, Moment>,
-    /// When the last message of another data centre was received; `None` if there is no other data centre.
-    remote_heard: Option<Moment>,
-    /// When the last isolation ended, with the first message after it.
-    reconnected_at: Option<Moment>,
+    /// Whether requests that clear parts in other data centres are heard of.
+    remote: RemoteContact,
 }
 
 impl PartQuarantine {
@@ -150,18 +145,7 @@
     /// Requests that clear a part may be served in any data centre, so a hold that binds all daemons is decided only on
     /// crashes after which a message of another one was received. An isolated data centre decides for itself.
     pub fn set_remote_heard(&mut self, heard: Option<Moment>) {
-        if let (Some(before), Some(now)) = (self.remote_heard, heard)
-            && now > before + ISOLATION_TIME
-        {
-            self.reconnected_at = Some(now);
-        }
-        self.remote_heard = heard;
-    }
-
-    /// Returns whether requests in other data centres had time to clear a crash: one that happened before an isolation ended
-    /// was not told to them until then.
-    fn is_known_elsewhere(&self, crash: &PromptCrash, now: Moment) -> bool {
-        self.reconnected_at.is_none_or(|at| crash.at > at || now >= at + NEWS_TIME)
+        self.remote.update(heard);
     }
 
     /// Records which servers are in this daemon's data centre.
@@ -194,22 +178,21 @@
     /// a crashed server do.
     fn find_fatal(&self, part: &PromptPart, now: Moment) -> Option<HoldScope> {
         let crashes: Vec<_> = self.suspected_crashes(part).collect();
-        let heard_until = self.remote_heard.map_or(now, |heard| heard.min(now));
-        let told: Vec<_> =
-            crashes.iter().copied().filter(|c| self.is_known_elsewhere(c, now)).collect();
-        if self.is_proven(part, &told, heard_until) {
+        let has_reported = |crash: &&PromptCrash| self.remote.has_reported(crash.at, now);
+        let reported: Vec<_> = crashes.iter().copied().filter(has_reported).collect();
+        if self.is_proven(part, &reported, self.remote.heard_until(now)) {
             return Some(HoldScope::Fleet);
         }
         let local: Vec<_> = crashes.into_iter().filter(|crash| crash.is_local).collect();
         let since = local.iter().map(|crash| crash.at).min()?;
-        let is_found = self.is_isolated(now)
+        let is_found = self.remote.is_isolated(now)
             && self.is_contrasted(part, since)
             && self.is_proven(part, &local, now);
         is_found.then_some(HoldScope::Isolated)
     }
 
-    /// Returns whether crashes that a part is suspected of show that it crashes servers, if requests that clear others were
-    /// heard of until `heard_until`.
+    /// Returns whether crashes that a part is suspected of show that it crashes servers. Reports that clear other parts have
+    /// been received up to `heard_until`.
     fn is_proven(&self, part: &PromptPart, crashes: &[&PromptCrash], heard_until: Moment) -> bool {
         if crashes.len() < SOLE_SUSPECT_CRASHES {
             return false;
@@ -225,15 +208,10 @@
             })
     }
 
-    /// Returns whether no message of another data centre has been received for some time.
-    fn is_isolated(&self, now: Moment) -> bool {
-        self.remote_heard.is_some_and(|heard| now > heard + ISOLATION_TIME)
-    }
-
     /// Returns whether servers of a part's service answered other requests after `since`, and never one with the part.
     ///
-    /// Without other data centres, that nobody reports a request with the part as served says little: its servers may
-    /// be unreachable, or at work for others.
+    /// While isolated, the absence of reports that clear the part is no evidence by itself: the servers that would serve
+    /// requests with it may be unreachable.
     fn is_contrasted(&self, part: &PromptPart, since: Moment) -> bool {
         let mut served = self.served.iter().filter(|(other, _)| other.service == part.service);
         !self.served.contains_key(part) && served.any(|(_, at)| *at > since)
@@ -270,12 +248,9 @@
     /// Returns whether a part is not found to crash servers, though the data centre is in touch with others.
     fn is_refuted(&self, part: &PromptPart, now: Moment) -> bool {
         let newest = self.suspected_crashes(part).map(|crash| crash.at).max();
-        let is_heard = self.remote_heard.is_none_or(|heard| {
-            newest.is_none_or(|at| heard >= at + CLEAR_TIME)
-                && self.reconnected_at.is_none_or(|at| now >= at + NEWS_TIME)
-                && !self.is_isolated(now)
-        });
-        is_heard && self.find_fatal(part, now).is_none()
+        let heard_until = self.remote.heard_until(now);
+        let is_heard = newest.is_none_or(|at| heard_until >= at + CLEAR_TIME);
+        is_heard && self.remote.is_settled(now) && self.find_fatal(part, now).is_none()
     }
 
     /// Returns whether requests with a part are tried one at a time. Those with a part that was just served are not: a
