--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -240,7 +240,8 @@
     let record = || FeedRecord { key: settings.id.clone(), value: Some(entries::encode(&entry)) };
     loop {
         let call = daemon.store.append(Feed::Daemons, record(), None);
-        if track_call(daemon, Feed::Daemons, call).await.is_ok() {
+        if let Ok(offset) = track_call(daemon, Feed::Daemons, call).await {
+            daemon.entry_offset.set(Some(offset));
             return;
         }
         sleep(RETRY_DELAY * 2).await;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -170,6 +170,8 @@
     pub store_answered: Cell<Moment>,
     /// The era of the store that this daemon has adapted to; `None` before the first response that names one.
     pub store_era: Cell<Option<StoreEra>>,
+    /// Offset of this daemon's own entry; `None` while it is being written.
+    pub entry_offset: Cell<Option<FeedOffset>>,
     /// Whether the store answers calls, by feed.
     pub store_health: RefCell<StoreHealth>,
     /// Signalled when the store answers calls for a feed again.
@@ -272,6 +274,7 @@
             newer_config: Notify::new(),
             store_answered: Cell::default(),
             store_era: Cell::default(),
+            entry_offset: Cell::default(),
             store_health: RefCell::default(),
             store_recovered: Notify::new(),
             stopping: Cell::default(),
--- a/lib/src/serve/restored_store.rs
+++ b/lib/src/serve/restored_store.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::feed_offset::era_of;
 use crate::ids::StoreEra;
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
@@ -44,13 +45,12 @@
 
 /// Writes records again after each restore, for as long as the daemon runs.
 pub async fn rewrite_records(daemon: Rc<DaemonState>) {
-    let mut entry_era = None;
     let mut quarantine_era = None;
     loop {
         sleep(CHECK_INTERVAL).await;
         let Some(era) = daemon.store_era.get() else { continue };
-        if *entry_era.get_or_insert(era) != era {
-            entry_era = Some(era);
+        if daemon.entry_offset.get().is_some_and(|offset| era_of(offset) < era) {
+            daemon.entry_offset.set(None);
             spawn_local(rewrite_entry(Rc::clone(&daemon)));
         }
         if *quarantine_era.get_or_insert(era) != era
