quarantine: a new lease holder writes what the store lacks

What a daemon learned while it held no lease was stored by nobody but the holder of then; after a restore only daemons that had seen it compared the feed, so that a holder that started later never did. Each process compares once when it first holds the lease, and after each restore: one listing.

--- a/lib/src/serve/restored_store.rs
+++ b/lib/src/serve/restored_store.rs
@@ -45,6 +45,7 @@
 
 /// Writes records again after each restore, for as long as the daemon runs.
 pub async fn rewrite_records(daemon: Rc<DaemonState>) {
+    // A process that becomes lease holder may know more than the store has, as it does after a restore.
     let mut quarantine_era = None;
     loop {
         sleep(CHECK_INTERVAL).await;
@@ -53,7 +54,7 @@
             daemon.entry_offset.set(None);
             spawn_local(rewrite_entry(Rc::clone(&daemon)));
         }
-        if *quarantine_era.get_or_insert(era) != era
+        if quarantine_era != Some(era)
             && daemon.fence().is_some()
             && rewrite_quarantine(&daemon).await.is_ok()
         {
