--- a/lib/src/cluster/part_hold.rs
+++ b/lib/src/cluster/part_hold.rs
@@ -1,14 +1,14 @@
-//! A prompt part that goes to no server, and which daemons that binds.
+//! A quarantined prompt part and the scope of the quarantine.
 
 use crate::boot_clock::Moment;
 
-/// Which daemons a hold binds.
+/// The daemons that a hold binds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum HoldScope {
     /// Only the one that decided on it while its data centre was isolated: requests that clear the part may have been
     /// served elsewhere, so the hold is neither reported nor stored.
     Isolated,
-    /// All.
+    /// All daemons.
     Fleet,
 }
 
@@ -19,7 +19,7 @@
     pub since: Moment,
     /// When a caller last sent it.
     pub last_attempt: Moment,
-    /// Which daemons it binds.
+    /// The daemons that it binds.
     pub scope: HoldScope,
 }
 
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -73,7 +73,7 @@
     held: HashMap<PromptPart, PartHold>,
     /// When a request with a part last got an event from a server, by what this daemon saw.
     served: HashMap<PromptPart, Moment>,
-    /// Whether requests that clear parts in other data centres are heard of.
+    /// Whether reports of other data centres are received, which may clear parts.
     remote: RemoteContact,
 }
 
@@ -143,7 +143,7 @@
     /// Records when the last message of another data centre was received; `None` if there is no other data centre.
     ///
     /// Requests that clear a part may be served in any data centre, so a hold that binds all daemons is decided only on
-    /// crashes after which a message of another one was received. An isolated data centre decides for itself.
+    /// crashes after which a message of another one was received. Holds of an isolated data centre bind only itself.
     pub fn set_remote_heard(&mut self, heard: Option<Moment>) {
         self.remote.update(heard);
     }
--- a/lib/src/cluster/quota_bucket.rs
+++ b/lib/src/cluster/quota_bucket.rs
@@ -5,7 +5,7 @@
 use crate::cluster::workspace::Quota;
 
 /// Fractions of the allowed excess that are added to the bucket, and once more while daemons are silent, whose demand may
-/// have moved to the others. The rest covers what daemons take before they hear of each other.
+/// have moved to the others. The rest covers tokens that are granted before daemons receive each other's reports.
 const USED_OVERAGE: f64 = 0.05;
 const USED_TOKENS: f64 = 0.35;
 
--- a/lib/src/cluster/workspaces.rs
+++ b/lib/src/cluster/workspaces.rs
@@ -17,8 +17,8 @@
 /// The workspaces of a configuration.
 ///
 /// API keys are kept as keyed hashes, so that neither a dump of the memory nor a log shows them. The hash key is drawn
-/// at random for each configuration: nobody can choose API keys with equal hashes, or learn one from the time that a
-/// comparison takes.
+/// at random for each configuration, so that API keys with equal hashes cannot be chosen, and the time of a comparison
+/// reveals no key.
 pub struct Workspaces {
     hash_key: [u8; HASH_KEY_BYTES],
     by_key: HashMap<Hash, Rc<Workspace>>,
--- a/lib/src/placement/lease_events.rs
+++ b/lib/src/placement/lease_events.rs
@@ -63,8 +63,8 @@
 
     /// Handles a feed that was restored from an older copy, in which the records of later holders may be lost.
     ///
-    /// Nothing in it shows who holds the lease, so every daemon waits as if it had just been renewed. Only one that has
-    /// renewed it recently knows that nobody else does, and bids again at once: its fencing number is of the earlier era.
+    /// Its records do not show who holds the lease, so daemons wait as if it had just been renewed. A valid renewal of this
+    /// daemon excludes other holders: it bids again at once, since its fencing number is of the earlier era.
     fn on_restore(&mut self, now: Moment, entry: Option<LeaseEntry>, end: FeedOffset) {
         let is_unsettled = self.pending_append.is_some();
         let held = self.held.filter(|held| now < held.sent + LEASE_TTL || self.fenced);
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -314,8 +314,8 @@
         self.config.borrow().as_ref().map_or(0, |c| c.version)
     }
 
-    /// Returns whether the store was restored from an older copy since it gave out an offset, by its own responses: one that
-    /// only a peer has heard of may not respond to this daemon yet.
+    /// Returns whether the store was restored from an older copy since it gave out an offset, according to its responses to
+    /// this daemon. Peers may report an era before the store responds here.
     pub fn is_restored_since(&self, offset: FeedOffset) -> bool {
         self.store.era().is_some_and(|era| era_of(offset) < era)
     }
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -77,8 +77,8 @@
     daemon.held_fence().is_some() && daemon.freshness.is_partial.get()
 }
 
-/// Returns whether the store was restored from an older copy since it was read. A daemon that relies on readers hears of it
-/// from them.
+/// Returns whether the store was restored from an older copy since it was read; `false` for a daemon that relies on
+/// readers, whose reports cover the changes.
 fn is_outdated(daemon: &DaemonState) -> bool {
     daemon.polls_servers() && daemon.is_restored_since(daemon.directory.borrow().feed_end())
 }
@@ -106,7 +106,7 @@
     };
     let read_at = daemon.freshness.servers_at.get();
     let usual = read_at + daemon.settings().drain.mul_f64(fraction);
-    // Entries that returned shortly before they would count as gone show in no earlier read.
+    // A usual poll would read entries that return late only after they were removed.
     let returns_due = daemon.directory.borrow().returns_due();
     returns_due.filter(|due| read_at < *due).map_or(usual, |due| usual.min(due))
 }
--- a/lib/src/serve/quotas.rs
+++ b/lib/src/serve/quotas.rs
@@ -163,7 +163,7 @@
 
     fn record_reply(&self, reply: QuotaReply) {
         if let Some(ask) = self.asks.borrow_mut().remove(&reply.id) {
-            // The request may have timed out meanwhile.
+            // The deadline may have passed while tokens were requested.
             let _abandoned = ask.send(reply);
         }
     }
@@ -259,8 +259,8 @@
     Answer { grant, home: None, is_alone: true }
 }
 
-/// Returns the homes that this daemon may ask, itself among them; none if it hears of no other daemon, which may be
-/// homes all the same.
+/// Returns the homes that this daemon may request tokens from, including itself; none if it knows no other daemon, since
+/// unknown ones may be homes.
 fn homes(daemon: &DaemonState, id: WorkspaceId) -> Vec<(DaemonId, Option<SocketAddr>)> {
     let peers = daemon.peers.borrow();
     let now = daemon.now();
--- a/lib/src/serve/restored_store.rs
+++ b/lib/src/serve/restored_store.rs
@@ -1,7 +1,7 @@
-//! Adapts a daemon to a store that was restored from an older copy, and writes again what was written once and is lost.
+//! Adapts a daemon to a store that was restored from an older copy, and writes lost records again.
 //!
-//! Each daemon writes its own entry, and the holder of the placement lease what all daemons know. What nobody remembers is
-//! lost.
+//! Each daemon writes its own entry, and the holder of the placement lease the records that all daemons have. Records that
+//! no running daemon has are lost.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -120,10 +120,10 @@
 
 /// The platform's store. Its responses are linearizable, and within one era it loses no acknowledged record.
 ///
-/// A new era begins when the store has been restored from an older copy: its last records are gone. A read from an offset of
+/// A new era begins when the store has been restored from an older copy: its last records are lost. A read from an offset of
 /// an earlier era fails as if its records had been deleted, and an append there as if the feed had grown.
 pub trait Store: fmt::Debug {
-    /// Returns the latest era that a response was of; `None` before the first response, or if the store tells none.
+    /// Returns the latest era named in a response; `None` before the first response, or if responses name none.
     fn era(&self) -> Option<StoreEra> {
         None
     }
--- a/lib/tests/test_lease_state.rs
+++ b/lib/tests/test_lease_state.rs
@@ -131,8 +131,8 @@
     feed.newest = newest;
 }
 
-/// Guards against a holder that goes on with a fencing number of an earlier era, and against a wait in which nothing is
-/// loaded although nobody else can hold the lease.
+/// Guards against a holder that goes on with a fencing number of an earlier era, and against a pause of loads although no
+/// other daemon can hold the lease.
 #[rstest]
 #[case::own_left(true)]
 #[case::nothing_left(false)]
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -117,7 +117,7 @@
     assert_eq!(site.held(&[COMMON, 7]).len(), 1);
 }
 
-/// Lets seconds pass in which other data centres are heard.
+/// Advances the time while messages of other data centres are received.
 fn hear_on(site: &mut Site, seconds: u32) {
     for _second in 0..seconds {
         site.now += SECOND;
@@ -125,8 +125,8 @@
     }
 }
 
-/// Crashes servers, in the same data centre or in others, under a fatal part in a data centre that is isolated meanwhile and
-/// serves other requests.
+/// Records crashes under a fatal part, of servers in the same data centre or in others, while the data centre is isolated
+/// and serves other requests.
 fn isolated_crashes(is_local: bool) -> Site {
     let mut site = Site::new();
     site.quarantine.set_remote_heard(Some(site.now));
