--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -17,6 +17,7 @@
 mod part_hold;
 pub mod part_quarantine;
 pub mod part_report;
+mod part_reports;
 pub mod peer_table;
 pub mod peer_update;
 mod prompt_crash;
--- /dev/null
+++ b/lib/src/cluster/part_reports.rs
@@ -0,0 +1,124 @@
+//! Reports of a daemon's quarantine of prompt parts to its peers, and of theirs.
+
+use std::collections::BTreeSet;
+
+use crate::boot_clock::Moment;
+use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::part_hold::HoldScope;
+use crate::cluster::part_hold::PartHold;
+use crate::cluster::part_quarantine::PartQuarantine;
+use crate::cluster::part_report::HeldPart;
+use crate::cluster::part_report::PartReport;
+use crate::cluster::part_report::PromptCrashReport;
+use crate::cluster::prompt_crash::PromptCrash;
+use crate::cluster::prompt_part::PromptPart;
+use crate::cluster::quarantine::REPORT_TIME;
+use crate::cluster::quarantine_report::CrashId;
+
+/// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
+const MAX_REPORTED: usize = 16;
+
+impl PartQuarantine {
+    /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
+    pub fn report(&self, now: Moment, is_reader: bool) -> PartReport {
+        let is_fresh = |crash: &PromptCrash| now <= crash.updated_at + REPORT_TIME;
+        let cleared = self.cleared.iter().map(|(key, at)| (key.clone(), now.saturating_sub(*at)));
+        let mut cleared: Vec<_> = cleared.filter(|(_, age)| *age <= REPORT_TIME).collect();
+        cleared.sort_by_key(|(_, age)| *age);
+        cleared.truncate(MAX_REPORTED);
+        let fleetwide = self.held.iter().filter(|(_, hold)| hold.is_fleetwide());
+        let mut held: Vec<_> = fleetwide.map(|(part, h)| held_report(part, h, now)).collect();
+        held.sort_by_key(|held| held.idle);
+        held.truncate(MAX_REPORTED);
+        let crashes =
+            self.crash_reports(|crash| is_fresh(crash) && (crash.is_own || is_reader), now);
+        PartReport { crashes, cleared, held }
+    }
+
+    /// Returns what this daemon detected, or learned more of, at or after `since`. Progress that clears
+    /// suspects is sent as early as crashes are: with only the latter, a sound part would be held.
+    pub fn own_news(&self, since: Moment, now: Moment) -> PartReport {
+        let crashes = self.crash_reports(|crash| crash.is_own && crash.updated_at >= since, now);
+        let cleared = self.cleared.iter().filter(|(_, at)| **at >= since);
+        let cleared = cleared.map(|(key, at)| (key.clone(), now.saturating_sub(*at)));
+        let cleared = cleared.take(MAX_REPORTED).collect();
+        let news = self.held.iter().filter(|(_, h)| h.is_fleetwide() && h.since >= since);
+        let held = news.map(|(part, hold)| held_report(part, hold, now)).collect();
+        PartReport { crashes, cleared, held }
+    }
+
+    /// Returns what is known of a part that a peer is about to send a request with: the crashes that it is suspected
+    /// of, and whether it is held. With `only_own`, only if this daemon detected one of the crashes.
+    pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
+        let Some(part) = self.part_of(fingerprint) else { return PartReport::default() };
+        if only_own && !self.suspected_crashes(&part).any(|crash| crash.is_own) {
+            return PartReport::default();
+        }
+        let is_known = |crash: &PromptCrash| {
+            crash.requests_with(&part).next().is_some() && !self.is_cleared(&part, crash)
+        };
+        let held = self.held.get(&part).filter(|hold| hold.is_fleetwide());
+        let held = held.map(|hold| held_report(&part, hold, now));
+        let crashes = self.crash_reports(is_known, now);
+        PartReport { crashes, cleared: Vec::new(), held: held.into_iter().collect() }
+    }
+
+    /// Returns the part, held or of a crash, that has a fingerprint.
+    fn part_of(&self, fingerprint: &Fingerprint) -> Option<PromptPart> {
+        let exposed = self.crashes.values().flat_map(|crash| {
+            let part = |id| PromptPart { service: crash.service.clone(), id };
+            crash.parts().into_iter().map(part)
+        });
+        let all: BTreeSet<_> = self.held.keys().cloned().chain(exposed).collect();
+        all.into_iter().find(|part| part.fingerprint() == *fingerprint)
+    }
+
+    /// Returns reports of the newest of some crashes.
+    fn crash_reports(
+        &self,
+        is_reported: impl Fn(&PromptCrash) -> bool,
+        now: Moment,
+    ) -> Vec<PromptCrashReport> {
+        let mut crashes: Vec<_> = self.crashes.iter().filter(|(_, c)| is_reported(c)).collect();
+        crashes.sort_by_key(|(_, c)| std::cmp::Reverse(c.updated_at));
+        let report = |(id, crash): (&CrashId, &PromptCrash)| crash.report(id, MAX_REPORTED, now);
+        crashes.into_iter().take(MAX_REPORTED).map(report).collect()
+    }
+
+    /// Merges a peer's report; returns the parts that are held from now on.
+    pub fn merge(&mut self, report: &PartReport, now: Moment) -> Vec<PromptPart> {
+        for ((part, progress), age) in &report.cleared {
+            self.clear_at(part, *progress, now.saturating_sub(*age));
+        }
+        for reported in &report.crashes {
+            let at = now.saturating_sub(reported.age);
+            let crash = self.crash_entry(&reported.id, &reported.service, at, now);
+            crash.worst_stage = crash.worst_stage.min(reported.worst_stage);
+            for prompt in &reported.prompts {
+                crash.add_prompt(prompt.clone(), now);
+            }
+        }
+        let exposed = report.crashes.iter().flat_map(|crash| {
+            let ids = crash.prompts.iter().flat_map(|prompt| &prompt.parts);
+            ids.map(|id| PromptPart { service: crash.service.clone(), id: *id })
+        });
+        let exposed: BTreeSet<_> = exposed.collect();
+        let mut held = self.evaluate(&exposed.into_iter().collect::<Vec<_>>(), now);
+        for HeldPart { part, age, idle } in &report.held {
+            let (since, last_attempt) = (now.saturating_sub(*age), now.saturating_sub(*idle));
+            let reported = PartHold { since, last_attempt, scope: HoldScope::Fleet };
+            if self.merge_hold(part, reported) {
+                held.push(part.clone());
+            }
+        }
+        held
+    }
+}
+
+fn held_report(part: &PromptPart, hold: &PartHold, now: Moment) -> HeldPart {
+    HeldPart {
+        part: part.clone(),
+        age: now.saturating_sub(hold.since),
+        idle: now.saturating_sub(hold.last_attempt),
+    }
+}
