store: names of the platform stay in its folder

The soak named two of the store's topics, and a log line had the name of the platform's header. The stand-in restores itself now, and the line is store-restored, written on a change only; the counter is store_restores.

--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -36,7 +36,7 @@
     config_age: Gauge<f64>,
     control_bytes: Counter<u64>,
     store_calls: Counter<u64>,
-    store_rollbacks: Counter<u64>,
+    store_restores: Counter<u64>,
     unreadable_records: Counter<u64>,
     reader_reports: Counter<u64>,
     relays: Counter<u64>,
@@ -115,8 +115,8 @@
                 "store_calls",
                 "Operations at the platform's store by feed and outcome; a listing takes a call a page",
             ),
-            store_rollbacks: counter(
-                "store_rollbacks",
+            store_restores: counter(
+                "store_restores",
                 "Times that the platform's store was found restored from an older copy",
             ),
             unreadable_records: counter(
@@ -211,8 +211,8 @@
     }
 
     /// Counts a return of the platform's store from an older copy.
-    pub fn record_store_rollback(&self) {
-        self.store_rollbacks.add(1, &[]);
+    pub fn record_store_restore(&self) {
+        self.store_restores.add(1, &[]);
     }
 
     /// Counts a record of a feed that cannot be parsed.
--- a/lib/src/serve/restored_store.rs
+++ b/lib/src/serve/restored_store.rs
@@ -32,15 +32,13 @@
         return;
     }
     daemon.store_era.set(Some(era));
+    let Some(before) = before else { return };
     let now = daemon.now();
-    slog::warn!(daemon.log, "store-era"; "era" => era,
-        "before" => before.map_or_else(|| "-".to_owned(), |before| before.to_string()), "from" => from,
+    slog::warn!(daemon.log, "store-restored"; "era" => era, "before" => before, "from" => from,
         "seen_ms_ago" => now.saturating_sub(daemon.store_answered.get()).as_millis(),
         "config" => daemon.config_version(), "feed_end" => daemon.directory.borrow().shown_end());
-    if before.is_some() {
-        daemon.metrics.record_store_rollback();
-        daemon.directory.borrow_mut().record_restore(now);
-    }
+    daemon.metrics.record_store_restore();
+    daemon.directory.borrow_mut().record_restore(now);
 }
 
 /// Writes records again after each restore, for as long as the daemon runs.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -178,17 +178,7 @@
     let copy = store.copy();
     spawn_local(async move {
         sleep(age).await;
-        store.mood.set(Mood::Refusing);
-        sleep(away).await;
-        let lost = ["keyed.op", "keyed.servers"].map(|t| (t, store.records_since(&copy, t)));
-        store.restore(&copy);
-        store.mood.set(Mood::Well);
-        sleep(rewritten).await;
-        for (topic, records) in lost {
-            for (key, value) in records {
-                store.put_raw(topic, &key, &value);
-            }
-        }
+        store.roll_back(&copy, away, rewritten).await;
     });
 }
 
