slowdowns: requests go by what servers tell of their pace

Cause: servers of one service run on unlike hosts (0.6, 1 and 1.6 times the usual time per step, and 2.5 times that for tenths of a second while neighbours work).

Ruled out: using the last figure of a server for the next choice. Its correlation with the figure 0.4 s later is 0.17 (0.65 after 0.1 s), so nothing but its mean outlives a round of digests. Measuring paces from the times of events: they follow the figure (21.5, 35.7 and 57.5 ms an event without other load), so the servers' own figure is enough where it exists.

Change: the fourth figure of the load header is parsed; daemons keep a decaying mean by server instance, share it each second (all to all in small fleets, through readers in large ones), and the choice scales costs by it, counts a cost of pauses and prefers faster servers by the third power. The planner counts replicas by it. Without a figure nothing changes.

--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -17,6 +17,7 @@
 use crate::cluster::rate_limits::LimitReport;
 use crate::cluster::reader_report::ReaderReport;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::slowdown_report::SlowdownReport;
 use crate::cluster::trial_report::TrialReport;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
@@ -175,6 +176,8 @@
     PromptParts(PartReport),
     /// Tokens of workspaces' quotas.
     Quota(QuotaMessage),
+    /// Slowdowns of servers.
+    Slowdowns(SlowdownReport),
 }
 
 /// Version number of the datagram format; increment it whenever these types change, except for a variant of [`Payload`]
--- /dev/null
+++ b/lib/src/cluster/server_slowdowns.rs
@@ -0,0 +1,189 @@
+//! Slowdowns of servers, from what servers told this daemon and its peers.
+//!
+//! Servers of one service run on unlike hosts, and some of them tell in their responses how long work takes there. A
+//! daemon of a large fleet sends each server one request in a minute or none, so that daemons share what they were told.
+//! Reports hold state rather than changes: one that is lost or repeated changes nothing in the end.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use crate::boot_clock::Moment;
+use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::slowdown_estimate::DatedEstimate;
+use crate::cluster::slowdown_estimate::SlowdownEstimate;
+use crate::cluster::slowdown_report::SlowdownRow;
+use crate::cluster::workload_table::ServerKey;
+use crate::cluster::workload_table::server_key;
+use crate::ids::CentreId;
+use crate::ids::DaemonId;
+
+/// A row of another daemon counts for this long after its last report; longer than a full turn of a report over 12,000
+/// servers.
+const RETENTION: Duration = Duration::from_mins(2);
+
+/// Who reported a row.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum SlowdownSource {
+    /// A daemon, of its own observations.
+    Daemon(DaemonId),
+    /// A reader of another data centre, of the observations there.
+    Centre(CentreId),
+    /// A reader of this data centre, of all observations.
+    Fleet,
+}
+
+#[derive(Debug, Default)]
+struct Tables {
+    own: BTreeMap<ServerKey, DatedEstimate>,
+    received: BTreeMap<SlowdownSource, HashMap<ServerKey, DatedEstimate>>,
+    /// The key up to which rows were last reported, so that the next report goes on after it.
+    reported_to: ServerKey,
+}
+
+impl Tables {
+    fn own_at(&self, key: ServerKey, now: Moment) -> SlowdownEstimate {
+        self.own.get(&key).map(|known| known.at(now)).unwrap_or_default()
+    }
+
+    fn received_at(
+        &self,
+        key: ServerKey,
+        now: Moment,
+        counts: impl Fn(&SlowdownSource) -> bool,
+    ) -> SlowdownEstimate {
+        let tables = self.received.iter().filter(|(source, _)| counts(source));
+        let known = tables.filter_map(|(_, table)| table.get(&key));
+        let fresh = known.filter(|known| now <= known.at + RETENTION);
+        fresh.map(|known| known.at(now)).fold(SlowdownEstimate::default(), SlowdownEstimate::merged)
+    }
+
+    /// Returns the estimate from the observations of this daemon's data centre.
+    fn centre_at(&self, key: ServerKey, now: Moment) -> SlowdownEstimate {
+        let is_daemon = |source: &SlowdownSource| matches!(source, SlowdownSource::Daemon(_));
+        self.own_at(key, now).merged(self.received_at(key, now, is_daemon))
+    }
+
+    /// Returns the estimate from the observations that daemons and data centres reported by themselves.
+    fn direct_at(&self, key: ServerKey, now: Moment) -> SlowdownEstimate {
+        let is_centre = |source: &SlowdownSource| matches!(source, SlowdownSource::Centre(_));
+        self.centre_at(key, now).merged(self.received_at(key, now, is_centre))
+    }
+
+    /// Returns the estimate from all observations. What a reader reports contains those of this daemon, but maybe not the
+    /// last ones, so the better founded estimate counts.
+    fn fleet_at(&self, key: ServerKey, now: Moment) -> SlowdownEstimate {
+        let direct = self.direct_at(key, now);
+        let relayed = self.received_at(key, now, |source| *source == SlowdownSource::Fleet);
+        if relayed.weight() > direct.weight() { relayed } else { direct }
+    }
+
+    /// Returns up to `limit` keys, from the one after the last that was returned on.
+    fn next_keys(&mut self, limit: usize, of_all: bool) -> Vec<ServerKey> {
+        let mut keys: Vec<ServerKey> = self.own.keys().copied().collect();
+        if of_all {
+            keys.extend(self.received.values().flat_map(HashMap::keys));
+            keys.sort_unstable();
+            keys.dedup();
+        }
+        let start = keys.partition_point(|key| *key <= self.reported_to);
+        keys.rotate_left(start);
+        keys.truncate(limit);
+        self.reported_to = keys.last().copied().unwrap_or_default();
+        keys
+    }
+}
+
+/// What a reader reports of some servers.
+#[derive(Clone, Debug, Default)]
+pub struct RelayedRows {
+    /// Its own observations, for the other readers of its data centre.
+    pub own: Vec<SlowdownRow>,
+    /// Those of its data centre, for the readers of other data centres.
+    pub centre: Vec<SlowdownRow>,
+    /// Those of all, for the daemons of its data centre.
+    pub fleet: Vec<SlowdownRow>,
+}
+
+/// Slowdowns by server instance.
+#[derive(Debug, Default)]
+pub struct ServerSlowdowns {
+    tables: RefCell<Tables>,
+}
+
+impl ServerSlowdowns {
+    /// Records the slowdown that a server told in a response.
+    pub fn record_told(&self, server: &ServerInstance, slowdown: f64, now: Moment) {
+        let mut tables = self.tables.borrow_mut();
+        let known = tables.own.entry(server_key(server)).or_default();
+        let mut estimate = known.at(now);
+        estimate.record(slowdown);
+        *known = DatedEstimate { estimate, at: now };
+    }
+
+    /// Records rows that another daemon reported. They replace its earlier rows for these servers.
+    pub fn record_report(&self, source: SlowdownSource, rows: &[SlowdownRow], now: Moment) {
+        let mut tables = self.tables.borrow_mut();
+        let table = tables.received.entry(source).or_default();
+        for row in rows {
+            table.insert(row.server, DatedEstimate { estimate: (*row).into(), at: now });
+        }
+    }
+
+    /// Returns the estimate for a server from all observations.
+    pub fn estimate(&self, server: &ServerInstance, now: Moment) -> SlowdownEstimate {
+        self.tables.borrow().fleet_at(server_key(server), now)
+    }
+
+    /// Returns how many times the usual time work is expected to take at a server; 1 if nothing is known.
+    pub fn expected(&self, server: &ServerInstance, now: Moment) -> f64 {
+        let tables = self.tables.borrow();
+        if tables.own.is_empty() && tables.received.is_empty() {
+            return 1.0;
+        }
+        tables.fleet_at(server_key(server), now).expected()
+    }
+
+    /// Returns whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        let tables = self.tables.borrow();
+        tables.own.is_empty() && tables.received.is_empty()
+    }
+
+    /// Returns up to `limit` rows of this daemon's own observations. Calls take turns through all servers.
+    pub fn own_rows(&self, limit: usize, now: Moment) -> Vec<SlowdownRow> {
+        let mut tables = self.tables.borrow_mut();
+        let keys = tables.next_keys(limit, false);
+        keys.into_iter().filter_map(|k| SlowdownRow::new(k, tables.own_at(k, now))).collect()
+    }
+
+    /// Returns the rows of up to `limit` servers that a reader reports. Calls take turns through all servers.
+    pub fn relayed_rows(&self, limit: usize, now: Moment) -> RelayedRows {
+        let mut tables = self.tables.borrow_mut();
+        let keys = tables.next_keys(limit, true);
+        let rows = |estimate: &dyn Fn(ServerKey) -> SlowdownEstimate| {
+            keys.iter().filter_map(|key| SlowdownRow::new(*key, estimate(*key))).collect()
+        };
+        RelayedRows {
+            own: rows(&|key| tables.own_at(key, now)),
+            centre: rows(&|key| tables.centre_at(key, now)),
+            fleet: rows(&|key| tables.direct_at(key, now)),
+        }
+    }
+
+    /// Drops this daemon's observations of servers that are not among `known`, and expired reports.
+    pub fn retain<'a>(&self, now: Moment, known: impl Iterator<Item = &'a ServerInstance>) {
+        let mut tables = self.tables.borrow_mut();
+        if tables.own.is_empty() && tables.received.is_empty() {
+            return;
+        }
+        let known: HashSet<ServerKey> = known.map(server_key).collect();
+        tables.own.retain(|key, _| known.contains(key));
+        for table in tables.received.values_mut() {
+            table.retain(|key, row| known.contains(key) && now <= row.at + RETENTION);
+        }
+        tables.received.retain(|_, table| !table.is_empty());
+    }
+}
--- a/lib/src/cluster/workloads.rs
+++ b/lib/src/cluster/workloads.rs
@@ -49,6 +49,8 @@
     pub waiting: u32,
     /// Requests that the server can run at once.
     pub slots: u32,
+    /// Time that work takes at the server's host now, in percent of the usual; `None` if the server does not tell.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// A table received from a peer or reader, and when.
--- a/lib/src/placement/load_options.rs
+++ b/lib/src/placement/load_options.rs
@@ -149,10 +149,13 @@
         let service = &engine.server.service;
         let rate = self.rate(service, model);
         let replicas = self.index.replicas(service, model);
-        if replicas > self.needed_replicas(service, model).max(1) {
+        let needed = self.needed_replicas(service, model).max(1);
+        let weight = self.index.preference(&engine.server.id);
+        let rest = self.index.capacity(service, model) - weight;
+        if replicas > needed.min(MIN_BUSY_REPLICAS) && rest >= needed as f64 {
             return rate * SURPLUS_LOSS_PART;
         }
-        if replicas > 1 { rate * NEEDED_LOSS_PART } else { rate }
+        if replicas > 1 { rate * NEEDED_LOSS_PART * weight.min(1.0) } else { rate }
     }
 
     /// Returns how long requests running on an evicted model delay its unloading. Run times vary so much that the
@@ -178,9 +181,13 @@
         current.or_else(min_loss).unwrap_or(0.0) * LOSS_SECONDS + self.contention_cost(engine)
     }
 
-    /// Returns the cost of other arrivals at an engine for a model's callers there, in seconds of waiting.
+    /// Returns the cost of other arrivals at an engine for a model's callers there, and of their own longer runs at a slow
+    /// one, in seconds of waiting.
     fn contention_cost(&self, engine: &Engine) -> f64 {
-        self.index.arrivals(&engine.server.id) * CONTENTION_SECONDS
+        let slowdown = self.index.slowdown(&engine.server.id);
+        let run = self.input.run_times.mean(&engine.server.service).as_secs_f64();
+        self.index.arrivals(&engine.server.id) * CONTENTION_SECONDS * slowdown
+            + run * (slowdown - 1.0)
     }
 
     /// Returns how many replicas a model needs, by its arrivals and by its requests in progress, which accumulate if
@@ -196,6 +203,26 @@
         (by_rate.max(by_running).ceil() as usize).max(MIN_BUSY_REPLICAS)
     }
 
+    /// Returns whether a busy model has the replicas that it needs. A slow engine counts as less than one, and a fast one
+    /// as more.
+    pub fn has_enough_replicas(&self, service: &str, model: &ModelName) -> bool {
+        let engines = self.engines(service).count();
+        let needed = self.needed_replicas(service, model).min(engines);
+        let replicas = self.index.replicas(service, model);
+        replicas >= needed.min(MIN_BUSY_REPLICAS)
+            && (self.index.capacity(service, model) >= needed as f64 || replicas >= engines)
+    }
+
+    /// Returns whether a replica at an engine would serve a model's callers better: it has fewer replicas than it needs, or
+    /// those are slower on average.
+    pub fn is_worth_adding(&self, engine: &Engine, model: &ModelName) -> bool {
+        let service = &engine.server.service;
+        let replicas = self.index.replicas(service, model);
+        let mean = self.index.capacity(service, model) / replicas.max(1) as f64;
+        replicas < self.needed_replicas(service, model)
+            || self.index.preference(&engine.server.id) > mean
+    }
+
     /// Returns a model's arrivals per second beyond the capacity of its replicas, including those being loaded; at
     /// most the capacity of one more replica.
     pub fn excess(&self, service: &str, model: &ModelName) -> f64 {
--- a/lib/src/placement/plan_index.rs
+++ b/lib/src/placement/plan_index.rs
@@ -3,17 +3,17 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
-use crate::boot_clock::Moment;
+use crate::cluster::slowdown_estimate::preference;
 use crate::cluster::workload_table::WorkloadTable;
 use crate::cluster::workload_table::model_key;
 use crate::cluster::workload_table::server_key;
 use crate::ids::CentreId;
 use crate::ids::ModelName;
 use crate::ids::ServerId;
-use crate::placement::demand::Demand;
 use crate::placement::engine_table::Engine;
 use crate::placement::engine_table::EngineTable;
 use crate::placement::engine_table::Source;
+use crate::placement::planner::PlanInput;
 
 /// A service and a model.
 type ModelKey<'a> = (&'a str, &'a str);
@@ -25,6 +25,8 @@
 pub struct Replicas<'a> {
     /// Engines that hold it and do not evict it, or are loading it.
     pub count: usize,
+    /// The number of usual engines that serve as well as these.
+    pub capacity: f64,
     /// The same by data centre.
     pub centres: HashMap<&'a str, usize>,
 }
@@ -44,6 +46,7 @@
     running: HashMap<(&'a str, ModelName), u32>,
     /// Arrivals per second at each engine; a model's arrivals are divided evenly among its replicas.
     arrivals: HashMap<ServerId, f64>,
+    slowdowns: HashMap<ServerId, f64>,
     /// Fetches in progress.
     pub fetching: usize,
 }
@@ -55,12 +58,11 @@
 
 impl<'a> PlanIndex<'a> {
     /// Builds the index.
-    pub fn new(
-        engine_table: &'a EngineTable,
-        demand: &'a Demand,
-        workloads: &WorkloadTable,
-        now: Moment,
-    ) -> Self {
+    pub fn new(input: &PlanInput<'a>) -> Self {
+        let (engine_table, demand, now) = (input.engine_table, input.demand, input.now);
+        let engines = engine_table.engines.values();
+        let slowdowns = engines
+            .map(|e| (e.server.id.clone(), input.slowdowns.expected(&e.server.instance(), now)));
         let mut index = Self {
             rates: HashMap::new(),
             replicas: HashMap::new(),
@@ -71,6 +73,7 @@
             engine_running: HashMap::new(),
             running: HashMap::new(),
             arrivals: HashMap::new(),
+            slowdowns: slowdowns.collect(),
             fetching: 0,
         };
         for (target, rate) in demand.rates(now) {
@@ -82,7 +85,7 @@
         for (target, peak) in demand.peaks(now) {
             *index.peaks.entry((&target.service, &target.model)).or_default() += peak;
         }
-        index.count_running(engine_table, workloads);
+        index.count_running(engine_table, input.workloads);
         index.count_arrivals(engine_table);
         index
     }
@@ -90,8 +93,10 @@
     fn count_arrivals(&mut self, engine_table: &'a EngineTable) {
         for engine in engine_table.engines.values() {
             let service = engine.server.service.as_str();
+            let weight = self.preference(&engine.server.id);
             let share = |model: &'a str| {
-                self.rate(service, model) / self.replicas(service, model).max(1) as f64
+                let capacity = self.capacity(service, model).max(weight);
+                self.rate(service, model) * weight / capacity
             };
             let sum = engine.models.iter().map(|m| share(m.name.as_str())).sum();
             self.arrivals.insert(engine.server.id.clone(), sum);
@@ -115,6 +120,7 @@
     fn count_engine(&mut self, engine: &'a Engine) {
         let service = engine.server.service.as_str();
         let centre = engine.server.centre.as_str();
+        let weight = self.preference(&engine.server.id);
         let job = engine.load_job.as_ref();
         let is_fetching = job.map_or(engine.reported_busy, |j| j.source == Source::Store);
         self.fetching += usize::from(is_fetching);
@@ -124,6 +130,7 @@
         for model in kept.chain(loading) {
             let replicas = self.replicas.entry((service, model)).or_default();
             replicas.count += 1;
+            replicas.capacity += weight;
             *replicas.centres.entry(centre).or_default() += 1;
         }
         for held in &engine.models {
@@ -168,6 +175,21 @@
         self.replicas.get(&(service, model)).map_or(0, |r| r.count)
     }
 
+    /// Returns how many usual engines would serve as well as those that hold or are loading a model.
+    pub fn capacity(&self, service: &str, model: &str) -> f64 {
+        self.replicas.get(&(service, model)).map_or(0.0, |r| r.capacity)
+    }
+
+    /// Returns how many times the usual time work takes at an engine.
+    pub fn slowdown(&self, server: &ServerId) -> f64 {
+        self.slowdowns.get(server).copied().unwrap_or(1.0)
+    }
+
+    /// Returns how many usual engines serve as well as this one.
+    pub fn preference(&self, server: &ServerId) -> f64 {
+        preference(self.slowdown(server))
+    }
+
     /// Returns how many engines in a data centre hold or are loading a model.
     pub fn replicas_in(&self, service: &str, model: &str, centre: &CentreId) -> usize {
         let replicas = self.replicas.get(&(service, model));
--- a/lib/src/placement/planner.rs
+++ b/lib/src/placement/planner.rs
@@ -18,6 +18,7 @@
 use crate::cluster::directory::LoadedModel;
 use crate::cluster::run_times::RunTimes;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::server_slowdowns::ServerSlowdowns;
 use crate::cluster::workload_table::WorkloadTable;
 use crate::cluster::workload_table::server_key;
 use crate::ids::Mebibytes;
@@ -83,6 +84,8 @@
     pub workloads: &'a WorkloadTable,
     /// How long requests run.
     pub run_times: &'a RunTimes,
+    /// Slowdowns that engines tell.
+    pub slowdowns: &'a ServerSlowdowns,
     /// Engines that the lease holder cannot reach.
     pub unreachable: Vec<ServerId>,
     /// What is known about the weight store.
@@ -109,7 +112,7 @@
     /// Returns the next actions, at most one per engine.
     pub fn plan(&self) -> Vec<Action> {
         let backlogs = self.demand.backlogs(self.now);
-        let index = PlanIndex::new(self.engine_table, self.demand, self.workloads, self.now);
+        let index = PlanIndex::new(self);
         let waiting_models =
             backlogs.keys().map(|t| (t.service.clone(), t.model.clone())).collect();
         let fetching = index.fetching;
@@ -330,9 +333,7 @@
                 return;
             }
             let key = (SmolStr::new(service), ModelName::new(model));
-            let engines = self.options.engines(service).count();
-            let needed = self.options.needed_replicas(service, &key.1).min(engines);
-            if self.placed.contains(&key) || self.options.index.replicas(service, model) >= needed {
+            if self.placed.contains(&key) || self.options.has_enough_replicas(service, &key.1) {
                 continue;
             }
             let Some(spec) = self.options.spec(service) else { continue };
@@ -344,6 +345,7 @@
             let options = self
                 .options
                 .engines(service)
+                .filter(|e| self.options.is_worth_adding(e, &key.1))
                 .filter_map(|e| self.options.load_option(e, spec, model, None));
             // A busy host with a copy is worth waiting for: the weight store is slower, and other models need it more.
             let best = options.min_by(|a, b| spread_cost(a).total_cmp(&spread_cost(b)));
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -65,6 +65,7 @@
 pub mod server_connections;
 pub mod server_feedback;
 pub mod server_relay;
+pub mod share_slowdowns;
 pub mod socket;
 pub mod store_calls;
 pub mod suspects;
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -219,6 +219,8 @@
     daemon.health.borrow_mut().retain(is_known);
     daemon.inventories.borrow_mut().retain(is_known);
     daemon.workloads.retain(daemon.now(), is_known);
+    let instances: Vec<_> = directory.all_servers().map(|server| server.instance()).collect();
+    daemon.slowdowns.retain(daemon.now(), instances.iter());
     daemon.rate_limits.borrow_mut().retain(is_known);
     daemon.server_rests.borrow_mut().retain(is_known);
     daemon.server_paths.borrow_mut().retain(is_known);
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -107,6 +107,10 @@
     pub cost: f64,
     /// Number of servers that the last one was chosen from.
     pub candidate_count: usize,
+    /// Known requests in progress at the server of the last send, when it was chosen.
+    pub running: u32,
+    /// Number of events received from the server of the last send.
+    pub events: u32,
     /// Reason why the last send failed.
     pub reason: &'static str,
     /// Time spent waiting for a model.
@@ -177,6 +181,8 @@
             queue_wait: Duration::ZERO,
             cost: 0.0,
             candidate_count: 0,
+            running: 0,
+            events: 0,
             reason: "",
             model_wait: Duration::ZERO,
             trial: None,
@@ -349,6 +355,8 @@
         self.queue_wait = chosen.queue_wait;
         self.cost = chosen.cost;
         self.candidate_count = chosen.candidate_count;
+        self.running = chosen.running;
+        self.events = 0;
         self.assign_trial();
     }
 
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -12,6 +12,8 @@
 use crate::cluster::send_permit::SendPermits;
 use crate::cluster::server_health::ServerHealth;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::server_slowdowns::ServerSlowdowns;
+use crate::cluster::slowdown_estimate::preference;
 use crate::cluster::workloads::Workload;
 use crate::cluster::workloads::Workloads;
 use crate::ids::CentreId;
@@ -33,6 +35,11 @@
 /// Exponent of that cost in the fraction of taken slots: a sixteenth at half, a third at three quarters, like
 /// the wait in a queue with several servers.
 const OCCUPANCY_EXPONENT: i32 = 4;
+/// Cost of a stream at a usual engine without others, in milliseconds. One in twelve has a pause that is too long, which
+/// is as bad for its caller as a first event that comes a second and a half too late.
+const PAUSE_COST_MS: f64 = 120.0;
+/// Part by which each other stream at an engine makes long pauses more frequent.
+const PAUSES_PER_STREAM: f64 = 0.1;
 /// Prompt tokens that an engine processes per millisecond, a conservative estimate.
 const PROMPT_TOKENS_PER_MS: f64 = 15.0;
 /// Milliseconds that a running request adds to another one's time at a plain service.
@@ -62,6 +69,8 @@
     pub health: &'a ServerHealth,
     /// Mean run time of requests by service.
     pub run_times: &'a RunTimes,
+    /// Slowdowns that servers tell.
+    pub slowdowns: &'a ServerSlowdowns,
     /// Send permits for rate-limited servers.
     pub send_permits: &'a SendPermits,
     /// This daemon's data centre.
@@ -83,6 +92,8 @@
     pub cost: f64,
     /// Number of servers that it was chosen from.
     pub candidate_count: usize,
+    /// Known requests in progress there.
+    pub running: u32,
     /// Expected wait for a slot there; zero unless `choose_engine` chose the server.
     pub queue_wait: Duration,
 }
@@ -107,18 +118,20 @@
 
     fn plain_cost(&self, server: &Server, work: Workload) -> f64 {
         let excess = (work.running + 1).saturating_sub(server.slots);
-        f64::from(work.running) * PLAIN_RUNNING_COST_MS
-            + f64::from(excess) * PLAIN_RUN_MS
-            + self.centre_cost(server, PLAIN_REMOTE_CENTRE_COST_MS)
+        let usual =
+            f64::from(work.running) * PLAIN_RUNNING_COST_MS + f64::from(excess) * PLAIN_RUN_MS;
+        usual * self.slowdown(server) + self.centre_cost(server, PLAIN_REMOTE_CENTRE_COST_MS)
     }
 
     fn engine_cost(&self, server: &Server, work: Workload) -> f64 {
         let occupancy = f64::from(work.running) / f64::from(server.slots.max(1));
         // The prompt of a queued request is processed once it has a slot.
         let running_share = (1.0 / occupancy).min(1.0);
-        f64::from(work.running.min(server.slots)) * RUNNING_COST_MS
+        let usual = f64::from(work.running.min(server.slots)) * RUNNING_COST_MS
             + f64::from(work.prompt_tokens) * running_share / PROMPT_TOKENS_PER_MS
-            + OCCUPANCY_COST_MS * occupancy.min(1.0).powi(OCCUPANCY_EXPONENT)
+            + OCCUPANCY_COST_MS * occupancy.min(1.0).powi(OCCUPANCY_EXPONENT);
+        usual * self.slowdown(server)
+            + self.pause_cost(server, work)
             + self.queue_wait(server, work).as_secs_f64() * 1000.0
             + self.centre_cost(server, REMOTE_CENTRE_COST_MS)
     }
@@ -126,7 +139,30 @@
     /// Returns the expected wait for a slot at an engine, whose slots become free one after the other.
     fn queue_wait(&self, server: &Server, work: Workload) -> Duration {
         let ahead = (work.running + 1).saturating_sub(server.slots);
-        self.run_times.mean(&server.service) * ahead / server.slots.max(1)
+        let time = self.run_times.mean(&server.service) * ahead / server.slots.max(1);
+        time.mul_f64(self.slowdown(server))
+    }
+
+    /// Returns the cost of pauses between events, which grow with the slowdown; zero while no server tells its own.
+    fn pause_cost(&self, server: &Server, work: Workload) -> f64 {
+        if self.slowdowns.is_empty() {
+            return 0.0;
+        }
+        let streams = 1.0 + f64::from(work.running.min(server.slots)) * PAUSES_PER_STREAM;
+        PAUSE_COST_MS * self.slowdown(server).powi(2) * streams
+    }
+
+    /// Returns the possible error in milliseconds of the cost of an engine: that of requests there which peers may have
+    /// begun or ended since their last reports.
+    fn engine_cost_error(&self) -> f64 {
+        let pauses =
+            if self.slowdowns.is_empty() { 0.0 } else { PAUSE_COST_MS * PAUSES_PER_STREAM };
+        self.load_uncertainty * (RUNNING_COST_MS + pauses)
+    }
+
+    /// Returns how many times the usual time work takes at a server.
+    fn slowdown(&self, server: &Server) -> f64 {
+        self.slowdowns.expected(&server.instance(), self.now)
     }
 
     /// Chooses an engine that holds what `model_target` names.
@@ -142,13 +178,7 @@
                 && self.inventories.holds(s, &model_target.model, model_target.adapter.as_deref())
         };
         let cost = |s: &Server, w| self.engine_cost(s, w);
-        match self.choose(
-            &model_target.service,
-            tried,
-            holds,
-            cost,
-            self.load_uncertainty * RUNNING_COST_MS,
-        ) {
+        match self.choose(&model_target.service, tried, holds, cost, self.engine_cost_error()) {
             Some(chosen) => {
                 let work = self.workloads.workload_at(&chosen.server.instance(), self.now);
                 let queue_wait = self.queue_wait(&chosen.server, work);
@@ -206,13 +236,7 @@
         };
         if model_target.is_some() {
             let cost = |s: &Server, w| self.engine_cost(s, w);
-            return self.choose(
-                service,
-                tried,
-                is_available,
-                cost,
-                self.load_uncertainty * RUNNING_COST_MS,
-            );
+            return self.choose(service, tried, is_available, cost, self.engine_cost_error());
         }
         let cost = |s: &Server, w| self.plain_cost(s, w);
         self.choose(service, tried, is_available, cost, PLAIN_COST_ERROR_MS)
@@ -318,12 +342,18 @@
         let list = self.prefer_unlimited(if healthy.is_empty() { usable } else { healthy });
         let candidate = |s: &&Rc<Server>| {
             let work = self.workloads.workload_at(&s.instance(), self.now);
-            Candidate { cost: cost(s, work), free_slots: s.slots.saturating_sub(work.running) }
+            Candidate {
+                cost: cost(s, work),
+                free_slots: s.slots.saturating_sub(work.running),
+                preference: preference(self.slowdown(s)),
+            }
         };
         let candidates: Vec<Candidate> = list.iter().map(candidate).collect();
         let index = near_best::pick(&candidates, cost_error, self.random)?;
         let server = Rc::clone(list[index]);
         let (cost, candidate_count) = (candidates[index].cost, list.len());
-        Some(ChosenServer { server, cost, candidate_count, queue_wait: Duration::ZERO })
+        let running = self.workloads.workload_at(&server.instance(), self.now).running;
+        let queue_wait = Duration::ZERO;
+        Some(ChosenServer { server, cost, candidate_count, running, queue_wait })
     }
 }
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -33,6 +33,7 @@
 use crate::cluster::server_instance::ServerInstance;
 use crate::cluster::server_paths::ServerPaths;
 use crate::cluster::server_rests::ServerRests;
+use crate::cluster::server_slowdowns::ServerSlowdowns;
 use crate::cluster::store_health::StoreHealth;
 use crate::cluster::stream_origins::StreamOrigins;
 use crate::cluster::unreadable_records::UnreadableRecords;
@@ -104,6 +105,8 @@
     pub health: RefCell<ServerHealth>,
     /// Run times of requests at engines.
     pub run_times: RunTimes,
+    /// Slowdowns that servers tell.
+    pub slowdowns: ServerSlowdowns,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<RetryBudgets>,
     /// Rate limits that servers advertise.
@@ -242,6 +245,7 @@
             workloads: Workloads::default(),
             health: RefCell::default(),
             run_times: RunTimes::default(),
+            slowdowns: ServerSlowdowns::default(),
             rate_limits: RefCell::default(),
             brittle_servers: BrittleServers::default(),
             server_paths: RefCell::default(),
@@ -518,6 +522,7 @@
             workloads: &self.workloads,
             health: &health,
             run_times: &self.run_times,
+            slowdowns: &self.slowdowns,
             send_permits: &send_permits,
             centre: &settings.centre,
             now: self.now(),
--- a/lib/src/serve/event_stream.rs
+++ b/lib/src/serve/event_stream.rs
@@ -24,6 +24,7 @@
     pub response: ServerResponse,
     splitter: EventSplitter,
     order: EventOrder,
+    event_count: u32,
     /// Counts the request towards the server's workload until dropped.
     pub workload_guard: WorkloadGuard,
     _brittle_send: Option<BrittleSend>,
@@ -58,6 +59,7 @@
             response,
             splitter,
             order: EventOrder::after(last),
+            event_count: 0,
             workload_guard,
             _brittle_send: brittle_send,
             daemon,
@@ -71,6 +73,11 @@
         self.order.last()
     }
 
+    /// Returns the number of events read.
+    pub fn event_count(&self) -> u32 {
+        self.event_count
+    }
+
     /// Returns the next complete events, or the end. Cancel-safe: no event is lost if the future is dropped.
     ///
     /// # Errors
@@ -91,6 +98,7 @@
                             }
                             break;
                         }
+                        self.event_count += 1;
                         out.extend_from_slice(&event.bytes);
                     }
                 }
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -43,6 +43,7 @@
 use crate::serve::part_suspects;
 use crate::serve::quotas;
 use crate::serve::restored_store::note_era;
+use crate::serve::share_slowdowns;
 use crate::serve::suspects;
 
 /// Delay after a failed receive.
@@ -170,6 +171,9 @@
             Payload::PromptParts(report) => {
                 part_suspects::merge_report(daemon, &report, &message.from);
             }
+            Payload::Slowdowns(report) => {
+                share_slowdowns::apply_report(daemon, &message.from, &report);
+            }
             Payload::Quota(content) => {
                 quotas::apply_message(daemon, &message.from, message.process, addr, content);
             }
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -81,6 +81,7 @@
     spawn_local(Rc::clone(&gossip).publish_digests());
     spawn_local(Rc::clone(&gossip).publish_demand());
     spawn_local(Rc::clone(&gossip).publish_quotas());
+    spawn_local(Rc::clone(&gossip).publish_slowdowns());
     spawn_local(peer_sync::sync_from_peers(Rc::clone(daemon)));
     spawn_local(peer_sync::sync_from_readers(Rc::clone(daemon)));
     spawn_local(Rc::clone(&lease).run());
--- a/lib/src/serve/near_best.rs
+++ b/lib/src/serve/near_best.rs
@@ -12,6 +12,8 @@
     pub cost: f64,
     /// Requests that it can take at once in addition to the known ones.
     pub free_slots: u32,
+    /// Preference for it among servers of the same cost and number of free slots; 1 for a usual one.
+    pub preference: f64,
 }
 
 /// A server whose weight is less than this fraction of the largest weight is excluded.
@@ -23,12 +25,12 @@
 ///
 /// `uncertainty_ms` is the possible error of the costs in milliseconds: a server that costs this much more
 /// than the best is chosen about a third as often. Servers of the same cost are chosen in proportion to their
-/// free slots. `draw` is a random number from 0 to 1.
+/// free slots and their preference. `draw` is a random number from 0 to 1.
 pub fn pick(candidates: &[Candidate], uncertainty_ms: f64, draw: f64) -> Option<usize> {
     let best = candidates.iter().map(|c| c.cost).min_by(f64::total_cmp)?;
     let weight = |c: &Candidate| {
         let slots = f64::from(c.free_slots).max(FULL_SERVER_SLOTS);
-        slots * (-(c.cost - best) / uncertainty_ms).exp()
+        slots * c.preference * (-(c.cost - best) / uncertainty_ms).exp()
     };
     let weights: Vec<f64> = candidates.iter().map(weight).collect();
     let min_weight = weights.iter().copied().fold(0.0, f64::max) * MIN_RELATIVE_WEIGHT;
--- a/lib/src/serve/placement_controller.rs
+++ b/lib/src/serve/placement_controller.rs
@@ -198,6 +198,7 @@
             demand: &demand,
             workloads: &workloads,
             run_times: &daemon.run_times,
+            slowdowns: &daemon.slowdowns,
             unreachable: avoided.chain(directory.suspended().cloned()).collect(),
             share,
             fetches_left: fetch_quota,
--- a/lib/src/serve/relay.rs
+++ b/lib/src/serve/relay.rs
@@ -139,6 +139,7 @@
     async fn relay_events(&mut self, stream: &mut EventStream, mut chunk: Bytes) -> RelayEnd {
         let gap_target = self.attempt.route.gap_target.unwrap_or(Duration::from_secs(1));
         loop {
+            self.attempt.events = stream.event_count();
             if !chunk.is_empty() && self.sender.send(Ok(chunk)).await.is_err() {
                 return RelayEnd::CallerLeft;
             }
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -54,6 +54,9 @@
         self.apply_brittleness(server, headers);
         if let Some(workload) = headers.workload {
             self.workloads.set_reported(server, now, workload);
+            if let Some(percent) = workload.slowdown_percent.filter(|percent| *percent > 0) {
+                self.slowdowns.record_told(server, f64::from(percent) / 100.0, now);
+            }
         }
         // Only a response with the server's signature shows that the server has no limit any more.
         let limit = match &headers.limit {
--- a/lib/tests/test_near_best.rs
+++ b/lib/tests/test_near_best.rs
@@ -45,6 +45,7 @@
         let candidate = |running: &u32| Candidate {
             cost: f64::from(*running) * RUNNING_COST_MS,
             free_slots: SLOTS.saturating_sub(*running),
+            preference: 1.0,
         };
         let list: Vec<Candidate> = known.iter().map(candidate).collect();
         let replica =
@@ -81,14 +82,14 @@
 #[test]
 fn near_first() {
     let cost_error = 4.0 * RUNNING_COST_MS;
-    let near = Candidate { cost: 0.0, free_slots: SLOTS };
-    let far = Candidate { cost: 30.0, free_slots: SLOTS };
+    let near = Candidate { cost: 0.0, free_slots: SLOTS, preference: 1.0 };
+    let far = Candidate { cost: 30.0, free_slots: SLOTS, preference: 1.0 };
     let picks = |list: &[Candidate]| {
         let draws = (0..1000).map(|n| (f64::from(n) + 0.5) / 1000.0);
         draws.filter(|draw| near_best::pick(list, cost_error, *draw) == Some(0)).count()
     };
     assert_eq!(picks(&[near, far]), 1000);
-    let full = Candidate { cost: 110.0, free_slots: 0 };
+    let full = Candidate { cost: 110.0, free_slots: 0, preference: 1.0 };
     assert_eq!(picks(&[full, far]), 0);
     assert_eq!(near_best::pick(&[], cost_error, 0.5), None);
 }
--- a/lib/tests/test_replicas.rs
+++ b/lib/tests/test_replicas.rs
@@ -103,3 +103,57 @@
     site.add_queued("rare", None);
     assert_eq!(load_of(&site.plan(), "rare").expect("plan loads the rare model").0, "e22");
 }
+
+/// Tells a site that work takes `slowdown` times the usual at an engine.
+fn slow_down(site: &Site, engine: &str, slowdown: f64) {
+    let server = site.engine_table.engines[engine].server.instance();
+    (0..20).for_each(|_| site.slowdowns.record_told(&server, slowdown, NOW));
+}
+
+/// Load: as many arrivals as two usual replicas serve, for a model whose two replicas are on engines that take 1.9 times the usual, where a third
+/// of the streams have pauses that are too long. Guards against counting them as two.
+#[test]
+fn slow_count_less() {
+    let mut site = Site::new(&["a", "b", "c", "d", "busy"].map(|n| (n, 70_000, 0)));
+    site.engine("e1", &["busy", "a"], &[]);
+    site.engine("e22", &["busy", "b"], &[]);
+    site.engine("e333", &["c", "d"], &["busy"]);
+    site.busy("busy", 1);
+    assert_eq!(load_of(&site.plan(), "busy"), None, "two usual replicas suffice");
+    slow_down(&site, "e1", 1.9);
+    slow_down(&site, "e22", 1.9);
+    slow_down(&site, "e333", 0.7);
+    assert_eq!(load_of(&site.plan(), "busy").expect("a third replica").0, "e333");
+}
+
+/// Guards against further replicas on engines that are no faster than those which a model has: they would take the place
+/// of models that callers may wait for, and change little.
+#[test]
+fn slower_not_added() {
+    let mut site = Site::new(&["a", "b", "c", "d", "busy"].map(|n| (n, 70_000, 0)));
+    site.engine("e1", &["busy", "a"], &[]);
+    site.engine("e22", &["busy", "b"], &[]);
+    site.engine("e333", &["c", "d"], &["busy"]);
+    site.busy("busy", 1);
+    slow_down(&site, "e1", 1.6);
+    slow_down(&site, "e22", 1.6);
+    slow_down(&site, "e333", 1.9);
+    assert_eq!(load_of(&site.plan(), "busy"), None);
+}
+
+/// Guards against a busy model being evicted from a fast engine rather than from a slow one that serves few of its
+/// requests.
+#[test]
+fn fast_replica_kept() {
+    let mut site = Site::new(&["a", "b", "c", "d", "rare"].map(|n| (n, 70_000, 0)));
+    for id in ["e1", "e22"] {
+        site.engine(id, &["a", "b"], &["rare"]);
+    }
+    site.engine("e333", &["a", "b"], &[]);
+    site.busy("a", 2);
+    site.busy("b", 2);
+    slow_down(&site, "e1", 0.8);
+    slow_down(&site, "e22", 1.2);
+    site.add_queued("rare", None);
+    assert_eq!(load_of(&site.plan(), "rare").expect("loaded").0, "e22");
+}
--- a/lib/tests/test_starts.rs
+++ b/lib/tests/test_starts.rs
@@ -281,7 +281,7 @@
     workloads.set_reported(
         &instance(FIRST),
         ms(0),
-        ReportedWorkload { running: 9, waiting: 3, slots: 8 },
+        ReportedWorkload { running: 9, waiting: 3, slots: 8, slowdown_percent: None },
     );
     assert_eq!(workloads.workload_at(&instance(FIRST), ms(100)).running, 12);
     assert_eq!(workloads.workload_at(&instance(SECOND), ms(100)), Workload::default());
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -18,6 +18,7 @@
 use comfreymux_lib::cluster::directory::Server;
 use comfreymux_lib::cluster::directory::WeightCopies;
 use comfreymux_lib::cluster::run_times::RunTimes;
+use comfreymux_lib::cluster::server_slowdowns::ServerSlowdowns;
 use comfreymux_lib::cluster::workloads::Workloads;
 use comfreymux_lib::cluster::workspaces::Workspaces;
 use comfreymux_lib::placement::demand::Demand;
@@ -48,6 +49,8 @@
     pub loads: Workloads,
     /// Number of fetches from the weight store that may start now.
     pub fetches_left: usize,
+    /// Slowdowns that engines told.
+    pub slowdowns: ServerSlowdowns,
     /// Numbers of concurrent fetches at full speed: proven so far, and the limit.
     pub share: StoreShare,
 }
@@ -82,6 +85,7 @@
             demand: Demand::default(),
             loads: Workloads::default(),
             fetches_left: 8,
+            slowdowns: ServerSlowdowns::default(),
             share: StoreShare { proven: 4, limit: 4 },
         }
     }
@@ -182,6 +186,7 @@
             engine_table: &self.engine_table,
             demand: &self.demand,
             workloads: &workloads,
+            slowdowns: &self.slowdowns,
             run_times: &RunTimes::default(),
             unreachable: Vec::new(),
             share: self.share,
