quotas: requests that can wait for tokens do, earliest deadline first

Cause: while a workspace asks for several times its quota, tokens went to requests in the order in which they arrived. A request with a goal of eight seconds was refused at once although tokens flow at the full rate, and came back some tens of milliseconds later to be refused again.

Ruled out: priorities. They say which request an engine runs first; on the site in question the requests that can wait have the lowest one and matter most to their owner. A cut-off by kind of request would need a setting for each route.

Change: a request names how long it can wait and still meet its goal. A home of the workspace grants at once if it can, else queues the request if it and all that are queued get their tokens in time (earliest deadline first), else refuses it at once. Homes share the rate by the demand of their data centres. A daemon repeats its request four times a second; a home that is silent is replaced, a request whose daemon is silent is dropped, a request whose caller left is withdrawn, and tokens that were granted to it meanwhile are returned. What cannot be kept any more is refused before its goal.

--- a/lib/src/cluster/quota_ledger.rs
+++ b/lib/src/cluster/quota_ledger.rs
@@ -8,6 +8,7 @@
 use crate::cluster::digest::ProcessId;
 use crate::cluster::quota_bucket::Bucket;
 use crate::cluster::quota_message::QuotaUsage;
+use crate::cluster::quota_queue::Supply;
 use crate::cluster::workspace::Tokens;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
@@ -90,6 +91,35 @@
     Exceeded(Duration),
 }
 
+/// What a home may grant of a quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaSupply {
+    /// Tokens in the bucket.
+    pub level: f64,
+    /// Fraction of the quota that is not reserved for silent daemons.
+    pub share: f64,
+    /// Fraction of that which corresponds to the demand of this home's data centre.
+    pub part: f64,
+}
+
+impl QuotaSupply {
+    /// Returns the tokens that the bucket must hold for a request.
+    pub fn needed(self, tokens: Tokens, bucket: Bucket) -> f64 {
+        needed(tokens, bucket, self.share)
+    }
+
+    /// Returns what this home may grant to waiting requests.
+    pub fn for_waiting(self, bucket: Bucket) -> Supply {
+        let rate = bucket.rate * self.share * self.part;
+        Supply { level: self.level * self.part, rate }
+    }
+}
+
+/// Returns the tokens that a bucket must hold for a request: at most what it can hold.
+fn needed(tokens: Tokens, bucket: Bucket, share: f64) -> f64 {
+    (tokens as f64).min(bucket.size * share)
+}
+
 /// The account of one workspace.
 ///
 /// Each ledger refills a bucket with the whole rate of the quota and takes from it what it grants and what other
@@ -169,17 +199,48 @@
     }
 
     fn take_share(&mut self, tokens: Tokens, bucket: Bucket, share: f64, now: Moment) -> Grant {
-        let needed = (tokens as f64).min(bucket.size * share);
+        let needed = needed(tokens, bucket, share);
         if self.level + f64::EPSILON >= needed {
-            self.level -= tokens as f64;
-            self.taken += tokens;
-            self.granted_at = Some(now);
+            self.grant(tokens, now);
             return Grant::Granted;
         }
+        Grant::Exceeded(self.refuse(needed, bucket.rate * share))
+    }
+
+    /// Takes tokens, whatever the bucket holds.
+    pub fn grant(&mut self, tokens: Tokens, now: Moment) {
+        self.level -= tokens as f64;
+        self.taken += tokens;
+        self.granted_at = Some(now);
+    }
+
+    /// Counts a refused request for which the bucket would have to hold `needed`, at `rate` tokens per second; returns
+    /// after what time its tokens will be there, behind those of the callers who were refused just before.
+    pub fn refuse(&mut self, needed: f64, rate: f64) -> Duration {
         let missing = needed - self.level + self.backlog;
         self.backlog += needed;
-        let wait = (missing / (bucket.rate * share)).min(MAX_RETRY_S);
-        Grant::Exceeded(Duration::from_secs_f64(wait))
+        Duration::from_secs_f64((missing / rate).clamp(0.0, MAX_RETRY_S))
+    }
+
+    /// Refills the bucket; returns what this home may grant.
+    ///
+    /// While all homes have requests that wait, each grants the part of the rate that corresponds to the demand of its
+    /// data centre.
+    pub fn supply(
+        &mut self,
+        bucket: Bucket,
+        own_demand: f64,
+        centre: &str,
+        now: Moment,
+    ) -> QuotaSupply {
+        let share = self.refill(bucket, own_demand, centre, now);
+        if share >= 1.0 {
+            self.record_reply(self.calm_demand, own_demand);
+        }
+        let total = self.total_demand(own_demand, centre, now);
+        let here = self.home_demand(own_demand, centre, now);
+        let part = if total > bucket.rate { (here / total).clamp(MIN_SHARE, 1.0) } else { 1.0 };
+        QuotaSupply { level: self.level, share, part }
     }
 
     /// Returns tokens that were granted to a request which did not run.
--- a/lib/src/cluster/quota_message.rs
+++ b/lib/src/cluster/quota_message.rs
@@ -1,9 +1,12 @@
 //! Messages that daemons exchange about the quotas of workspaces.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::cluster::quota_ledger::Grant;
 use crate::cluster::workspace::Quota;
 use crate::cluster::workspace::Tokens;
 
@@ -54,6 +57,14 @@
     pub total_demand: u32,
 }
 
+impl QuotaReply {
+    /// Returns whether the tokens are granted, or when they will be there.
+    pub fn grant(&self) -> Grant {
+        let wait = self.retry_ms.map(|ms| Duration::from_millis(ms.into()));
+        wait.map_or(Grant::Granted, Grant::Exceeded)
+    }
+}
+
 /// What a daemon knows of one workspace by itself. Totals count from the start of its process.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QuotaUsage {
@@ -84,4 +95,10 @@
     Return(WorkspaceId, Tokens),
     /// Reports the sender's usage.
     Usage(Vec<QuotaUsage>),
+    /// Requests tokens that may be granted later, within these milliseconds. Repeated while the request waits.
+    Wait(QuotaAsk, u32),
+    /// Says that a request waits; the answer follows.
+    Queued(AskId),
+    /// Withdraws a request whose caller left or that waited long enough. Its tokens are returned if they were granted.
+    Cancel(WorkspaceId, AskId),
 }
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -55,6 +55,7 @@
 pub mod progress;
 pub mod publish;
 pub mod quota_reports;
+mod quota_waits;
 pub mod quotas;
 pub mod random_source;
 pub mod relay;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -113,6 +113,8 @@
     pub events: u32,
     /// Reason why the last send failed.
     pub reason: &'static str,
+    /// Time spent waiting for tokens of the workspace's quota.
+    pub quota_wait: Duration,
     /// Time spent waiting for a model.
     pub model_wait: Duration,
     /// Trial of the request while it is a suspect; `None` once its outcome is recorded.
@@ -184,6 +186,7 @@
             running: 0,
             events: 0,
             reason: "",
+            quota_wait: Duration::ZERO,
             model_wait: Duration::ZERO,
             trial: None,
             unproven_since: None,
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -32,7 +32,7 @@
 /// Retry time given to a caller when no better estimate is available.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time reserved for the engine's first event after a wait for a model.
-const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
+pub(super) const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
 /// Longest usual time until the lease holder publishes its decision on a wait for a model, such as a load.
 const ORDER_TIME: Duration = Duration::from_millis(700);
 /// Delay before a request is sent again to engines that all refused it.
@@ -384,7 +384,7 @@
 }
 
 /// Returns the least time until the first event of a model or adapter that no engine is loading yet.
-fn min_delay(attempt: &Attempt, model_target: &ModelTarget) -> Duration {
+pub(super) fn min_delay(attempt: &Attempt, model_target: &ModelTarget) -> Duration {
     let spec = model_spec(attempt, model_target).filter(|_| model_target.adapter.is_none());
     spec.map_or(ORDER_TIME, |m| m.memory_load.min(m.disk_load).min(m.store_load) + FIRST_EVENT_TIME)
 }
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -277,7 +277,7 @@
         "running" => attempt.running, "events" => attempt.events,
         "status" => status.as_u16(), "verdict" => %attempt.verdict, "reason" => reason,
         "sends" => attempt.sends, "late" => attempt.is_late,
-        "queued_ms" => attempt.queue_wait.as_millis(), "waited_ms" => attempt.model_wait.as_millis(),
+        "quota_ms" => attempt.quota_wait.as_millis(), "queued_ms" => attempt.queue_wait.as_millis(), "waited_ms" => attempt.model_wait.as_millis(),
         "pause_ms" => attempt.max_pause.as_millis(), "first_ms" => first_event.map_or(-1, |t| ms(t) as i64),
         "ms" => ms(now), "left_ms" => attempt.deadline.saturating_sub(now).as_millis(),
         "config" => attempt.config.version);
--- a/lib/src/serve/quota_reports.rs
+++ b/lib/src/serve/quota_reports.rs
@@ -12,6 +12,7 @@
 use crate::cluster::quota_message::QuotaUsage;
 use crate::cluster::quota_message::WorkspaceId;
 use crate::serve::gossip::Gossip;
+use crate::serve::quota_waits;
 use crate::serve::quotas;
 
 /// Interval between reports of usage while a quota is nearly used up.
@@ -33,6 +34,7 @@
             sleep(SCARCE_INTERVAL).await;
             tick = tick.wrapping_add(1);
             self.send_usage(tick);
+            quota_waits::grant_waiting(&self.daemon);
             let (now, known) = (self.daemon.now(), &self.daemon.quotas);
             known.forget_answers(now);
             if tick.is_multiple_of(SWEEP_TICKS) {
--- a/lib/src/serve/quotas.rs
+++ b/lib/src/serve/quotas.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
 use crate::cluster::demand_meter::DemandMeter;
@@ -25,6 +24,8 @@
 use crate::cluster::quota_message::QuotaUsage;
 use crate::cluster::quota_message::WorkspaceId;
 use crate::cluster::quota_message::workspace_id;
+use crate::cluster::quota_queue::QueueKey;
+use crate::cluster::quota_queue::QuotaQueue;
 use crate::cluster::workspace::Quota;
 use crate::cluster::workspace::Tokens;
 use crate::cluster::workspace::Workspace;
@@ -35,6 +36,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::handle::OTHER_DAEMON_RETRY_AFTER;
 use crate::serve::handle::UNREADY_RETRY_AFTER;
+use crate::serve::quota_waits;
 use crate::serve::reply::Refusal;
 use crate::verdict::Verdict;
 
@@ -42,10 +44,6 @@
 pub const EXCEEDED_REASON: &str = "the quota of the workspace is used up";
 /// Reason for the refusal of a request whose quota cannot be checked.
 const UNCHECKED_REASON: &str = "the quota of the workspace cannot be checked here";
-/// Times after which a request for tokens is repeated, since datagrams may be lost. A home is silent if it has not
-/// answered after the last one.
-const ASK_TIMES: [Duration; 3] =
-    [Duration::from_millis(25), Duration::from_millis(30), Duration::from_millis(40)];
 /// Time for which a home that did not answer is not asked, at first and at most.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 const MAX_PAUSE: Duration = Duration::from_secs(4);
@@ -83,21 +81,39 @@
     pub(super) own: DemandMeter,
     /// Total of granted tokens that was last reported.
     pub(super) reported: Tokens,
+    /// Requests that wait for tokens here.
+    pub(super) queue: QuotaQueue,
 }
 
 /// What this daemon knows of the quotas of workspaces.
 #[derive(Debug, Default)]
 pub struct Quotas {
     pub(super) accounts: RefCell<HashMap<WorkspaceId, Account>>,
-    asks: RefCell<HashMap<AskId, oneshot::Sender<QuotaReply>>>,
+    pub(super) asks: RefCell<HashMap<AskId, PendingAsk>>,
     /// Answers of this daemon as a home.
-    answers: RefCell<HashMap<(ProcessId, AskId), (QuotaReply, Moment)>>,
+    pub(super) answers: RefCell<HashMap<QueueKey, HomeAnswer>>,
     unresponsive: RefCell<HashMap<DaemonId, Unresponsive>>,
-    last_id: Cell<AskId>,
+    asked: Cell<AskId>,
     /// Workspaces with metrics of their own.
     counted: RefCell<HashSet<WorkspaceName>>,
 }
 
+/// A request for tokens that this daemon has sent.
+#[derive(Debug)]
+pub(super) struct PendingAsk {
+    pub(super) sender: oneshot::Sender<QuotaReply>,
+    /// When the home last said that the request waits there.
+    pub(super) queued_at: Option<Moment>,
+}
+
+/// An answer that this daemon gave as a home.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HomeAnswer {
+    pub(super) reply: QuotaReply,
+    pub(super) tokens: Tokens,
+    pub(super) at: Moment,
+}
+
 /// The result of a request for tokens.
 struct Answer {
     grant: Grant,
@@ -108,7 +124,7 @@
 
 impl Quotas {
     /// Calls `f` with the account of a workspace, which is begun if there is none.
-    fn with_account<T>(
+    pub(super) fn with_account<T>(
         &self,
         workspace: WorkspaceId,
         bucket: Bucket,
@@ -121,6 +137,7 @@
             bucket,
             own: DemandMeter::default(),
             reported: 0,
+            queue: QuotaQueue::default(),
         });
         account.bucket = bucket;
         f(account)
@@ -135,11 +152,15 @@
         if counted.contains(workspace) { workspace } else { "other" }
     }
 
-    fn is_unresponsive(&self, home: &DaemonId, now: Moment) -> bool {
+    pub(super) fn is_unresponsive(&self, home: &DaemonId, now: Moment) -> bool {
         self.unresponsive.borrow().get(home).is_some_and(|known| now < known.until)
     }
 
-    fn record_unresponsive(&self, home: &DaemonId, now: Moment) {
+    pub(super) fn record_responsive(&self, home: &DaemonId) {
+        self.unresponsive.borrow_mut().remove(home);
+    }
+
+    pub(super) fn record_unresponsive(&self, home: &DaemonId, now: Moment) {
         let mut unresponsive = self.unresponsive.borrow_mut();
         let last = unresponsive.get(home).map_or(Duration::ZERO, |known| known.pause);
         let pause = (last * 2).clamp(MIN_PAUSE, MAX_PAUSE);
@@ -148,7 +169,7 @@
 
     /// Removes expired answers.
     pub(super) fn forget_answers(&self, now: Moment) {
-        self.answers.borrow_mut().retain(|_, (_, at)| now <= *at + ANSWER_RETENTION);
+        self.answers.borrow_mut().retain(|_, answer| now <= answer.at + ANSWER_RETENTION);
     }
 
     /// Removes expired reports of other daemons, and unused accounts.
@@ -156,15 +177,24 @@
         let mut accounts = self.accounts.borrow_mut();
         accounts.retain(|_, account| {
             account.ledger.sweep(now);
-            !account.ledger.is_idle(now) || account.own.rate(now) >= MIN_DEMAND
+            !account.ledger.is_idle(now)
+                || account.own.rate(now) >= MIN_DEMAND
+                || !account.queue.is_empty()
         });
         self.unresponsive.borrow_mut().retain(|_, known| now < known.until + MAX_PAUSE);
     }
 
-    fn record_reply(&self, reply: QuotaReply) {
+    /// Returns a number for the next request of this process. Those of its predecessors differ, whose answers may still
+    /// arrive.
+    fn next_id(&self, process: ProcessId) -> AskId {
+        self.asked.set(self.asked.get().wrapping_add(1));
+        self.asked.get().wrapping_add(process as AskId)
+    }
+
+    pub(super) fn record_reply(&self, reply: QuotaReply) {
         if let Some(ask) = self.asks.borrow_mut().remove(&reply.id) {
-            // The deadline may have passed while tokens were requested.
-            let _abandoned = ask.send(reply);
+            // The caller may have left at this moment.
+            let _abandoned = ask.sender.send(reply);
         }
     }
 }
@@ -181,7 +211,9 @@
         return Err(Refusal::not_run(UNCHECKED_REASON, UNREADY_RETRY_AFTER));
     }
     let tokens = attempt.tokens();
-    let answer = take(daemon, &workspace, quota, tokens).await;
+    let (asked_at, due) = (daemon.now(), quota_waits::due(daemon, attempt));
+    let answer = take(daemon, &workspace, quota, tokens, due).await;
+    attempt.quota_wait = daemon.now().saturating_sub(asked_at);
     let outcome = match (answer.grant, answer.is_alone) {
         (Grant::Granted, false) => "granted",
         (Grant::Granted, true) => "granted-alone",
@@ -197,6 +229,8 @@
     };
     slog::info!(daemon.log, "quota-refused"; "attempt" => attempt.id(),
         "workspace" => workspace.name.as_str(), "tokens" => tokens, "outcome" => outcome,
+        "could_wait_ms" => due.saturating_sub(asked_at).as_millis(),
+        "waited_ms" => attempt.quota_wait.as_millis(),
         "rate" => quota.rate as u64, "retry_ms" => wait.as_millis(),
         "home" => answer.home.map_or_else(|| "-".to_owned(), |addr| addr.to_string()));
     if answer.is_alone {
@@ -216,6 +250,7 @@
     workspace: &Workspace,
     quota: Quota,
     tokens: Tokens,
+    due: Moment,
 ) -> Answer {
     let id = workspace_id(&workspace.name);
     let settings = daemon.settings();
@@ -226,31 +261,29 @@
         account.own.add(tokens as f64, daemon.now());
         f64::midpoint(before, account.own.rate(daemon.now()))
     });
-    let homes = homes(daemon, id);
-    for (home, addr) in homes {
-        let Some(addr) = addr else {
-            let grant = take_here(daemon, id, bucket, tokens);
-            return Answer { grant, home: None, is_alone: false };
-        };
-        if daemon.quotas.is_unresponsive(&home, daemon.now()) {
+    for (home, addr) in homes(daemon, id) {
+        if addr.is_some() && daemon.quotas.is_unresponsive(&home, daemon.now()) {
             continue;
         }
         let ask = QuotaAsk {
-            id: daemon.quotas.last_id.get().wrapping_add(1),
+            id: daemon.quotas.next_id(daemon.process),
             workspace: id,
             tokens,
             demand: demand as u32,
             rate: quota.rate as f32,
             burst: quota.burst as f32,
         };
-        if let Some(reply) = ask_home(daemon, &home, addr, ask).await {
+        let reply = match addr {
+            None => Some(quota_waits::ask_here(daemon, &ask, bucket, due).await),
+            Some(addr) => quota_waits::ask_home(daemon, &home, addr, ask, due).await,
+        };
+        let Some(reply) = reply else { continue };
+        if addr.is_some() {
             daemon.quotas.with_account(id, bucket, daemon.now(), |account| {
                 account.ledger.record_reply(f64::from(reply.total_demand), demand);
             });
-            let wait = reply.retry_ms.map(|ms| Duration::from_millis(ms.into()));
-            let grant = wait.map_or(Grant::Granted, Grant::Exceeded);
-            return Answer { grant, home: Some(addr), is_alone: false };
         }
+        return Answer { grant: reply.grant(), home: addr, is_alone: false };
     }
     let (now, daemons) = (daemon.now(), daemon.peers.borrow().daemons());
     let grant = daemon.quotas.with_account(id, bucket, now, |account| {
@@ -271,38 +304,6 @@
     peers.quota_homes(id, &settings, &settings.centre, now)
 }
 
-/// Takes tokens from this daemon's own ledger, as a home.
-fn take_here(daemon: &DaemonState, id: WorkspaceId, bucket: Bucket, tokens: Tokens) -> Grant {
-    let (now, centre) = (daemon.now(), daemon.settings().centre.clone());
-    daemon.quotas.with_account(id, bucket, now, |account| {
-        let own = account.own.rate(now);
-        account.ledger.take(tokens, bucket, own, &centre, now)
-    })
-}
-
-/// Asks a home for tokens; `None` if it does not answer in time.
-async fn ask_home(
-    daemon: &DaemonState,
-    home: &DaemonId,
-    addr: SocketAddr,
-    ask: QuotaAsk,
-) -> Option<QuotaReply> {
-    daemon.quotas.last_id.set(ask.id);
-    let (sender, mut receiver) = oneshot::channel();
-    daemon.quotas.asks.borrow_mut().insert(ask.id, sender);
-    for time in ASK_TIMES {
-        send(daemon, addr, QuotaMessage::Ask(ask));
-        if let Ok(Ok(reply)) = timeout(time, &mut receiver).await {
-            daemon.quotas.unresponsive.borrow_mut().remove(home);
-            return Some(reply);
-        }
-    }
-    daemon.quotas.asks.borrow_mut().remove(&ask.id);
-    daemon.quotas.record_unresponsive(home, daemon.now());
-    slog::info!(daemon.log, "quota-home-silent"; "home" => %home, "addr" => %addr);
-    None
-}
-
 /// Sends a message on quotas to another daemon.
 pub(super) fn send(daemon: &DaemonState, addr: SocketAddr, message: QuotaMessage) {
     let bytes = daemon.encode_message(Payload::Quota(message));
@@ -322,7 +323,7 @@
     }
 }
 
-fn return_here(daemon: &DaemonState, workspace: WorkspaceId, tokens: Tokens) {
+pub(super) fn return_here(daemon: &DaemonState, workspace: WorkspaceId, tokens: Tokens) {
     if let Some(account) = daemon.quotas.accounts.borrow_mut().get_mut(&workspace) {
         account.ledger.give_back(tokens, account.bucket);
     }
@@ -338,8 +339,19 @@
 ) {
     match message {
         QuotaMessage::Ask(ask) => {
-            let reply = answer_ask(daemon, from, process, &ask);
-            send(daemon, addr, QuotaMessage::Reply(reply));
+            quota_waits::answer_ask(daemon, from, process, addr, &ask, None);
+        }
+        QuotaMessage::Wait(ask, wait_ms) => {
+            let wait = Duration::from_millis(wait_ms.into());
+            quota_waits::answer_ask(daemon, from, process, addr, &ask, Some(wait));
+        }
+        QuotaMessage::Queued(id) => {
+            if let Some(ask) = daemon.quotas.asks.borrow_mut().get_mut(&id) {
+                ask.queued_at = Some(daemon.now());
+            }
+        }
+        QuotaMessage::Cancel(workspace, id) => {
+            quota_waits::cancel(daemon, workspace, (process, id));
         }
         QuotaMessage::Reply(reply) => daemon.quotas.record_reply(reply),
         QuotaMessage::Return(workspace, tokens) => return_here(daemon, workspace, tokens),
@@ -352,36 +364,7 @@
     }
 }
 
-fn answer_ask(
-    daemon: &DaemonState,
-    from: &DaemonId,
-    process: ProcessId,
-    ask: &QuotaAsk,
-) -> QuotaReply {
-    if let Some((reply, _)) = daemon.quotas.answers.borrow().get(&(process, ask.id)) {
-        return *reply;
-    }
-    let (now, settings) = (daemon.now(), daemon.settings());
-    // The sender may know a later version of the configuration that adds the workspace.
-    let quota = known_quota(daemon, ask.workspace).unwrap_or(ask.quota());
-    let bucket = settings.quota_tolerance.bucket(quota);
-    let centre = &settings.centre;
-    let reply = daemon.quotas.with_account(ask.workspace, bucket, now, |account| {
-        let own = account.own.rate(now);
-        account.ledger.record_ask(from, process, centre, f64::from(ask.demand), now);
-        let grant = account.ledger.take(ask.tokens, bucket, own, centre, now);
-        let retry_ms = match grant {
-            Grant::Granted => None,
-            Grant::Exceeded(wait) => Some(wait.as_millis() as u32),
-        };
-        let total_demand = account.ledger.total_demand(own, centre, now) as u32;
-        QuotaReply { id: ask.id, workspace: ask.workspace, retry_ms, total_demand }
-    });
-    daemon.quotas.answers.borrow_mut().insert((process, ask.id), (reply, now));
-    reply
-}
-
-fn known_quota(daemon: &DaemonState, workspace: WorkspaceId) -> Option<Quota> {
+pub(super) fn known_quota(daemon: &DaemonState, workspace: WorkspaceId) -> Option<Quota> {
     daemon.config()?.workspaces.by_id(workspace)?.quota
 }
 
