servers: bytes without end that are no response end the connection

What callers saw, over real sockets: a server that sends informational responses or zeros of a chunk's length without end kept a daemon busy; another caller's booking waited 2.1 and 3.5 s (debug build), and a booking at such a server was answered after its deadline of five seconds. Noise, endless headers, bodies and events were bounded before.

Cause: the HTTP library skips such bytes as they come and reports nothing, so no limit on heads, bodies or events applied.

Change: a socket to a server counts what it reads since the last part of a response, and fails beyond 128 KiB.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -66,6 +66,7 @@
 pub mod server_connections;
 pub mod server_feedback;
 pub mod server_relay;
+pub mod server_socket;
 pub mod share_slowdowns;
 pub mod socket;
 pub mod store_calls;
--- a/lib/src/serve/event_stream.rs
+++ b/lib/src/serve/event_stream.rs
@@ -126,6 +126,7 @@
                     ));
                 }
                 Some(Ok(frame)) => {
+                    self.response.connection.meter().restart();
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
                     }
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -18,6 +18,9 @@
 use crate::serve::connector::ByteStream;
 use crate::serve::connector::Connector;
 use crate::serve::connector::TcpConnector;
+use crate::serve::server_socket::READ_BUFFER_BYTES;
+use crate::serve::server_socket::ReadMeter;
+use crate::serve::server_socket::ServerSocket;
 
 /// Time limit to connect: some round trips between data centres, and less than a latency goal.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -41,6 +44,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Counts what the server sends without a response.
+    meter: ReadMeter,
     server: ServerInstance,
     /// Whether a peer relays it. It carries one request only: the peer may stop at any time between two.
     is_relayed: bool,
@@ -51,6 +56,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    meter: ReadMeter,
     is_relayed: bool,
     expires_at: Instant,
 }
@@ -75,13 +81,17 @@
     ///
     /// Returns an error if the stream has already ended.
     async fn open(server: &ServerInstance, stream: Box<dyn ByteStream>) -> std::io::Result<Self> {
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let meter = ReadMeter::default();
+        let socket = ServerSocket::new(stream, meter.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(socket));
         let (sender, driver) = handshake.await.map_err(std::io::Error::other)?;
         spawn_local(async move {
             // The sender reports the end of the connection; a request that fails because of it logs the reason.
             let _result = driver.await;
         });
-        Ok(Self { sender, server: server.clone(), is_relayed: false, is_new: true })
+        Ok(Self { sender, meter, server: server.clone(), is_relayed: false, is_new: true })
     }
 
     /// Returns an HTTP connection over `stream`, which a peer relays to `server`.
@@ -106,6 +116,11 @@
         self.is_new
     }
 
+    /// Returns the meter of what the server sends.
+    pub fn meter(&self) -> &ReadMeter {
+        &self.meter
+    }
+
     /// Returns the sender for one request.
     pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
         &mut self.sender
@@ -124,10 +139,12 @@
         let connections = idle.get_mut(server)?;
         let now = Instant::now();
         while let Some(index) = connections.iter().rposition(|c| relayed || !c.is_relayed) {
-            let IdleConnection { sender, is_relayed, expires_at } = connections.remove(index);
+            let IdleConnection { sender, meter, is_relayed, expires_at } =
+                connections.remove(index);
             if now < expires_at && sender.is_ready() {
                 return Some(Connection {
                     sender,
+                    meter,
                     server: server.clone(),
                     is_relayed,
                     is_new: false,
@@ -201,10 +218,10 @@
     ///
     /// Returns an error if the connection has already ended.
     pub async fn add_idle(&self, connection: Connection) -> std::io::Result<()> {
-        let Connection { mut sender, server, is_relayed, .. } = connection;
+        let Connection { mut sender, meter, server, is_relayed, .. } = connection;
         sender.ready().await.map_err(std::io::Error::other)?;
         let expires_at = Instant::now() + DEFAULT_KEEP_ALIVE.mul_f64(KEEP_ALIVE_FRACTION);
-        let idle = IdleConnection { sender, is_relayed, expires_at };
+        let idle = IdleConnection { sender, meter, is_relayed, expires_at };
         self.idle.borrow_mut().entry(server).or_default().push(idle);
         Ok(())
     }
@@ -222,7 +239,8 @@
     /// The connection is reused only after its request has been written completely too, and if nothing followed
     /// the response: a server may respond before it has read the whole request.
     pub fn release(&self, connection: Connection, keep_alive: Option<Duration>) {
-        let Connection { mut sender, server, is_relayed, .. } = connection;
+        let Connection { mut sender, meter, server, is_relayed, .. } = connection;
+        meter.stop();
         if is_relayed || sender.is_closed() {
             return;
         }
@@ -239,7 +257,7 @@
             let mut idle = idle.borrow_mut();
             let connections = idle.entry(server).or_default();
             if connections.len() < MAX_IDLE_PER_SERVER {
-                connections.push(IdleConnection { sender, is_relayed, expires_at });
+                connections.push(IdleConnection { sender, meter, is_relayed, expires_at });
             }
         });
     }
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -158,6 +158,7 @@
     // If the pooled connection ended while it was idle, the request is returned unsent, and a new connection is tried.
     let mut tries = 0;
     let response = loop {
+        connection.meter().restart();
         match connection.sender().try_send_request(request).await {
             Ok(response) => break response,
             Err(mut error) => {
@@ -184,6 +185,7 @@
     if !connection.is_relayed() {
         daemon.server_paths.borrow_mut().record_response(&instance, daemon.now());
     }
+    connection.meter().restart();
     let (head, body) = response.into_parts();
     let headers = daemon.protocol.parse_response_headers(&head);
     // A refusal may lack the id.
@@ -236,6 +238,7 @@
         let frame = frame.map_err(|_error| {
             SendFailure::disconnected("the answer broke off", Disconnect::AfterHead)
         })?;
+        connection.meter().restart();
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
