quotas: homes grant more than their part while tokens accumulate

Cause: each home grants waiting requests its part of the rate, by the demand of its data centre as it was over eight seconds.

Change: while the bucket is a quarter full, waiting requests get tokens whatever the part.

--- a/lib/src/cluster/quota_ledger.rs
+++ b/lib/src/cluster/quota_ledger.rs
@@ -23,6 +23,8 @@
 const MIN_SHARE: f64 = 0.05;
 /// Fraction of the bucket below which the quota is scarce: counts are then exchanged more often.
 const SCARCE_LEVEL: f64 = 0.75;
+/// Fraction of the bucket from which homes grant tokens to waiting requests whatever their part of the rate.
+const AMPLE_LEVEL: f64 = 0.25;
 /// Least level of the bucket, in seconds of the rate: late reports may show that more was taken than there was.
 const MAX_DEBT_S: f64 = 4.0;
 /// Daemons that begin to count within this time of each other count as beginning together.
@@ -111,7 +113,8 @@
     /// Returns what this home may grant to waiting requests.
     pub fn for_waiting(self, bucket: Bucket) -> Supply {
         let rate = bucket.rate * self.share * self.part;
-        Supply { level: self.level * self.part, rate }
+        let is_ample = self.level >= bucket.size * AMPLE_LEVEL;
+        Supply { level: self.level * self.part, rate, is_ample }
     }
 }
 
--- a/lib/src/cluster/quota_queue.rs
+++ b/lib/src/cluster/quota_queue.rs
@@ -37,6 +37,8 @@
     pub level: f64,
     /// Tokens per second that it may grant from now on.
     pub rate: f64,
+    /// Whether tokens accumulate, so that it may grant more than its part: other homes use less of theirs.
+    pub is_ample: bool,
 }
 
 impl Supply {
@@ -103,9 +105,9 @@
         self.credited_at = now;
         let most = (supply.rate * CREDIT_TIME.as_secs_f64()).max(needed);
         self.credit = (self.credit + elapsed * supply.rate).min(most);
-        let is_granted = self.credit >= needed;
+        let is_granted = self.credit >= needed || supply.is_ample;
         if is_granted {
-            self.credit -= needed;
+            self.credit = (self.credit - needed).max(0.0);
         }
         is_granted
     }
--- a/lib/tests/test_quota_queue.rs
+++ b/lib/tests/test_quota_queue.rs
@@ -13,7 +13,7 @@
 use rstest::rstest;
 
 const NOW: Moment = Duration::from_secs(100);
-const SUPPLY: Supply = Supply { level: 0.0, rate: 1000.0 };
+const SUPPLY: Supply = Supply { level: 0.0, rate: 1000.0, is_ample: false };
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -102,7 +102,7 @@
 fn paced() {
     let list: Vec<_> = (0..20).map(|id| waiting(id, 100, 8000)).collect();
     let mut queue = queue_of(&list);
-    let supply = Supply { level: 1e6, rate: 1000.0 };
+    let supply = Supply { level: 1e6, ..SUPPLY };
     let mut count = 0;
     for at in (10..=1000).step_by(10) {
         while queue.pop(1e6, supply, NOW + ms(at)).is_some() {
@@ -118,7 +118,7 @@
 fn rate_falls() {
     let mut queue =
         queue_of(&[waiting(1, 400, 1000), waiting(2, 400, 1000), waiting(3, 400, 4000)]);
-    let slow = Supply { level: 0.0, rate: 500.0 };
+    let slow = Supply { rate: 500.0, ..SUPPLY };
     let hopeless = queue.remove_hopeless(slow, NOW);
     assert_eq!(hopeless.iter().map(|entry| entry.key.1).collect::<Vec<_>>(), [2]);
     assert_eq!(queue.len(), 2);
