quotas: requests that can wait and others each have their part of the rate

Cause: with one queue by deadline, requests that can wait reserved what flows until their deadlines.

They have the part of the rate that corresponds to their demand and what the others leave; urgent ones get what is there or are refused at once, as before.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -28,6 +28,7 @@
 pub mod quota_ledger;
 pub mod quota_message;
 pub mod quota_queue;
+pub mod quota_queues;
 pub mod rate_limit;
 pub mod rate_limits;
 pub mod rate_share;
--- a/lib/src/cluster/quota_queue.rs
+++ b/lib/src/cluster/quota_queue.rs
@@ -42,6 +42,12 @@
 }
 
 impl Supply {
+    /// Returns a part of it.
+    #[must_use]
+    pub fn part(self, part: f64) -> Self {
+        Self { level: self.level * part, rate: self.rate * part, ..self }
+    }
+
     /// Returns the tokens that it may have granted after `time`.
     fn after(self, time: Duration) -> f64 {
         self.level + self.rate * time.as_secs_f64()
@@ -92,8 +98,8 @@
     /// Returns whether a request may get its tokens before all waiting ones without making one of them late, and counts
     /// them if so.
     pub fn overtake(&mut self, needed: f64, due: Moment, supply: Supply, now: Moment) -> bool {
-        let Some(((first, _), _)) = self.waiting.first_key_value() else { return true };
-        if due > *first || !self.fits(needed, due, supply, now) {
+        let first = self.waiting.first_key_value().map(|((first, _), _)| *first);
+        if first.is_some_and(|first| due > first || !self.fits(needed, due, supply, now)) {
             return false;
         }
         self.take_credit(needed, supply, now)
--- a/lib/src/serve/quota_waits.rs
+++ b/lib/src/serve/quota_waits.rs
@@ -19,6 +19,7 @@
 use crate::cluster::quota_message::WorkspaceId;
 use crate::cluster::quota_queue::QueueKey;
 use crate::cluster::quota_queue::Waiting;
+use crate::cluster::quota_queues::Decision;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
 use crate::serve::attempt::Attempt;
@@ -42,22 +43,22 @@
 const HOME_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Part of a latency goal that is kept for the run of a request.
 const RUN_PART: f64 = 0.5;
-/// Shortest wait that is worth a place in the queue: the interval at which homes grant tokens to waiting requests.
+/// Shortest wait that a home is asked for, and time after the last moment in which its answer may arrive.
 const MIN_WAIT: Duration = Duration::from_millis(50);
 
 /// Returns until when a request can wait for tokens and still meet its latency goal; not later than now if it cannot.
 pub(super) fn due(daemon: &DaemonState, attempt: &Attempt) -> Moment {
+    let latest = daemon.latest_start(attempt.deadline);
     let goal = attempt.route.latency_goal;
     let run = goal.mul_f64(RUN_PART);
-    let Some(target) = attempt.model_target() else { return attempt.arrived + run };
+    let Some(target) = attempt.model_target() else { return (attempt.arrived + run).min(latest) };
     let choice =
         daemon.with_chooser(attempt.version(), |c| c.choose_engine(&target, &attempt.tried));
     let needed = match choice {
         EngineChoice::Server(chosen) => run.min(FIRST_EVENT_TIME) + chosen.queue_wait,
         EngineChoice::NotLoaded | EngineChoice::NoServer => min_delay(attempt, &target),
     };
-    let latest_start = daemon.latest_start(attempt.deadline);
-    (attempt.arrived + goal.saturating_sub(needed)).min(latest_start)
+    (attempt.arrived + goal.saturating_sub(needed)).min(latest)
 }
 
 /// The answer of a home to a request.
@@ -74,17 +75,16 @@
         let supply = self.ledger.supply(self.bucket, own, centre, now);
         let needed = supply.needed(ask.tokens, self.bucket);
         let for_waiting = supply.for_waiting(self.bucket);
-        let is_there = supply.level + f64::EPSILON >= needed;
-        if is_there && self.queue.overtake(needed, ask.due, for_waiting, now) {
-            self.ledger.grant(ask.tokens, now);
-            return Offer::Granted;
-        }
-        let can_wait = ask.due >= now + MIN_WAIT && !self.queue.is_full();
-        if can_wait && self.queue.fits(needed, ask.due, for_waiting, now) {
-            self.queue.push(Waiting { needed, ..ask });
-            return Offer::Queued;
+        match self.queues.offer(Waiting { needed, ..ask }, supply.level, for_waiting, now) {
+            Decision::Granted => {
+                self.ledger.grant(ask.tokens, now);
+                Offer::Granted
+            }
+            Decision::Queued => Offer::Queued,
+            Decision::Refused => {
+                Offer::Exceeded(self.ledger.refuse(needed, self.bucket.rate * supply.share))
+            }
         }
-        Offer::Exceeded(self.ledger.refuse(needed, self.bucket.rate * supply.share))
     }
 
     /// Grants tokens to waiting requests that are next, and refuses those that cannot get them in time any more.
@@ -94,12 +94,12 @@
         loop {
             let supply = self.ledger.supply(self.bucket, own, centre, now);
             let for_waiting = supply.for_waiting(self.bucket);
-            if let Some(next) = self.queue.pop(supply.level, for_waiting, now) {
+            if let Some(next) = self.queues.pop(supply.level, for_waiting, now) {
                 self.ledger.grant(next.tokens, now);
                 decided.push((next, Grant::Granted));
                 continue;
             }
-            for waiting in self.queue.remove_hopeless(for_waiting, now) {
+            for waiting in self.queues.remove_hopeless(for_waiting, now) {
                 let retry = self.ledger.refuse(waiting.needed, self.bucket.rate * supply.share);
                 decided.push((waiting, Grant::Exceeded(retry)));
             }
@@ -113,7 +113,7 @@
     let (now, centre) = (daemon.now(), daemon.settings().centre.clone());
     let mut decided = Vec::new();
     for (id, account) in daemon.quotas.accounts.borrow_mut().iter_mut() {
-        if account.queue.is_empty() {
+        if account.queues.is_empty() {
             continue;
         }
         let total = account.ledger.total_demand(account.own.rate(now), &centre, now);
@@ -180,7 +180,7 @@
     let is_queued = daemon.quotas.with_account(ask.workspace, bucket, now, |account| {
         let (centre, demand) = (&settings.centre, f64::from(ask.demand));
         account.ledger.record_ask(from, process, centre, demand, now);
-        account.queue.renew(key, now)
+        account.queues.renew(key, now)
     });
     let waiting = Waiting {
         key,
@@ -206,7 +206,7 @@
 /// Withdraws a request of another daemon, whose tokens nobody will use.
 pub(super) fn cancel(daemon: &DaemonState, workspace: WorkspaceId, key: QueueKey) {
     if let Some(account) = daemon.quotas.accounts.borrow_mut().get_mut(&workspace) {
-        account.queue.remove(key);
+        account.queues.remove(key);
     }
     let mut answers = daemon.quotas.answers.borrow_mut();
     let Some(answer) = answers.get_mut(&key) else { return };
--- a/lib/src/serve/quotas.rs
+++ b/lib/src/serve/quotas.rs
@@ -25,7 +25,7 @@
 use crate::cluster::quota_message::WorkspaceId;
 use crate::cluster::quota_message::workspace_id;
 use crate::cluster::quota_queue::QueueKey;
-use crate::cluster::quota_queue::QuotaQueue;
+use crate::cluster::quota_queues::QuotaQueues;
 use crate::cluster::workspace::Quota;
 use crate::cluster::workspace::Tokens;
 use crate::cluster::workspace::Workspace;
@@ -82,7 +82,7 @@
     /// Total of granted tokens that was last reported.
     pub(super) reported: Tokens,
     /// Requests that wait for tokens here.
-    pub(super) queue: QuotaQueue,
+    pub(super) queues: QuotaQueues,
 }
 
 /// What this daemon knows of the quotas of workspaces.
@@ -137,7 +137,7 @@
             bucket,
             own: DemandMeter::default(),
             reported: 0,
-            queue: QuotaQueue::default(),
+            queues: QuotaQueues::default(),
         });
         account.bucket = bucket;
         f(account)
@@ -179,7 +179,7 @@
             account.ledger.sweep(now);
             !account.ledger.is_idle(now)
                 || account.own.rate(now) >= MIN_DEMAND
-                || !account.queue.is_empty()
+                || !account.queues.is_empty()
         });
         self.unresponsive.borrow_mut().retain(|_, known| now < known.until + MAX_PAUSE);
     }
