settings: bounds of slowdowns and of waits for tokens; what a slowdown changed is in the logs

Operators see each server's slowdown when it changes by a third (server-slowdown: by this daemon's reports and by all), and what was expected of the server of each request. comfreymux.max_slowdown bounds what is believed of servers (1 takes all for alike), comfreymux.max_quota_wait_s bounds waits for tokens (0: none).

--- a/lib/src/cluster/server_slowdowns.rs
+++ b/lib/src/cluster/server_slowdowns.rs
@@ -4,6 +4,7 @@
 //! daemon of a large fleet sends each server one request in a minute or none, so that daemons share what they were told.
 //! Reports hold state rather than changes: one that is lost or repeated changes nothing in the end.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -24,6 +25,9 @@
 /// servers.
 const RETENTION: Duration = Duration::from_mins(2);
 
+/// Factor by which an estimate must change to be shown to operators.
+const SHOWN_FACTOR: f64 = 1.3;
+
 /// Who reported a row.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum SlowdownSource {
@@ -35,9 +39,17 @@
     Fleet,
 }
 
+/// What a server told this daemon.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnEstimate {
+    dated: DatedEstimate,
+    /// The expected slowdown that was last shown to operators.
+    shown: Option<f64>,
+}
+
 #[derive(Debug, Default)]
 struct Tables {
-    own: BTreeMap<ServerKey, DatedEstimate>,
+    own: BTreeMap<ServerKey, OwnEstimate>,
     received: BTreeMap<SlowdownSource, HashMap<ServerKey, DatedEstimate>>,
     /// The key up to which rows were last reported, so that the next report goes on after it.
     reported_to: ServerKey,
@@ -45,7 +57,7 @@
 
 impl Tables {
     fn own_at(&self, key: ServerKey, now: Moment) -> SlowdownEstimate {
-        self.own.get(&key).map(|known| known.at(now)).unwrap_or_default()
+        self.own.get(&key).map(|known| known.dated.at(now)).unwrap_or_default()
     }
 
     fn received_at(
@@ -111,16 +123,40 @@
 #[derive(Debug, Default)]
 pub struct ServerSlowdowns {
     tables: RefCell<Tables>,
+    /// Bound of what is expected of a server; at least 1, or 0 for no bound.
+    limit: Cell<f64>,
 }
 
 impl ServerSlowdowns {
-    /// Records the slowdown that a server told in a response.
-    pub fn record_told(&self, server: &ServerInstance, slowdown: f64, now: Moment) {
+    /// Sets how many times the usual time, or how small a part of it, work is expected to take at most.
+    pub fn set_limit(&self, limit: f64) {
+        self.limit.set(limit);
+    }
+
+    /// Returns whether all servers are taken for alike.
+    pub fn is_unused(&self) -> bool {
+        (1.0..=1.0).contains(&self.limit.get()) || self.is_empty()
+    }
+
+    /// Records the slowdown that a server told in a response. Returns the estimate if it differs from the one that was
+    /// last returned so much that operators should know.
+    pub fn record_told(
+        &self,
+        server: &ServerInstance,
+        slowdown: f64,
+        now: Moment,
+    ) -> Option<SlowdownEstimate> {
         let mut tables = self.tables.borrow_mut();
         let known = tables.own.entry(server_key(server)).or_default();
-        let mut estimate = known.at(now);
+        let mut estimate = known.dated.at(now);
         estimate.record(slowdown);
-        *known = DatedEstimate { estimate, at: now };
+        known.dated = DatedEstimate { estimate, at: now };
+        let change = estimate.expected() / known.shown.unwrap_or(1.0);
+        let is_change = !(1.0 / SHOWN_FACTOR..SHOWN_FACTOR).contains(&change);
+        is_change.then(|| {
+            known.shown = Some(estimate.expected());
+            estimate
+        })
     }
 
     /// Records rows that another daemon reported. They replace its earlier rows for these servers.
@@ -143,7 +179,9 @@
         if tables.own.is_empty() && tables.received.is_empty() {
             return 1.0;
         }
-        tables.fleet_at(server_key(server), now).expected()
+        let expected = tables.fleet_at(server_key(server), now).expected();
+        let limit = self.limit.get();
+        if limit < 1.0 { expected } else { expected.clamp(1.0 / limit, limit) }
     }
 
     /// Returns whether there is nothing to report.
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -109,6 +109,8 @@
     pub candidate_count: usize,
     /// Known requests in progress at the server of the last send, when it was chosen.
     pub running: u32,
+    /// How many times the usual time work was expected to take there.
+    pub slowdown: f64,
     /// Number of events received from the server of the last send.
     pub events: u32,
     /// Reason why the last send failed.
@@ -184,6 +186,7 @@
             cost: 0.0,
             candidate_count: 0,
             running: 0,
+            slowdown: 1.0,
             events: 0,
             reason: "",
             quota_wait: Duration::ZERO,
@@ -359,6 +362,7 @@
         self.cost = chosen.cost;
         self.candidate_count = chosen.candidate_count;
         self.running = chosen.running;
+        self.slowdown = chosen.slowdown;
         self.events = 0;
         self.assign_trial();
     }
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -94,6 +94,8 @@
     pub candidate_count: usize,
     /// Known requests in progress there.
     pub running: u32,
+    /// How many times the usual time work is expected to take there.
+    pub slowdown: f64,
     /// Expected wait for a slot there; zero unless `choose_engine` chose the server.
     pub queue_wait: Duration,
 }
@@ -145,7 +147,7 @@
 
     /// Returns the cost of pauses between events, which grow with the slowdown; zero while no server tells its own.
     fn pause_cost(&self, server: &Server, work: Workload) -> f64 {
-        if self.slowdowns.is_empty() {
+        if self.slowdowns.is_unused() {
             return 0.0;
         }
         let streams = 1.0 + f64::from(work.running.min(server.slots)) * PAUSES_PER_STREAM;
@@ -156,7 +158,7 @@
     /// begun or ended since their last reports.
     fn engine_cost_error(&self) -> f64 {
         let pauses =
-            if self.slowdowns.is_empty() { 0.0 } else { PAUSE_COST_MS * PAUSES_PER_STREAM };
+            if self.slowdowns.is_unused() { 0.0 } else { PAUSE_COST_MS * PAUSES_PER_STREAM };
         self.load_uncertainty * (RUNNING_COST_MS + pauses)
     }
 
@@ -353,7 +355,7 @@
         let server = Rc::clone(list[index]);
         let (cost, candidate_count) = (candidates[index].cost, list.len());
         let running = self.workloads.workload_at(&server.instance(), self.now).running;
-        let queue_wait = Duration::ZERO;
-        Some(ChosenServer { server, cost, candidate_count, running, queue_wait })
+        let (slowdown, queue_wait) = (self.slowdown(&server), Duration::ZERO);
+        Some(ChosenServer { server, cost, candidate_count, running, slowdown, queue_wait })
     }
 }
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -230,6 +230,8 @@
             settings.apart,
             bid_delay,
         );
+        let slowdowns = ServerSlowdowns::default();
+        slowdowns.set_limit(settings.max_slowdown);
         Rc::new(Self {
             retry_budgets: RefCell::new(RetryBudgets::new(settings.budget, clock.now())),
             settings: RefCell::new(Rc::new(settings)),
@@ -245,7 +247,7 @@
             workloads: Workloads::default(),
             health: RefCell::default(),
             run_times: RunTimes::default(),
-            slowdowns: ServerSlowdowns::default(),
+            slowdowns,
             rate_limits: RefCell::default(),
             brittle_servers: BrittleServers::default(),
             server_paths: RefCell::default(),
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -274,7 +274,7 @@
         "resumes" => attempt.caller_headers.resumes.as_deref().unwrap_or("-"),
         "after" => attempt.caller_headers.last_event.unwrap_or(0),
         "among" => attempt.candidate_count, "cost_ms" => attempt.cost.round() as i64,
-        "running" => attempt.running, "events" => attempt.events,
+        "running" => attempt.running, "slowdown" => format_args!("{:.2}", attempt.slowdown), "events" => attempt.events,
         "status" => status.as_u16(), "verdict" => %attempt.verdict, "reason" => reason,
         "sends" => attempt.sends, "late" => attempt.is_late,
         "quota_ms" => attempt.quota_wait.as_millis(), "queued_ms" => attempt.queue_wait.as_millis(), "waited_ms" => attempt.model_wait.as_millis(),
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -126,6 +126,7 @@
             slog::info!(daemon.log, "reload"; "cause" => cause, "changed" => true,
                 "settings" => ?settings);
             daemon.retry_budgets.borrow_mut().set_limits(settings.budget);
+            daemon.slowdowns.set_limit(settings.max_slowdown);
             *daemon.settings.borrow_mut() = Rc::new(settings);
         }
         Err(error) => {
--- a/lib/src/serve/quota_waits.rs
+++ b/lib/src/serve/quota_waits.rs
@@ -48,7 +48,9 @@
 
 /// Returns until when a request can wait for tokens and still meet its latency goal; not later than now if it cannot.
 pub(super) fn due(daemon: &DaemonState, attempt: &Attempt) -> Moment {
-    let latest = daemon.latest_start(attempt.deadline);
+    let latest = daemon
+        .latest_start(attempt.deadline)
+        .min(attempt.arrived + daemon.settings().max_quota_wait);
     let goal = attempt.route.latency_goal;
     let run = goal.mul_f64(RUN_PART);
     let Some(target) = attempt.model_target() else { return (attempt.arrived + run).min(latest) };
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -55,7 +55,7 @@
         if let Some(workload) = headers.workload {
             self.workloads.set_reported(server, now, workload);
             if let Some(percent) = workload.slowdown_percent.filter(|percent| *percent > 0) {
-                self.slowdowns.record_told(server, f64::from(percent) / 100.0, now);
+                self.record_slowdown(server, f64::from(percent) / 100.0);
             }
         }
         // Only a response with the server's signature shows that the server has no limit any more.
@@ -77,6 +77,16 @@
         }
     }
 
+    fn record_slowdown(&self, server: &ServerInstance, slowdown: f64) {
+        let now = self.now();
+        let Some(own) = self.slowdowns.record_told(server, slowdown, now) else { return };
+        let all = self.slowdowns.estimate(server, now);
+        slog::info!(self.log, "server-slowdown"; "server" => %server,
+            "own" => format_args!("{:.2}", own.mean()), "own_reports" => own.weight().round(),
+            "all" => format_args!("{:.2}", all.mean()), "all_reports" => all.weight().round(),
+            "expected" => format_args!("{:.2}", self.slowdowns.expected(server, now)));
+    }
+
     /// Applies a server's announcement that it is leaving, and the rest that it asks for.
     pub fn apply_notices(&self, server: &ServerInstance, headers: &ResponseHeaders) {
         self.apply_rest(server, &headers.rest);
--- a/lib/tests/test_replicas.rs
+++ b/lib/tests/test_replicas.rs
@@ -107,7 +107,9 @@
 /// Tells a site that work takes `slowdown` times the usual at an engine.
 fn slow_down(site: &Site, engine: &str, slowdown: f64) {
     let server = site.engine_table.engines[engine].server.instance();
-    (0..20).for_each(|_| site.slowdowns.record_told(&server, slowdown, NOW));
+    for _ in 0..20 {
+        site.slowdowns.record_told(&server, slowdown, NOW);
+    }
 }
 
 /// Load: as many arrivals as two usual replicas serve, for a model whose two replicas are on engines that take 1.9 times the usual, where a third
--- a/lib/tests/test_server_slowdowns.rs
+++ b/lib/tests/test_server_slowdowns.rs
@@ -60,6 +60,30 @@
     assert!(swapped <= 50, "{swapped} of 1000 times the slow server looked faster");
 }
 
+/// Guards against operators being unable to bound what servers tell, or to take all servers for alike.
+#[rstest]
+#[case::bounded(2.0, 2.0)]
+#[case::alike(1.0, 1.0)]
+fn limit_set(#[case] limit: f64, #[case] most: f64) {
+    let known = ServerSlowdowns::default();
+    known.set_limit(limit);
+    for _ in 0..50 {
+        known.record_told(&server(1), 6.0, NOW);
+    }
+    assert!((known.expected(&server(1), NOW) - most).abs() < 0.001);
+}
+
+/// Guards against a log line for each response: operators are shown an estimate when it has changed.
+#[test]
+fn shown_on_change() {
+    let known = ServerSlowdowns::default();
+    let told = |slowdown| known.record_told(&server(1), slowdown, NOW).is_some();
+    let shown = (0..50).filter(|_| told(1.6)).count();
+    assert_eq!(shown, 1);
+    let shown = (0..200).filter(|_| told(0.6)).count();
+    assert!((1..=4).contains(&shown), "{shown} lines for one change");
+}
+
 /// Guards against an absurd report moving an estimate further than the bound of a single one.
 #[rstest]
 #[case::zero(0.0)]
@@ -127,7 +151,9 @@
 #[test]
 fn rows_in_turn() {
     let known = ServerSlowdowns::default();
-    (0..300).for_each(|n| known.record_told(&server(n), 1.0, NOW));
+    for n in 0..300 {
+        known.record_told(&server(n), 1.0, NOW);
+    }
     let mut seen = HashSet::new();
     for _ in 0..3 {
         seen.extend(known.own_rows(ROWS, NOW).into_iter().map(|row| row.server));
@@ -143,7 +169,9 @@
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let known = ServerSlowdowns::default();
     for n in 0..ENGINES {
-        (0..6).for_each(|_| known.record_told(&server(n), told(n, &mut rng), NOW));
+        for _ in 0..6 {
+            known.record_told(&server(n), told(n, &mut rng), NOW);
+        }
     }
     let candidate = |n| Candidate {
         cost: 0.0,
