slowdowns: a choice computes each candidate's slowdown once

Cause: the cost and the preference of a candidate each asked for its slowdown, which summed the reports of all sources: at a reader, of each daemon of its data centre.

Change: the slowdown is computed once a candidate, and used again for a second while nothing new is heard of the server.

--- a/lib/src/cluster/server_slowdowns.rs
+++ b/lib/src/cluster/server_slowdowns.rs
@@ -25,6 +25,8 @@
 /// servers.
 const RETENTION: Duration = Duration::from_mins(2);
 
+/// Time for which an expected slowdown is used again, while nothing new is heard of the server: its weight hardly changes.
+const CACHE_TIME: Duration = Duration::from_secs(1);
 /// Factor by which an estimate must change to be shown to operators.
 const SHOWN_FACTOR: f64 = 1.3;
 
@@ -53,6 +55,8 @@
     received: BTreeMap<SlowdownSource, HashMap<ServerKey, DatedEstimate>>,
     /// The key up to which rows were last reported, so that the next report goes on after it.
     reported_to: ServerKey,
+    /// Expected slowdowns, and when they were computed: each choice needs those of all candidates.
+    cached: HashMap<ServerKey, (Moment, f64)>,
 }
 
 impl Tables {
@@ -147,6 +151,7 @@
         now: Moment,
     ) -> Option<SlowdownEstimate> {
         let mut tables = self.tables.borrow_mut();
+        tables.cached.remove(&server_key(server));
         let known = tables.own.entry(server_key(server)).or_default();
         let mut estimate = known.dated.at(now);
         estimate.record(slowdown);
@@ -162,6 +167,9 @@
     /// Records rows that another daemon reported. They replace its earlier rows for these servers.
     pub fn record_report(&self, source: SlowdownSource, rows: &[SlowdownRow], now: Moment) {
         let mut tables = self.tables.borrow_mut();
+        for row in rows {
+            tables.cached.remove(&row.server);
+        }
         let table = tables.received.entry(source).or_default();
         for row in rows {
             table.insert(row.server, DatedEstimate { estimate: (*row).into(), at: now });
@@ -175,11 +183,19 @@
 
     /// Returns how many times the usual time work is expected to take at a server; 1 if nothing is known.
     pub fn expected(&self, server: &ServerInstance, now: Moment) -> f64 {
-        let tables = self.tables.borrow();
+        let mut tables = self.tables.borrow_mut();
         if tables.own.is_empty() && tables.received.is_empty() {
             return 1.0;
         }
-        let expected = tables.fleet_at(server_key(server), now).expected();
+        let key = server_key(server);
+        let cached = tables.cached.get(&key).filter(|(at, _)| now < *at + CACHE_TIME);
+        let expected = if let Some((_, expected)) = cached {
+            *expected
+        } else {
+            let expected = tables.fleet_at(key, now).expected();
+            tables.cached.insert(key, (now, expected));
+            expected
+        };
         let limit = self.limit.get();
         if limit < 1.0 { expected } else { expected.clamp(1.0 / limit, limit) }
     }
@@ -219,6 +235,7 @@
         }
         let known: HashSet<ServerKey> = known.map(server_key).collect();
         tables.own.retain(|key, _| known.contains(key));
+        tables.cached.retain(|key, _| known.contains(key));
         for table in tables.received.values_mut() {
             table.retain(|key, row| known.contains(key) && now <= row.at + RETENTION);
         }
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -114,44 +114,44 @@
 impl Chooser<'_> {
     /// Chooses a server of a plain service, other than those in `tried`.
     pub fn choose_plain(&self, service: &str, tried: &[ServerInstance]) -> Option<ChosenServer> {
-        let cost = |s: &Server, w| self.plain_cost(s, w);
+        let cost = |s: &Server, w, slowdown| self.plain_cost(s, w, slowdown);
         self.choose(service, tried, |_| true, cost, PLAIN_COST_ERROR_MS)
     }
 
-    fn plain_cost(&self, server: &Server, work: Workload) -> f64 {
+    fn plain_cost(&self, server: &Server, work: Workload, slowdown: f64) -> f64 {
         let excess = (work.running + 1).saturating_sub(server.slots);
         let usual =
             f64::from(work.running) * PLAIN_RUNNING_COST_MS + f64::from(excess) * PLAIN_RUN_MS;
-        usual * self.slowdown(server) + self.centre_cost(server, PLAIN_REMOTE_CENTRE_COST_MS)
+        usual * slowdown + self.centre_cost(server, PLAIN_REMOTE_CENTRE_COST_MS)
     }
 
-    fn engine_cost(&self, server: &Server, work: Workload) -> f64 {
+    fn engine_cost(&self, server: &Server, work: Workload, slowdown: f64) -> f64 {
         let occupancy = f64::from(work.running) / f64::from(server.slots.max(1));
         // The prompt of a queued request is processed once it has a slot.
         let running_share = (1.0 / occupancy).min(1.0);
         let usual = f64::from(work.running.min(server.slots)) * RUNNING_COST_MS
             + f64::from(work.prompt_tokens) * running_share / PROMPT_TOKENS_PER_MS
             + OCCUPANCY_COST_MS * occupancy.min(1.0).powi(OCCUPANCY_EXPONENT);
-        usual * self.slowdown(server)
-            + self.pause_cost(server, work)
-            + self.queue_wait(server, work).as_secs_f64() * 1000.0
+        usual * slowdown
+            + self.pause_cost(server, work, slowdown)
+            + self.queue_wait(server, work, slowdown).as_secs_f64() * 1000.0
             + self.centre_cost(server, REMOTE_CENTRE_COST_MS)
     }
 
     /// Returns the expected wait for a slot at an engine, whose slots become free one after the other.
-    fn queue_wait(&self, server: &Server, work: Workload) -> Duration {
+    fn queue_wait(&self, server: &Server, work: Workload, slowdown: f64) -> Duration {
         let ahead = (work.running + 1).saturating_sub(server.slots);
         let time = self.run_times.mean(&server.service) * ahead / server.slots.max(1);
-        time.mul_f64(self.slowdown(server))
+        time.mul_f64(slowdown)
     }
 
     /// Returns the cost of pauses between events, which grow with the slowdown; zero while no server tells its own.
-    fn pause_cost(&self, server: &Server, work: Workload) -> f64 {
+    fn pause_cost(&self, server: &Server, work: Workload, slowdown: f64) -> f64 {
         if self.slowdowns.is_unused() {
             return 0.0;
         }
         let streams = 1.0 + f64::from(work.running.min(server.slots)) * PAUSES_PER_STREAM;
-        PAUSE_COST_MS * self.slowdown(server).powi(2) * streams
+        PAUSE_COST_MS * slowdown.powi(2) * streams
     }
 
     /// Returns the possible error in milliseconds of the cost of an engine: that of requests there which peers may have
@@ -179,11 +179,11 @@
             !self.health.is_unreachable(&s.instance(), self.now)
                 && self.inventories.holds(s, &model_target.model, model_target.adapter.as_deref())
         };
-        let cost = |s: &Server, w| self.engine_cost(s, w);
+        let cost = |s: &Server, w, slowdown| self.engine_cost(s, w, slowdown);
         match self.choose(&model_target.service, tried, holds, cost, self.engine_cost_error()) {
             Some(chosen) => {
                 let work = self.workloads.workload_at(&chosen.server.instance(), self.now);
-                let queue_wait = self.queue_wait(&chosen.server, work);
+                let queue_wait = self.queue_wait(&chosen.server, work, chosen.slowdown);
                 EngineChoice::Server(ChosenServer { queue_wait, ..chosen })
             }
             None if self.has_server(&model_target.service) => EngineChoice::NotLoaded,
@@ -237,10 +237,10 @@
                 && self.workloads.workload_at(&s.instance(), self.now).running < s.slots
         };
         if model_target.is_some() {
-            let cost = |s: &Server, w| self.engine_cost(s, w);
+            let cost = |s: &Server, w, slowdown| self.engine_cost(s, w, slowdown);
             return self.choose(service, tried, is_available, cost, self.engine_cost_error());
         }
-        let cost = |s: &Server, w| self.plain_cost(s, w);
+        let cost = |s: &Server, w, slowdown| self.plain_cost(s, w, slowdown);
         self.choose(service, tried, is_available, cost, PLAIN_COST_ERROR_MS)
     }
 
@@ -328,7 +328,7 @@
         service: &str,
         tried: &[ServerInstance],
         is_suitable: impl Fn(&Server) -> bool,
-        cost: impl Fn(&Server, Workload) -> f64,
+        cost: impl Fn(&Server, Workload, f64) -> f64,
         cost_error: f64,
     ) -> Option<ChosenServer> {
         let usable: Vec<&Rc<Server>> = self
@@ -344,10 +344,11 @@
         let list = self.prefer_unlimited(if healthy.is_empty() { usable } else { healthy });
         let candidate = |s: &&Rc<Server>| {
             let work = self.workloads.workload_at(&s.instance(), self.now);
+            let slowdown = self.slowdown(s);
             Candidate {
-                cost: cost(s, work),
+                cost: cost(s, work, slowdown),
                 free_slots: s.slots.saturating_sub(work.running),
-                preference: preference(self.slowdown(s)),
+                preference: preference(slowdown),
             }
         };
         let candidates: Vec<Candidate> = list.iter().map(candidate).collect();
