quotas: nothing is estimated for waits that operators do not allow

A request of a workspace with a quota chose an engine to estimate how long it could wait, also where none may wait. The estimate is made only where comfreymux.max_quota_wait_s is set.

--- a/lib/src/serve/quota_waits.rs
+++ b/lib/src/serve/quota_waits.rs
@@ -48,9 +48,11 @@
 
 /// Returns until when a request can wait for tokens and still meet its latency goal; not later than now if it cannot.
 pub(super) fn due(daemon: &DaemonState, attempt: &Attempt) -> Moment {
-    let latest = daemon
-        .latest_start(attempt.deadline)
-        .min(attempt.arrived + daemon.settings().max_quota_wait);
+    let max_wait = daemon.settings().max_quota_wait;
+    if max_wait.is_zero() {
+        return attempt.arrived;
+    }
+    let latest = daemon.latest_start(attempt.deadline).min(attempt.arrived + max_wait);
     let goal = attempt.route.latency_goal;
     let run = goal.mul_f64(RUN_PART);
     let Some(target) = attempt.model_target() else { return (attempt.arrived + run).min(latest) };
@@ -71,7 +73,7 @@
 }
 
 impl Account {
-    /// Decides on a request of `tokens` that is due at `due`.
+    /// Decides on a request, which has its tokens, waits or is refused from now on.
     fn offer(&mut self, ask: Waiting, centre: &CentreId, now: Moment) -> Offer {
         let own = self.own.rate(now);
         let supply = self.ledger.supply(self.bucket, own, centre, now);
