--- a/lib/benches/choice.rs
+++ b/lib/benches/choice.rs
@@ -52,7 +52,7 @@
     for daemon in 0..daemons {
         let observed = ServerSlowdowns::default();
         for n in 0..candidates {
-            observed.record_told(&server(n).instance(), 0.6 + (n % 3) as f64 * 0.5, NOW);
+            observed.record_response(&server(n).instance(), 0.6 + (n % 3) as f64 * 0.5, NOW);
         }
         let source = SlowdownSource::Daemon(format!("d{daemon}").into());
         slowdowns.record_report(source, &observed.own_rows(candidates, NOW), NOW);
--- a/lib/src/cluster/quota_message.rs
+++ b/lib/src/cluster/quota_message.rs
@@ -97,7 +97,7 @@
     Usage(Vec<QuotaUsage>),
     /// Requests tokens that may be granted later, within these milliseconds. Repeated while the request waits.
     Wait(QuotaAsk, u32),
-    /// Says that a request waits; the answer follows.
+    /// Acknowledges that a request is queued; a `Reply` follows.
     Queued(AskId),
     /// Withdraws a request whose caller left or that waited long enough. Its tokens are returned if they were granted.
     Cancel(WorkspaceId, AskId),
--- a/lib/src/cluster/quota_queue.rs
+++ b/lib/src/cluster/quota_queue.rs
@@ -15,8 +15,8 @@
 
 /// Time for which credit accumulates while no request waits or the bucket is empty.
 const CREDIT_TIME: Duration = Duration::from_millis(250);
-/// Time without a message from the daemon of a waiting request after which the request is dropped. Its daemon sends a
-/// message four times a second, and is gone or cut off then.
+/// Time without a message from the daemon of a waiting request after which the request is dropped. The daemon repeats
+/// the message four times a second, so that several in a row were lost, or its process ended.
 const DAEMON_TIMEOUT: Duration = Duration::from_secs(2);
 /// Factor by which the expected wait of an accepted request may exceed the time that it has before it is refused: the
 /// rate of this home is an estimate.
@@ -174,8 +174,8 @@
         self.waiting.pop_first().map(|(_, waiting)| waiting)
     }
 
-    /// Removes and returns the requests that cannot get their tokens in time any more, and drops those of daemons that
-    /// are gone.
+    /// Removes and returns the requests that cannot get their tokens in time any more, and drops those whose daemon
+    /// sent no message for [`DAEMON_TIMEOUT`].
     pub fn remove_hopeless(&mut self, supply: Supply, now: Moment) -> Vec<Waiting> {
         self.waiting.retain(|_, waiting| now <= waiting.heard_at + DAEMON_TIMEOUT);
         let mut sum = 0.0;
--- a/lib/src/cluster/quota_queues.rs
+++ b/lib/src/cluster/quota_queues.rs
@@ -14,7 +14,7 @@
 use crate::cluster::quota_queue::Supply;
 use crate::cluster::quota_queue::Waiting;
 
-/// A request that can wait for this long is patient: demand may fall meanwhile.
+/// A request whose latency goal allows a wait of this length is patient: demand may fall meanwhile.
 const PATIENT_WAIT: Duration = Duration::from_secs(1);
 /// Least part of the rate of each class.
 const MIN_PART: f64 = 0.02;
@@ -114,8 +114,8 @@
         self.patient.pop(level, supply.part(part), now)
     }
 
-    /// Removes and returns the requests that cannot get their tokens in time any more, and drops those of daemons that
-    /// are gone.
+    /// Removes and returns the requests that cannot get their tokens in time any more, and drops those whose daemon
+    /// sends no messages.
     pub fn remove_hopeless(&mut self, supply: Supply, now: Moment) -> Vec<Waiting> {
         self.patient.remove_hopeless(self.expected(supply, now), now)
     }
--- a/lib/src/cluster/remote_contact.rs
+++ b/lib/src/cluster/remote_contact.rs
@@ -46,7 +46,7 @@
         self.reconnected_at.is_none_or(|end| at > end || now >= end + NEWS_TIME)
     }
 
-    /// Returns whether other data centres are heard again, and had time to answer reports from before.
+    /// Returns whether messages of other data centres arrive again, for so long that answers to earlier reports have arrived.
     pub fn is_settled(&self, now: Moment) -> bool {
         !self.is_isolated(now) && self.reconnected_at.is_none_or(|end| now >= end + NEWS_TIME)
     }
--- a/lib/src/cluster/server_slowdowns.rs
+++ b/lib/src/cluster/server_slowdowns.rs
@@ -1,8 +1,8 @@
-//! Slowdowns of servers, from what servers told this daemon and its peers.
+//! Slowdowns of servers, from the load headers of responses to this daemon and from reports of its peers.
 //!
-//! Servers of one service run on unlike hosts, and some of them tell in their responses how long work takes there. A
-//! daemon of a large fleet sends each server one request in a minute or none, so that daemons share what they were told.
-//! Reports hold state rather than changes: one that is lost or repeated changes nothing in the end.
+//! Servers of one service run on unlike hosts, and some state in their responses how long work takes there. In a large
+//! fleet a daemon sends a server one request a minute or none, so that daemons exchange their observations. Reports hold
+//! state rather than changes: one that is lost or repeated changes nothing in the end.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -25,9 +25,9 @@
 /// servers.
 const RETENTION: Duration = Duration::from_mins(2);
 
-/// Time for which an expected slowdown is used again, while nothing new is heard of the server: its weight hardly changes.
+/// Time for which an expected slowdown is used again, while no report on the server arrives: its weight hardly changes.
 const CACHE_TIME: Duration = Duration::from_secs(1);
-/// Factor by which an estimate must change to be shown to operators.
+/// Factor by which an estimate must change to be logged again.
 const SHOWN_FACTOR: f64 = 1.3;
 
 /// Who reported a row.
@@ -41,11 +41,11 @@
     Fleet,
 }
 
-/// What a server told this daemon.
+/// The estimate from a server's responses to this daemon.
 #[derive(Clone, Copy, Debug, Default)]
 struct OwnEstimate {
     dated: DatedEstimate,
-    /// The expected slowdown that was last shown to operators.
+    /// The expected slowdown in the last log line.
     shown: Option<f64>,
 }
 
@@ -89,7 +89,7 @@
     }
 
     /// Returns the estimate from all observations. What a reader reports contains those of this daemon, but maybe not the
-    /// last ones, so the better founded estimate counts.
+    /// last ones, so the estimate of more observations counts.
     fn fleet_at(&self, key: ServerKey, now: Moment) -> SlowdownEstimate {
         let direct = self.direct_at(key, now);
         let relayed = self.received_at(key, now, |source| *source == SlowdownSource::Fleet);
@@ -137,14 +137,14 @@
         self.limit.set(limit);
     }
 
-    /// Returns whether all servers are taken for alike.
+    /// Returns whether decisions use no slowdown: the limit is 1, or no observation is known.
     pub fn is_unused(&self) -> bool {
         (1.0..=1.0).contains(&self.limit.get()) || self.is_empty()
     }
 
-    /// Records the slowdown that a server told in a response. Returns the estimate if it differs from the one that was
-    /// last returned so much that operators should know.
-    pub fn record_told(
+    /// Records the slowdown in a server's response. Returns the estimate if it differs by [`SHOWN_FACTOR`] from the one
+    /// that was last returned, and should be logged.
+    pub fn record_response(
         &self,
         server: &ServerInstance,
         slowdown: f64,
--- a/lib/src/cluster/workloads.rs
+++ b/lib/src/cluster/workloads.rs
@@ -49,7 +49,7 @@
     pub waiting: u32,
     /// Requests that the server can run at once.
     pub slots: u32,
-    /// Time that work takes at the server's host now, in percent of the usual; `None` if the server does not tell.
+    /// Time that work takes at the server's host now, in percent of the usual; `None` if the header does not state it.
     pub slowdown_percent: Option<u32>,
 }
 
--- a/lib/src/placement/planner.rs
+++ b/lib/src/placement/planner.rs
@@ -84,7 +84,7 @@
     pub workloads: &'a WorkloadTable,
     /// How long requests run.
     pub run_times: &'a RunTimes,
-    /// Slowdowns that engines tell.
+    /// Slowdowns of engines.
     pub slowdowns: &'a ServerSlowdowns,
     /// Engines that the lease holder cannot reach.
     pub unreachable: Vec<ServerId>,
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -69,7 +69,7 @@
     pub health: &'a ServerHealth,
     /// Mean run time of requests by service.
     pub run_times: &'a RunTimes,
-    /// Slowdowns that servers tell.
+    /// Slowdowns of servers.
     pub slowdowns: &'a ServerSlowdowns,
     /// Send permits for rate-limited servers.
     pub send_permits: &'a SendPermits,
@@ -145,7 +145,7 @@
         time.mul_f64(slowdown)
     }
 
-    /// Returns the cost of pauses between events, which grow with the slowdown; zero while no server tells its own.
+    /// Returns the cost of pauses between events, which grow with the slowdown; zero while no slowdown is known.
     fn pause_cost(&self, server: &Server, work: Workload, slowdown: f64) -> f64 {
         if self.slowdowns.is_unused() {
             return 0.0;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -105,7 +105,7 @@
     pub health: RefCell<ServerHealth>,
     /// Run times of requests at engines.
     pub run_times: RunTimes,
-    /// Slowdowns that servers tell.
+    /// Slowdowns of servers.
     pub slowdowns: ServerSlowdowns,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<RetryBudgets>,
--- a/lib/src/serve/entry_settings.rs
+++ b/lib/src/serve/entry_settings.rs
@@ -53,8 +53,8 @@
     /// Number of daemons from which a fleet is large, so that daemons get state through readers. A change takes
     /// effect at the next start of the process.
     pub readers_from: usize,
-    /// How many times the usual time, or how small a part of it, work is taken to take at a server at most, whatever it
-    /// tells; 1 if all servers are taken for alike.
+    /// Largest slowdown that decisions assume of a server, and the inverse of the smallest; 1 if all servers count as
+    /// alike.
     pub max_slowdown: f64,
     /// Longest time that a request waits for tokens of its workspace's quota; zero if none waits.
     pub max_quota_wait: Duration,
--- a/lib/src/serve/quota_waits.rs
+++ b/lib/src/serve/quota_waits.rs
@@ -39,7 +39,8 @@
 /// Interval between repetitions of a request that waits at a home: they show that its daemon is there, and get an answer
 /// again that was lost.
 const WAIT_REPEAT: Duration = Duration::from_millis(250);
-/// Time after which a home that does not respond to them is silent: six of them, so that lost datagrams do not end waits.
+/// Time without a response to them after which a home counts as silent: six in a row, so that lost datagrams do not end
+/// waits.
 const HOME_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Part of a latency goal that is kept for the run of a request.
 const RUN_PART: f64 = 0.5;
@@ -288,7 +289,7 @@
         tokens: ask.tokens,
         reply_to: None,
         due: due.max(now),
-        // This daemon does not vanish before its own queue.
+        // The queue ends with this process, so that no messages are needed.
         heard_at: due.max(now),
         since: now,
     };
--- a/lib/src/serve/quotas.rs
+++ b/lib/src/serve/quotas.rs
@@ -102,7 +102,7 @@
 #[derive(Debug)]
 pub(super) struct PendingAsk {
     pub(super) sender: oneshot::Sender<QuotaReply>,
-    /// When the home last said that the request waits there.
+    /// When the last `Queued` for it was received.
     pub(super) queued_at: Option<Moment>,
 }
 
--- a/lib/src/serve/server_feedback.rs
+++ b/lib/src/serve/server_feedback.rs
@@ -79,7 +79,7 @@
 
     fn record_slowdown(&self, server: &ServerInstance, slowdown: f64) {
         let now = self.now();
-        let Some(own) = self.slowdowns.record_told(server, slowdown, now) else { return };
+        let Some(own) = self.slowdowns.record_response(server, slowdown, now) else { return };
         let all = self.slowdowns.estimate(server, now);
         slog::info!(self.log, "server-slowdown"; "server" => %server,
             "own" => format_args!("{:.2}", own.mean()), "own_reports" => own.weight().round(),
--- a/lib/src/serve/share_slowdowns.rs
+++ b/lib/src/serve/share_slowdowns.rs
@@ -1,4 +1,4 @@
-//! Exchanges with other daemons what servers told of their slowdowns.
+//! Exchanges observations of servers' slowdowns with other daemons.
 //!
 //! In a small fleet each daemon reports its own observations to all others. In a large one it reports them to the readers
 //! of its data centre, which report their sum to the readers of other data centres, and the sum of all to the daemons here.
@@ -18,7 +18,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::gossip::Gossip;
 
-/// Interval between reports. What they tell is good for minutes, and a new server is known within a few requests.
+/// Interval between reports. Their content is valid for minutes, and a new server is estimated after a few requests.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Most rows of one datagram, which then fits into an Ethernet frame.
 const ROWS_PER_MESSAGE: usize = 120;
--- a/lib/tests/test_quota_queue.rs
+++ b/lib/tests/test_quota_queue.rs
@@ -1,8 +1,8 @@
 //! The order in which requests get tokens of a workspace that asks for more than its quota.
 //!
 //! Load: a workspace asks for five times its quota for some seconds. Two of ten requests could wait for eight seconds, the
-//! others for a few tenths. Callers need those that can wait to be served once there are tokens, and the others to be told
-//! at once.
+//! others for a few tenths. Callers need those that can wait to be served once there are tokens, and the others to be
+//! granted or refused at once.
 
 use std::time::Duration;
 
@@ -88,7 +88,7 @@
     assert!(!queue.overtake(100.0, NOW, SUPPLY, NOW));
 }
 
-/// Guards against a debt of the bucket being left out: peers reported late what they had granted.
+/// Guards against a debt of the bucket being left out, which late reports of other homes cause.
 #[test]
 fn debt_counted() {
     let queue = QuotaQueue::default();
--- a/lib/tests/test_replicas.rs
+++ b/lib/tests/test_replicas.rs
@@ -104,16 +104,16 @@
     assert_eq!(load_of(&site.plan(), "rare").expect("plan loads the rare model").0, "e22");
 }
 
-/// Tells a site that work takes `slowdown` times the usual at an engine.
+/// Records that work takes `slowdown` times the usual at an engine.
 fn slow_down(site: &Site, engine: &str, slowdown: f64) {
     let server = site.engine_table.engines[engine].server.instance();
     for _ in 0..20 {
-        site.slowdowns.record_told(&server, slowdown, NOW);
+        site.slowdowns.record_response(&server, slowdown, NOW);
     }
 }
 
-/// Load: as many arrivals as two usual replicas serve, for a model whose two replicas are on engines that take 1.9 times the usual, where a third
-/// of the streams have pauses that are too long. Guards against counting them as two.
+/// Load: as many arrivals as two usual replicas serve, for a model whose two replicas are on engines that take 1.9 times
+/// the usual, where a third of the streams have pauses that are too long. Guards against counting them as two.
 #[test]
 fn slow_count_less() {
     let mut site = Site::new(&["a", "b", "c", "d", "busy"].map(|n| (n, 70_000, 0)));
--- a/lib/tests/test_server_slowdowns.rs
+++ b/lib/tests/test_server_slowdowns.rs
@@ -1,4 +1,4 @@
-//! Slowdowns of servers: what daemons make of what servers told them and each other, and where requests go by it.
+//! Slowdowns of servers: estimates from responses and from reports of other daemons, and the choice of a server by them.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -30,15 +30,15 @@
     ServerInstance { id: format!("e{n}").into(), born: Some(1) }
 }
 
-/// What a server tells at one moment.
-fn told(n: usize, rng: &mut ChaCha8Rng) -> f64 {
+/// The slowdown in one response of a server.
+fn observed(n: usize, rng: &mut ChaCha8Rng) -> f64 {
     let factor = if rng.random_bool(NEIGHBOUR_PART) { NEIGHBOUR_FACTOR } else { 1.0 };
     KINDS[n % KINDS.len()] * factor
 }
 
-/// Guards against changed decisions where no server tells a slowdown.
+/// Guards against changed decisions while no slowdown is known.
 #[test]
-fn untold_usual() {
+fn unknown_usual() {
     let known = ServerSlowdowns::default();
     assert_eq!(known.expected(&server(1), NOW).to_bits(), 1.0_f64.to_bits());
     assert!(known.is_empty() && known.own_rows(ROWS, NOW).is_empty());
@@ -52,15 +52,15 @@
     for _ in 0..1000 {
         let known = ServerSlowdowns::default();
         for _ in 0..4 {
-            known.record_told(&server(0), told(0, &mut rng), NOW);
-            known.record_told(&server(2), told(2, &mut rng), NOW);
+            known.record_response(&server(0), observed(0, &mut rng), NOW);
+            known.record_response(&server(2), observed(2, &mut rng), NOW);
         }
         swapped += usize::from(known.expected(&server(0), NOW) >= known.expected(&server(2), NOW));
     }
     assert!(swapped <= 50, "{swapped} of 1000 times the slow server looked faster");
 }
 
-/// Guards against operators being unable to bound what servers tell, or to take all servers for alike.
+/// Guards against a limit of slowdowns that is not applied.
 #[rstest]
 #[case::bounded(2.0, 2.0)]
 #[case::alike(1.0, 1.0)]
@@ -68,19 +68,19 @@
     let known = ServerSlowdowns::default();
     known.set_limit(limit);
     for _ in 0..50 {
-        known.record_told(&server(1), 6.0, NOW);
+        known.record_response(&server(1), 6.0, NOW);
     }
     assert!((known.expected(&server(1), NOW) - most).abs() < 0.001);
 }
 
-/// Guards against a log line for each response: operators are shown an estimate when it has changed.
+/// Guards against a log line for each response: an estimate is logged when it has changed.
 #[test]
 fn shown_on_change() {
     let known = ServerSlowdowns::default();
-    let told = |slowdown| known.record_told(&server(1), slowdown, NOW).is_some();
-    let shown = (0..50).filter(|_| told(1.6)).count();
+    let is_logged = |slowdown| known.record_response(&server(1), slowdown, NOW).is_some();
+    let shown = (0..50).filter(|_| is_logged(1.6)).count();
     assert_eq!(shown, 1);
-    let shown = (0..200).filter(|_| told(0.6)).count();
+    let shown = (0..200).filter(|_| is_logged(0.6)).count();
     assert!((1..=4).contains(&shown), "{shown} lines for one change");
 }
 
@@ -111,7 +111,7 @@
 #[test]
 fn restart_unknown() {
     let known = ServerSlowdowns::default();
-    known.record_told(&server(1), 4.0, NOW);
+    known.record_response(&server(1), 4.0, NOW);
     let restarted = ServerInstance { born: Some(2), ..server(1) };
     assert!((known.expected(&restarted, NOW) - 1.0).abs() < 0.001);
     known.retain(NOW, [&restarted].into_iter());
@@ -122,7 +122,7 @@
 #[test]
 fn repeated_reports() {
     let (reader, daemon) = (ServerSlowdowns::default(), ServerSlowdowns::default());
-    daemon.record_told(&server(1), 1.6, NOW);
+    daemon.record_response(&server(1), 1.6, NOW);
     let rows = daemon.own_rows(ROWS, NOW);
     for _ in 0..5 {
         reader.record_report(SlowdownSource::Daemon("d2".into()), &rows, NOW);
@@ -130,13 +130,13 @@
     assert!((reader.estimate(&server(1), NOW).weight() - 1.0).abs() < 0.001);
 }
 
-/// Guards against a daemon that never sent a request to a server knowing nothing of it: observations reach it through
-/// the readers of both data centres.
+/// Guards against the slowdown of a server remaining unknown at daemons that never sent it a request: observations are
+/// relayed by the readers of both data centres.
 #[test]
-fn told_through_readers() {
+fn relayed_by_readers() {
     let [daemon, north, south, other] = [(); 4].map(|()| ServerSlowdowns::default());
     for _ in 0..8 {
-        daemon.record_told(&server(1), 1.6, NOW);
+        daemon.record_response(&server(1), 1.6, NOW);
     }
     north.record_report(SlowdownSource::Daemon("n2".into()), &daemon.own_rows(ROWS, NOW), NOW);
     let rows = north.relayed_rows(ROWS, NOW).centre;
@@ -152,7 +152,7 @@
 fn rows_in_turn() {
     let known = ServerSlowdowns::default();
     for n in 0..300 {
-        known.record_told(&server(n), 1.0, NOW);
+        known.record_response(&server(n), 1.0, NOW);
     }
     let mut seen = HashSet::new();
     for _ in 0..3 {
@@ -170,7 +170,7 @@
     let known = ServerSlowdowns::default();
     for n in 0..ENGINES {
         for _ in 0..6 {
-            known.record_told(&server(n), told(n, &mut rng), NOW);
+            known.record_response(&server(n), observed(n, &mut rng), NOW);
         }
     }
     let candidate = |n| Candidate {
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -49,7 +49,7 @@
     pub loads: Workloads,
     /// Number of fetches from the weight store that may start now.
     pub fetches_left: usize,
-    /// Slowdowns that engines told.
+    /// Slowdowns of engines.
     pub slowdowns: ServerSlowdowns,
     /// Numbers of concurrent fetches at full speed: proven so far, and the limit.
     pub share: StoreShare,
