--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -19,6 +19,9 @@
 const BUCKET_BOUNDS_S: [f64; 14] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0];
 
+/// Bucket bounds of servers' slowdowns.
+const SLOWDOWN_BOUNDS: [f64; 7] = [0.5, 0.75, 0.9, 1.1, 1.5, 2.0, 4.0];
+
 /// Instruments of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -46,6 +49,7 @@
     origins: Counter<u64>,
     dropped_origins: Gauge<u64>,
     quota_tokens: Counter<u64>,
+    slowdowns: Histogram<f64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -95,6 +99,11 @@
             first_byte: seconds("first_token", "Time to the first byte of an answer"),
             replica_wait: seconds("cold_start", "Time that requests waited for a replica"),
             tokens: counter("tokens", "Stream events relayed"),
+            slowdowns: meter
+                .f64_histogram("server_slowdown")
+                .with_description("Expected slowdown of the servers that requests were sent to")
+                .with_boundaries(SLOWDOWN_BOUNDS.to_vec())
+                .build(),
             idle_time: meter
                 .f64_counter("idle_accelerator")
                 .with_unit("s")
@@ -251,6 +260,11 @@
         self.origins.add(1, &[KeyValue::new("source", source), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the expected slowdown of the server that a request was sent to last.
+    pub fn record_slowdown(&self, slowdown: f64) {
+        self.slowdowns.record(slowdown, &[]);
+    }
+
     /// Counts the tokens that a request of a workspace asked for, by outcome.
     pub fn record_quota(&self, workspace: &str, outcome: &'static str, tokens: u64) {
         let name = KeyValue::new("workspace", workspace.to_owned());
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -263,6 +263,9 @@
     let now = daemon.now();
     let ms = |t: Moment| t.saturating_sub(attempt.arrived).as_millis();
     daemon.metrics.record_answer(&attempt.route.name, attempt.verdict);
+    if attempt.sends > 0 && !daemon.slowdowns.is_unused() {
+        daemon.metrics.record_slowdown(attempt.slowdown);
+    }
     slog::info!(daemon.log, "request"; "attempt" => attempt.id(), "print" => %attempt.fingerprint,
         "route" => attempt.route.name.as_str(), "workspace" => attempt.workspace_name(), "service" => attempt.service.as_str(),
         "model" => attempt.caller_headers.model.as_deref().unwrap_or("-"),
--- a/lib/src/serve/quota_waits.rs
+++ b/lib/src/serve/quota_waits.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt as _;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -42,10 +43,13 @@
 /// Time without a response to them after which a home counts as silent: six in a row, so that lost datagrams do not end
 /// waits.
 const HOME_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Factor up to which the time to retry after a wait differs between requests: the interval that callers return within is
+/// then that in which a home grants tokens several times.
+const MAX_RETRY_FACTOR: f64 = 3.0;
 /// Part of a latency goal that is kept for the run of a request.
 const RUN_PART: f64 = 0.5;
 /// Shortest wait that a home is asked for, and time after the last moment in which its answer may arrive.
-const MIN_WAIT: Duration = Duration::from_millis(50);
+pub(super) const MIN_WAIT: Duration = Duration::from_millis(50);
 
 /// Returns until when a request can wait for tokens and still meet its latency goal; not later than now if it cannot.
 pub(super) fn due(daemon: &DaemonState, attempt: &Attempt) -> Moment {
@@ -251,9 +255,11 @@
         reply
     }
 
-    /// Returns the answer to a request that has waited as long as it can.
+    /// Returns the answer to a request that has waited as long as it can. Requests that ended their wait together are given
+    /// different times to retry.
     fn refusal(&self) -> QuotaReply {
-        let retry = Grant::Exceeded(WAIT_REPEAT);
+        let spread = rand::rng().random_range(1.0..=MAX_RETRY_FACTOR);
+        let retry = Grant::Exceeded(WAIT_REPEAT.mul_f64(spread));
         reply(self.ask.id, self.ask.workspace, retry, f64::from(self.ask.demand))
     }
 }
--- a/lib/src/serve/quotas.rs
+++ b/lib/src/serve/quotas.rs
@@ -215,6 +215,7 @@
     let answer = take(daemon, &workspace, quota, tokens, due).await;
     attempt.quota_wait = daemon.now().saturating_sub(asked_at);
     let outcome = match (answer.grant, answer.is_alone) {
+        (Grant::Granted, false) if attempt.quota_wait >= quota_waits::MIN_WAIT => "granted-later",
         (Grant::Granted, false) => "granted",
         (Grant::Granted, true) => "granted-alone",
         (Grant::Exceeded(_), false) => "refused",
