tests: a stream is at its engine before the daemon stops

The test is about a stream in progress.

Change: it waits until the engine runs the stream. Its checks are as before.

--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -182,8 +182,7 @@
     assert_eq!(complete(&rig.url("d1", CHAT), "hem", false, 1).unwrap().0, 200);
     let url = rig.url("d1", CHAT);
     let stream = std::thread::spawn(move || complete(&url, "hem", true, 100));
-    let node = std::sync::Arc::clone(rig.daemons["d1"].node());
-    wait_for("the stream", || node.limits().total() == 1);
+    wait_for("the stream", || rig.engines["e1"].audit().served == 2);
     assert!(rig.daemons.remove("d1").unwrap().stop());
     let (status, body) = stream.join().unwrap().unwrap();
     assert_eq!(status, 200);
