--- a/review/standin/src/plain.rs
+++ b/review/standin/src/plain.rs
@@ -31,7 +31,7 @@
         for sequence in 1.. {
             let entry = format!(
                 "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"a\",\"version\":\"v1\",\
-                 \"slots\":6,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence}}}"
+                 \"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence}}}"
             );
             beats.put("keyed.servers", id, &entry);
             thread::sleep(Duration::from_millis(1200));
@@ -54,7 +54,7 @@
                     let (status, lines, body) = work(&request);
                     let lines = format!(
                         "X-Comfreymux-Attempt-Id: {attempt}\r\nX-Comfreymux-Server-Stamp: {id}.{attempt}\r\n\
-                         X-Comfreymux-Server-Load: 1,0,6\r\n{lines}"
+                         X-Comfreymux-Server-Load: 1,0,64\r\n{lines}"
                     );
                     if connection.respond(status, &lines, &body).is_err() {
                         record.note(&format!("{id} could not answer {attempt}"));
