--- a/review/standin/src/bin/large_bodies.rs
+++ b/review/standin/src/bin/large_bodies.rs
@@ -1,6 +1,5 @@
 //! Case: many users come at once, with bodies as large as the configuration allows.
 
-use std::fs;
 use std::io::Write as _;
 use std::net::TcpStream;
 use std::process::exit;
@@ -9,17 +8,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use review_standin::daemon::{Daemon, SIGKILL};
+use review_standin::daemon::Daemon;
 use review_standin::http::{Connection, Message};
 use review_standin::plain::{self, Runs};
+use review_standin::platform;
 use review_standin::record::Record;
 use review_standin::store::Store;
 use review_standin::{attempt_id, is_calm};
 
 /// `max_body_bytes` of the configuration, which is that of the users' example.
 const MAX_BODY: usize = 4_194_304;
-/// `memory_mb` of the daemon's settings: the platform kills a process that exceeds it.
-const MEMORY_MB: usize = 260;
 /// Requests a second in the sheet, all of which one daemon takes when the others are lost.
 const USUAL_RATE: f64 = 32.0;
 /// Largest `x` of the disruption `burst` on the whole mix in the site's file.
@@ -46,13 +44,6 @@
     connection.stream.write_all(head.as_bytes()).and_then(|()| connection.stream.write_all(body)).is_ok()
 }
 
-/// Returns the memory that a process has, in MB, as the platform counts it.
-fn memory(process: u32) -> usize {
-    let text = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.trim().split(' ').next()?.parse::<usize>().ok()).unwrap_or(0) / 1024
-}
-
 /// Sends a small request and then a large one on the same connection; returns the id of the large one if it got no
 /// answer.
 fn client(number: u64, daemon: &Daemon, record: &Record) -> Option<String> {
@@ -102,23 +93,7 @@
     let rate = if is_calm() { USUAL_RATE } else { USUAL_RATE * BURST };
     let count = (rate * BURST_S) as u64;
     let is_over = Arc::new(AtomicBool::new(false));
-    let platform = {
-        let (daemon, record, is_over) = (Arc::clone(&daemon), record.clone(), Arc::clone(&is_over));
-        thread::spawn(move || {
-            let mut most = 0;
-            while !is_over.load(Ordering::Relaxed) {
-                let used = memory(daemon.process());
-                most = most.max(used);
-                if used > MEMORY_MB {
-                    record.note(&format!("the platform kills the daemon, which has {used} MB of {MEMORY_MB} MB"));
-                    daemon.signal(SIGKILL);
-                    break;
-                }
-                thread::sleep(Duration::from_millis(20));
-            }
-            record.note(&format!("the daemon had {most} MB at most"));
-        })
-    };
+    let watch = platform::watch(&daemon, &record, &is_over);
     let clients: Vec<_> = (0..count)
         .map(|n| {
             let (daemon, record) = (Arc::clone(&daemon), record.clone());
@@ -130,7 +105,7 @@
         .collect();
     let lost: Vec<String> = clients.into_iter().filter_map(|c| c.join().ok().flatten()).collect();
     is_over.store(true, Ordering::Relaxed);
-    let _joined = platform.join();
+    let _joined = watch.join();
     let runs = runs.lock().expect("no thread panics");
     let passed = lost.iter().filter(|id| runs.contains(*id)).count();
     record.note(&format!("{count} large requests; {} closed without an answer, {passed} of them ran; {ALLOWED} are allowed", lost.len()));
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -1,8 +1,10 @@
 //! Stand-ins of the platform, servers and clients for the cases of the review.
 
 pub mod daemon;
+pub mod engine;
 pub mod http;
 pub mod plain;
+pub mod platform;
 pub mod record;
 pub mod store;
 
