review: streams without end at one server hold up a daemon's other callers (CONFIG)

Order: a daemon takes the sheet's bookings and streams; the streams' server begins to send small events without end, 2 MB a second each; splitting them costs the square of what was received, and the daemon's one thread gets to nothing else.

--- a/review/standin/src/bin/endless_errors.rs
+++ b/review/standin/src/bin/endless_errors.rs
@@ -68,8 +68,8 @@
     let runs = Runs::default();
     store.put("keyed.op", "config", CONFIG);
     let (never, in_trouble) = (Arc::default(), Arc::new(AtomicBool::new(false)));
-    engine::start("i-1", "drafting", "m0", &store, &record, &runs, &in_trouble);
-    engine::start("i-2", "drafting", "m1", &store, &record, &runs, &never);
+    engine::start("i-1", "drafting", "m0", &store, &record, &runs, &in_trouble, engine::endless_error);
+    engine::start("i-2", "drafting", "m1", &store, &record, &runs, &never, engine::endless_error);
     let daemon = Arc::new(Daemon::start(0, "a", store.addr, &[]));
     if !daemon.wait_ready(Duration::from_secs(15)) {
         record.note("the daemon is not ready");
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -22,6 +22,9 @@
 const PART: usize = 64 * 1024;
 const PART_PAUSE: Duration = Duration::from_millis(32);
 
+/// What a server in trouble sends in place of an answer to an attempt.
+pub type Trouble = fn(&mut Connection, &str, &str) -> io::Result<()>;
+
 /// Starts a server of `service` that holds `model`; it is in trouble while `in_trouble` is set.
 pub fn start(
     id: &'static str,
@@ -31,6 +34,7 @@
     record: &Record,
     runs: &Runs,
     in_trouble: &Arc<AtomicBool>,
+    trouble: Trouble,
 ) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     let addr = listener.local_addr().expect("a bound address");
@@ -69,7 +73,7 @@
                     let attempt = request.header("x-comfreymux-attempt-id").unwrap_or("-").to_owned();
                     if in_trouble.load(Ordering::Relaxed) {
                         record.note(&format!("{id} is in trouble with {attempt}"));
-                        let _ended = send_endless(&mut connection);
+                        let _ended = trouble(&mut connection, id, &attempt);
                         return;
                     }
                     record.note(&format!("{id} runs {attempt}: {}", request.start));
@@ -83,7 +87,8 @@
     });
 }
 
-fn send_endless(connection: &mut Connection) -> io::Result<()> {
+/// Sends an error whose body has no end.
+pub fn endless_error(connection: &mut Connection, _id: &str, _attempt: &str) -> io::Result<()> {
     let mut part = format!("{PART:x}\r\n").into_bytes();
     part.extend_from_slice(&[b'#'; PART]);
     part.extend_from_slice(b"\r\n");
@@ -94,13 +99,33 @@
     }
 }
 
-fn send_events(connection: &mut Connection, id: &str, attempt: &str) -> io::Result<()> {
+fn send_head(connection: &mut Connection, id: &str, attempt: &str) -> io::Result<()> {
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
          X-Comfreymux-Attempt-Id: {attempt}\r\nX-Comfreymux-Server-Stamp: {id}.{attempt}\r\n\
          X-Comfreymux-Weight-Versions: 1\r\n\r\n"
     );
-    connection.stream.write_all(head.as_bytes())?;
+    connection.stream.write_all(head.as_bytes())
+}
+
+/// Sends a stream whose events have no end.
+pub fn endless_events(connection: &mut Connection, id: &str, attempt: &str) -> io::Result<()> {
+    send_head(connection, id, attempt)?;
+    let mut number = 0_u64;
+    loop {
+        let mut part = Vec::new();
+        while part.len() < PART {
+            number += 1;
+            part.extend_from_slice(format!("id: {number}\ndata: #\n\n").as_bytes());
+        }
+        let head = format!("{:x}\r\n", part.len());
+        connection.stream.write_all(&[head.as_bytes(), &part, b"\r\n"].concat())?;
+        thread::sleep(PART_PAUSE);
+    }
+}
+
+fn send_events(connection: &mut Connection, id: &str, attempt: &str) -> io::Result<()> {
+    send_head(connection, id, attempt)?;
     for number in 1..=EVENTS {
         thread::sleep(PAUSE);
         let event = format!("id: {number}\ndata: {attempt} {number}\n\n");
