--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -116,7 +116,7 @@
         let mut part = Vec::new();
         while part.len() < PART {
             number += 1;
-            part.extend_from_slice(format!("id: {number}\ndata: #\n\n").as_bytes());
+            part.extend_from_slice(format!("id:{number}\n\n").as_bytes());
         }
         let head = format!("{:x}\r\n", part.len());
         connection.stream.write_all(&[head.as_bytes(), &part, b"\r\n"].concat())?;
