review: the scripts end their daemon also while clients are connected

Seen: 24 daemons of earlier runs were still there, idle, since threads of clients held them at the exit.

--- a/review/standin/src/bin/endless_errors.rs
+++ b/review/standin/src/bin/endless_errors.rs
@@ -73,7 +73,7 @@
     let daemon = Arc::new(Daemon::start(0, "a", store.addr, &[]));
     if !daemon.wait_ready(Duration::from_secs(15)) {
         record.note("the daemon is not ready");
-        drop(daemon);
+        daemon.end();
         exit(2);
     }
     thread::sleep(Duration::from_secs(5));
@@ -101,6 +101,6 @@
     let runs = runs.lock().expect("no thread panics");
     let passed = lost.iter().filter(|id| runs.contains(*id)).count();
     record.note(&format!("{} kept connections closed without an answer, {passed} of them while a sound server ran their request; {ALLOWED} are allowed", lost.len()));
-    drop(daemon);
+    daemon.end();
     exit(i32::from(passed > ALLOWED));
 }
--- a/review/standin/src/bin/endless_events.rs
+++ b/review/standin/src/bin/endless_events.rs
@@ -87,7 +87,7 @@
     let daemon = Arc::new(Daemon::start(0, "a", store.addr, &[]));
     if !daemon.wait_ready(Duration::from_secs(15)) {
         record.note("the daemon is not ready");
-        drop(daemon);
+        daemon.end();
         exit(2);
     }
     thread::sleep(Duration::from_secs(5));
@@ -111,6 +111,6 @@
     let unanswered = times.iter().filter(|t| t.is_none_or(|t| t > TIMEOUT)).count();
     let late = times.iter().filter(|t| t.is_none_or(|t| t > TIMEOUT + SLACK)).count();
     record.note(&format!("{} bookings; {unanswered} unanswered at their timeout, {late} of them half a second later", times.len()));
-    drop(daemon);
+    daemon.end();
     exit(i32::from(late * 2 > unanswered));
 }
--- a/review/standin/src/bin/large_bodies.rs
+++ b/review/standin/src/bin/large_bodies.rs
@@ -85,7 +85,7 @@
     let daemon = Daemon::start(0, "a", store.addr, &[]);
     if !daemon.wait_ready(Duration::from_secs(15)) {
         record.note("the daemon is not ready");
-        drop(daemon);
+        daemon.end();
         exit(2);
     }
     thread::sleep(Duration::from_secs(4));
@@ -109,6 +109,6 @@
     let runs = runs.lock().expect("no thread panics");
     let passed = lost.iter().filter(|id| runs.contains(*id)).count();
     record.note(&format!("{count} large requests; {} closed without an answer, {passed} of them ran; {ALLOWED} are allowed", lost.len()));
-    drop(daemon);
+    daemon.end();
     exit(i32::from(passed > ALLOWED));
 }
--- a/review/standin/src/bin/slow_reader.rs
+++ b/review/standin/src/bin/slow_reader.rs
@@ -85,7 +85,7 @@
     let daemon = Arc::new(Daemon::start(0, "a", store.addr, &[]));
     if !daemon.wait_ready(Duration::from_secs(15)) {
         record.note("the daemon is not ready");
-        drop(daemon);
+        daemon.end();
         exit(2);
     }
     thread::sleep(Duration::from_secs(4));
@@ -97,6 +97,6 @@
         .collect();
     let cut = clients.into_iter().filter_map(|c| c.join().ok()).filter(|whole| !whole).count();
     record.note(&format!("{cut} of {CLIENTS} answers were cut; {ALLOWED} are allowed"));
-    drop(daemon);
+    daemon.end();
     exit(i32::from(cut > ALLOWED));
 }
--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -98,6 +98,12 @@
         self.child.try_wait().is_ok_and(|status| status.is_some())
     }
 
+    /// Ends the process and removes its folder, also where other threads still hold this.
+    pub fn end(&self) {
+        self.signal(SIGKILL);
+        let _removed = fs::remove_dir_all(&self.folder);
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _killed = self.child.kill();
