--- a/review/standin/src/bin/slow_reader.rs
+++ b/review/standin/src/bin/slow_reader.rs
@@ -41,6 +41,7 @@
     let mut connection = Connection::new(stream);
     connection.set_read_timeout(Some(Duration::from_secs(31)));
     let id = attempt_id(number * 2);
+    record.note(&format!("client {number} sends {id}"));
     let first = send(&mut connection, "small", &id).then(|| connection.message());
     let Some(Ok(Some(first))) = first else {
         record.note(&format!("client {number}: no answer to the first request"));
@@ -48,6 +49,7 @@
     };
     record.note(&format!("client {number}: {} to {id}", first.status()));
     let id = attempt_id(number * 2 + 1);
+    record.note(&format!("client {number} sends {id}"));
     send(&mut connection, "large", &id);
     let began = Instant::now();
     let Ok(Some(head)) = connection.head() else {
