--- a/review/standin/src/bin/slow_reader.rs
+++ b/review/standin/src/bin/slow_reader.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use review_standin::daemon::Daemon;
+use review_standin::daemon::{Daemon, SIGHUP};
 use review_standin::http::{Connection, Message};
 use review_standin::plain::{self, Runs};
 use review_standin::record::Record;
@@ -91,6 +91,10 @@
         exit(2);
     }
     thread::sleep(Duration::from_secs(4));
+    // Planned work: the rule counts requests that are sent up to `config_ms` (2 s) after it.
+    record.note("the daemon gets SIGHUP");
+    daemon.signal(SIGHUP);
+    thread::sleep(Duration::from_millis(100));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|n| {
             let (daemon, record) = (Arc::clone(&daemon), record.clone());
--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -12,6 +12,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -101,6 +102,8 @@
     /// Ends the process and removes its folder, also where other threads still hold this.
     pub fn end(&self) {
         self.signal(SIGKILL);
+        // SAFETY: a plain system call, which allows a null pointer for a status that is not needed.
+        unsafe { waitpid(self.child.id() as i32, std::ptr::null_mut(), 0) };
         let _removed = fs::remove_dir_all(&self.folder);
     }
 
