--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http_server;
 pub mod log_standin;
 pub mod placing_site;
+pub mod retry_windows;
 pub mod rig;
 pub mod rows;
 pub mod service_standin;
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -55,17 +55,33 @@
         }
     }
 
+    /// Returns whether engines serve requests of this kind.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Draft | Self::Note)
+    }
+
     /// Returns whether a request of this kind must run at most once.
     pub fn is_single(self) -> bool {
         matches!(self, Self::Book | Self::Note)
     }
 }
 
+/// An attempt that a caller sent.
+#[derive(Clone, Debug)]
+pub struct SentAttempt {
+    /// Its id.
+    pub id: String,
+    /// Its kind.
+    pub kind: Kind,
+    /// When it was sent.
+    pub at: Instant,
+}
+
 /// Results that all callers of a soak record.
 #[derive(Debug, Default)]
 pub struct CallerRecord {
-    /// All attempts with their kind, in the order sent.
-    pub attempts: RefCell<Vec<(String, Kind)>>,
+    /// All attempts, in the order sent.
+    pub attempts: RefCell<Vec<SentAttempt>>,
     /// Attempts whose response status guarantees that they did not run.
     pub not_run: RefCell<Vec<String>>,
     /// Violated guarantees.
@@ -84,6 +100,17 @@
     pub stopped: Cell<bool>,
 }
 
+impl CallerRecord {
+    /// Records an attempt that is sent now.
+    pub fn record_sent(&self, id: &str, kind: Kind) {
+        self.attempts.borrow_mut().push(SentAttempt {
+            id: id.to_owned(),
+            kind,
+            at: Instant::now(),
+        });
+    }
+}
+
 /// Sends requests one after another until the soak ends. `number` identifies the caller.
 pub async fn send_requests(
     seen: Rc<CallerRecord>,
@@ -101,10 +128,10 @@
         let attempt = format!("c{number}-{count}");
         let mut ask = Ask::new(&attempt, kind.path());
         ask.deadline = DEADLINE.as_millis() as u64;
-        if matches!(kind, Kind::Draft | Kind::Note) {
+        if kind.is_stream() {
             ask.model = Some(MODELS[rng.random_range(0..MODELS.len())].to_owned());
         }
-        seen.attempts.borrow_mut().push((attempt.clone(), kind));
+        seen.record_sent(&attempt, kind);
         let began = Instant::now();
         let had_only_stops = seen.only_stops.get();
         let leaves = rng.random_bool(0.05);
@@ -178,7 +205,7 @@
         let attempt = format!("f{count}");
         let mut ask = Ask::model(&attempt, kind.path(), MODELS[0]);
         ask.body.clone_from(&bodies[which]);
-        seen.attempts.borrow_mut().push((attempt.clone(), kind));
+        seen.record_sent(&attempt, kind);
         let front = fronts[rng.random_range(0..fronts.len())];
         let seen = Rc::clone(&seen);
         spawn_local(async move {
--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -15,6 +15,8 @@
         optional --seconds seconds: u64
         /// Sends requests that crash servers as well.
         optional --fatal
+        /// Servers fail most requests and stand still again and again, before many callers; nothing else is injected.
+        optional --stalls
         /// Number of daemons.
         optional --daemons count: usize
         /// Folder for logs; those of failed seeds stay.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,6 +7,7 @@
 mod process;
 mod proxy;
 mod resumed_streams;
+mod retry_check;
 mod socket_owner;
 mod world;
 
@@ -35,6 +36,10 @@
 
 /// Callers per daemon.
 const CALLERS_PER_DAEMON: usize = 4;
+/// The same with `--stalls`: enough for retries beyond the slack.
+const MANY_CALLERS: usize = 40;
+/// Engines per daemon with `--stalls`, which have slots for the streams of these callers.
+const MANY_ENGINES: usize = 3;
 /// Time without faults within which service must recover.
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
 /// Number of distinct requests that crash servers.
@@ -50,11 +55,13 @@
     let first = flags.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
     let time = Duration::from_secs(flags.seconds.unwrap_or(15));
     let daemons = flags.daemons.unwrap_or(4);
+    let course = Course { is_fatal: flags.fatal, stalls: flags.stalls };
     let mut failed = 0;
     for seed in first..first + flags.seeds.unwrap_or(1) {
         let folder = folder.join(format!("seed-{seed}"));
-        let size = Size { daemons, plain: 3, engines: 4.max(daemons) };
-        match rig::run(soak(size, seed, time, flags.fatal, &flags.program, &folder)) {
+        let engines = if flags.stalls { MANY_ENGINES } else { 1 } * daemons;
+        let size = Size { daemons, plain: 3, engines: engines.max(4) };
+        match rig::run(soak(size, seed, time, course, &flags.program, &folder)) {
             Ok((faults, summary)) if faults.is_empty() => {
                 println!("seed {seed}: kept; {summary}");
                 // Logs are kept only for failed seeds.
@@ -76,11 +83,20 @@
     if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// What a soak injects.
+#[derive(Clone, Copy, Debug)]
+struct Course {
+    /// Requests that crash servers.
+    is_fatal: bool,
+    /// Servers that fail requests and stand still, and no other fault.
+    stalls: bool,
+}
+
 async fn soak(
     size: Size,
     seed: u64,
     time: Duration,
-    is_fatal: bool,
+    course: Course,
     program: &Path,
     folder: &Path,
 ) -> io::Result<(Vec<String>, String)> {
@@ -89,10 +105,11 @@
     let outcome = Rc::new(CallerRecord::default());
     sleep(Duration::from_millis(1500)).await;
     let fronts: Vec<_> = world.front_proxies.iter().map(|p| p.addr).collect();
-    for number in 0..size.daemons * CALLERS_PER_DAEMON {
+    let callers = if course.stalls { MANY_CALLERS } else { CALLERS_PER_DAEMON };
+    for number in 0..size.daemons * callers {
         spawn_local(callers::send_requests(Rc::clone(&outcome), fronts.clone(), seed, number));
     }
-    if is_fatal {
+    if course.is_fatal {
         let bodies = (0..FATAL_REQUESTS).map(|n| format!("fatal {n}").into_bytes());
         world.fatal.borrow_mut().extend(bodies);
         let bodies = world.fatal.borrow().clone();
@@ -113,6 +130,10 @@
     let mut restores = ChaCha8Rng::seed_from_u64(!seed.rotate_left(48));
     let began = Instant::now();
     while began.elapsed() < time {
+        if course.stalls {
+            plan::stall_servers(&world, &mut rng).await;
+            continue;
+        }
         plan::inject_fault(&world, &mut rng).await;
         plan::inject_bad_responses(&world, &mut broken);
         plan::inject_foreign_record(&world, &mut foreign);
@@ -135,6 +156,8 @@
     outcome.stopped.set(true);
     sleep(Duration::from_millis(200)).await;
     let mut faults = check(&world, &outcome);
+    let windows = retry_check::worst_windows(&world, &outcome);
+    faults.extend(retry_check::faults(windows));
     if (good as f64) < MIN_GOOD_RATIO * all as f64 || all == 0 {
         faults.push(format!("after the recovery {good} of {all} answers are good"));
     }
@@ -142,7 +165,10 @@
     let crashes = crashes(&world);
     let (resumed, tries) = outcome.resumed.get();
     let summary = format!(
-        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, crashes {crashes:?}"
+        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, crashes {crashes:?}, repeats beyond the budget {}",
+        windows
+            .map(|w| w.map_or_else(|| "-".to_owned(), |w| format!("{:.0}", w.excess())))
+            .join(" and ")
     );
     Ok((faults, summary))
 }
@@ -157,6 +183,7 @@
     }
     for server in world.servers.borrow().iter() {
         server.script.borrow_mut().clear();
+        server.freezer.thaw();
     }
     let began = Instant::now();
     while began.elapsed() < RECOVERY_TIME * 2 {
@@ -187,9 +214,11 @@
     for run in world.runs.borrow().iter() {
         *runs.entry(run.attempt.clone()).or_default() += 1;
     }
-    let kinds: BTreeMap<String, callers::Kind> = seen.attempts.borrow().iter().cloned().collect();
+    let sent = seen.attempts.borrow();
+    let kinds: BTreeMap<&str, callers::Kind> =
+        sent.iter().map(|s| (s.id.as_str(), s.kind)).collect();
     for (attempt, count) in &runs {
-        match kinds.get(attempt) {
+        match kinds.get(attempt.as_str()) {
             None => faults.push(format!("{attempt} ran, but no caller sent it")),
             Some(kind) if kind.is_single() && *count > 1 => {
                 faults.push(format!("{attempt} {kind:?} ran {count} times"));
@@ -198,13 +227,13 @@
         }
     }
     for attempt in seen.not_run.borrow().iter() {
-        let is_single = kinds.get(attempt).is_some_and(|k| k.is_single());
+        let is_single = kinds.get(attempt.as_str()).is_some_and(|k| k.is_single());
         if is_single && runs.contains_key(attempt) {
             faults.push(format!("{attempt} was told that it did not run, but it did"));
         }
     }
     for attempt in seen.unanswered.borrow().iter().filter(|a| runs.contains_key(*a)) {
-        let kind = kinds.get(attempt);
+        let kind = kinds.get(attempt.as_str());
         faults
             .push(format!("{attempt} {kind:?} ran, and a planned stop left it without an answer"));
     }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! A seeded sequence of injected faults.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -153,6 +154,40 @@
     });
 }
 
+/// Time between two stops of servers.
+const STALL_PERIOD: Range<u64> = 8000..17_000;
+/// Time for which they stand still.
+const STALL_TIME: Range<u64> = 1000..8000;
+/// Fraction of the servers that stand still, of each service.
+const STALLED_FRACTION: f64 = 0.67;
+/// Responses of each server that are scripted at a time: more than it gives until the next stop.
+const FAILING_RESPONSES: usize = 10_000;
+/// Fraction of these that fail.
+const FAILED_FRACTION: f64 = 0.7;
+
+/// Makes servers fail most requests, and a part of each service's servers stand still for some seconds, once.
+pub async fn stall_servers(world: &World, rng: &mut ChaCha8Rng) {
+    let behaviour = [Behaviour::Fail, Behaviour::LoseAnswer][rng.random_range(0..2)];
+    let (time, pause) = (rng.random_range(STALL_TIME), rng.random_range(STALL_PERIOD));
+    let (time, pause) = (Duration::from_millis(time), Duration::from_millis(pause));
+    let servers = world.servers.borrow().clone();
+    for server in &servers {
+        let mut script = server.script.borrow_mut();
+        while script.len() < FAILING_RESPONSES {
+            let fails = rng.random_bool(FAILED_FRACTION);
+            script.push_back(if fails { behaviour } else { Behaviour::Answer });
+        }
+    }
+    let stalled: Vec<_> =
+        servers.iter().filter(|_| rng.random_bool(STALLED_FRACTION)).cloned().collect();
+    let ids: Vec<&str> = stalled.iter().map(|s| s.id.as_str()).collect();
+    world.note(&format!("stall servers={} fail={behaviour:?} for={time:?}", ids.join(",")));
+    stalled.iter().for_each(|server| server.freezer.freeze());
+    sleep(time).await;
+    stalled.iter().for_each(|server| server.freezer.thaw());
+    sleep(pause.saturating_sub(time)).await;
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -11,11 +11,15 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use comfreymux_lib::cluster::retry_budgets::BudgetLimits;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
 use tokio::time::Instant;
 
+/// Retry limits of all daemons together, as in their settings.
+pub const BUDGET_LIMITS: BudgetLimits =
+    BudgetLimits { window: Duration::from_secs(10), ratio: 0.2, slack: 50.0 };
 /// Longest time from SIGTERM to the exit of a daemon; `grace_s` in its settings.
 const GRACE: Duration = Duration::from_secs(8);
 /// Added to [`GRACE`] for a busy machine.
@@ -48,11 +52,13 @@
         seed: SocketAddr,
     ) -> Self {
         let ip = front.ip();
+        let BudgetLimits { window, ratio, slack } = BUDGET_LIMITS;
+        let window = window.as_secs();
         let settings = format!(
             "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"north\"\ninternal_ports = [7380, 7395]\n\
              seeds = [\"{seed}\"]\n[listen]\nfront = \"{front}\"\nready = \"{ip}:7300\"\n\
-             [bounds]\ngrace_s = 8\ndrain_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
-             budget_slack = 50\nfencing = true\nlease_ms = 3000\nceiling_window_s = 5\n\
+             [bounds]\ngrace_s = 8\ndrain_ms = 2000\nretry_budget_ratio = {ratio}\nbudget_window_s = {window}\n\
+             budget_slack = {slack}\nfencing = true\nlease_ms = 3000\nceiling_window_s = 5\n\
              [platform]\naddress = \"{store}\"\n"
         );
         Self {
--- /dev/null
+++ b/soak/src/retry_check.rs
@@ -0,0 +1,43 @@
+//! Checks that repeated arrivals of requests at servers stay within the retry budget of all daemons, in any window.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use comfreymux_testutils::retry_windows::RetryWindow;
+use comfreymux_testutils::retry_windows::worst_window;
+use tokio::time::Instant;
+
+use crate::callers::CallerRecord;
+use crate::process::BUDGET_LIMITS;
+use crate::world::World;
+
+/// Returns the worst window of the plain service, and that of the engines.
+pub fn worst_windows(world: &World, seen: &CallerRecord) -> [Option<RetryWindow>; 2] {
+    [false, true].map(|is_engine| {
+        let sent = seen.attempts.borrow();
+        let sent = sent.iter().filter(|s| s.kind.is_stream() == is_engine);
+        let sent: Vec<Duration> = sent.map(|s| world.time_of(s.at)).collect();
+        worst_window(&BUDGET_LIMITS, &sent, &repeats(world, is_engine))
+    })
+}
+
+/// Returns the faults of windows in which more than is allowed arrived again.
+pub fn faults(windows: [Option<RetryWindow>; 2]) -> Vec<String> {
+    let beyond = windows.into_iter().flatten().filter(|window| window.excess() > 0.0);
+    beyond.map(|window| format!("retries beyond the budget: {window:?}")).collect()
+}
+
+/// Returns when each request arrived again at any server of a service, in order.
+fn repeats(world: &World, is_engine: bool) -> Vec<Duration> {
+    let (servers, removed) = (world.servers.borrow(), world.removed.borrow());
+    let servers = servers.iter().chain(removed.iter()).filter(|s| s.engine.is_some() == is_engine);
+    let mut arrivals: Vec<(Instant, String)> = servers
+        .flat_map(|s| {
+            s.arrivals.borrow().iter().map(|a| (a.at, a.attempt.clone())).collect::<Vec<_>>()
+        })
+        .collect();
+    arrivals.sort();
+    let mut known = BTreeSet::new();
+    arrivals.retain(|(_, attempt)| !known.insert(attempt.clone()));
+    arrivals.into_iter().map(|(at, _)| world.time_of(at)).collect()
+}
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -148,6 +148,11 @@
         Ok(world)
     }
 
+    /// Returns the time of a moment since the start.
+    pub fn time_of(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.started_at)
+    }
+
     /// Writes a line to the soak's log of events, with the milliseconds since its start.
     pub fn note(&self, text: &str) {
         let at = self.started_at.elapsed().as_millis();
@@ -213,7 +218,7 @@
         spawn_local(async move {
             while !registered.is_crashed() {
                 sleep(BEAT).await;
-                if !registered.is_crashed() {
+                if !registered.is_crashed() && !registered.freezer.is_frozen() {
                     registered.register(&store);
                 }
             }
