retry budgets: a retry counts until a window after its arrival

Callers' retries exceeded the budget of the fleet over real processes: a server that stands still reads later what its kernel has taken, so that retries that were granted over more than ten seconds arrived within ten, and where the first send was the one held up, its own late arrival was the repeat.

Cause: a retry counted for ten seconds from its grant. Ruled out by runs: arrivals that nothing is charged for (whole soaks: as many grants as repeats).

A retry counts in every window from its grant until a window after its end: the head of its response, the end of its connection, or, for a send that was given up at a silent server, that server's response to a request sent a second later; after a window it counts as ended. The same holds for an earlier unanswered send of its attempt. Open retries have to be paid by the requests of the last half window, which still count half a window later if no other comes.

--- a/lib/src/cluster/retry_budgets.rs
+++ b/lib/src/cluster/retry_budgets.rs
@@ -7,10 +7,13 @@
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::open_send::OpenSend;
+use crate::cluster::server_instance::ServerInstance;
 
-/// Fraction of the limits that is used. The rest covers retries that reach their server late, in another window than
-/// the one in which they were granted.
-const USED_FRACTION: f64 = 0.9;
+/// Fraction of the limits that is used. The rest covers the time between a caller's send and this daemon's count of it.
+const USED_FRACTION: f64 = 0.95;
+/// Fraction of a window after which a server that responds to later requests has received an earlier one, too: connections
+/// overtake each other.
+const OVERTAKING_FRACTION: f64 = 0.1;
 
 /// Retry limits over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,9 +30,9 @@
 struct Window {
     /// First sends within two windows.
     first_sends: VecDeque<Moment>,
-    /// Retries within one window.
+    /// Ends of retries within one window, in order. By then they had arrived.
     retries: VecDeque<Moment>,
-    /// Retries of which a send is open.
+    /// Retries of which a send was open when they were last checked.
     open: Vec<OpenRetry>,
 }
 
@@ -37,13 +40,20 @@
 #[derive(Debug)]
 struct OpenRetry {
     granted_at: Moment,
-    /// Its own send, and an earlier one of its attempt that may arrive after it. One at least is open.
+    /// Its own send, and an earlier one of its attempt that may arrive after it.
     sends: Vec<OpenSend>,
 }
 
 impl OpenRetry {
-    fn is_open(&self) -> bool {
-        self.sends.iter().any(|send| send.ended_at().is_none())
+    /// Returns when the last of its sends ended; `None` if one may still arrive.
+    ///
+    /// A send that is open for a whole window counts as ended, so that a server that is never heard of again does not take
+    /// a retry for good.
+    fn ended_at(&self, now: Moment, window: Duration) -> Option<Moment> {
+        let ends = self.sends.iter().map(OpenSend::ended_at);
+        let ended = ends.collect::<Option<Vec<_>>>().and_then(|ends| ends.into_iter().max());
+        let given_up = self.granted_at + window;
+        ended.or_else(|| (now >= given_up).then_some(given_up))
     }
 }
 
@@ -52,7 +62,7 @@
 pub struct BudgetUsage {
     /// First sends in the last two windows.
     pub first_sends: usize,
-    /// Retries in the last window.
+    /// Retries in the last window, without the open ones.
     pub retries: usize,
     /// Retries of which a send may still arrive.
     pub open: usize,
@@ -73,30 +83,46 @@
 impl Window {
     /// Forgets the sends that no longer count.
     fn expire(&mut self, now: Moment, length: Duration) {
+        self.settle(now, length);
         let sends_from = now.saturating_sub(length * 2);
         let retries_from = now.saturating_sub(length);
         self.first_sends.drain(..self.first_sends.partition_point(|at| *at < sends_from));
         self.retries.drain(..self.retries.partition_point(|at| *at < retries_from));
-        self.open.retain(|retry| retry.is_open() && retry.granted_at >= retries_from);
     }
 
-    /// Returns whether one more retry at `now` keeps the retries since any moment within `limits`, with `slack` for
-    /// this daemon.
+    /// Counts the retries whose sends have ended.
+    fn settle(&mut self, now: Moment, length: Duration) {
+        let retries = &mut self.retries;
+        self.open.retain(|retry| {
+            let Some(ended) = retry.ended_at(now, length) else { return true };
+            retries.insert(retries.partition_point(|at| *at <= ended), ended);
+            false
+        });
+    }
+
+    /// Returns whether one more retry at `now` keeps the retries that arrive since any moment within `limits`, with
+    /// `slack` for this daemon.
     ///
     /// The retries since a moment are compared with half of the first sends since one window before it, the mean of
     /// two adjacent windows. This limit is the same sum of sends at each daemon, so the limits of all daemons add up to
     /// the limit of the fleet, also while traffic changes or moves between daemons. The number of sends in
     /// a daemon's own last window does not: it refers to another window at each retry.
+    ///
+    /// An open retry may arrive in any later window, so it counts in all of them, and all open ones together have to be
+    /// paid by the first sends of the last half window: these count up to half a window later even if no request follows.
     fn allows_retry(&self, limits: &BudgetLimits, slack: f64, now: Moment) -> bool {
-        let total = self.retries.len() + 1;
-        let starts = self.retries.iter().copied().chain([now]);
-        starts.enumerate().all(|(earlier, start)| {
-            let sends_from = start.saturating_sub(limits.window);
+        let open = self.open.len() + 1;
+        let allows = |retries: usize, sends_from: Moment| {
             let sends =
                 self.first_sends.len() - self.first_sends.partition_point(|at| *at < sends_from);
             let allowed = limits.ratio * sends as f64 / 2.0 + slack;
-            (total - earlier) as f64 <= allowed * USED_FRACTION
-        })
+            retries as f64 <= allowed * USED_FRACTION
+        };
+        let total = self.retries.len() + open;
+        allows(open, now.saturating_sub(limits.window / 2))
+            && self.retries.iter().enumerate().all(|(earlier, start)| {
+                allows(total - earlier, start.saturating_sub(limits.window))
+            })
     }
 }
 
@@ -130,12 +156,11 @@
     /// Returns the sends that count towards the budget of a service now.
     pub fn usage(&self, service: &ServiceName, now: Moment) -> BudgetUsage {
         let Some(window) = self.windows.get(service) else { return BudgetUsage::default() };
-        let open = window.open.iter().filter(|retry| retry.is_open());
-        let oldest = open.clone().map(|retry| now.saturating_sub(retry.granted_at)).max();
+        let oldest = window.open.iter().map(|retry| now.saturating_sub(retry.granted_at)).max();
         BudgetUsage {
             first_sends: window.first_sends.len(),
             retries: window.retries.len(),
-            open: open.count(),
+            open: window.open.len(),
             oldest: oldest.unwrap_or_default(),
         }
     }
@@ -154,9 +179,27 @@
             return false;
         }
         let window = self.windows.entry(service.clone()).or_default();
-        window.retries.push_back(now);
         let sends = unanswered.into_iter().chain([retry.clone()]).collect();
         window.open.push(OpenRetry { granted_at: now, sends });
         true
     }
+
+    /// Records that a server has responded to a request that was sent at `sent_at`: what it was sent some time before has
+    /// arrived too.
+    pub fn record_response(
+        &mut self,
+        service: &ServiceName,
+        server: &ServerInstance,
+        sent_at: Moment,
+        now: Moment,
+    ) {
+        let Some(window) = self.windows.get_mut(service) else { return };
+        let overtaking = self.limits.window.mul_f64(OVERTAKING_FRACTION);
+        let sends = window.open.iter().flat_map(|retry| &retry.sends);
+        for send in
+            sends.filter(|send| send.server == *server && send.sent_at + overtaking <= sent_at)
+        {
+            send.end(now);
+        }
+    }
 }
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -202,6 +202,12 @@
             }
         }
     };
+    daemon.retry_budgets.borrow_mut().record_response(
+        &server.service,
+        &instance,
+        sent,
+        daemon.now(),
+    );
     if !connection.is_relayed() {
         daemon.server_paths.borrow_mut().record_response(&instance, daemon.now());
     }
--- a/lib/tests/test_late_retries.rs
+++ b/lib/tests/test_late_retries.rs
@@ -243,6 +243,10 @@
         }
         fleet.run_step(|index| step > WINDOW && failing[index]);
     }
+    // Callers go on until all retries have arrived.
+    for _ in 0..longest {
+        fleet.run_step(|_| false);
+    }
     fleet.most_used()
 }
 
