retry budgets: no slack for a daemon that does not know the others

A daemon that reached neither the store nor a peer from its start on took the slack of the whole fleet ten seconds later, each such daemon once more, beside the shares of those that know each other.

Cause: the daemons a process has seen taken for the fleet. Not changed: peers that are silent for two minutes are forgotten.

--- a/lib/src/cluster/retry_budgets.rs
+++ b/lib/src/cluster/retry_budgets.rs
@@ -145,12 +145,20 @@
         sends.insert(sends.partition_point(|at| *at <= sent_at), sent_at);
     }
 
-    /// Returns whether this daemon has a retry left in its share, with `daemons` in the fleet.
-    pub fn has_retry(&mut self, service: &ServiceName, now: Moment, daemons: usize) -> bool {
+    /// Returns whether this daemon has a retry left in its share, with `daemons` in the fleet; `None` if that is not known.
+    ///
+    /// A daemon that does not know the others has no slack: they have all of it.
+    pub fn has_retry(
+        &mut self,
+        service: &ServiceName,
+        now: Moment,
+        daemons: Option<usize>,
+    ) -> bool {
         let window = self.windows.entry(service.clone()).or_default();
         window.expire(now, self.limits.window);
         let is_new = now < self.started + self.limits.window;
-        let slack = if is_new { 0.0 } else { self.limits.slack / daemons.max(1) as f64 };
+        let sharers = daemons.filter(|_| !is_new);
+        let slack = sharers.map_or(0.0, |daemons| self.limits.slack / daemons.max(1) as f64);
         window.allows_retry(&self.limits, slack, now)
     }
 
@@ -166,14 +174,14 @@
         }
     }
 
-    /// Takes one retry, whose send is `retry`, out of this daemon's share, with `daemons` in the fleet; returns whether one
+    /// Takes one retry, whose send is `retry`, out of this daemon's share, as [`Self::has_retry`] tells; returns whether one
     /// was left. `unanswered` is an earlier send of its attempt that may arrive after it.
     pub fn take_retry(
         &mut self,
         service: &ServiceName,
         retry: &OpenSend,
         unanswered: Option<OpenSend>,
-        daemons: usize,
+        daemons: Option<usize>,
     ) -> bool {
         let now = retry.sent_at;
         if !self.has_retry(service, now, daemons) {
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -446,15 +446,20 @@
         bidders.bid_delay(rank.is_small, fraction)
     }
 
+    /// Returns the number of daemons that share retry budgets; `None` until the list of daemons was read once.
+    fn budget_sharers(&self) -> Option<usize> {
+        self.peers_known.get().then(|| self.peers.borrow().daemons())
+    }
+
     /// Returns whether the retry budget of a service has a retry left.
     pub fn has_retry(&self, service: &ServiceName) -> bool {
-        let daemons = self.peers.borrow().daemons();
+        let daemons = self.budget_sharers();
         self.retry_budgets.borrow_mut().has_retry(service, self.now(), daemons)
     }
 
     /// Takes one retry, to a chosen server, from the budget of the attempt's service; returns `false` if none is left.
     pub fn take_retry(&self, attempt: &Attempt, chosen: &mut ChosenServer) -> bool {
-        let daemons = self.peers.borrow().daemons();
+        let daemons = self.budget_sharers();
         let mut budgets = self.retry_budgets.borrow_mut();
         let retry = OpenSend::begin(chosen.server.instance(), self.now(), true);
         let unanswered = attempt.unanswered_send();
@@ -464,7 +469,7 @@
         slog::info!(self.log, "retry-budget"; "attempt" => attempt.id(),
             "service" => attempt.service.as_str(), "granted" => is_granted,
             "first_sends" => usage.first_sends, "retries" => usage.retries, "open" => usage.open,
-            "oldest_ms" => usage.oldest.as_millis(), "daemons" => daemons,
+            "oldest_ms" => usage.oldest.as_millis(), "daemons" => daemons.unwrap_or(0),
             "reason" => attempt.reason);
         is_granted
     }
--- a/lib/tests/test_fleet_retries.rs
+++ b/lib/tests/test_fleet_retries.rs
@@ -58,7 +58,7 @@
     /// Takes a retry that arrives at once.
     fn take_retry(&mut self, service: &SmolStr, now: Moment, daemons: usize) -> bool {
         let retry = OpenSend::begin("s1".into(), now, true);
-        let is_granted = self.budgets.take_retry(service, &retry, None, daemons);
+        let is_granted = self.budgets.take_retry(service, &retry, None, Some(daemons));
         retry.end(now);
         is_granted
     }
--- a/lib/tests/test_late_retries.rs
+++ b/lib/tests/test_late_retries.rs
@@ -138,7 +138,7 @@
         let first =
             is_held_up.then(|| OpenSend::begin(format!("s{slow}").as_str().into(), now, false));
         let budgets = &mut self.daemons[index].budgets;
-        if !budgets.take_retry(&self.service, &retry, first.clone(), size) {
+        if !budgets.take_retry(&self.service, &retry, first.clone(), Some(size)) {
             return false;
         }
         let sends = [(server, Some(retry)), (slow, first)];
--- a/lib/tests/test_retry_budgets.rs
+++ b/lib/tests/test_retry_budgets.rs
@@ -23,7 +23,7 @@
 /// Takes a retry that arrives at once.
 fn take(budget: &mut RetryBudgets, service: &str, at: Duration, daemons: usize) -> bool {
     let retry = OpenSend::begin("s1".into(), at, true);
-    let is_granted = budget.take_retry(&service.into(), &retry, None, daemons);
+    let is_granted = budget.take_retry(&service.into(), &retry, None, Some(daemons));
     retry.end(at);
     is_granted
 }
@@ -98,7 +98,7 @@
     let service = SmolStr::new("draft");
     let mut budget = budgets();
     let held_up = OpenSend::begin("s1".into(), at(1_000), true);
-    assert!(budget.take_retry(&service, &held_up, None, 1));
+    assert!(budget.take_retry(&service, &held_up, None, Some(1)));
     let rest = take_all(&mut budget, at(9_000), 1);
     held_up.end(at(9_000));
     assert_eq!(take_all(&mut budget, at(12_000), 1), 0, "it counts from its arrival on");
@@ -112,21 +112,21 @@
     let mut budget = budgets();
     let first = OpenSend::begin("s1".into(), at(0), false);
     let retry = OpenSend::begin("s2".into(), at(1_000), true);
-    assert!(budget.take_retry(&service, &retry, Some(first), 1));
+    assert!(budget.take_retry(&service, &retry, Some(first), Some(1)));
     retry.end(at(1_100));
     assert_eq!(budget.usage(&service, at(2_000)).open, 1);
     budget.record_response(&service, &"s2".into(), at(5_000), at(5_000));
-    assert!(budget.has_retry(&service, at(5_000), 1));
+    assert!(budget.has_retry(&service, at(5_000), Some(1)));
     assert_eq!(budget.usage(&service, at(5_000)).open, 1, "another server responded");
     budget.record_response(&service, &"s1".into(), at(500), at(5_500));
-    assert!(budget.has_retry(&service, at(5_500), 1));
+    assert!(budget.has_retry(&service, at(5_500), Some(1)));
     assert_eq!(
         budget.usage(&service, at(5_500)).open,
         1,
         "to a request that may have come before it"
     );
     budget.record_response(&service, &"s1".into(), at(5_000), at(6_000));
-    assert!(budget.has_retry(&service, at(6_000), 1));
+    assert!(budget.has_retry(&service, at(6_000), Some(1)));
     assert_eq!(budget.usage(&service, at(6_000)).open, 0, "to a later request");
 }
 
@@ -137,7 +137,20 @@
     let mut budget = budgets();
     let all = take_all(&mut budgets(), at(1_000), 4);
     let silent = OpenSend::begin("s1".into(), at(1_000), true);
-    assert!(budget.take_retry(&service, &silent, None, 4));
+    assert!(budget.take_retry(&service, &silent, None, Some(4)));
     assert_eq!(take_all(&mut budget, at(10_500), 4), all - 1);
     assert_eq!(take_all(&mut budget, at(21_001), 4), all);
 }
+
+/// Guards against a daemon that starts cut off from all others and takes the whole slack: they have all of it.
+#[test]
+fn strangers_unpaid() {
+    let service = SmolStr::new("draft");
+    let mut budget = budgets();
+    assert!(!budget.has_retry(&service, at(1_000), None));
+    for _ in 0..100 {
+        budget.record_first(&service, at(2_000));
+    }
+    assert!(budget.has_retry(&service, at(2_000), None), "by its own requests");
+    assert!(budget.has_retry(&service, at(60_000), Some(1)), "alone in its fleet");
+}
