--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -182,9 +182,13 @@
         servers.iter().filter(|_| rng.random_bool(STALLED_FRACTION)).cloned().collect();
     let ids: Vec<&str> = stalled.iter().map(|s| s.id.as_str()).collect();
     world.note(&format!("stall servers={} fail={behaviour:?} for={time:?}", ids.join(",")));
-    stalled.iter().for_each(|server| server.freezer.freeze());
+    for server in &stalled {
+        server.freezer.freeze();
+    }
     sleep(time).await;
-    stalled.iter().for_each(|server| server.freezer.thaw());
+    for server in &stalled {
+        server.freezer.thaw();
+    }
     sleep(pause.saturating_sub(time)).await;
 }
 
