streams: a version is the only one by a list that was read after the caller came

Callers whose stream nobody knew any more got the rest from another software version (ORDER) if the second version had joined since the daemon's last read of the servers, within drain_ms: at a daemon that was cut off meanwhile, or beside the loss of all daemons that kept the stream's version.

The list is now read after the request arrived (100 ms and one call, half a second at most; otherwise refused as not run, Retry-After 1 s). Such streams are rare: without a kill of all daemons peers know a stream.

late_version failed before (200 from v1) and passes.

--- a/lib/src/serve/find_origin.rs
+++ b/lib/src/serve/find_origin.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::timeout;
+
 use crate::cluster::stream_origin::OriginHash;
 use crate::cluster::stream_origin::StreamOrigin;
 use crate::cluster::stream_origin::stream_key;
@@ -18,6 +20,8 @@
 pub const VERSION_GONE: &str = "no server of the stream's software version";
 /// Retry delay if a daemon that may know the version did not reply: it may be back by then.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest wait for a list of servers that is read after the caller's request arrived.
+const LIST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Retry delay if only a change of the servers can help.
 pub const VERSION_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -42,12 +46,16 @@
             let origin = origin.and_then(|hash| find_by_hash(daemon, attempt, hash));
             (origin, known.source.name(), daemon.now().saturating_sub(known.known_since))
         }
-        OriginLookup::Unknown => {
-            (only_origin(daemon, attempt, VERSION_RETRY_AFTER), "only-version", Duration::ZERO)
-        }
-        OriginLookup::Unanswered => {
-            (only_origin(daemon, attempt, UNANSWERED_RETRY_AFTER), "only-version", Duration::ZERO)
-        }
+        OriginLookup::Unknown => (
+            only_origin(daemon, attempt, VERSION_RETRY_AFTER).await,
+            "only-version",
+            Duration::ZERO,
+        ),
+        OriginLookup::Unanswered => (
+            only_origin(daemon, attempt, UNANSWERED_RETRY_AFTER).await,
+            "only-version",
+            Duration::ZERO,
+        ),
     };
     let outcome = result.as_ref().map_or_else(|refusal| refusal.reason, |_| "found");
     slog::info!(daemon.log, "stream-origin"; "attempt" => attempt.id(),
@@ -87,17 +95,19 @@
 
 /// Returns the origin of a stream that nobody knows, if its service has had servers of one version only for as long as
 /// any stream can be resumed.
-fn only_origin(
+async fn only_origin(
     daemon: &DaemonState,
     attempt: &Attempt,
     retry_after: Duration,
 ) -> Result<StreamOrigin, Refusal> {
-    let now = daemon.now();
-    let list_age = now.saturating_sub(daemon.freshness.servers_at.get());
-    let history = daemon.version_history.borrow();
-    // Servers of another version may have joined since an old list was read.
-    let only = history.only_version(&attempt.service, now);
-    let only = only.filter(|_| list_age <= daemon.settings().drain);
-    let version = only.cloned().ok_or_else(|| unknown(retry_after))?;
+    let only = || {
+        let history = daemon.version_history.borrow();
+        history.only_version(&attempt.service, daemon.now()).cloned()
+    };
+    only().ok_or_else(|| unknown(retry_after))?;
+    // The stream began before the request arrived, so a list that was read since then names its version, too.
+    let is_listed = timeout(LIST_TIMEOUT, daemon.freshness.wait_for_servers(attempt.arrived)).await;
+    is_listed.map_err(|_elapsed| unknown(UNANSWERED_RETRY_AFTER))?;
+    let version = only().ok_or_else(|| unknown(retry_after))?;
     Ok(StreamOrigin { service: attempt.service.clone(), version })
 }
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -87,7 +87,8 @@
 async fn wait_until_due(daemon: &DaemonState) {
     loop {
         let remaining = due_at(daemon).saturating_sub(daemon.now());
-        if remaining.is_zero() || must_relist(daemon) || is_outdated(daemon) {
+        let is_due = remaining.is_zero() || daemon.freshness.is_awaited();
+        if is_due || must_relist(daemon) || is_outdated(daemon) {
             return;
         }
         sleep(remaining.min(CHECK_INTERVAL)).await;
--- a/lib/src/serve/freshness.rs
+++ b/lib/src/serve/freshness.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use crate::boot_clock::Moment;
 
 /// How up to date the list of servers and the configuration are, and where the list came from.
@@ -23,6 +25,10 @@
     pub has_gap: Cell<bool>,
     /// Time since which the directory has differed from a reader's, or of the last fetch that was due for that reason.
     differs_since: Cell<Option<Moment>>,
+    /// Latest time up to which a request needs the list of servers to be complete.
+    needed_at: Cell<Moment>,
+    /// Signalled when `servers_at` advances.
+    advanced: Notify,
 }
 
 /// A directory that differs from a reader's for this long is fetched again. Short differences are normal: one of the
@@ -51,5 +57,23 @@
     /// Records that the list of servers is complete up to `at`.
     pub fn advance_servers(&self, at: Moment) {
         self.servers_at.set(self.servers_at.get().max(at));
+        self.advanced.notify_waiters();
+    }
+
+    /// Waits until the list of servers is complete up to `at`; the store is read for that.
+    pub async fn wait_for_servers(&self, at: Moment) {
+        loop {
+            let advanced = self.advanced.notified();
+            if self.servers_at.get() >= at {
+                return;
+            }
+            self.needed_at.set(self.needed_at.get().max(at));
+            advanced.await;
+        }
+    }
+
+    /// Returns whether a request waits for a later list of servers.
+    pub fn is_awaited(&self) -> bool {
+        self.needed_at.get() > self.servers_at.get()
     }
 }
