streams: origins are stored each tenth of a second

Cause: the interval between writes is the time whose streams are lost. It is 100 ms now in small fleets; 3 ms a daemon as before in larger ones, so that all together write no more than 333 records a second. Price: up to ten small writes a second and daemon while several versions serve. Waiting for the write before the first event would lose none, at the price of each first token.

--- a/lib/src/serve/stored_origins.rs
+++ b/lib/src/serve/stored_origins.rs
@@ -28,7 +28,7 @@
 use crate::store::FeedRecord;
 
 /// Shortest interval between two writes of a daemon. Streams that began since the last one are lost with all daemons.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// The same for each daemon of the fleet: all together write 333 records a second at most.
 const WRITE_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(3);
 /// Shortest interval between two listings: what was stored after the first is known to living daemons.
