--- a/lib/src/cluster/open_send.rs
+++ b/lib/src/cluster/open_send.rs
@@ -8,8 +8,8 @@
 
 /// A send whose request may still reach its server later. Clones share their state.
 ///
-/// A server that stands still receives what its kernel holds once it continues, also on connections that have been closed
-/// meanwhile. So the end of a wait for a response does not end the send.
+/// A suspended server receives what its kernel holds once it continues, also on connections that were closed before then.
+/// So the end of a wait for a response does not end the send.
 #[derive(Clone, Debug)]
 pub struct OpenSend {
     /// The server.
--- a/lib/src/cluster/retry_budgets.rs
+++ b/lib/src/cluster/retry_budgets.rs
@@ -47,8 +47,8 @@
 impl OpenRetry {
     /// Returns when the last of its sends ended; `None` if one may still arrive.
     ///
-    /// A send that is open for a whole window counts as ended, so that a server that is never heard of again does not take
-    /// a retry for good.
+    /// A send that is open for a whole window counts as ended, so that a retry to a server that never responds again
+    /// expires.
     fn ended_at(&self, now: Moment, window: Duration) -> Option<Moment> {
         let ends = self.sends.iter().map(OpenSend::ended_at);
         let ended = ends.collect::<Option<Vec<_>>>().and_then(|ends| ends.into_iter().max());
--- a/lib/src/serve/stored_origins.rs
+++ b/lib/src/serve/stored_origins.rs
@@ -151,7 +151,7 @@
     listings.ended.notify_waiters();
 }
 
-/// Removes records of processes that are gone, as the lease holder, once none of their streams can be resumed.
+/// Removes, as the lease holder, records of ended processes whose streams have expired.
 pub async fn remove_outdated(daemon: Rc<DaemonState>) {
     let mut seen: BTreeMap<SmolStr, (Bytes, Moment)> = BTreeMap::new();
     loop {
--- a/lib/tests/test_late_retries.rs
+++ b/lib/tests/test_late_retries.rs
@@ -40,9 +40,9 @@
     standstill: Standstill,
     /// Requests a step.
     rate: usize,
-    /// Step until which it stands still.
+    /// Step until which it is suspended.
     stopped_until: usize,
-    /// Requests that callers sent to it meanwhile.
+    /// Requests that were sent to it during that time.
     queued: usize,
 }
 
@@ -56,7 +56,7 @@
 struct Fleet {
     service: SmolStr,
     daemons: Vec<Daemon>,
-    /// Step until which each server stands still.
+    /// Step until which each server is suspended.
     servers: Vec<usize>,
     flights: Vec<Flight>,
     sent: Vec<Duration>,
