streams: an origin is stored when its stream begins, and the first event waits for that

Cause: origins were written at even intervals, 100 ms or 3 ms a daemon, so that what began since the last write was in no record. A record that is older than what it stands for; the class of the incident. Ruled out: streams begun before the release (none among the refused), slow or refused writes (none in the log). Change: a daemon writes when a stream begins and passes its first event on once the write is acknowledged, after 60 ms in any case. Who may not write within 60 ms, or whose last write failed, does not wait. Nothing waits outside a release, or in services with one version.

--- a/lib/src/cluster/stream_origins.rs
+++ b/lib/src/cluster/stream_origins.rs
@@ -72,6 +72,8 @@
     origins: HashMap<StreamKey, KnownOrigin>,
     last_sweep: Moment,
     dropped: u64,
+    /// Number of this daemon's records so far.
+    begun: u64,
 }
 
 impl StreamOrigins {
@@ -86,6 +88,7 @@
     ) -> OriginReport {
         let ttl_s = (ttl + DEADLINE_MARGIN).min(MAX_STREAM_TIME).as_secs();
         let report = OriginReport::new(stream, Some(origin), u16::try_from(ttl_s).unwrap_or(0));
+        self.begun += 1;
         self.insert(report, OriginSource::Own, now);
         report
     }
@@ -142,6 +145,11 @@
         Some(OriginReport::new(stream, known.hash, u16::try_from(left).unwrap_or(u16::MAX)))
     }
 
+    /// Returns how often an origin of this daemon's streams was recorded.
+    pub fn begun(&self) -> u64 {
+        self.begun
+    }
+
     /// Returns the streams whose origins are known.
     pub fn streams(&self) -> impl Iterator<Item = StreamKey> {
         self.origins.keys().copied()
--- a/lib/src/cluster/version_history.rs
+++ b/lib/src/cluster/version_history.rs
@@ -65,9 +65,14 @@
         versions.next().is_none().then_some(only)
     }
 
+    /// Returns whether streams of several versions of a service may still be resumed.
+    pub fn has_several(&self, service: &str, now: Moment) -> bool {
+        self.versions(service, now).nth(1).is_some()
+    }
+
     /// Returns whether streams of several versions of one service may still be resumed.
     pub fn is_mixed(&self, now: Moment) -> bool {
-        self.services.keys().any(|service| self.versions(service, now).nth(1).is_some())
+        self.services.keys().any(|service| self.has_several(service, now))
     }
 
     /// Returns all services with their versions.
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -77,3 +77,4 @@
 pub mod trials;
 pub mod unanswered;
 pub mod verify_instance;
+pub mod write_pacer;
--- a/lib/src/serve/entry_settings.rs
+++ b/lib/src/serve/entry_settings.rs
@@ -58,6 +58,8 @@
     pub max_slowdown: f64,
     /// Longest time that a request waits for tokens of its workspace's quota; zero if none waits.
     pub max_quota_wait: Duration,
+    /// Write calls per second that the store accepts from all its callers together.
+    pub store_writes: f64,
 }
 
 /// CPU and link capacity of a host that the daemon may use.
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -26,6 +26,7 @@
 use crate::serve::send;
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
+use crate::serve::stored_origins::wait_until_stored;
 use crate::serve::suspects;
 use crate::serve::verify_instance::verify_instance;
 
@@ -90,6 +91,7 @@
             }
             Ok(OpenOutcome::Stream(started)) => {
                 attempt.record_first_event(daemon, started.first_event);
+                wait_until_stored(daemon, &attempt.service).await;
                 return Ok(OpenOutcome::Stream(started));
             }
             Err(failure) => {
--- a/lib/src/serve/origin_exchange.rs
+++ b/lib/src/serve/origin_exchange.rs
@@ -69,6 +69,7 @@
             daemon.send_datagram(addr, &bytes, BYTES_KIND);
         }
     }
+    daemon.stored_origins.record_begun();
 }
 
 /// Records that the caller was sent the last event of a stream.
--- a/lib/src/serve/stored_origins.rs
+++ b/lib/src/serve/stored_origins.rs
@@ -1,7 +1,7 @@
 //! Origins of streams in the platform's store, from which they are known after all daemons were killed at once.
 //!
-//! Each process has one record of its streams in progress, which it replaces at intervals while several software versions
-//! serve. At other times nothing is stored.
+//! Each process has one record of its streams in progress while several software versions serve. It replaces the record
+//! when a stream begins, and a stream's first event waits a moment for that. At other times nothing is stored.
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
+use crate::cluster::configuration::ServiceName;
 use crate::cluster::origin_message::OriginMessage;
 use crate::cluster::stream_origin::StreamKey;
 use crate::cluster::stream_origins::KnownOrigin;
@@ -24,13 +25,18 @@
 use crate::ids::FeedOffset;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::store_calls::track_call;
+use crate::serve::write_pacer::WritePacer;
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
-/// Shortest interval between two writes of a daemon. Streams that began since the last one are lost with all daemons.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(100);
-/// The same for each daemon of the fleet: all together write 333 records a second at most.
-const WRITE_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(3);
+/// Longest wait of a stream's first event for its record: less than the 64 ms that callers expect between two tokens.
+const MAX_STORE_WAIT: Duration = Duration::from_millis(60);
+/// Longest time between checks whether something must be written.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which completed streams are removed from the record if no stream begins.
+const REWRITE_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay before a failed write is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Shortest interval between two listings: what was stored after the first is known to living daemons.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest wait of a request for a listing.
@@ -38,9 +44,17 @@
 /// Interval at which the lease holder looks for records of former processes.
 const CLEANUP_INTERVAL: Duration = Duration::from_mins(1);
 
-/// Which stored origins this daemon has read.
+/// Which of its origins this daemon has stored, and which stored ones it has read.
 #[derive(Debug, Default)]
 pub struct StoredOrigins {
+    /// Signalled when a stream has begun.
+    begun: Notify,
+    /// Number of streams that had begun by the last acknowledged write; zero while nothing is stored.
+    stored: Cell<u64>,
+    /// Earliest time of the next write.
+    next_write: Cell<Moment>,
+    /// Signalled when a write was acknowledged.
+    acknowledged: Notify,
     /// When the last listing began.
     began: Cell<Option<Moment>>,
     /// When the last successful listing began; what was stored before then is known.
@@ -49,34 +63,97 @@
     ended: Notify,
 }
 
+/// What a process has stored.
+#[derive(Debug, Default)]
+struct LastWrite {
+    value: Option<Bytes>,
+    offset: FeedOffset,
+    at: Moment,
+}
+
+impl StoredOrigins {
+    /// Records that a stream of this daemon has begun.
+    pub fn record_begun(&self) {
+        self.begun.notify_one();
+    }
+}
+
+/// Waits until the origins of all streams that have begun here are stored, if their service has several software versions;
+/// returns after 60 ms in any case, and at once if no write can begin by then.
+pub async fn wait_until_stored(daemon: &DaemonState, service: &ServiceName) {
+    let now = daemon.now();
+    let origins = &daemon.stored_origins;
+    if !daemon.version_history.borrow().has_several(service, now)
+        || origins.next_write.get() > now + MAX_STORE_WAIT
+    {
+        return;
+    }
+    let begun = daemon.stream_origins.borrow().begun();
+    let stored = async {
+        loop {
+            let acknowledged = origins.acknowledged.notified();
+            if origins.stored.get() >= begun {
+                return;
+            }
+            acknowledged.await;
+        }
+    };
+    let _timed_out = timeout(MAX_STORE_WAIT, stored).await;
+}
+
 /// Stores the origins of this daemon's streams in progress while several software versions serve.
 pub async fn store_origins(daemon: Rc<DaemonState>) {
     let key = format_smolstr!("{}/{}", daemon.settings().id, daemon.process);
-    let mut stored: (Option<Bytes>, FeedOffset) = <_>::default();
-    // Daemons that start together write at different times.
-    sleep(write_interval(&daemon).mul_f64((daemon.process % 100) as f64 / 100.0)).await;
+    let origins = &daemon.stored_origins;
+    let mut pacer = WritePacer::default();
+    let mut last = LastWrite::default();
     loop {
-        sleep(write_interval(&daemon)).await;
-        let value = unfinished_origins(&daemon);
-        if value == stored.0 && !daemon.is_restored_since(stored.1) {
+        let _checked = timeout(CHECK_INTERVAL, origins.begun.notified()).await;
+        if !is_due(&daemon, &last) {
             continue;
         }
-        if value.is_some() != stored.0.is_some() {
-            slog::info!(daemon.log, "stream-origins-stored"; "begun" => value.is_some(),
-                "bytes" => value.as_ref().map_or(0, Bytes::len),
-                "interval_ms" => write_interval(&daemon).as_millis());
-        }
-        let record = FeedRecord { key: key.clone(), value: value.clone() };
-        let call = daemon.store.append(Feed::Origins, record, None);
-        if let Ok(offset) = track_call(&daemon, Feed::Origins, call).await {
-            stored = (value, offset);
+        let interval = write_interval(&daemon);
+        sleep(pacer.next_write(interval).saturating_sub(daemon.now())).await;
+        let now = daemon.now();
+        let begun = daemon.stream_origins.borrow().begun();
+        let value = unfinished_origins(&daemon);
+        if value != last.value || daemon.is_restored_since(last.offset) {
+            if value.is_some() != last.value.is_some() {
+                slog::info!(daemon.log, "stream-origins-stored"; "begun" => value.is_some(),
+                    "bytes" => value.as_ref().map_or(0, Bytes::len),
+                    "interval_ms" => interval.as_millis());
+            }
+            pacer.record_write(interval, now);
+            origins.next_write.set(pacer.next_write(interval));
+            let record = FeedRecord { key: key.clone(), value: value.clone() };
+            let call = daemon.store.append(Feed::Origins, record, None);
+            let Ok(offset) = track_call(&daemon, Feed::Origins, call).await else {
+                origins.next_write.set(daemon.now() + RETRY_DELAY);
+                sleep(RETRY_DELAY).await;
+                continue;
+            };
+            last.offset = offset;
         }
+        let is_stored = daemon.version_history.borrow().is_mixed(now);
+        origins.stored.set(if is_stored { begun } else { 0 });
+        origins.acknowledged.notify_waiters();
+        (last.value, last.at) = (value, now);
+    }
+}
+
+/// Returns whether the stored record may lack a stream, or should no longer hold what it does.
+fn is_due(daemon: &DaemonState, last: &LastWrite) -> bool {
+    let now = daemon.now();
+    if !daemon.version_history.borrow().is_mixed(now) {
+        return last.value.is_some();
     }
+    daemon.stream_origins.borrow().begun() != daemon.stored_origins.stored.get()
+        || now >= last.at + REWRITE_INTERVAL
+        || daemon.is_restored_since(last.offset)
 }
 
 fn write_interval(daemon: &DaemonState) -> Duration {
-    let daemons = u32::try_from(daemon.peers.borrow().daemons()).unwrap_or(u32::MAX);
-    MIN_WRITE_INTERVAL.max(WRITE_INTERVAL_PER_DAEMON.saturating_mul(daemons))
+    WritePacer::interval(daemon.settings().store_writes, daemon.peers.borrow().daemons())
 }
 
 /// Returns the record of this daemon's streams in progress; `None` if it has none, or their origins need no record.
