streams: a stream that is taken up is stored by the daemon that relays it

Cause: a daemon that knew a stream from a peer's report kept it as the peer's also once it had taken the stream up, so that it did not store it. If the peer's process was gone before a second version appeared, a kill of all daemons lost the stream. Change: the origin becomes the daemon's own with its first event there. Test: resumed_stored failed before (0 of 1 stored), passes now.

--- a/lib/src/cluster/stream_origins.rs
+++ b/lib/src/cluster/stream_origins.rs
@@ -48,7 +48,7 @@
 pub struct KnownOrigin {
     /// The origin; `None` if different ones were reported, so that none of them can be relied on.
     pub hash: Option<OriginHash>,
-    /// How this daemon learned it first.
+    /// How this daemon learned it first; [`OriginSource::Own`] from when the stream runs through this daemon.
     pub source: OriginSource,
     /// When it did.
     pub known_since: Moment,
@@ -118,7 +118,10 @@
                 *known = origin;
                 return;
             }
-            known.is_complete &= source != OriginSource::Own;
+            if source == OriginSource::Own {
+                known.is_complete = false;
+                known.source = source;
+            }
             // Two attempts with one id: continuing either stream at the other's version would mix versions.
             if known.hash != report.origin() {
                 known.hash = None;
--- a/lib/tests/test_stream_origins.rs
+++ b/lib/tests/test_stream_origins.rs
@@ -137,3 +137,21 @@
     let after = later + Duration::from_millis(1);
     assert_eq!(history.only_version(SERVICE, after), Some(&"v1".into()));
 }
+
+/// Guards against a stream that is lost with all daemons, since the one that took it up regards it as that of the peer
+/// which began it, and does not store it.
+#[test]
+fn resumed_stored() {
+    let mut origins = StreamOrigins::default();
+    let stream = stream_key("a1");
+    let ttl = Duration::from_secs(10);
+    let began = StreamOrigins::default().record_own(stream, origin("v1").hash(), ttl, NOW);
+    origins.record_peer(began, NOW);
+    assert!(origins.unfinished(NOW).is_empty(), "the peer stores it");
+    origins.record_own(stream, origin("v1").hash(), ttl, NOW);
+    assert_eq!(origins.unfinished(NOW).len(), 1);
+    origins.record_peer(began, NOW);
+    assert_eq!(origins.unfinished(NOW).len(), 1, "a late report from the peer changes nothing");
+    origins.complete(stream);
+    assert!(origins.unfinished(NOW).is_empty());
+}
