streams: stored versions are read again after changes of the servers were missed

What callers saw: nothing yet; found by reading and shown by forgotten_version. A daemon is cut off from the store, a server of a second version joins and leaves meanwhile, and the store drops those changes. The daemon lists the present servers, and lets a stream that nobody knows go on at their version: 200, text of the wrong version (ORDER). Cause: a daemon read the stored versions at its start only, and a listing tells no version that has left. Class of the incident: what one list says now is taken for what was since. Ruled out: daemons that read all changes, where each version is recorded as it passes. Test: forgotten_version answered 200 before, 503 now; gap_while_reading for the read in between.

--- a/lib/src/cluster/version_history.rs
+++ b/lib/src/cluster/version_history.rs
@@ -15,6 +15,8 @@
 pub struct VersionHistory {
     services: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Moment>>,
     is_complete: bool,
+    /// Whether changes were missed since the last read of the stored versions began.
+    has_gap: bool,
 }
 
 impl VersionHistory {
@@ -29,7 +31,7 @@
         self.services.entry(service.clone()).or_default().insert(version.clone(), now);
     }
 
-    /// Adds the stored versions, which counts as if their servers had been listed until now.
+    /// Adds the stored versions, as just read, which counts as if their servers had been listed until now.
     pub fn load(
         &mut self,
         stored: impl IntoIterator<Item = (ServiceName, Vec<SoftwareVersion>)>,
@@ -40,10 +42,22 @@
                 self.observe(&service, &version, now);
             }
         }
-        self.is_complete = true;
+        self.is_complete = !self.has_gap;
     }
 
-    /// Returns whether the stored versions were read.
+    /// Records that changes of the servers were missed: a version may have come and gone meanwhile, so that the stored
+    /// versions must be read again.
+    pub fn record_gap(&mut self) {
+        self.is_complete = false;
+        self.has_gap = true;
+    }
+
+    /// Records that a read of the stored versions begins.
+    pub fn begin_read(&mut self) {
+        self.has_gap = false;
+    }
+
+    /// Returns whether the stored versions were read, and no changes of the servers were missed since.
     pub fn is_complete(&self) -> bool {
         self.is_complete
     }
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -56,7 +56,10 @@
                 is_listed = true;
                 retry_delay = MIN_RETRY_DELAY;
             }
-            Err(StoreError::Expired) => is_listed = false,
+            Err(StoreError::Expired) => {
+                daemon.version_history.borrow_mut().record_gap();
+                is_listed = false;
+            }
             Err(_failed) => {
                 // The delay counts from the start of the call, so a call that timed out late is retried at once.
                 let has_recovered = backoff_after(&daemon, sent_at, retry_delay).await;
--- a/lib/src/serve/follow_versions.rs
+++ b/lib/src/serve/follow_versions.rs
@@ -26,11 +26,16 @@
 /// Versions by service, as stored.
 type StoredVersions = BTreeMap<ServiceName, Vec<SoftwareVersion>>;
 
-/// Reads the stored versions; then records those of listed servers, and stores them as the lease holder.
+/// Reads the stored versions, also after changes of the servers were missed; then records those of listed servers, and
+/// stores them as the lease holder.
 pub async fn follow_versions(daemon: Rc<DaemonState>) {
-    let (mut stored, mut end) = list_versions(&daemon).await;
-    daemon.version_history.borrow_mut().load(stored.clone(), daemon.now());
+    let (mut stored, mut end) = <_>::default();
     loop {
+        if !daemon.version_history.borrow().is_complete() {
+            daemon.version_history.borrow_mut().begin_read();
+            (stored, end) = list_versions(&daemon).await;
+            daemon.version_history.borrow_mut().load(stored.clone(), daemon.now());
+        }
         observe_servers(&daemon);
         let is_outdated = daemon.is_restored_since(end);
         if daemon.fence().is_some() {
--- a/lib/src/serve/peer_sync.rs
+++ b/lib/src/serve/peer_sync.rs
@@ -114,7 +114,9 @@
     };
     let Some((addr, read_at)) = reader else { return };
     if sync_servers(daemon, addr).await {
-        daemon.freshness.has_gap.set(false);
+        if daemon.freshness.has_gap.replace(false) {
+            daemon.version_history.borrow_mut().record_gap();
+        }
         daemon.freshness.advance_servers(read_at);
     }
 }
--- a/lib/tests/test_stream_origins.rs
+++ b/lib/tests/test_stream_origins.rs
@@ -155,3 +155,20 @@
     origins.complete(stream);
     assert!(origins.unfinished(NOW).is_empty());
 }
+
+/// Guards against a read of the stored versions that began before changes of the servers were missed: it may lack a version
+/// that came and went in between.
+#[test]
+fn gap_while_reading() {
+    let mut history = VersionHistory::default();
+    let one = || [(SERVICE.into(), vec!["v1".into()])];
+    history.begin_read();
+    history.record_gap();
+    history.load(one(), NOW);
+    assert_eq!(history.only_version(SERVICE, NOW), None);
+    history.begin_read();
+    history.load(one(), NOW);
+    assert!(history.only_version(SERVICE, NOW).is_some());
+    history.record_gap();
+    assert_eq!(history.only_version(SERVICE, NOW), None);
+}
