streams: the stored origins are looked up before the only version is taken

What callers saw: nothing yet; shown by unstored_version. Two versions serve, but the lease holder could not store the second one; all daemons are killed and its servers leave. Cause: stored origins were read only if the stored versions told of several. The record of the one fact decided whether that of the other was read. Ruled out: kills with both versions stored (unknown streams are refused, all_killed::case_2_two). Change: a stream that neither the daemon nor its peers know is looked up among the stored origins first; as long as a process has not read them, it is refused with a short time to retry. Test: unstored_version answered 200 at the wrong version before, 503 now.

--- a/lib/src/serve/find_origin.rs
+++ b/lib/src/serve/find_origin.rs
@@ -15,6 +15,7 @@
 use crate::serve::origin_exchange::OriginLookup;
 use crate::serve::origin_exchange::look_up_origin;
 use crate::serve::reply::Refusal;
+use crate::serve::stored_origins::StoredLookup;
 use crate::serve::stored_origins::look_up_stored;
 
 /// Reason for a refusal: servers of several versions serve, and nobody knows which of them began the stream.
@@ -75,21 +76,26 @@
     (origin, known.source.name(), daemon.now().saturating_sub(known.known_since))
 }
 
-/// Resolves the origin of a stream that neither this daemon nor its peers know.
+/// Resolves the origin of a stream that neither this daemon nor its peers know: by the stored origins, or by the only
+/// version if these lack the stream.
 async fn resolve_unknown(
     daemon: &Rc<DaemonState>,
     attempt: &Attempt,
     stream: Option<StreamKey>,
     retry_after: Duration,
 ) -> Resolved {
-    let only = only_origin(daemon, attempt, retry_after).await;
-    if only.is_err()
-        && let Some(stream) = stream
-        && let Some(known) = look_up_stored(daemon, stream, attempt.arrived).await
-    {
-        return resolve(daemon, attempt, known);
+    let stored = async {
+        match stream {
+            Some(stream) => look_up_stored(daemon, stream, attempt.arrived).await,
+            None => StoredLookup::Unknown,
+        }
+    };
+    let (stored, only) = tokio::join!(stored, only_origin(daemon, attempt, retry_after));
+    match stored {
+        StoredLookup::Known(known) => resolve(daemon, attempt, known),
+        StoredLookup::Unknown => (only, "only-version", Duration::ZERO),
+        StoredLookup::Unread => (Err(unknown(UNANSWERED_RETRY_AFTER)), "store", Duration::ZERO),
     }
-    (only, "only-version", Duration::ZERO)
 }
 
 fn unknown(retry_after: Duration) -> Refusal {
--- a/lib/src/serve/stored_origins.rs
+++ b/lib/src/serve/stored_origins.rs
@@ -63,6 +63,17 @@
     ended: Notify,
 }
 
+/// What the stored origins tell of a stream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StoredLookup {
+    /// Its origin.
+    Known(KnownOrigin),
+    /// They lack it.
+    Unknown,
+    /// This process has not read them yet.
+    Unread,
+}
+
 /// What a process has stored.
 #[derive(Debug, Default)]
 struct LastWrite {
@@ -172,7 +183,7 @@
     daemon: &Rc<DaemonState>,
     stream: StreamKey,
     since: Moment,
-) -> Option<KnownOrigin> {
+) -> StoredLookup {
     let listings = &daemon.stored_origins;
     let listing = async {
         loop {
@@ -192,7 +203,11 @@
         }
     };
     let _timed_out = timeout(LIST_TIMEOUT, listing).await;
-    daemon.stream_origins.borrow().get(stream, daemon.now())
+    match daemon.stream_origins.borrow().get(stream, daemon.now()) {
+        Some(known) => StoredLookup::Known(known),
+        None if listings.listed_at.get().is_some() => StoredLookup::Unknown,
+        None => StoredLookup::Unread,
+    }
 }
 
 async fn list_origins(daemon: Rc<DaemonState>) {
