placement: no load at an engine whose software version is not stored

What callers saw: nothing yet; shown by load_after_storing. While the store takes no writes of versions, the lease holder loads a model at the first engine of a new version, and streams begin there. If all daemons are killed then and that engine leaves, nothing tells that the version existed, and its streams go on at the other one (ORDER). Cause: stream-versions.md assumed that a load takes longer than a write; nothing made it so. Change: the lease holder orders nothing at an engine whose version it has not stored.

--- a/lib/src/cluster/version_history.rs
+++ b/lib/src/cluster/version_history.rs
@@ -7,28 +7,61 @@
 use crate::cluster::stream_origins::MAX_STREAM_TIME;
 use crate::ids::SoftwareVersion;
 
+/// Versions by service, as stored.
+pub type StoredVersions = BTreeMap<ServiceName, Vec<SoftwareVersion>>;
+
 /// Software versions by service, with the time at which a server of each was last listed.
 ///
 /// A daemon that starts lists only the present servers. It also needs the versions whose servers left shortly before,
 /// so they are stored, and a daemon's history is complete once it has read them.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
-    services: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Moment>>,
+    services: Versions,
+    /// Versions that the store names, as far as this daemon has read or written them.
+    stored: StoredVersions,
     is_complete: bool,
     /// Whether changes were missed since the last read of the stored versions began.
     has_gap: bool,
 }
 
+type Versions = BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Moment>>;
+
+fn observe(all: &mut Versions, service: &ServiceName, version: &SoftwareVersion, now: Moment) {
+    if let Some(versions) = all.get_mut(service)
+        && let Some(last_listed) = versions.get_mut(version)
+    {
+        *last_listed = now;
+        return;
+    }
+    all.entry(service.clone()).or_default().insert(version.clone(), now);
+}
+
 impl VersionHistory {
     /// Records that a server of this version is listed.
     pub fn observe(&mut self, service: &ServiceName, version: &SoftwareVersion, now: Moment) {
-        if let Some(versions) = self.services.get_mut(service)
-            && let Some(last_listed) = versions.get_mut(version)
-        {
-            *last_listed = now;
-            return;
-        }
-        self.services.entry(service.clone()).or_default().insert(version.clone(), now);
+        observe(&mut self.services, service, version, now);
+    }
+
+    /// Replaces the stored versions of all services.
+    pub fn set_stored(&mut self, stored: StoredVersions) {
+        self.stored = stored;
+    }
+
+    /// Records that the versions of a service were stored.
+    pub fn record_stored(&mut self, service: ServiceName, versions: Vec<SoftwareVersion>) {
+        self.stored.insert(service, versions);
+    }
+
+    /// Returns the stored versions of a service; `None` if there is no record.
+    pub fn stored(&self, service: &str) -> Option<&[SoftwareVersion]> {
+        self.stored.get(service).map(Vec::as_slice)
+    }
+
+    /// Returns whether the store names a version, so that daemons which start later know of its streams. Servers without a
+    /// version count as stored.
+    pub fn is_stored(&self, service: &str, version: &SoftwareVersion) -> bool {
+        version.is_empty()
+            || self.stored(service).is_some_and(|versions| versions.contains(version))
     }
 
     /// Adds the stored versions, as just read, which counts as if their servers had been listed until now.
@@ -37,9 +70,10 @@
         stored: impl IntoIterator<Item = (ServiceName, Vec<SoftwareVersion>)>,
         now: Moment,
     ) {
-        for (service, versions) in stored {
+        self.stored = stored.into_iter().collect();
+        for (service, versions) in &self.stored {
             for version in versions {
-                self.observe(&service, &version, now);
+                observe(&mut self.services, service, version, now);
             }
         }
         self.is_complete = !self.has_gap;
--- a/lib/src/placement/load_options.rs
+++ b/lib/src/placement/load_options.rs
@@ -85,7 +85,7 @@
 }
 
 fn is_usable(input: &PlanInput<'_>, engine: &Engine) -> bool {
-    !engine.server.leaving && !input.unreachable.contains(&engine.server.id)
+    !engine.server.leaving && !input.excluded.contains(&engine.server.id)
 }
 
 /// Computes load options at all engines while a plan is made.
--- a/lib/src/placement/planner.rs
+++ b/lib/src/placement/planner.rs
@@ -86,8 +86,8 @@
     pub run_times: &'a RunTimes,
     /// Slowdowns of engines.
     pub slowdowns: &'a ServerSlowdowns,
-    /// Engines that the lease holder cannot reach.
-    pub unreachable: Vec<ServerId>,
+    /// Engines that get no orders: the lease holder cannot reach them, or their software version is not stored yet.
+    pub excluded: Vec<ServerId>,
     /// What is known about the weight store.
     pub share: StoreShare,
     /// Fetches that may still start under the ceiling.
--- a/lib/src/serve/placement_controller.rs
+++ b/lib/src/serve/placement_controller.rs
@@ -13,6 +13,7 @@
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::Configuration;
 use crate::cluster::directory::LoadedModel;
+use crate::cluster::directory::Server;
 use crate::cluster::server_instance::ServerInstance;
 use crate::ids::Fence;
 use crate::ids::ModelName;
@@ -181,9 +182,12 @@
         let directory = daemon.directory.borrow();
         let rates = config.services.values().filter_map(|s| s.engine.as_ref()).map(|e| e.load_rate);
         let rate = rates.fold(f64::INFINITY, f64::min);
-        let avoided = engine_table.engines.values().map(|e| &e.server);
-        let avoided =
-            avoided.filter(|s| health.is_avoided(&s.instance(), now)).map(|s| s.id.clone());
+        let history = daemon.version_history.borrow();
+        let is_excluded = |s: &&Rc<Server>| {
+            health.is_avoided(&s.instance(), now) || !history.is_stored(&s.service, &s.version)
+        };
+        let excluded = engine_table.engines.values().map(|e| &e.server).filter(is_excluded);
+        let excluded = excluded.map(|s| s.id.clone());
         let window = daemon.settings().load_window;
         let mut state = self.state.borrow_mut();
         let share = state.fetch_limiter.share();
@@ -199,7 +203,7 @@
             workloads: &workloads,
             run_times: &daemon.run_times,
             slowdowns: &daemon.slowdowns,
-            unreachable: avoided.chain(directory.suspended().cloned()).collect(),
+            excluded: excluded.chain(directory.suspended().cloned()).collect(),
             share,
             fetches_left: fetch_quota,
         };
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -188,7 +188,7 @@
             workloads: &workloads,
             slowdowns: &self.slowdowns,
             run_times: &RunTimes::default(),
-            unreachable: Vec::new(),
+            excluded: Vec::new(),
             share: self.share,
             fetches_left: self.fetches_left,
         };
