--- a/lib/src/cluster/version_history.rs
+++ b/lib/src/cluster/version_history.rs
@@ -79,8 +79,8 @@
         self.is_complete = !self.has_gap;
     }
 
-    /// Records that changes of the servers were missed: a version may have come and gone meanwhile, so that the stored
-    /// versions must be read again.
+    /// Records that changes of the servers were missed: they may have listed and removed a version, so the stored versions
+    /// must be read again.
     pub fn record_gap(&mut self) {
         self.is_complete = false;
         self.has_gap = true;
--- a/lib/src/serve/stored_origins.rs
+++ b/lib/src/serve/stored_origins.rs
@@ -63,12 +63,12 @@
     ended: Notify,
 }
 
-/// What the stored origins tell of a stream.
+/// Result of looking up a stream among the stored origins.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum StoredLookup {
     /// Its origin.
     Known(KnownOrigin),
-    /// They lack it.
+    /// No record contains it.
     Unknown,
     /// This process has not read them yet.
     Unread,
