quarantine: lines tell parts' counts, rivals, what cleared them and when holds were read

request-suspected names the attempt and each part's crashes, part-held the rivals; part-cleared and quarantine-read are new. No logic changes.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -15,6 +15,7 @@
 pub mod open_send;
 pub mod origin_holders;
 pub mod origin_message;
+pub mod part_evidence;
 mod part_hold;
 pub mod part_quarantine;
 pub mod part_report;
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -8,6 +8,7 @@
 
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
+use crate::cluster::part_evidence::PartEvidence;
 use crate::cluster::part_hold::HoldScope;
 use crate::cluster::part_hold::PartHold;
 use crate::cluster::part_report::ExposedPrompt;
@@ -50,6 +51,8 @@
 pub struct PartChange {
     /// Whether a suspected part was cleared, for which requests may be waiting.
     pub is_urgent: bool,
+    /// Suspected parts that were cleared, and of how many crashes.
+    pub cleared: Vec<(PromptPart, usize)>,
     /// Parts that are no longer held.
     pub released: Vec<PromptPart>,
 }
@@ -96,11 +99,13 @@
         let mut change = PartChange::default();
         for part in parts {
             self.record_served(part, now);
-            let is_exposed = self.suspected_crashes(part).any(|c| progress.clears(c.worst_stage));
+            let exposed = self.suspected_crashes(part).filter(|c| progress.clears(c.worst_stage));
+            let exposed = exposed.count();
             let is_released = releases(progress) && self.held.contains_key(part);
-            if !is_exposed && !is_released {
+            if exposed == 0 && !is_released {
                 continue;
             }
+            change.cleared.push((part.clone(), exposed));
             change.is_urgent |= is_released || self.is_suspect(part);
             if self.clear_at(part, progress, now) {
                 change.released.push(part.clone());
@@ -307,6 +312,33 @@
         suspected.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns what is known for and against parts of prompts.
+    pub fn evidence<'a>(
+        &self,
+        parts: impl IntoIterator<Item = &'a PromptPart>,
+    ) -> Vec<PartEvidence> {
+        let evidence = |part: &PromptPart| PartEvidence {
+            id: part.id,
+            crashes: self.count(part),
+            is_served: self.served.contains_key(part),
+            is_held: self.held.contains_key(part),
+        };
+        parts.into_iter().map(evidence).collect()
+    }
+
+    /// Returns what is known for and against the other parts that servers had when they crashed under requests with a part, the
+    /// most suspected first.
+    pub fn rivals(&self, part: &PromptPart) -> Vec<PartEvidence> {
+        let crashes = self.crashes.values().filter(|c| c.requests_with(part).next().is_some());
+        let ids: BTreeSet<_> = crashes.flat_map(PromptCrash::parts).collect();
+        let others = ids.into_iter().filter(|id| *id != part.id);
+        let others: Vec<_> =
+            others.map(|id| PromptPart { service: part.service.clone(), id }).collect();
+        let mut rivals = self.evidence(&others);
+        rivals.sort_by_key(|rival| std::cmp::Reverse(rival.crashes));
+        rivals
+    }
+
     /// Returns whether a part is held at all daemons; `false` also if only this one holds it while it is isolated.
     pub fn is_held_fleetwide(&self, part: &PromptPart) -> bool {
         self.held.get(part).is_some_and(PartHold::is_fleetwide)
--- a/lib/src/cluster/quarantine_report.rs
+++ b/lib/src/cluster/quarantine_report.rs
@@ -48,6 +48,15 @@
     /// All variants.
     pub const ALL: [Self; 3] = [Self::FirstEvent, Self::Streaming, Self::Complete];
 
+    /// Returns its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::FirstEvent => "first-event",
+            Self::Streaming => "streaming",
+            Self::Complete => "complete",
+        }
+    }
+
     /// Returns whether a request that got this far is not to blame for a crash at `stage`: if a request
     /// crashes servers, it crashes each of them at the same point.
     pub fn clears(self, stage: CrashStage) -> bool {
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -51,7 +51,7 @@
 const FIRST_EVENT_FRACTION: f64 = 0.6;
 
 /// Maximum number of prompt parts in a log line.
-const MAX_LOGGED_PARTS: usize = 8;
+pub(super) const MAX_LOGGED_PARTS: usize = 8;
 
 /// An attempt whose request was read whole and matched a route.
 #[derive(Debug)]
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -2,14 +2,17 @@
 //! quarantined ones, reports and stores these.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::task::spawn_local;
 
+use crate::cluster::part_evidence::PartEvidence;
 use crate::cluster::part_report::PartReport;
 use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::placement::entries;
 use crate::serve::attempt::Attempt;
+use crate::serve::attempt::MAX_LOGGED_PARTS;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::suspects::QuarantineRecord;
 use crate::serve::suspects::append;
@@ -37,6 +40,13 @@
     let mut parts = daemon.part_quarantine.borrow_mut();
     let change = parts.record_progress(&attempt.prompt_parts, progress, daemon.now());
     drop(parts);
+    for (part, crashes) in &change.cleared {
+        let passed =
+            attempt.first_event.map_or(Duration::ZERO, |at| daemon.now().saturating_sub(at));
+        slog::info!(daemon.log, "part-cleared"; "part" => %part, "attempt" => attempt.id(),
+            "progress" => progress.name(), "crashes" => crashes,
+            "first_event_ms_ago" => passed.as_millis());
+    }
     for part in &change.released {
         release(daemon, part, "served");
         spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
@@ -132,11 +142,19 @@
     let servers: Vec<_> = crashes.iter().map(|c| c.server.id.as_str()).collect();
     let scope = if parts.is_held_fleetwide(part) { "fleet" } else { "isolated" };
     slog::warn!(daemon.log, "part-held"; "part" => %part, "from" => from, "scope" => scope,
-        "servers" => servers.join(","), "held" => parts.held_count());
+        "servers" => servers.join(","), "rivals" => shown_evidence(&parts.rivals(part)),
+        "held" => parts.held_count());
     daemon.metrics.set_quarantined_parts(parts.held_count());
     daemon.part_held.notify_waiters();
 }
 
+/// Returns what is known for and against the first few of some parts, for the log.
+pub(super) fn shown_evidence(evidence: &[PartEvidence]) -> String {
+    let shown: Vec<_> =
+        evidence.iter().take(MAX_LOGGED_PARTS).map(PartEvidence::to_string).collect();
+    if shown.is_empty() { "-".to_owned() } else { shown.join(",") }
+}
+
 /// Writes a quarantined prompt part to the store, since all daemons may be replaced at once.
 async fn store(daemon: Rc<DaemonState>, part: PromptPart) {
     let record = held_record(&daemon, &part);
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -24,7 +24,6 @@
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
 use crate::ids::DaemonId;
-use crate::ids::PartId;
 use crate::placement::entries;
 use crate::serve::attempt::Attempt;
 use crate::serve::daemon_state::DaemonState;
@@ -128,9 +127,9 @@
 struct Exposure {
     fingerprint: Fingerprint,
     service: ServiceName,
-    parts: Vec<PartId>,
-    /// Prompt parts of the request, for the log.
-    shown_parts: String,
+    parts: Vec<PromptPart>,
+    /// Id of the caller's attempt, for the log.
+    attempt: String,
     server: ServerInstance,
     sent_at: Moment,
     stage: CrashStage,
@@ -155,8 +154,8 @@
     let exposure = Exposure {
         fingerprint,
         service: attempt.service.clone(),
-        parts: attempt.prompt_parts.iter().map(|part| part.id).collect(),
-        shown_parts: attempt.shown_parts(),
+        parts: attempt.prompt_parts.clone(),
+        attempt: attempt.id().to_owned(),
         server,
         sent_at,
         stage,
@@ -225,19 +224,22 @@
 }
 
 fn record_crash(daemon: &Rc<DaemonState>, exposure: &Exposure) {
-    let Exposure { fingerprint, ref shown_parts, ref server, sent_at, stage, .. } = *exposure;
+    let Exposure { fingerprint, ref server, sent_at, stage, .. } = *exposure;
     let mut quarantine = daemon.quarantine.borrow_mut();
     let id = quarantine.crash_after(server, sent_at);
     let is_held = quarantine.record_crash(server, sent_at, fingerprint, stage, daemon.now());
     let crashes = quarantine.suspected_crashes(&fingerprint).len();
     drop(quarantine);
-    let prompt = ExposedPrompt { fingerprint, stage, parts: exposure.parts.clone() };
+    let part_ids = exposure.parts.iter().map(|part| part.id).collect();
+    let prompt = ExposedPrompt { fingerprint, stage, parts: part_ids };
     let mut parts = daemon.part_quarantine.borrow_mut();
     parts.record_crash(&id, &exposure.service, prompt, daemon.now());
+    let evidence = parts.evidence(&exposure.parts);
     drop(parts);
     if stage < CrashStage::Other || crashes > 1 {
-        slog::info!(daemon.log, "request-suspected"; "print" => %fingerprint, "server" => %server,
-            "stage" => stage.name(), "crashes" => crashes, "parts" => shown_parts);
+        slog::info!(daemon.log, "request-suspected"; "print" => %fingerprint,
+            "attempt" => &exposure.attempt, "server" => %server, "stage" => stage.name(),
+            "crashes" => crashes, "parts" => part_suspects::shown_evidence(&evidence));
     }
     if stage == CrashStage::BeforeEvents {
         daemon.quarantine_changed.notify_one();
@@ -334,7 +336,10 @@
 
 /// Loads the requests that were quarantined before this daemon started.
 pub async fn load_quarantine(daemon: Rc<DaemonState>) {
+    let began = daemon.now();
+    let mut calls = 0;
     loop {
+        calls += 1;
         let call = daemon.store.list_latest(Feed::Quarantine);
         let Ok(batch) = track_call(&daemon, Feed::Quarantine, call).await else {
             sleep(STORE_RETRY_DELAY).await;
@@ -357,6 +362,9 @@
                 Err(error) => daemon.log_unreadable(Feed::Quarantine, &record.key, &error.0),
             }
         }
+        slog::info!(daemon.log, "quarantine-read"; "records" => batch.records.len(),
+            "calls" => calls, "started_ms_ago" => daemon.now().saturating_sub(began).as_millis(),
+            "config" => daemon.config_version());
         return;
     }
 }
