quarantine: progress clears a prompt part from the request's first event on

Callers saw: requests with a part that became fatal reached engines long after its fifth crash, and sound parts were held in its place.

Cause: a stream that had begun before the part became fatal cleared it of all crashes when it went on for half a second or was completed, seconds later, and released a hold. While such streams ended, no crash counted, so other parts of the same crashes were the most suspected ones.

Change: what a request shows counts at the time of its first event, for clearings and releases. A hold keeps the time of its last crash in place of that of the decision, so that a request that began in between releases it.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -2,6 +2,7 @@
 //! each with its source and age.
 
 pub mod brittle_servers;
+mod clearing;
 pub mod config_history;
 pub mod configuration;
 pub mod demand_meter;
--- a/lib/src/cluster/part_hold.rs
+++ b/lib/src/cluster/part_hold.rs
@@ -15,8 +15,11 @@
 /// A part that goes to no server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PartHold {
-    /// When it was found to crash servers; a request with it that gets further later releases it.
+    /// When the last of the crashes happened that show it to crash servers; a request with it whose first event came later
+    /// releases it.
     pub since: Moment,
+    /// When this daemon learned that it is held.
+    pub learned_at: Moment,
     /// When a caller last sent it.
     pub last_attempt: Moment,
     /// The daemons that it binds.
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
+use crate::cluster::clearing::Clearing;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::part_evidence::PartEvidence;
 use crate::cluster::part_hold::HoldScope;
@@ -64,8 +65,8 @@
 #[derive(Debug, Default)]
 pub struct PartQuarantine {
     pub(super) crashes: HashMap<CrashId, PromptCrash>,
-    /// Parts with which a request reached a stage of progress without a crash, and when.
-    pub(super) cleared: HashMap<(PromptPart, RequestProgress), Moment>,
+    /// Parts with which a request reached a stage of progress without a crash.
+    pub(super) cleared: HashMap<(PromptPart, RequestProgress), Clearing>,
     pub(super) held: HashMap<PromptPart, PartHold>,
     /// When a request with a part last got an event from a server, by what this daemon saw.
     pub(super) served: HashMap<PromptPart, Moment>,
@@ -89,25 +90,27 @@
         crash.add_prompt(prompt, now);
     }
 
-    /// Records that a server progressed with a request without a crash.
+    /// Records that a server progressed with a request without a crash. Its first event came at `passed_at`.
     pub fn record_progress(
         &mut self,
         parts: &[PromptPart],
         progress: RequestProgress,
+        passed_at: Moment,
         now: Moment,
     ) -> PartChange {
         let mut change = PartChange::default();
         for part in parts {
             self.record_served(part, now);
-            let exposed = self.suspected_crashes(part).filter(|c| progress.clears(c.worst_stage));
-            let exposed = exposed.count();
-            let is_released = releases(progress) && self.held.contains_key(part);
+            let is_exposed = |c: &&PromptCrash| progress.clears(c.worst_stage) && c.at <= passed_at;
+            let exposed = self.suspected_crashes(part).filter(is_exposed).count();
+            let is_released = releases(progress)
+                && self.held.get(part).is_some_and(|hold| hold.since <= passed_at);
             if exposed == 0 && !is_released {
                 continue;
             }
             change.cleared.push((part.clone(), exposed));
             change.is_urgent |= is_released || self.is_suspect(part);
-            if self.clear_at(part, progress, now) {
+            if self.clear_at(part, progress, Clearing { passed_at, learned_at: now }) {
                 change.released.push(part.clone());
             }
         }
@@ -164,10 +167,16 @@
         let is_open = |part: &&PromptPart| !self.held.get(part).is_some_and(PartHold::is_fleetwide);
         let found = |part: &PromptPart| Some((part.clone(), self.find_fatal(part, now)?));
         let fatal: Vec<_> = parts.iter().filter(is_open).filter_map(found).collect();
-        let new_hold = |scope| PartHold { since: now, last_attempt: now, scope };
-        let held =
-            fatal.into_iter().filter(|(part, scope)| self.merge_hold(part, new_hold(*scope)));
-        held.map(|(part, _)| part).collect()
+        let mut new_parts = Vec::new();
+        for (part, scope) in fatal {
+            let newest = self.suspected_crashes(&part).map(|crash| crash.at).max();
+            let since = newest.unwrap_or(now);
+            let hold = PartHold { since, learned_at: now, last_attempt: now, scope };
+            if self.merge_hold(&part, hold) {
+                new_parts.push(part);
+            }
+        }
+        new_parts
     }
 
     /// Returns whether a part is found to crash servers, and which daemons this binds.
@@ -281,8 +290,8 @@
 
     pub(super) fn is_cleared(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
         let clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(crash.worst_stage));
-        let mut times = clearing.filter_map(|p| self.cleared.get(&(part.clone(), p)));
-        times.any(|at| *at >= crash.at)
+        let mut clearings = clearing.filter_map(|p| self.cleared.get(&(part.clone(), p)));
+        clearings.any(|clearing| clearing.passed_at >= crash.at)
     }
 
     fn is_explained(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
@@ -355,13 +364,15 @@
         self.held.len()
     }
 
-    /// Holds a part at all daemons from `since` on; returns whether it was not held so before.
-    pub fn hold(&mut self, part: &PromptPart, since: Moment) -> bool {
-        self.merge_hold(part, PartHold { since, last_attempt: since, scope: HoldScope::Fleet })
+    /// Holds a part at all daemons; returns whether it was not held so before.
+    pub fn hold(&mut self, part: &PromptPart, now: Moment) -> bool {
+        let scope = HoldScope::Fleet;
+        self.merge_hold(part, PartHold { since: now, learned_at: now, last_attempt: now, scope })
     }
 
     pub(super) fn merge_hold(&mut self, part: &PromptPart, hold: PartHold) -> bool {
-        let cleared = |progress| self.cleared.get(&(part.clone(), progress)).copied();
+        let passed_at = |clearing: &Clearing| clearing.passed_at;
+        let cleared = |progress| self.cleared.get(&(part.clone(), progress)).map(passed_at);
         let released =
             RequestProgress::ALL.into_iter().filter(|p| releases(*p)).filter_map(cleared);
         if released.max().is_some_and(|at| at >= hold.since) {
@@ -371,8 +382,9 @@
             known.since = known.since.max(hold.since);
             known.last_attempt = known.last_attempt.max(hold.last_attempt);
             let was_fleetwide = known.is_fleetwide();
-            if hold.is_fleetwide() {
+            if hold.is_fleetwide() && !was_fleetwide {
                 known.scope = HoldScope::Fleet;
+                known.learned_at = hold.learned_at;
             }
             return hold.is_fleetwide() && !was_fleetwide;
         }
@@ -381,29 +393,31 @@
         true
     }
 
-    /// Clears a part of crashes before `at`; returns whether it was held until now.
+    /// Clears a part of crashes; returns whether it was held until now.
     pub(super) fn clear_at(
         &mut self,
         part: &PromptPart,
         progress: RequestProgress,
-        at: Moment,
+        clearing: Clearing,
     ) -> bool {
         let key = (part.clone(), progress);
         if let Some(known) = self.cleared.get_mut(&key) {
-            *known = (*known).max(at);
+            if clearing.passed_at > known.passed_at {
+                *known = clearing;
+            }
         } else {
-            make_room(&mut self.cleared, MAX_PARTS, |at| *at);
-            self.cleared.insert(key, at);
+            make_room(&mut self.cleared, MAX_PARTS, |known| known.passed_at);
+            self.cleared.insert(key, clearing);
         }
-        let is_released =
-            releases(progress) && self.held.get(part).is_some_and(|hold| hold.since <= at);
+        let is_refuted = |hold: &PartHold| hold.since <= clearing.passed_at;
+        let is_released = releases(progress) && self.held.get(part).is_some_and(is_refuted);
         is_released && self.held.remove(part).is_some()
     }
 
     /// Removes expired records; returns the parts that are no longer held.
     pub fn sweep(&mut self, now: Moment) -> Vec<PromptPart> {
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
-        self.cleared.retain(|_, at| now <= *at + CRASH_RETENTION);
+        self.cleared.retain(|_, clearing| now <= clearing.passed_at + CRASH_RETENTION);
         self.served.retain(|_, at| now <= *at + HOLD_TIME);
         let expired = self.held.extract_if(|_, hold| now > hold.last_attempt + HOLD_TIME);
         expired.map(|(part, _)| part).collect()
--- a/lib/src/cluster/part_report.rs
+++ b/lib/src/cluster/part_report.rs
@@ -44,7 +44,7 @@
 pub struct HeldPart {
     /// The part.
     pub part: PromptPart,
-    /// Time since it was found to crash servers.
+    /// Time since the last of the crashes that show it to crash servers.
     pub age: Duration,
     /// Time since a caller last sent it.
     pub idle: Duration,
@@ -56,7 +56,7 @@
 pub struct PartReport {
     /// Crashes of servers.
     pub crashes: Vec<PromptCrashReport>,
-    /// Parts with which a request has since got further than at a crash, and how long ago.
+    /// Parts with which a request has since got further than at a crash, and how long ago its first event came.
     pub cleared: Vec<((PromptPart, RequestProgress), Duration)>,
     /// Parts that go to no server.
     pub held: Vec<HeldPart>,
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -1,8 +1,10 @@
 //! Reports of a daemon's quarantine of prompt parts to its peers, and of theirs.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::boot_clock::Moment;
+use crate::cluster::clearing::Clearing;
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::part_hold::HoldScope;
 use crate::cluster::part_hold::PartHold;
@@ -14,6 +16,7 @@
 use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine::REPORT_TIME;
 use crate::cluster::quarantine_report::CrashId;
+use crate::cluster::quarantine_report::RequestProgress;
 
 /// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
 const MAX_REPORTED: usize = 16;
@@ -22,10 +25,7 @@
     /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
     pub fn report(&self, now: Moment, is_reader: bool) -> PartReport {
         let is_fresh = |crash: &PromptCrash| now <= crash.updated_at + REPORT_TIME;
-        let cleared = self.cleared.iter().map(|(key, at)| (key.clone(), now.saturating_sub(*at)));
-        let mut cleared: Vec<_> = cleared.filter(|(_, age)| *age <= REPORT_TIME).collect();
-        cleared.sort_by_key(|(_, age)| *age);
-        cleared.truncate(MAX_REPORTED);
+        let cleared = self.cleared_since(now.saturating_sub(REPORT_TIME), now);
         let fleetwide = self.held.iter().filter(|(_, hold)| hold.is_fleetwide());
         let mut held: Vec<_> = fleetwide.map(|(part, h)| held_report(part, h, now)).collect();
         held.sort_by_key(|held| held.idle);
@@ -39,14 +39,26 @@
     /// suspects is sent as early as crashes are: with only the latter, a sound part would be held.
     pub fn own_news(&self, since: Moment, now: Moment) -> PartReport {
         let crashes = self.crash_reports(|crash| crash.is_own && crash.updated_at >= since, now);
-        let cleared = self.cleared.iter().filter(|(_, at)| **at >= since);
-        let cleared = cleared.map(|(key, at)| (key.clone(), now.saturating_sub(*at)));
-        let cleared = cleared.take(MAX_REPORTED).collect();
-        let news = self.held.iter().filter(|(_, h)| h.is_fleetwide() && h.since >= since);
+        let cleared = self.cleared_since(since, now);
+        let news = self.held.iter().filter(|(_, h)| h.is_fleetwide() && h.learned_at >= since);
         let held = news.map(|(part, hold)| held_report(part, hold, now)).collect();
         PartReport { crashes, cleared, held }
     }
 
+    /// Returns the last of what this daemon learned since `since` that clears parts.
+    fn cleared_since(
+        &self,
+        since: Moment,
+        now: Moment,
+    ) -> Vec<((PromptPart, RequestProgress), Duration)> {
+        let mut cleared: Vec<_> =
+            self.cleared.iter().filter(|(_, clearing)| clearing.learned_at >= since).collect();
+        cleared.sort_by_key(|(_, clearing)| std::cmp::Reverse(clearing.learned_at));
+        let age = |clearing: &Clearing| now.saturating_sub(clearing.passed_at);
+        let aged = cleared.into_iter().map(|(key, clearing)| (key.clone(), age(clearing)));
+        aged.take(MAX_REPORTED).collect()
+    }
+
     /// Returns what is known of a part that a peer is about to send a request with: the crashes that it is suspected
     /// of, and whether it is held. With `only_own`, only if this daemon detected one of the crashes.
     pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
@@ -88,7 +100,8 @@
     /// Merges a peer's report; returns the parts that are held from now on.
     pub fn merge(&mut self, report: &PartReport, now: Moment) -> Vec<PromptPart> {
         for ((part, progress), age) in &report.cleared {
-            self.clear_at(part, *progress, now.saturating_sub(*age));
+            let passed_at = now.saturating_sub(*age);
+            self.clear_at(part, *progress, Clearing { passed_at, learned_at: now });
         }
         for reported in &report.crashes {
             let at = now.saturating_sub(reported.age);
@@ -106,7 +119,8 @@
         let mut held = self.evaluate(&exposed.into_iter().collect::<Vec<_>>(), now);
         for HeldPart { part, age, idle } in &report.held {
             let (since, last_attempt) = (now.saturating_sub(*age), now.saturating_sub(*idle));
-            let reported = PartHold { since, last_attempt, scope: HoldScope::Fleet };
+            let scope = HoldScope::Fleet;
+            let reported = PartHold { since, learned_at: now, last_attempt, scope };
             if self.merge_hold(part, reported) {
                 held.push(part.clone());
             }
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -2,7 +2,6 @@
 //! quarantined ones, reports and stores these.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::task::spawn_local;
 
@@ -37,15 +36,15 @@
     attempt: &Attempt,
     progress: RequestProgress,
 ) {
+    let now = daemon.now();
+    let passed_at = attempt.first_event.unwrap_or(now);
     let mut parts = daemon.part_quarantine.borrow_mut();
-    let change = parts.record_progress(&attempt.prompt_parts, progress, daemon.now());
+    let change = parts.record_progress(&attempt.prompt_parts, progress, passed_at, now);
     drop(parts);
     for (part, crashes) in &change.cleared {
-        let passed =
-            attempt.first_event.map_or(Duration::ZERO, |at| daemon.now().saturating_sub(at));
         slog::info!(daemon.log, "part-cleared"; "part" => %part, "attempt" => attempt.id(),
             "progress" => progress.name(), "crashes" => crashes,
-            "first_event_ms_ago" => passed.as_millis());
+            "first_event_ms_ago" => now.saturating_sub(passed_at).as_millis());
     }
     for part in &change.released {
         release(daemon, part, "served");
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -70,8 +70,13 @@
     }
 
     fn progress(&mut self, parts: &[PartId], progress: RequestProgress) {
+        self.progress_since(parts, progress, self.now);
+    }
+
+    /// Records progress of a request whose first event came at `passed_at`.
+    fn progress_since(&mut self, parts: &[PartId], progress: RequestProgress, passed_at: Moment) {
         let parts: Vec<_> = parts.iter().copied().map(part).collect();
-        self.quarantine.record_progress(&parts, progress, self.now);
+        self.quarantine.record_progress(&parts, progress, passed_at, self.now);
     }
 
     fn held(&mut self, parts: &[PartId]) -> Vec<PartId> {
@@ -297,6 +302,38 @@
     assert_eq!(site.held(&[FATAL]), [FATAL]);
 }
 
+/// Guards against a part that became fatal being cleared, or released, by streams that began before.
+#[rstest]
+#[case::streaming(RequestProgress::Streaming)]
+#[case::complete(RequestProgress::Complete)]
+fn began_before(#[case] progress: RequestProgress) {
+    let mut site = Site::new();
+    let began = site.now;
+    for n in 0..3 {
+        site.crash(&[FATAL, 100 + n]);
+        site.progress_since(&[FATAL], progress, began);
+    }
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+    site.now += SECOND * 2;
+    site.progress_since(&[FATAL], progress, began);
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+}
+
+/// Guards against a sound part staying held though a request with it began after its last crash, before the hold was
+/// decided.
+#[test]
+fn began_between() {
+    let mut site = Site::new();
+    for n in 0..3 {
+        site.crash(&[FATAL, 100 + n]);
+    }
+    let began = site.now + SECOND / 2;
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+    site.now += SECOND * 2;
+    site.progress_since(&[FATAL], RequestProgress::Streaming, began);
+    assert_eq!(site.held(&[FATAL]), [0; 0]);
+}
+
 /// Guards against one service refusing requests because another one's servers crash.
 #[test]
 fn other_service() {
