--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -21,6 +21,7 @@
 pub mod part_quarantine;
 pub mod part_report;
 mod part_reports;
+mod part_verdicts;
 pub mod peer_table;
 pub mod peer_update;
 mod prompt_crash;
--- /dev/null
+++ b/lib/src/cluster/part_verdicts.rs
@@ -0,0 +1,153 @@
+//! Decides which prompt parts crash servers, on the crashes that they are suspected of.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::boot_clock::Moment;
+use crate::cluster::part_evidence::PartEvidence;
+use crate::cluster::part_hold::HoldScope;
+use crate::cluster::part_hold::PartHold;
+use crate::cluster::part_quarantine::CLEAR_TIME;
+use crate::cluster::part_quarantine::PartQuarantine;
+use crate::cluster::prompt_crash::PromptCrash;
+use crate::cluster::prompt_part::PromptPart;
+
+/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer, or of as many
+/// but was served before as this part was not.
+const SOLE_SUSPECT_CRASHES: usize = 3;
+/// Number of crashes after which a part is held that has equals at each. Of parts of one prompt, the last one is held:
+/// it is shared by fewer requests.
+const JOINT_SUSPECT_CRASHES: usize = 5;
+/// Different requests under which servers crashed before their common part is held; one alone may itself be the cause.
+const MIN_REQUESTS: usize = 2;
+/// Least time from the first to the last crash before a part is held: the loss of many hosts at one instant exposes
+/// every common part to several crashes.
+const MIN_SPREAD: Duration = Duration::from_millis(150);
+
+impl PartQuarantine {
+    /// Holds those of some parts that are suspected of enough crashes; returns which are held from now on, or bind all
+    /// daemons from now on.
+    pub fn evaluate(&mut self, parts: &[PromptPart], now: Moment) -> Vec<PromptPart> {
+        let is_open = |part: &&PromptPart| !self.held.get(part).is_some_and(PartHold::is_fleetwide);
+        let found = |part: &PromptPart| Some((part.clone(), self.find_fatal(part, now)?));
+        let fatal: Vec<_> = parts.iter().filter(is_open).filter_map(found).collect();
+        let mut new_parts = Vec::new();
+        for (part, scope) in fatal {
+            let newest = self.suspected_crashes(&part).map(|crash| crash.at).max();
+            let since = newest.unwrap_or(now);
+            let hold = PartHold { since, learned_at: now, last_attempt: now, scope };
+            if self.merge_hold(&part, hold) {
+                new_parts.push(part);
+            }
+        }
+        new_parts
+    }
+
+    /// Returns whether a part is found to crash servers, and which daemons this binds.
+    ///
+    /// An isolated data centre counts crashes of its own servers only: links to others that are cut off may end as those of
+    /// a crashed server do.
+    fn find_fatal(&self, part: &PromptPart, now: Moment) -> Option<HoldScope> {
+        let crashes: Vec<_> = self.suspected_crashes(part).collect();
+        let has_reported = |crash: &&PromptCrash| self.remote.has_reported(crash.at, now);
+        let reported: Vec<_> = crashes.iter().copied().filter(has_reported).collect();
+        if self.is_proven(part, &reported, self.remote.heard_until(now)) {
+            return Some(HoldScope::Fleet);
+        }
+        let local: Vec<_> = crashes.into_iter().filter(|crash| crash.is_local).collect();
+        let since = local.iter().map(|crash| crash.at).min()?;
+        let is_found = self.remote.is_isolated(now)
+            && self.is_contrasted(part, since)
+            && self.is_proven(part, &local, now);
+        is_found.then_some(HoldScope::Isolated)
+    }
+
+    /// Returns whether crashes that a part is suspected of show that it crashes servers. Reports that clear other parts have
+    /// been received up to `heard_until`.
+    fn is_proven(&self, part: &PromptPart, crashes: &[&PromptCrash], heard_until: Moment) -> bool {
+        if crashes.len() < SOLE_SUSPECT_CRASHES {
+            return false;
+        }
+        let requests: BTreeSet<_> = crashes.iter().flat_map(|c| c.requests_with(part)).collect();
+        let first = crashes.iter().map(|crash| crash.at).min().unwrap_or_default();
+        let last = crashes.iter().map(|crash| crash.at).max().unwrap_or_default();
+        let count = self.count(part);
+        requests.len() >= MIN_REQUESTS
+            && last.saturating_sub(first) >= MIN_SPREAD
+            && crashes.iter().any(|crash| {
+                heard_until >= crash.at + CLEAR_TIME && self.is_most_suspected(part, crash, count)
+            })
+    }
+
+    /// Returns whether servers of a part's service answered other requests after `since`, and never one with the part.
+    ///
+    /// While isolated, the absence of reports that clear the part is no evidence by itself: the servers that would serve
+    /// requests with it may be unreachable.
+    fn is_contrasted(&self, part: &PromptPart, since: Moment) -> bool {
+        let mut served = self.served.iter().filter(|(other, _)| other.service == part.service);
+        !self.served.contains_key(part) && served.any(|(_, at)| *at > since)
+    }
+
+    /// Returns whether a part is suspected of more crashes, `count`, than all others that a server had when it crashed,
+    /// or is preferred to those that are suspected of as many.
+    fn is_most_suspected(&self, part: &PromptPart, crash: &PromptCrash, count: usize) -> bool {
+        let is_preferred = |other: &PromptPart| {
+            let (is_served, other_served) =
+                (self.served.contains_key(part), self.served.contains_key(other));
+            let is_joint = count >= JOINT_SUSPECT_CRASHES && is_served == other_served;
+            !is_served && other_served || is_joint && !crash.is_behind(other.id, part.id)
+        };
+        let mut others = crash.parts().into_iter().filter(|id| *id != part.id);
+        others.all(|id| {
+            let other = PromptPart { service: part.service.clone(), id };
+            let other_count = self.count(&other);
+            other_count < count || other_count == count && is_preferred(&other)
+        })
+    }
+
+    /// Releases parts that were held while this data centre was isolated and that others have refuted since; returns
+    /// them.
+    pub fn release_refuted(&mut self, now: Moment) -> Vec<PromptPart> {
+        let is_refuted =
+            |part: &PromptPart, hold: &PartHold| !hold.is_fleetwide() && self.is_refuted(part, now);
+        let refuted = self.held.iter().filter(|(part, hold)| is_refuted(part, hold));
+        let refuted: Vec<_> = refuted.map(|(part, _)| part.clone()).collect();
+        self.held.retain(|part, _| !refuted.contains(part));
+        refuted
+    }
+
+    /// Returns whether a part is not found to crash servers, though the data centre is in touch with others.
+    fn is_refuted(&self, part: &PromptPart, now: Moment) -> bool {
+        let newest = self.suspected_crashes(part).map(|crash| crash.at).max();
+        let heard_until = self.remote.heard_until(now);
+        let is_heard = newest.is_none_or(|at| heard_until >= at + CLEAR_TIME);
+        is_heard && self.remote.is_settled(now) && self.find_fatal(part, now).is_none()
+    }
+
+    /// Returns what is known for and against parts of prompts.
+    pub fn evidence<'a>(
+        &self,
+        parts: impl IntoIterator<Item = &'a PromptPart>,
+    ) -> Vec<PartEvidence> {
+        let evidence = |part: &PromptPart| PartEvidence {
+            id: part.id,
+            crashes: self.count(part),
+            is_served: self.served.contains_key(part),
+            is_held: self.held.contains_key(part),
+        };
+        parts.into_iter().map(evidence).collect()
+    }
+
+    /// Returns what is known for and against the other parts that servers had when they crashed under requests with a part, the
+    /// most suspected first.
+    pub fn rivals(&self, part: &PromptPart) -> Vec<PartEvidence> {
+        let crashes = self.crashes.values().filter(|c| c.requests_with(part).next().is_some());
+        let ids: BTreeSet<_> = crashes.flat_map(PromptCrash::parts).collect();
+        let others = ids.into_iter().filter(|id| *id != part.id);
+        let others: Vec<_> =
+            others.map(|id| PromptPart { service: part.service.clone(), id }).collect();
+        let mut rivals = self.evidence(&others);
+        rivals.sort_by_key(|rival| std::cmp::Reverse(rival.crashes));
+        rivals
+    }
+}
