quarantine: a held prompt part explains only crashes that no other one explains as well

Callers saw: requests with a fatal part went on crashing engines while parts behind it were held, one after the other, and these were refused besides.

Cause: of parts that came together in all crashes one was held, and its hold explained these crashes for all others, so that the count of the fatal one began anew behind each next part. Class: evidence spent on the first guess. The same mistake held a sound part for two fatal ones behind it at night.

Change: a held part explains a crash for another one only if it was in some crash without it. Of parts that are suspected of as many crashes the likeliest is held at three, not at five: a request with only one of them is tried, and tells them apart. A hold whose crashes another held part explains is released, a second after that one's hold, in which peers report that it was served before; if it was, and two parts that never were may have caused all, one more request is tried first.

Still red: case_15 and case_16, for which a trusted part is not tried one at a time, and three fatal parts behind one at night.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -44,6 +44,7 @@
 pub mod retry_budgets;
 pub mod run_times;
 pub mod send_permit;
+mod served_part;
 pub mod server_health;
 pub mod server_instance;
 pub mod server_paths;
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -18,6 +18,7 @@
 use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::remote_contact::RemoteContact;
+use crate::cluster::served_part::ServedPart;
 use crate::cluster::server_instance::ServerInstance;
 
 /// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
@@ -55,8 +56,8 @@
     /// Parts with which a request reached a stage of progress without a crash.
     pub(super) cleared: HashMap<(PromptPart, RequestProgress), Clearing>,
     pub(super) held: HashMap<PromptPart, PartHold>,
-    /// When a request with a part last got an event from a server, by what this daemon saw.
-    pub(super) served: HashMap<PromptPart, Moment>,
+    /// Parts with which requests were served in the last hour.
+    pub(super) served: HashMap<PromptPart, ServedPart>,
     /// Whether reports of other data centres are received, which may clear parts.
     pub(super) remote: RemoteContact,
 }
@@ -70,10 +71,8 @@
         prompt: ExposedPrompt,
         now: Moment,
     ) {
-        let stage = prompt.stage;
         let crash = self.crash_entry(id, service, now, now);
         crash.is_own = true;
-        crash.worst_stage = crash.worst_stage.min(stage);
         crash.add_prompt(prompt, now);
     }
 
@@ -87,9 +86,10 @@
     ) -> PartChange {
         let mut change = PartChange::default();
         for part in parts {
-            self.record_served(part, now);
-            let is_exposed = |c: &&PromptCrash| progress.clears(c.worst_stage) && c.at <= passed_at;
-            let exposed = self.suspected_crashes(part).filter(is_exposed).count();
+            self.record_served(part, ServedPart { at: now, own_at: Some(now) });
+            let is_exposed =
+                |c: &&PromptCrash| progress.clears(c.worst_stage()) && c.at <= passed_at;
+            let exposed = self.uncleared_crashes(part).filter(is_exposed).count();
             let is_released = releases(progress)
                 && self.held.get(part).is_some_and(|hold| hold.since <= passed_at);
             if exposed == 0 && !is_released {
@@ -104,13 +104,14 @@
         change
     }
 
-    fn record_served(&mut self, part: &PromptPart, now: Moment) {
+    pub(super) fn record_served(&mut self, part: &PromptPart, served: ServedPart) {
         if let Some(known) = self.served.get_mut(part) {
-            *known = now;
+            known.at = known.at.max(served.at);
+            known.own_at = known.own_at.max(served.own_at);
             return;
         }
-        make_room(&mut self.served, MAX_SERVED, |at| *at);
-        self.served.insert(part.clone(), now);
+        make_room(&mut self.served, MAX_SERVED, |known| known.at);
+        self.served.insert(part.clone(), served);
     }
 
     /// Returns the most suspected of a request's parts, for which requests are tried one at a time; `None` if none is
@@ -148,11 +149,13 @@
         self.crashes.is_empty()
     }
 
-    /// Returns whether requests with a part are tried one at a time. Those with a part that was just served are not: a
-    /// whole route may share it, and would go in single file whenever several servers crash.
+    /// Returns whether requests with a part are tried one at a time. Those with a part that was just served are not, unless
+    /// it may have caused what another part is held for: a whole route may share it, and would go in single file whenever
+    /// several servers crash.
     fn is_tried(&self, part: &PromptPart, now: Moment) -> bool {
-        let is_sound = self.served.get(part).is_some_and(|at| now <= *at + SERVED_TRUST);
-        !is_sound && self.is_suspect(part)
+        let is_trusted = self.served.get(part).is_some_and(|s| now <= s.at + SERVED_TRUST);
+        let may_be_cause = || self.is_suspect(part) && (!is_trusted || self.is_alternative(part));
+        may_be_cause() || self.held.contains_key(part)
     }
 
     /// Returns whether a part is suspected of several crashes.
@@ -169,32 +172,38 @@
         &'a self,
         part: &'a PromptPart,
     ) -> impl Iterator<Item = &'a PromptCrash> {
-        self.crashes.values().filter(move |crash| {
-            crash.requests_with(part).next().is_some()
-                && !self.is_cleared(part, crash)
-                && !self.is_explained(part, crash)
-        })
+        self.uncleared_crashes(part).filter(|crash| !self.is_explained(part, crash))
     }
 
-    pub(super) fn is_cleared(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
-        let clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(crash.worst_stage));
-        let mut clearings = clearing.filter_map(|p| self.cleared.get(&(part.clone(), p)));
-        clearings.any(|clearing| clearing.passed_at >= crash.at)
+    /// Returns the crashes that a part may have caused, whether or not another part is held for them.
+    pub(super) fn uncleared_crashes<'a>(
+        &'a self,
+        part: &'a PromptPart,
+    ) -> impl Iterator<Item = &'a PromptCrash> {
+        self.crashes.values().filter(|crash| self.may_have_caused(part, crash))
+    }
+
+    /// Returns whether a server had a request with a part when it crashed, and none got further since.
+    pub(super) fn may_have_caused(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
+        crash.has_part(part) && !self.is_cleared(part, crash)
     }
 
-    fn is_explained(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
-        let mut others = self.held.keys().filter(|held| *held != part);
-        others.any(|held| crash.requests_with(held).next().is_some())
+    fn is_cleared(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
+        let clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(crash.worst_stage()));
+        let mut clearings = clearing.filter_map(|p| self.cleared.get(&(part.clone(), p)));
+        clearings.any(|clearing| clearing.passed_at >= crash.at)
     }
 
-    /// Returns the first of a request's parts that is held, and must not be sent to any server; the call restarts its
-    /// [`HOLD_TIME`].
+    /// Returns the first of a request's parts that is held, so that the request must not be sent to any server; the call
+    /// restarts its [`HOLD_TIME`]. A request that may show that the part is sound is tried instead.
     pub fn held_part<'a>(
         &mut self,
         parts: &'a [PromptPart],
         now: Moment,
     ) -> Option<&'a PromptPart> {
-        let part = parts.iter().find(|part| self.held.contains_key(part))?;
+        let is_refused =
+            |part: &&PromptPart| self.held.contains_key(*part) && !self.is_instructive(part, parts);
+        let part = parts.iter().find(is_refused)?;
         if let Some(hold) = self.held.get_mut(part) {
             hold.last_attempt = now;
         }
@@ -203,12 +212,15 @@
 
     /// Returns the ids of the crashes that a part is suspected of.
     pub fn crash_ids(&self, part: &PromptPart) -> Vec<CrashId> {
-        let suspected = self.crashes.iter().filter(|(_, crash)| {
-            crash.requests_with(part).next().is_some() && !self.is_cleared(part, crash)
-        });
+        let suspected = self.crashes.iter().filter(|(_, c)| self.may_have_caused(part, c));
         suspected.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns whether a part is held, at all daemons or at this one.
+    pub fn is_held(&self, part: &PromptPart) -> bool {
+        self.held.contains_key(part)
+    }
+
     /// Returns whether a part is held at all daemons; `false` also if only this one holds it while it is isolated.
     pub fn is_held_fleetwide(&self, part: &PromptPart) -> bool {
         self.held.get(part).is_some_and(PartHold::is_fleetwide)
@@ -227,8 +239,9 @@
 
     /// Holds a part at all daemons; returns whether it was not held so before.
     pub fn hold(&mut self, part: &PromptPart, now: Moment) -> bool {
+        let (since, learned_at, last_attempt) = (now, now, now);
         let scope = HoldScope::Fleet;
-        self.merge_hold(part, PartHold { since: now, learned_at: now, last_attempt: now, scope })
+        self.merge_hold(part, PartHold { since, learned_at, last_attempt, scope })
     }
 
     pub(super) fn merge_hold(&mut self, part: &PromptPart, hold: PartHold) -> bool {
@@ -249,11 +262,22 @@
             }
             return hold.is_fleetwide() && !was_fleetwide;
         }
+        if let Some(at) = self.served.get(part).and_then(|served| served.own_at) {
+            self.tell_served(part, at, hold.learned_at);
+        }
         make_room(&mut self.held, MAX_PARTS, |hold| hold.last_attempt);
         self.held.insert(part.clone(), hold);
         true
     }
 
+    /// Reports to peers that a part which is held was served here before: they may not know, and take it for one that never was.
+    fn tell_served(&mut self, part: &PromptPart, at: Moment, now: Moment) {
+        let key = (part.clone(), RequestProgress::FirstEvent);
+        let known = self.cleared.get(&key).map_or(at, |known| known.passed_at);
+        make_room(&mut self.cleared, MAX_PARTS, |known| known.passed_at);
+        self.cleared.insert(key, Clearing { passed_at: known.max(at), learned_at: now });
+    }
+
     /// Clears a part of crashes; returns whether it was held until now.
     pub(super) fn clear_at(
         &mut self,
@@ -279,7 +303,7 @@
     pub fn sweep(&mut self, now: Moment) -> Vec<PromptPart> {
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
         self.cleared.retain(|_, clearing| now <= clearing.passed_at + CRASH_RETENTION);
-        self.served.retain(|_, at| now <= *at + HOLD_TIME);
+        self.served.retain(|_, served| now <= served.at + HOLD_TIME);
         let expired = self.held.extract_if(|_, hold| now > hold.last_attempt + HOLD_TIME);
         expired.map(|(part, _)| part).collect()
     }
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -17,6 +17,7 @@
 use crate::cluster::quarantine::REPORT_TIME;
 use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::RequestProgress;
+use crate::cluster::served_part::ServedPart;
 
 /// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
 const MAX_REPORTED: usize = 16;
@@ -66,9 +67,7 @@
         if only_own && !self.suspected_crashes(&part).any(|crash| crash.is_own) {
             return PartReport::default();
         }
-        let is_known = |crash: &PromptCrash| {
-            crash.requests_with(&part).next().is_some() && !self.is_cleared(&part, crash)
-        };
+        let is_known = |crash: &PromptCrash| self.may_have_caused(&part, crash);
         let held = self.held.get(&part).filter(|hold| hold.is_fleetwide());
         let held = held.map(|hold| held_report(&part, hold, now));
         let crashes = self.crash_reports(is_known, now);
@@ -77,10 +76,7 @@
 
     /// Returns the part, held or of a crash, that has a fingerprint.
     fn part_of(&self, fingerprint: &Fingerprint) -> Option<PromptPart> {
-        let exposed = self.crashes.values().flat_map(|crash| {
-            let part = |id| PromptPart { service: crash.service.clone(), id };
-            crash.parts().into_iter().map(part)
-        });
+        let exposed = self.crashes.values().flat_map(PromptCrash::parts);
         let all: BTreeSet<_> = self.held.keys().cloned().chain(exposed).collect();
         all.into_iter().find(|part| part.fingerprint() == *fingerprint)
     }
@@ -102,11 +98,14 @@
         for ((part, progress), age) in &report.cleared {
             let passed_at = now.saturating_sub(*age);
             self.clear_at(part, *progress, Clearing { passed_at, learned_at: now });
+            if *progress == RequestProgress::FirstEvent {
+                self.record_served(part, ServedPart { at: passed_at, own_at: None });
+            }
         }
         for reported in &report.crashes {
             let at = now.saturating_sub(reported.age);
             let crash = self.crash_entry(&reported.id, &reported.service, at, now);
-            crash.worst_stage = crash.worst_stage.min(reported.worst_stage);
+            crash.add_stage(reported.worst_stage);
             for prompt in &reported.prompts {
                 crash.add_prompt(prompt.clone(), now);
             }
--- a/lib/src/cluster/part_verdicts.rs
+++ b/lib/src/cluster/part_verdicts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
+use crate::cluster::clearing::Clearing;
 use crate::cluster::part_evidence::PartEvidence;
 use crate::cluster::part_hold::HoldScope;
 use crate::cluster::part_hold::PartHold;
@@ -11,13 +12,11 @@
 use crate::cluster::part_quarantine::PartQuarantine;
 use crate::cluster::prompt_crash::PromptCrash;
 use crate::cluster::prompt_part::PromptPart;
+use crate::cluster::quarantine_report::RequestProgress;
 
-/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer, or of as many
-/// but was served before as this part was not.
+/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer. Of those that are
+/// suspected of as many the likeliest is held, and another one in its place as soon as crashes tell them apart.
 const SOLE_SUSPECT_CRASHES: usize = 3;
-/// Number of crashes after which a part is held that has equals at each. Of parts of one prompt, the last one is held:
-/// it is shared by fewer requests.
-const JOINT_SUSPECT_CRASHES: usize = 5;
 /// Different requests under which servers crashed before their common part is held; one alone may itself be the cause.
 const MIN_REQUESTS: usize = 2;
 /// Least time from the first to the last crash before a part is held: the loss of many hosts at one instant exposes
@@ -85,26 +84,119 @@
     /// requests with it may be unreachable.
     fn is_contrasted(&self, part: &PromptPart, since: Moment) -> bool {
         let mut served = self.served.iter().filter(|(other, _)| other.service == part.service);
-        !self.served.contains_key(part) && served.any(|(_, at)| *at > since)
+        !self.served.contains_key(part)
+            && served.any(|(_, served)| served.own_at.is_some_and(|at| at > since))
     }
 
     /// Returns whether a part is suspected of more crashes, `count`, than all others that a server had when it crashed,
-    /// or is preferred to those that are suspected of as many.
+    /// or is preferred to those that are suspected of as many: it was never served before, or comes last in the prompt, so
+    /// that the fewest requests share it.
     fn is_most_suspected(&self, part: &PromptPart, crash: &PromptCrash, count: usize) -> bool {
         let is_preferred = |other: &PromptPart| {
             let (is_served, other_served) =
                 (self.served.contains_key(part), self.served.contains_key(other));
-            let is_joint = count >= JOINT_SUSPECT_CRASHES && is_served == other_served;
-            !is_served && other_served || is_joint && !crash.is_behind(other.id, part.id)
+            !is_served && other_served
+                || is_served == other_served && !crash.is_behind(other.id, part.id)
         };
-        let mut others = crash.parts().into_iter().filter(|id| *id != part.id);
-        others.all(|id| {
-            let other = PromptPart { service: part.service.clone(), id };
+        let mut others = crash.parts().filter(|other| other != part);
+        others.all(|other| {
             let other_count = self.count(&other);
             other_count < count || other_count == count && is_preferred(&other)
         })
     }
 
+    /// Returns whether another part is held that caused a crash, so that it does not count against `part`.
+    ///
+    /// A held part explains only what `part` cannot explain as well: if it was in all crashes for which the other one is
+    /// held, the wrong one may be held.
+    pub(super) fn is_explained(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
+        let mut others = crash.parts().filter(|other| other != part);
+        others.any(|other| {
+            self.held.contains_key(&other)
+                && self.may_have_caused(&other, crash)
+                && !self.covers(part, &other)
+        })
+    }
+
+    /// Returns whether a part may have caused all crashes that another one may have caused.
+    fn covers(&self, part: &PromptPart, other: &PromptPart) -> bool {
+        self.uncleared_crashes(other).all(|crash| self.may_have_caused(part, crash))
+    }
+
+    /// Returns whether a part may have caused all crashes for which another one is held.
+    pub(super) fn is_alternative(&self, part: &PromptPart) -> bool {
+        let others = self.uncleared_crashes(part).flat_map(PromptCrash::parts);
+        let held = others.filter(|other| other != part && self.held.contains_key(other));
+        held.collect::<BTreeSet<_>>().iter().any(|other| self.covers(part, other))
+    }
+
+    /// Returns whether a request with a held part may show whether the part is sound, so that it is tried.
+    ///
+    /// That is so if its prompt lacks a part that may have caused all the same crashes. A part that was served before may also be
+    /// sound if two others that never were may have caused them, one some and one the rest.
+    pub(super) fn is_instructive(&self, part: &PromptPart, prompt: &[PromptPart]) -> bool {
+        let crashes: Vec<_> = self.uncleared_crashes(part).collect();
+        let Some(first) = crashes.first() else { return false };
+        let is_other = |other: &PromptPart| other != part && !prompt.contains(other);
+        let mut alternatives = first.parts().filter(is_other);
+        if alternatives.any(|other| crashes.iter().all(|c| self.may_have_caused(&other, c))) {
+            return true;
+        }
+        self.served.contains_key(part) && self.has_pair(&crashes, is_other)
+    }
+
+    /// Returns whether two parts that were never served may have caused all of some crashes, one some and the other the rest.
+    fn has_pair(&self, crashes: &[&PromptCrash], is_allowed: impl Fn(&PromptPart) -> bool) -> bool {
+        let is_candidate = |part: &PromptPart, crash: &PromptCrash| {
+            is_allowed(part) && !self.served.contains_key(part) && self.may_have_caused(part, crash)
+        };
+        let Some(first) = crashes.first() else { return false };
+        first.parts().filter(|part| is_candidate(part, first)).any(|part| {
+            let mut rest = crashes.iter().filter(|crash| !self.may_have_caused(&part, crash));
+            let Some(next) = rest.next() else { return true };
+            let rest: Vec<_> = rest.collect();
+            let mut others = next.parts().filter(|other| is_candidate(other, next));
+            others.any(|other| rest.iter().all(|crash| self.may_have_caused(&other, crash)))
+        })
+    }
+
+    /// Releases parts of whose crashes another part, held since, is the cause; returns them.
+    pub fn release_explained(&mut self, now: Moment) -> Vec<PromptPart> {
+        let fleetwide = self.held.iter().filter(|(_, hold)| hold.is_fleetwide());
+        let explained = fleetwide.filter(|(part, _)| self.is_wholly_explained(part, now));
+        let explained: Vec<_> = explained.map(|(part, _)| part.clone()).collect();
+        let clearing = Clearing { passed_at: now, learned_at: now };
+        for part in &explained {
+            self.clear_at(part, RequestProgress::Complete, clearing);
+        }
+        explained
+    }
+
+    fn is_wholly_explained(&self, part: &PromptPart, now: Moment) -> bool {
+        let mut crashes = self.uncleared_crashes(part).peekable();
+        crashes.peek().is_some()
+            && crashes.all(|crash| {
+                let mut others = crash.parts().filter(|other| other != part);
+                others.any(|other| {
+                    self.is_settled(&other, now)
+                        && self.may_have_caused(&other, crash)
+                        && !self.covers(part, &other)
+                })
+            })
+    }
+
+    /// Returns whether a part is held at all daemons, peers had time to report that it was served before, and no two others may
+    /// have caused its crashes if it was.
+    fn is_settled(&self, part: &PromptPart, now: Moment) -> bool {
+        let is_old = |hold: &PartHold| now >= hold.learned_at + CLEAR_TIME;
+        let is_fleetwide =
+            self.held.get(part).is_some_and(|hold| hold.is_fleetwide() && is_old(hold));
+        let crashes = || self.uncleared_crashes(part).collect::<Vec<_>>();
+        let is_open =
+            || self.served.contains_key(part) && self.has_pair(&crashes(), |other| other != part);
+        is_fleetwide && !is_open()
+    }
+
     /// Releases parts that were held while this data centre was isolated and that others have refuted since; returns
     /// them.
     pub fn release_refuted(&mut self, now: Moment) -> Vec<PromptPart> {
@@ -141,12 +233,9 @@
     /// Returns what is known for and against the other parts that servers had when they crashed under requests with a part, the
     /// most suspected first.
     pub fn rivals(&self, part: &PromptPart) -> Vec<PartEvidence> {
-        let crashes = self.crashes.values().filter(|c| c.requests_with(part).next().is_some());
-        let ids: BTreeSet<_> = crashes.flat_map(PromptCrash::parts).collect();
-        let others = ids.into_iter().filter(|id| *id != part.id);
-        let others: Vec<_> =
-            others.map(|id| PromptPart { service: part.service.clone(), id }).collect();
-        let mut rivals = self.evidence(&others);
+        let crashes = self.crashes.values().filter(|crash| crash.has_part(part));
+        let others: BTreeSet<_> = crashes.flat_map(PromptCrash::parts).collect();
+        let mut rivals = self.evidence(others.iter().filter(|other| *other != part));
         rivals.sort_by_key(|rival| std::cmp::Reverse(rival.crashes));
         rivals
     }
--- a/lib/src/cluster/prompt_crash.rs
+++ b/lib/src/cluster/prompt_crash.rs
@@ -39,15 +39,30 @@
     /// The prompts, by request.
     prompts: BTreeMap<Fingerprint, Exposure>,
     /// The most suspicious stage of all requests, including those that are not remembered.
-    pub worst_stage: CrashStage,
+    worst_stage: CrashStage,
+    /// The parts of the prompts that were at that stage.
+    parts: BTreeSet<PartId>,
 }
 
 impl PromptCrash {
     /// Creates a crash without prompts.
     pub fn new(service: ServiceName, at: Moment, now: Moment) -> Self {
-        let (prompts, worst_stage) = (BTreeMap::new(), CrashStage::Other);
+        let (prompts, parts, worst_stage) = (BTreeMap::new(), BTreeSet::new(), CrashStage::Other);
         let (is_own, is_local) = (false, false);
-        Self { service, at, updated_at: now, is_own, is_local, prompts, worst_stage }
+        Self { service, at, updated_at: now, is_own, is_local, prompts, worst_stage, parts }
+    }
+
+    /// Returns the most suspicious stage of all requests that the server had.
+    pub fn worst_stage(&self) -> CrashStage {
+        self.worst_stage
+    }
+
+    /// Records that the server had a request at a stage.
+    pub fn add_stage(&mut self, stage: CrashStage) {
+        if stage < self.worst_stage {
+            self.worst_stage = stage;
+            self.parts = self.worst_prompts().flat_map(|(_, ids)| ids).copied().collect();
+        }
     }
 
     /// Adds a request that the server had, unless there are too many.
@@ -59,6 +74,8 @@
             self.prompts.insert(fingerprint, Exposure { stage, parts });
             self.updated_at = now;
         }
+        self.add_stage(stage);
+        self.parts = self.worst_prompts().flat_map(|(_, ids)| ids).copied().collect();
     }
 
     /// Returns the prompts of the requests that were at the most suspicious stage.
@@ -67,6 +84,11 @@
         worst.map(|(fingerprint, prompt)| (fingerprint, prompt.parts.as_slice()))
     }
 
+    /// Returns whether a request at the most suspicious stage had a part in its prompt.
+    pub fn has_part(&self, part: &PromptPart) -> bool {
+        self.service == part.service && self.parts.contains(&part.id)
+    }
+
     /// Returns the requests at that stage whose prompts contain a part.
     pub fn requests_with(&self, part: &PromptPart) -> impl Iterator<Item = &Fingerprint> {
         let is_service = self.service == part.service;
@@ -83,9 +105,9 @@
         })
     }
 
-    /// Returns the parts of its prompts, each once.
-    pub fn parts(&self) -> BTreeSet<PartId> {
-        self.worst_prompts().flat_map(|(_, ids)| ids).copied().collect()
+    /// Returns the parts of the prompts at that stage, each once.
+    pub fn parts(&self) -> impl Iterator<Item = PromptPart> {
+        self.parts.iter().map(|id| PromptPart { service: self.service.clone(), id: *id })
     }
 
     /// Returns its report for peers, with at most `max_prompts` prompts of the most suspicious stage.
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -71,9 +71,24 @@
             spawn_local(store(Rc::clone(daemon), part));
         }
     }
+    for part in release_explained(daemon) {
+        spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
+    }
     daemon.part_quarantine.borrow_mut().held_part(parts, daemon.now()).is_some()
 }
 
+/// Releases prompt parts of whose crashes another one is the cause; returns them.
+fn release_explained(daemon: &DaemonState) -> Vec<PromptPart> {
+    let released = daemon.part_quarantine.borrow_mut().release_explained(daemon.now());
+    for part in &released {
+        release(daemon, part, "explained");
+    }
+    if !released.is_empty() {
+        daemon.quarantine_changed.notify_one();
+    }
+    released
+}
+
 /// Waits until a part of a request's prompt is quarantined.
 pub(super) async fn wait_until_held(daemon: &Rc<DaemonState>, attempt: &Attempt) {
     loop {
@@ -97,6 +112,11 @@
             spawn_local(store(Rc::clone(daemon), part));
         }
     }
+    for part in release_explained(daemon) {
+        if daemon.fence().is_some() {
+            spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
+        }
+    }
     if !report.cleared.is_empty() {
         daemon.model_waits.inventories_changed.notify_waiters();
     }
