quarantine: a part that was just served is trusted for five crashes or a second

Callers saw: when a part of usual traffic became fatal, each request with it went to an engine at once until it was held; 18 engines of 18 ended in a second.

Cause: requests with a part that was served in the last minute were not tried one at a time, whatever happened since, so that a route does not go in single file when several servers crash.

Change: the trust lasts for as long as traffic takes to clear a sound part: up to the fifth crash, and for a second after the first.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -24,8 +24,11 @@
 /// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
 /// prompts begin alike would wait for each other.
 const SUSPECT_CRASHES: usize = 2;
-/// Time after a request with a part was served during which others are not tried one at a time.
+/// Time after a request with a part was served during which others are not tried one at a time as soon as the part is
+/// suspected.
 const SERVED_TRUST: Duration = Duration::from_mins(1);
+/// Number of crashes from which on they are in any case.
+const MAX_TRUSTED_CRASHES: usize = 5;
 /// Time within which other parts of a crash are cleared by requests with them at any daemon.
 pub(super) const CLEAR_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of crashes that are remembered.
@@ -149,15 +152,23 @@
         self.crashes.is_empty()
     }
 
-    /// Returns whether requests with a part are tried one at a time. Those with a part that was just served are not, unless
-    /// it may have caused what another part is held for: a whole route may share it, and would go in single file whenever
-    /// several servers crash.
+    /// Returns whether requests with a part are tried one at a time. Those with a trusted part are not, unless it may have
+    /// caused what another part is held for.
     fn is_tried(&self, part: &PromptPart, now: Moment) -> bool {
-        let is_trusted = self.served.get(part).is_some_and(|s| now <= s.at + SERVED_TRUST);
-        let may_be_cause = || self.is_suspect(part) && (!is_trusted || self.is_alternative(part));
+        let may_be_cause =
+            || self.is_suspect(part) && (!self.is_trusted(part, now) || self.is_alternative(part));
         may_be_cause() || self.held.contains_key(part)
     }
 
+    /// Returns whether a part will soon be cleared if it is sound: a whole route may share it, and would go in single file
+    /// whenever several servers crash. One that was in use and is not cleared in time may have become fatal.
+    fn is_trusted(&self, part: &PromptPart, now: Moment) -> bool {
+        let is_in_use = self.served.get(part).is_some_and(|s| now <= s.at + SERVED_TRUST);
+        let times: Vec<_> = self.suspected_crashes(part).map(|crash| crash.at).collect();
+        let is_recent = times.iter().min().is_none_or(|first| now < *first + CLEAR_TIME);
+        is_in_use && is_recent && times.len() < MAX_TRUSTED_CRASHES
+    }
+
     /// Returns whether a part is suspected of several crashes.
     fn is_suspect(&self, part: &PromptPart) -> bool {
         self.suspected_crashes(part).nth(SUSPECT_CRASHES - 1).is_some()
