--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -72,6 +72,7 @@
 pub mod standstill;
 pub mod store_calls;
 pub mod stored_origins;
+pub mod stored_quarantine;
 pub mod suspects;
 pub mod transfer_slots;
 pub mod trials;
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -30,6 +30,7 @@
 use crate::serve::socket;
 use crate::serve::standstill;
 use crate::serve::stored_origins;
+use crate::serve::stored_quarantine;
 use crate::serve::suspects;
 
 /// Interval between checks for requests in progress during a stop.
@@ -75,7 +76,7 @@
     spawn_local(follow_config::follow_config(Rc::clone(daemon)));
     spawn_local(follow_servers::follow_servers(Rc::clone(daemon)));
     spawn_local(apply_updates::follow_daemons(Rc::clone(daemon)));
-    spawn_local(suspects::load_quarantine(Rc::clone(daemon)));
+    spawn_local(stored_quarantine::load_quarantine(Rc::clone(daemon)));
     spawn_local(restored_store::rewrite_records(Rc::clone(daemon)));
     spawn_local(follow_versions::follow_versions(Rc::clone(daemon)));
     spawn_local(stored_origins::store_origins(Rc::clone(daemon)));
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -13,8 +13,8 @@
 use crate::serve::attempt::Attempt;
 use crate::serve::attempt::MAX_LOGGED_PARTS;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::suspects::QuarantineRecord;
-use crate::serve::suspects::append;
+use crate::serve::stored_quarantine::QuarantineRecord;
+use crate::serve::stored_quarantine::append;
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
--- a/lib/src/serve/restored_store.rs
+++ b/lib/src/serve/restored_store.rs
@@ -16,7 +16,7 @@
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::store_calls::track_call;
-use crate::serve::suspects;
+use crate::serve::stored_quarantine;
 use crate::store::Feed;
 use crate::store::StoreError;
 
@@ -76,10 +76,12 @@
     let batch = track_call(daemon, Feed::Quarantine, call).await?;
     let listed = batch.records.iter().filter(|record| record.value.is_some());
     let listed: BTreeSet<SmolStr> = listed.map(|record| record.key.clone()).collect();
-    for record in suspects::held_records(daemon).into_iter().filter(|r| !listed.contains(&r.key)) {
+    for record in
+        stored_quarantine::held_records(daemon).into_iter().filter(|r| !listed.contains(&r.key))
+    {
         slog::info!(daemon.log, "record-rewritten"; "feed" => %Feed::Quarantine,
             "key" => record.key.as_str());
-        suspects::append(Rc::clone(daemon), record).await;
+        stored_quarantine::append(Rc::clone(daemon), record).await;
     }
     Ok(())
 }
--- /dev/null
+++ b/lib/src/serve/stored_quarantine.rs
@@ -0,0 +1,95 @@
+//! The quarantine in the platform's store, from which it is known after all daemons were replaced at once.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::prompt_part::PromptPart;
+use crate::cluster::quarantine_report::CrashId;
+use crate::placement::entries;
+use crate::serve::daemon_state::DaemonState;
+use crate::serve::part_suspects;
+use crate::serve::store_calls::track_call;
+use crate::serve::suspects::log_quarantined;
+use crate::store::Feed;
+use crate::store::FeedRecord;
+
+/// Delay before a failed call to the store is retried.
+const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// A quarantined request or prompt part in the store, for daemons that start later and for operators.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct QuarantineRecord {
+    /// Crashes that the request, or prompt part, is suspected to have caused.
+    pub(super) crashes: Vec<CrashId>,
+}
+
+/// Writes a quarantined request to the store, since all daemons may be replaced at once.
+pub(super) async fn store_quarantined(daemon: Rc<DaemonState>, fingerprint: Fingerprint) {
+    let record = held_record(&daemon, &fingerprint);
+    append(daemon, record).await;
+}
+
+fn held_record(daemon: &DaemonState, fingerprint: &Fingerprint) -> FeedRecord {
+    let quarantine = daemon.quarantine.borrow();
+    let crashes = quarantine.suspected_crashes(fingerprint).into_iter().cloned().collect();
+    let value = Some(entries::encode(&QuarantineRecord { crashes }));
+    FeedRecord { key: fingerprint.key(), value }
+}
+
+/// Returns the records of all quarantined requests and prompt parts.
+pub(super) fn held_records(daemon: &DaemonState) -> Vec<FeedRecord> {
+    let held: Vec<_> = daemon.quarantine.borrow().held().copied().collect();
+    let mut records: Vec<_> = held.iter().map(|print| held_record(daemon, print)).collect();
+    records.extend(part_suspects::held_records(daemon));
+    records
+}
+
+pub(super) async fn append(daemon: Rc<DaemonState>, record: FeedRecord) {
+    loop {
+        let call = daemon.store.append(Feed::Quarantine, record.clone(), None);
+        if track_call(&daemon, Feed::Quarantine, call).await.is_ok() {
+            return;
+        }
+        sleep(STORE_RETRY_DELAY).await;
+    }
+}
+
+/// Loads the requests that were quarantined before this daemon started.
+pub async fn load_quarantine(daemon: Rc<DaemonState>) {
+    let began = daemon.now();
+    let mut calls = 0;
+    loop {
+        calls += 1;
+        let call = daemon.store.list_latest(Feed::Quarantine);
+        let Ok(batch) = track_call(&daemon, Feed::Quarantine, call).await else {
+            sleep(STORE_RETRY_DELAY).await;
+            continue;
+        };
+        daemon.log_unreadable_records(Feed::Quarantine, &batch);
+        for record in &batch.records {
+            if record.value.is_none() {
+                continue;
+            }
+            if PromptPart::is_key(&record.key) {
+                part_suspects::load(&daemon, &record.key);
+                continue;
+            }
+            match Fingerprint::try_from(record.key.as_str()) {
+                Ok(fingerprint) => {
+                    daemon.quarantine.borrow_mut().hold(fingerprint, daemon.now());
+                    log_quarantined(&daemon, fingerprint, "store");
+                }
+                Err(error) => daemon.log_unreadable(Feed::Quarantine, &record.key, &error.0),
+            }
+        }
+        slog::info!(daemon.log, "quarantine-read"; "records" => batch.records.len(),
+            "calls" => calls, "started_ms_ago" => daemon.now().saturating_sub(began).as_millis(),
+            "config" => daemon.config_version());
+        return;
+    }
+}
