quarantine: a daemon's first requests wait until the holds are read

Callers saw: daemons that had just started sent requests with a held part; in the users' record one served for 1.6 s before it read the holds.

Cause: nothing waited for the holds, and a failed read was repeated a second later. A part that was held crashed three engines again after each restart of all daemons while the store could not be read.

While it is unread, a part that no request was served with since the start is suspected at the first crash.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -63,6 +63,8 @@
     pub(super) served: HashMap<PromptPart, ServedPart>,
     /// Whether reports of other data centres are received, which may clear parts.
     pub(super) remote: RemoteContact,
+    /// Whether the parts that were held before this process started are not known yet.
+    is_unread: bool,
 }
 
 impl PartQuarantine {
@@ -127,8 +129,16 @@
     /// Returns how long to delay a request with these parts, one of which may be held after one more crash: the others
     /// may be cleared until then.
     pub fn decision_delay(&self, parts: &[PromptPart], now: Moment) -> Duration {
-        let suspects = parts.iter().filter(|part| self.is_tried(part, now));
-        let newest = suspects.flat_map(|part| self.suspected_crashes(part)).map(|c| c.at).max();
+        let is_delayed = |part: &&PromptPart| {
+            let is_repeated = self.count(part) >= SUSPECT_CRASHES;
+            self.is_tried(part, now) && (is_repeated || !self.is_instructive(part, parts))
+        };
+        let newest = parts
+            .iter()
+            .filter(is_delayed)
+            .flat_map(|part| self.suspected_crashes(part))
+            .map(|c| c.at)
+            .max();
         newest.map_or(Duration::ZERO, |at| (at + CLEAR_TIME).saturating_sub(now))
     }
 
@@ -147,6 +157,12 @@
         }
     }
 
+    /// Records whether the parts that were held before this process started are not known yet. Until they are, a part may have
+    /// crashed any number of servers before the first crash that this process hears of.
+    pub fn set_unread(&mut self, is_unread: bool) {
+        self.is_unread = is_unread;
+    }
+
     /// Returns whether no crash is remembered, so that no part can be suspected.
     pub fn has_no_crashes(&self) -> bool {
         self.crashes.is_empty()
@@ -169,9 +185,22 @@
         is_in_use && is_recent && times.len() < MAX_TRUSTED_CRASHES
     }
 
-    /// Returns whether a part is suspected of several crashes.
+    /// Returns whether a part is suspected of several crashes, or of one if it may have been held before.
     fn is_suspect(&self, part: &PromptPart) -> bool {
-        self.suspected_crashes(part).nth(SUSPECT_CRASHES - 1).is_some()
+        let least = if self.may_have_been_held(part) { 1 } else { SUSPECT_CRASHES };
+        self.suspected_crashes(part).nth(least - 1).is_some()
+    }
+
+    /// Returns whether a part may have been held before this process started: the stored quarantine is not known yet, and no
+    /// request with the part was served since.
+    fn may_have_been_held(&self, part: &PromptPart) -> bool {
+        self.is_unread && !self.served.contains_key(part)
+    }
+
+    /// Returns whether a part that may have been held before is suspected of a crash again, and was not cleared in time.
+    fn is_suspect_again(&self, part: &PromptPart, now: Moment) -> bool {
+        let newest = self.uncleared_crashes(part).map(|crash| crash.at).max();
+        self.may_have_been_held(part) && newest.is_some_and(|at| now >= at + CLEAR_TIME)
     }
 
     pub(super) fn count(&self, part: &PromptPart) -> usize {
@@ -205,15 +234,18 @@
         clearings.any(|clearing| clearing.passed_at >= crash.at)
     }
 
-    /// Returns the first of a request's parts that is held, so that the request must not be sent to any server; the call
-    /// restarts its [`HOLD_TIME`]. A request that may show that the part is sound is tried instead.
+    /// Returns the first of a request's parts that is held, or may have been before this process started, so that the request
+    /// must not be sent to any server; the call restarts its [`HOLD_TIME`]. A request that may show that the part is sound is
+    /// tried instead.
     pub fn held_part<'a>(
         &mut self,
         parts: &'a [PromptPart],
         now: Moment,
     ) -> Option<&'a PromptPart> {
-        let is_refused =
-            |part: &&PromptPart| self.held.contains_key(*part) && !self.is_instructive(part, parts);
+        let is_refused = |part: &&PromptPart| {
+            self.held.contains_key(*part) && !self.is_instructive(part, parts)
+                || self.is_suspect_again(part, now) && !self.is_instructive(part, parts)
+        };
         let part = parts.iter().find(is_refused)?;
         if let Some(hold) = self.held.get_mut(part) {
             hold.last_attempt = now;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -69,6 +69,7 @@
 use crate::serve::relay_slots::RelaySlots;
 use crate::serve::standstill::Standstill;
 use crate::serve::stored_origins::StoredOrigins;
+use crate::serve::stored_quarantine::StoredQuarantine;
 use crate::serve::transfer_slots::TransferSlots;
 use crate::serve::trials::Trials;
 use crate::store::Batch;
@@ -127,6 +128,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// Prompt parts held back because servers crashed under requests with them.
     pub part_quarantine: RefCell<PartQuarantine>,
+    /// Whether the stored quarantine was read.
+    pub stored_quarantine: StoredQuarantine,
     /// Trials of suspected requests in progress at engines.
     pub trials: Trials,
     /// Software versions that began recent streams.
@@ -263,6 +266,7 @@
             server_rests: RefCell::default(),
             quarantine: RefCell::default(),
             part_quarantine: RefCell::default(),
+            stored_quarantine: StoredQuarantine::default(),
             trials: Trials::default(),
             stream_origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
--- a/lib/src/serve/find_server.rs
+++ b/lib/src/serve/find_server.rs
@@ -23,6 +23,7 @@
 use crate::serve::reply::Refusal;
 use crate::serve::server_feedback::RATE_LIMITED;
 use crate::serve::server_feedback::retry_after;
+use crate::serve::stored_quarantine::wait_until_read;
 use crate::serve::suspects::QUARANTINED_REASON;
 use crate::serve::trials::Claim;
 use crate::serve::trials::REPORT_DELAY;
@@ -50,6 +51,9 @@
     daemon: &Rc<DaemonState>,
     attempt: &mut Attempt,
 ) -> Result<ChosenServer, Refusal> {
+    if attempt.model_target().is_some() {
+        wait_until_read(daemon).await;
+    }
     if let Some(refusal) = daemon.quarantine_refusal(attempt) {
         return Err(refusal);
     }
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -35,6 +35,8 @@
 
 /// Reason for the refusal of a quarantined request, for the log and the caller.
 pub const QUARANTINED_REASON: &str = "servers crash under this request";
+/// Time after which callers may come back whose requests are refused because the stored quarantine is not known yet.
+const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time within which a host refuses a connection to a port without a listener: some round trips between data centres.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after its first event during which a stream counts as just begun.
@@ -70,7 +72,9 @@
         evaluate(self, attempt.fingerprint);
         let is_held =
             self.is_quarantined(&attempt.fingerprint) || part_suspects::is_held(self, attempt);
-        is_held.then(|| Refusal::failed(attempt.verdict, QUARANTINED_REASON, HOLD_TIME))
+        let is_read = self.stored_quarantine.is_read.get();
+        let retry_after = if is_read { HOLD_TIME } else { UNREAD_RETRY_AFTER };
+        is_held.then(|| Refusal::failed(attempt.verdict, QUARANTINED_REASON, retry_after))
     }
 
     /// Returns whether this daemon is one of the few that tell `asker` what they know of a request, though they detected no
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -434,6 +434,30 @@
     assert_eq!(site.held(&[FATAL]), [0; 0]);
 }
 
+/// Guards against a part that was held before the daemons were restarted crashing three servers again, because the holds
+/// cannot be read.
+#[test]
+fn holds_unread() {
+    let mut site = Site::new();
+    site.quarantine.set_unread(true);
+    site.progress(&[COMMON], RequestProgress::FirstEvent);
+    site.crash(&[COMMON, FATAL, 7]);
+    let all = [part(COMMON), part(FATAL), part(7)];
+    assert_eq!(site.quarantine.main_suspect(&all[..1], site.now), None);
+    assert_eq!(site.quarantine.main_suspect(&all[..2], site.now), Some(&part(FATAL)));
+    assert!(site.quarantine.decision_delay(&all, site.now) > Duration::ZERO);
+    assert_eq!(site.quarantine.decision_delay(&all[..2], site.now), Duration::ZERO);
+    site.now += SECOND;
+    assert!(site.is_refused(&[COMMON, FATAL, 7]));
+    assert!(!site.is_refused(&[COMMON, FATAL, 8]), "the part that it lacks may be the cause");
+    site.crash(&[COMMON, FATAL, 8]);
+    site.now += SECOND;
+    assert!(site.is_refused(&[COMMON, FATAL, 9]));
+    assert!(!site.is_refused(&[COMMON, 9]));
+    site.quarantine.set_unread(false);
+    assert!(!site.is_refused(&[COMMON, FATAL, 9]));
+}
+
 /// Guards against one service refusing requests because another one's servers crash.
 #[test]
 fn other_service() {
