quarantine: suspicions below a hold outlive a kill of all daemons

Callers saw engines end one after the other under one prompt part while daemons were killed and replaced: what is below a hold was known to processes only, and told to those that start later for three seconds.

Crashes below a hold were in no store.

Change: a process that had a request at the most suspicious stage of a crash keeps a record of the crashes whose cause is not found yet, and of what cleared their parts, in the feed of the holds; a process that starts reads them.

Stays: a kill within the write of the record; crashes at which no process had a request at a most suspicious stage that is stored.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -77,8 +77,7 @@
         now: Moment,
     ) {
         let crash = self.crash_entry(id, service, now, now);
-        crash.is_own = true;
-        crash.add_prompt(prompt, now);
+        crash.add_own_prompt(prompt, now);
     }
 
     /// Records that a server progressed with a request without a crash. Its first event came at `passed_at`.
@@ -133,12 +132,9 @@
             let is_repeated = self.count(part) >= SUSPECT_CRASHES;
             self.is_tried(part, now) && (is_repeated || !self.is_instructive(part, parts))
         };
-        let newest = parts
-            .iter()
-            .filter(is_delayed)
-            .flat_map(|part| self.suspected_crashes(part))
-            .map(|c| c.at)
-            .max();
+        // After a start a request has to be tried before any other one can be, or nothing would clear a sound part.
+        let crashes = parts.iter().filter(is_delayed).flat_map(|part| self.suspected_crashes(part));
+        let newest = crashes.filter(|crash| crash.is_live).map(|crash| crash.at).max();
         newest.map_or(Duration::ZERO, |at| (at + CLEAR_TIME).saturating_sub(now))
     }
 
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -21,6 +21,8 @@
 
 /// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
 const MAX_REPORTED: usize = 16;
+/// Maximum number of open crashes, and of prompts in each: with parts of callers' making, a record that the store takes.
+const MAX_OPEN: usize = 8;
 
 impl PartQuarantine {
     /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
@@ -32,14 +34,36 @@
         held.sort_by_key(|held| held.idle);
         held.truncate(MAX_REPORTED);
         let crashes =
-            self.crash_reports(|crash| is_fresh(crash) && (crash.is_own || is_reader), now);
+            self.crash_reports(|c| is_fresh(c) && c.is_live && (c.is_own() || is_reader), now);
         PartReport { crashes, cleared, held }
     }
 
+    /// Returns the newest crashes that are not put down to one part yet, and which parts are cleared of them, for processes
+    /// that start after all others ended; empty if requests of other daemons are more suspicious at each of them.
+    pub fn open_crashes(&self, now: Moment) -> PartReport {
+        let is_open =
+            |crash: &PromptCrash| crash.parts().any(|part| self.may_have_caused(&part, crash));
+        let mut open: Vec<_> = self.crashes.iter().filter(|(_, crash)| is_open(crash)).collect();
+        if !open.iter().any(|(_, crash)| crash.has_own_suspect()) {
+            return PartReport::default();
+        }
+        open.sort_by_key(|(id, crash)| (std::cmp::Reverse(crash.at), *id));
+        open.truncate(MAX_OPEN);
+        let parts: BTreeSet<_> = open.iter().flat_map(|(_, crash)| crash.parts()).collect();
+        let is_listed = |key: &(PromptPart, RequestProgress)| parts.contains(&key.0);
+        let cleared = self.cleared.iter().filter(|(key, _)| is_listed(key));
+        let mut cleared: Vec<_> = cleared
+            .map(|(key, clearing)| (key.clone(), now.saturating_sub(clearing.passed_at)))
+            .collect();
+        cleared.sort_by(|(a, _), (b, _)| (&a.0, a.1.name()).cmp(&(&b.0, b.1.name())));
+        let crashes = open.into_iter().map(|(id, crash)| crash.report(id, MAX_OPEN, now));
+        PartReport { crashes: crashes.collect(), cleared, held: Vec::new() }
+    }
+
     /// Returns what this daemon detected, or learned more of, at or after `since`. Progress that clears
     /// suspects is sent as early as crashes are: with only the latter, a sound part would be held.
     pub fn own_news(&self, since: Moment, now: Moment) -> PartReport {
-        let crashes = self.crash_reports(|crash| crash.is_own && crash.updated_at >= since, now);
+        let crashes = self.crash_reports(|crash| crash.is_own() && crash.updated_at >= since, now);
         let cleared = self.cleared_since(since, now);
         let news = self.held.iter().filter(|(_, h)| h.is_fleetwide() && h.learned_at >= since);
         let held = news.map(|(part, hold)| held_report(part, hold, now)).collect();
@@ -64,7 +88,7 @@
     /// of, and whether it is held. With `only_own`, only if this daemon detected one of the crashes.
     pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
         let Some(part) = self.part_of(fingerprint) else { return PartReport::default() };
-        if only_own && !self.suspected_crashes(&part).any(|crash| crash.is_own) {
+        if only_own && !self.suspected_crashes(&part).any(PromptCrash::is_own) {
             return PartReport::default();
         }
         let is_known = |crash: &PromptCrash| self.may_have_caused(&part, crash);
@@ -93,8 +117,25 @@
         crashes.into_iter().take(MAX_REPORTED).map(report).collect()
     }
 
-    /// Merges a peer's report; returns the parts that are held from now on.
-    pub fn merge(&mut self, report: &PartReport, now: Moment) -> Vec<PromptPart> {
+    /// Merges what a process that may have ended stored of crashes.
+    pub fn merge_stored(&mut self, report: &PartReport, now: Moment) {
+        self.merge_clearings(report, now);
+        for reported in &report.crashes {
+            self.merge_crash(reported, now);
+        }
+    }
+
+    fn merge_crash(&mut self, reported: &PromptCrashReport, now: Moment) -> &mut PromptCrash {
+        let at = now.saturating_sub(reported.age);
+        let crash = self.crash_entry(&reported.id, &reported.service, at, now);
+        crash.add_stage(reported.worst_stage);
+        for prompt in &reported.prompts {
+            crash.add_prompt(prompt.clone(), now);
+        }
+        crash
+    }
+
+    fn merge_clearings(&mut self, report: &PartReport, now: Moment) {
         for ((part, progress), age) in &report.cleared {
             let passed_at = now.saturating_sub(*age);
             self.clear_at(part, *progress, Clearing { passed_at, learned_at: now });
@@ -102,13 +143,13 @@
                 self.record_served(part, ServedPart { at: passed_at, own_at: None });
             }
         }
+    }
+
+    /// Merges a peer's report; returns the parts that are held from now on.
+    pub fn merge(&mut self, report: &PartReport, now: Moment) -> Vec<PromptPart> {
+        self.merge_clearings(report, now);
         for reported in &report.crashes {
-            let at = now.saturating_sub(reported.age);
-            let crash = self.crash_entry(&reported.id, &reported.service, at, now);
-            crash.add_stage(reported.worst_stage);
-            for prompt in &reported.prompts {
-                crash.add_prompt(prompt.clone(), now);
-            }
+            self.merge_crash(reported, now).is_live = true;
         }
         let exposed = report.crashes.iter().flat_map(|crash| {
             let ids = crash.prompts.iter().flat_map(|prompt| &prompt.parts);
--- a/lib/src/cluster/part_verdicts.rs
+++ b/lib/src/cluster/part_verdicts.rs
@@ -62,7 +62,8 @@
     }
 
     /// Returns whether crashes that a part is suspected of show that it crashes servers. Reports that clear other parts have
-    /// been received up to `heard_until`.
+    /// been received up to `heard_until`. One of the crashes has to be live: what cleared the part of the others may have ended
+    /// with the processes that saw it.
     fn is_proven(&self, part: &PromptPart, crashes: &[&PromptCrash], heard_until: Moment) -> bool {
         if crashes.len() < SOLE_SUSPECT_CRASHES {
             return false;
@@ -74,7 +75,9 @@
         requests.len() >= MIN_REQUESTS
             && last.saturating_sub(first) >= MIN_SPREAD
             && crashes.iter().any(|crash| {
-                heard_until >= crash.at + CLEAR_TIME && self.is_most_suspected(part, crash, count)
+                crash.is_live
+                    && heard_until >= crash.at + CLEAR_TIME
+                    && self.is_most_suspected(part, crash, count)
             })
     }
 
--- a/lib/src/cluster/prompt_crash.rs
+++ b/lib/src/cluster/prompt_crash.rs
@@ -30,10 +30,12 @@
     pub service: ServiceName,
     /// When it happened, by the earliest report.
     pub at: Moment,
+    /// Whether a running process detected it; `false` if it is known from the store only.
+    pub is_live: bool,
     /// When this daemon last learned of the crash or of another of its prompts.
     pub updated_at: Moment,
-    /// Whether this daemon detected it.
-    pub is_own: bool,
+    /// The most suspicious stage of this daemon's own requests; `None` if it did not detect the crash.
+    own_stage: Option<CrashStage>,
     /// Whether the server is in this daemon's data centre.
     pub is_local: bool,
     /// The prompts, by request.
@@ -48,8 +50,36 @@
     /// Creates a crash without prompts.
     pub fn new(service: ServiceName, at: Moment, now: Moment) -> Self {
         let (prompts, parts, worst_stage) = (BTreeMap::new(), BTreeSet::new(), CrashStage::Other);
-        let (is_own, is_local) = (false, false);
-        Self { service, at, updated_at: now, is_own, is_local, prompts, worst_stage, parts }
+        let (own_stage, is_live, is_local) = (None, false, false);
+        Self {
+            service,
+            at,
+            is_live,
+            updated_at: now,
+            own_stage,
+            is_local,
+            prompts,
+            worst_stage,
+            parts,
+        }
+    }
+
+    /// Returns whether this daemon detected it.
+    pub fn is_own(&self) -> bool {
+        self.own_stage.is_some()
+    }
+
+    /// Returns whether a request of this daemon was at the most suspicious stage.
+    pub fn has_own_suspect(&self) -> bool {
+        self.own_stage == Some(self.worst_stage)
+    }
+
+    /// Adds a request of this daemon that the server had.
+    pub fn add_own_prompt(&mut self, prompt: ExposedPrompt, now: Moment) {
+        let stage = prompt.stage;
+        self.own_stage = Some(self.own_stage.map_or(stage, |known| known.min(stage)));
+        self.is_live = true;
+        self.add_prompt(prompt, now);
     }
 
     /// Returns the most suspicious stage of all requests that the server had.
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -27,7 +27,7 @@
 /// A request is held until callers have made no attempt at it for this long.
 pub const HOLD_TIME: Duration = Duration::from_hours(1);
 /// How long crashes and cleared suspects are remembered; long enough for callers that retry rarely.
-pub(super) const CRASH_RETENTION: Duration = Duration::from_mins(10);
+pub const CRASH_RETENTION: Duration = Duration::from_mins(10);
 /// How long a new fact is reported to peers. This takes ten digests: packet loss alone does not explain that a
 /// reachable peer misses all of them.
 pub(super) const REPORT_TIME: Duration = Duration::from_secs(3);
@@ -37,6 +37,8 @@
 const MAX_REQUESTS: usize = 1024;
 /// Maximum number of crashes in a digest, and of requests in each of its lists.
 const MAX_REPORTED: usize = 16;
+/// Maximum number of open crashes in the record of a process.
+const MAX_OPEN: usize = 8;
 
 /// A server's crash, and the requests that it had.
 #[derive(Debug)]
@@ -45,14 +47,19 @@
     at: Moment,
     /// When this daemon last learned of the crash or of another of its requests.
     updated_at: Moment,
-    /// Whether this daemon detected it.
-    is_own: bool,
+    /// The most suspicious stage of this daemon's own requests; `None` if it did not detect the crash.
+    own_stage: Option<CrashStage>,
     requests: BTreeMap<Fingerprint, CrashStage>,
     /// The most suspicious stage of all its requests, including those cleared since.
     worst_stage: CrashStage,
 }
 
 impl Crash {
+    /// Returns whether this daemon detected it.
+    fn is_own(&self) -> bool {
+        self.own_stage.is_some()
+    }
+
     /// Returns whether it had the request and none of its other requests was at a more suspicious stage.
     fn has_worst(&self, fingerprint: &Fingerprint) -> bool {
         self.requests.get(fingerprint) == Some(&self.worst_stage)
@@ -83,9 +90,11 @@
         stage: CrashStage,
         now: Moment,
     ) -> bool {
-        let requests = [(fingerprint, stage)];
         let id = self.crash_after(server, sent);
-        self.merge_crash(&id, now, &requests, true, now);
+        self.merge_crash(&id, now, &[(fingerprint, stage)], now);
+        if let Some(crash) = self.crashes.get_mut(&id) {
+            crash.own_stage = Some(crash.own_stage.map_or(stage, |known| known.min(stage)));
+        }
         self.evaluate(fingerprint, now)
     }
 
@@ -214,13 +223,35 @@
         QuarantineReport {
             cleared: newest_entries(&self.cleared, now, REPORT_TIME),
             held: newest_entries(&self.held, now, HOLD_TIME),
-            ..self.crash_report(|crash| is_fresh(crash) && (crash.is_own || is_reader), now)
+            ..self.crash_report(|crash| is_fresh(crash) && (crash.is_own() || is_reader), now)
+        }
+    }
+
+    /// Returns the newest crashes that requests may have caused, for processes that start after all others ended; empty if
+    /// requests of other daemons are more suspicious at each of them.
+    pub fn open_crashes(&self, now: Moment) -> QuarantineReport {
+        let suspects = |crash: &Crash| {
+            let all = crash.requests.keys().filter(|print| self.is_suspect(print, crash));
+            all.copied().collect::<Vec<_>>()
+        };
+        let is_open = |crash: &Crash| !suspects(crash).is_empty();
+        let has_own = |crash: &Crash| crash.own_stage == Some(crash.worst_stage);
+        if !self.crashes.values().any(|crash| has_own(crash) && is_open(crash)) {
+            return QuarantineReport::default();
+        }
+        let mut report = self.crash_report(is_open, now);
+        report.crashes.sort_by(|a, b| (a.age, &a.id).cmp(&(b.age, &b.id)));
+        report.crashes.truncate(MAX_OPEN);
+        for reported in &mut report.crashes {
+            let open = self.crashes.get(&reported.id).map(suspects).unwrap_or_default();
+            reported.requests.retain(|(print, _)| open.contains(print));
         }
+        report
     }
 
     /// Returns the crashes that this daemon detected, or learned more of, at or after `since`.
     pub fn own_crashes(&self, since: Moment, now: Moment) -> QuarantineReport {
-        let is_news = |crash: &Crash| crash.is_own && crash.updated_at >= since;
+        let is_news = |crash: &Crash| crash.is_own() && crash.updated_at >= since;
         self.crash_report(is_news, now)
     }
 
@@ -232,7 +263,7 @@
         only_own: bool,
         now: Moment,
     ) -> Option<QuarantineReport> {
-        let is_own = |crash: &Crash| crash.is_own && self.is_suspect(fingerprint, crash);
+        let is_own = |crash: &Crash| crash.is_own() && self.is_suspect(fingerprint, crash);
         if only_own && !self.crashes.values().any(is_own) {
             return None;
         }
@@ -267,7 +298,7 @@
         let mut held = Vec::new();
         for crash in &report.crashes {
             let at = now.saturating_sub(crash.age);
-            self.merge_crash(&crash.id, at, &crash.requests, false, now);
+            self.merge_crash(&crash.id, at, &crash.requests, now);
             if let Some(known) = self.crashes.get_mut(&crash.id) {
                 known.worst_stage = known.worst_stage.min(crash.worst_stage);
             }
@@ -298,7 +329,6 @@
         id: &CrashId,
         at: Moment,
         requests: &[(Fingerprint, CrashStage)],
-        is_own: bool,
         now: Moment,
     ) {
         if self.crashes.len() >= MAX_CRASHES && !self.crashes.contains_key(id) {
@@ -308,12 +338,11 @@
         let crash = self.crashes.entry(id.clone()).or_insert_with(|| Crash {
             at,
             updated_at: now,
-            is_own,
+            own_stage: None,
             requests: BTreeMap::new(),
             worst_stage: CrashStage::Other,
         });
         crash.at = crash.at.min(at);
-        crash.is_own |= is_own;
         for (fingerprint, stage) in requests {
             crash.worst_stage = crash.worst_stage.min(*stage);
             let cleared = self.cleared.get(&(*fingerprint, RequestProgress::Complete));
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -68,6 +68,7 @@
 use crate::serve::random_source::RandomSource;
 use crate::serve::relay_slots::RelaySlots;
 use crate::serve::standstill::Standstill;
+use crate::serve::stored_crashes::StoredCrashes;
 use crate::serve::stored_origins::StoredOrigins;
 use crate::serve::stored_quarantine::StoredQuarantine;
 use crate::serve::transfer_slots::TransferSlots;
@@ -130,6 +131,8 @@
     pub part_quarantine: RefCell<PartQuarantine>,
     /// Whether the stored quarantine was read.
     pub stored_quarantine: StoredQuarantine,
+    /// Which crashes must be stored.
+    pub stored_crashes: StoredCrashes,
     /// Trials of suspected requests in progress at engines.
     pub trials: Trials,
     /// Software versions that began recent streams.
@@ -267,6 +270,7 @@
             quarantine: RefCell::default(),
             part_quarantine: RefCell::default(),
             stored_quarantine: StoredQuarantine::default(),
+            stored_crashes: StoredCrashes::default(),
             trials: Trials::default(),
             stream_origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -29,6 +29,7 @@
 use crate::serve::restored_store;
 use crate::serve::socket;
 use crate::serve::standstill;
+use crate::serve::stored_crashes;
 use crate::serve::stored_origins;
 use crate::serve::stored_quarantine;
 use crate::serve::suspects;
@@ -80,7 +81,9 @@
     spawn_local(restored_store::rewrite_records(Rc::clone(daemon)));
     spawn_local(follow_versions::follow_versions(Rc::clone(daemon)));
     spawn_local(stored_origins::store_origins(Rc::clone(daemon)));
-    spawn_local(stored_origins::remove_outdated(Rc::clone(daemon)));
+    spawn_local(stored_origins::remove_expired(Rc::clone(daemon)));
+    spawn_local(stored_crashes::store_crashes(Rc::clone(daemon)));
+    spawn_local(stored_crashes::remove_expired(Rc::clone(daemon)));
     spawn_local(peer_transfer::serve_peers(Rc::clone(daemon), peers));
     spawn_local(Rc::clone(&gossip).receive(datagrams));
     spawn_local(Rc::clone(&gossip).publish_digests());
--- a/lib/src/serve/stored_origins.rs
+++ b/lib/src/serve/stored_origins.rs
@@ -4,12 +4,10 @@
 //! when a stream begins, and a stream's first event waits a moment for that. At other times nothing is stored.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -24,6 +22,7 @@
 use crate::cluster::stream_origins::MAX_STREAM_TIME;
 use crate::ids::FeedOffset;
 use crate::serve::daemon_state::DaemonState;
+use crate::serve::outdated_records::remove_outdated;
 use crate::serve::store_calls::track_call;
 use crate::serve::write_pacer::WritePacer;
 use crate::store::Feed;
@@ -41,8 +40,6 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest wait of a request for a listing.
 const LIST_TIMEOUT: Duration = Duration::from_millis(500);
-/// Interval at which the lease holder looks for records of former processes.
-const CLEANUP_INTERVAL: Duration = Duration::from_mins(1);
 
 /// Which of its origins this daemon has stored, and which stored ones it has read.
 #[derive(Debug, Default)]
@@ -244,31 +241,7 @@
 }
 
 /// Removes, as the lease holder, records of ended processes whose streams have expired.
-pub async fn remove_outdated(daemon: Rc<DaemonState>) {
-    let mut seen: BTreeMap<SmolStr, (Bytes, Moment)> = BTreeMap::new();
-    loop {
-        sleep(CLEANUP_INTERVAL).await;
-        if daemon.fence().is_none() {
-            seen.clear();
-            continue;
-        }
-        let call = daemon.store.list_latest(Feed::Origins);
-        let Ok(batch) = track_call(&daemon, Feed::Origins, call).await else { continue };
-        let now = daemon.now();
-        let mut present = BTreeMap::new();
-        for record in batch.records {
-            let Some(value) = record.value else { continue };
-            let known = seen.remove(&record.key).filter(|(before, _)| *before == value);
-            let since = known.map_or(now, |(_, since)| since);
-            // A running process replaces its record before then.
-            if now > since + MAX_STREAM_TIME {
-                let removal = FeedRecord { key: record.key, value: None };
-                let call = daemon.store.append(Feed::Origins, removal, None);
-                let _retried_later = track_call(&daemon, Feed::Origins, call).await;
-                continue;
-            }
-            present.insert(record.key, (value, since));
-        }
-        seen = present;
-    }
+pub async fn remove_expired(daemon: Rc<DaemonState>) {
+    // A running process replaces its record before then.
+    remove_outdated(daemon, Feed::Origins, |_key| true, MAX_STREAM_TIME).await;
 }
--- a/lib/src/serve/stored_quarantine.rs
+++ b/lib/src/serve/stored_quarantine.rs
@@ -20,6 +20,7 @@
 use crate::serve::store_calls::backoff_after;
 use crate::serve::store_calls::track_call;
 use crate::serve::store_calls::track_read;
+use crate::serve::stored_crashes;
 use crate::serve::suspects::log_quarantined;
 use crate::store::Feed;
 use crate::store::FeedRecord;
@@ -120,7 +121,9 @@
         };
         daemon.log_unreadable_records(Feed::Quarantine, &batch);
         for record in &batch.records {
-            if record.value.is_none() {
+            let Some(value) = &record.value else { continue };
+            if stored_crashes::is_key(&record.key) {
+                stored_crashes::load(&daemon, &record.key, value);
                 continue;
             }
             if PromptPart::is_key(&record.key) {
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -233,6 +233,7 @@
     }
     if stage == CrashStage::BeforeEvents {
         daemon.quarantine_changed.notify_one();
+        daemon.stored_crashes.record_detected();
     }
     if is_held {
         begin_quarantine(daemon, fingerprint);
