--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -90,7 +90,7 @@
     ) -> PartChange {
         let mut change = PartChange::default();
         for part in parts {
-            self.record_served(part, ServedPart { at: now, own_at: Some(now) });
+            self.record_served(part, ServedPart { at: passed_at, own_at: Some(passed_at) });
             let is_exposed =
                 |c: &&PromptCrash| progress.clears(c.worst_stage()) && c.at <= passed_at;
             let exposed = self.uncleared_crashes(part).filter(is_exposed).count();
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -419,6 +419,21 @@
     assert_eq!(site.held(&[FATAL]), [FATAL]);
 }
 
+/// Guards against a held part being tried again after each crash because a stream with it that began before the crashes
+/// ends after them.
+#[test]
+fn ends_late() {
+    let mut site = Site::new();
+    let began = site.now;
+    for n in 0..3 {
+        site.crash(&[FATAL, 100 + n]);
+    }
+    site.progress_since(&[FATAL, 50], RequestProgress::Complete, began);
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+    site.crash(&[FATAL, 103]);
+    assert!(site.is_refused(&[FATAL, 104]));
+}
+
 /// Guards against a sound part staying held though a request with it began after its last crash, before the hold was
 /// decided.
 #[test]
