quarantine: progress that daemons pass on does not seem younger each time

What callers saw: 2 or 3 requests with a fatal part still went to engines after its hold in becomes_fatal::case_7_first_long (3 is the bound), the last 3.5 s after the fifth crash.

Cause, by a trace of what clears the part: daemons report what cleared a part with its age, also what they have from others; a receiver dates it by receipt, so each hop adds the time that the datagram took, the result is the newest known and is told again. The first event at 3610.012 s, before the part was fatal, became 3610.14 s within 2.4 s and cleared the crashes until then, one after the other.

Ruled out: progress of requests that began later (none has such a first event).

Change: a daemon reports what it saw itself, a reader what it heard, too; what is newer than known by no more than a report takes is the same progress.

The same cause in what clears requests (identical ones, three seconds at most) is not mended.

--- a/lib/src/cluster/clearing.rs
+++ b/lib/src/cluster/clearing.rs
@@ -10,4 +10,6 @@
     pub passed_at: Moment,
     /// When this daemon learned of it.
     pub learned_at: Moment,
+    /// Whether this daemon relayed the request.
+    pub is_own: bool,
 }
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -31,6 +31,8 @@
 const MAX_TRUSTED_CRASHES: usize = 5;
 /// Time within which other parts of a crash are cleared by requests with them at any daemon.
 pub(super) const CLEAR_TIME: Duration = Duration::from_secs(1);
+/// Time that a report takes between daemons. One that was passed on makes the same progress seem younger by as much.
+const MAX_REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 /// Maximum number of held parts, and of cleared ones, that are remembered.
@@ -101,7 +103,8 @@
             }
             change.cleared.push((part.clone(), exposed));
             change.is_urgent |= is_released || self.is_suspect(part);
-            if self.clear_at(part, progress, Clearing { passed_at, learned_at: now }) {
+            let clearing = Clearing { passed_at, learned_at: now, is_own: true };
+            if self.clear_at(part, progress, clearing) {
                 change.released.push(part.clone());
             }
         }
@@ -314,7 +317,8 @@
         let key = (part.clone(), RequestProgress::FirstEvent);
         let known = self.cleared.get(&key).map_or(at, |known| known.passed_at);
         make_room(&mut self.cleared, MAX_PARTS, |known| known.passed_at);
-        self.cleared.insert(key, Clearing { passed_at: known.max(at), learned_at: now });
+        let passed_at = known.max(at);
+        self.cleared.insert(key, Clearing { passed_at, learned_at: now, is_own: true });
     }
 
     /// Clears a part of crashes; returns whether it was held until now.
@@ -325,10 +329,14 @@
         clearing: Clearing,
     ) -> bool {
         let key = (part.clone(), progress);
+        let is_known = |known: &&Clearing| {
+            let delay = if clearing.is_own { Duration::ZERO } else { MAX_REPORT_DELAY };
+            clearing.passed_at <= known.passed_at + delay
+        };
+        let known = self.cleared.get(&key).filter(is_known);
+        let clearing = known.copied().unwrap_or(clearing);
         if let Some(known) = self.cleared.get_mut(&key) {
-            if clearing.passed_at > known.passed_at {
-                *known = clearing;
-            }
+            *known = clearing;
         } else {
             make_room(&mut self.cleared, MAX_PARTS, |known| known.passed_at);
             self.cleared.insert(key, clearing);
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -28,7 +28,7 @@
     /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
     pub fn report(&self, now: Moment, is_reader: bool) -> PartReport {
         let is_fresh = |crash: &PromptCrash| now <= crash.updated_at + REPORT_TIME;
-        let cleared = self.cleared_since(now.saturating_sub(REPORT_TIME), now);
+        let cleared = self.cleared_since(now.saturating_sub(REPORT_TIME), is_reader, now);
         let fleetwide = self.held.iter().filter(|(_, hold)| hold.is_fleetwide());
         let mut held: Vec<_> = fleetwide.map(|(part, h)| held_report(part, h, now)).collect();
         held.sort_by_key(|held| held.idle);
@@ -64,20 +64,24 @@
     /// suspects is sent as early as crashes are: with only the latter, a sound part would be held.
     pub fn own_news(&self, since: Moment, now: Moment) -> PartReport {
         let crashes = self.crash_reports(|crash| crash.is_own() && crash.updated_at >= since, now);
-        let cleared = self.cleared_since(since, now);
+        let cleared = self.cleared_since(since, false, now);
         let news = self.held.iter().filter(|(_, h)| h.is_fleetwide() && h.learned_at >= since);
         let held = news.map(|(part, hold)| held_report(part, hold, now)).collect();
         PartReport { crashes, cleared, held }
     }
 
-    /// Returns the last of what this daemon learned since `since` that clears parts.
+    /// Returns the last of what this daemon saw since `since` that clears parts; that of a reader also contains what other
+    /// daemons reported.
     fn cleared_since(
         &self,
         since: Moment,
+        is_reader: bool,
         now: Moment,
     ) -> Vec<((PromptPart, RequestProgress), Duration)> {
+        let is_reported =
+            |clearing: &Clearing| clearing.learned_at >= since && (clearing.is_own || is_reader);
         let mut cleared: Vec<_> =
-            self.cleared.iter().filter(|(_, clearing)| clearing.learned_at >= since).collect();
+            self.cleared.iter().filter(|(_, clearing)| is_reported(clearing)).collect();
         cleared.sort_by_key(|(_, clearing)| std::cmp::Reverse(clearing.learned_at));
         let age = |clearing: &Clearing| now.saturating_sub(clearing.passed_at);
         let aged = cleared.into_iter().map(|(key, clearing)| (key.clone(), age(clearing)));
@@ -138,7 +142,8 @@
     fn merge_clearings(&mut self, report: &PartReport, now: Moment) {
         for ((part, progress), age) in &report.cleared {
             let passed_at = now.saturating_sub(*age);
-            self.clear_at(part, *progress, Clearing { passed_at, learned_at: now });
+            let clearing = Clearing { passed_at, learned_at: now, is_own: false };
+            self.clear_at(part, *progress, clearing);
             if *progress == RequestProgress::FirstEvent {
                 self.record_served(part, ServedPart { at: passed_at, own_at: None });
             }
--- a/lib/src/cluster/part_verdicts.rs
+++ b/lib/src/cluster/part_verdicts.rs
@@ -171,7 +171,7 @@
         let fleetwide = self.held.iter().filter(|(_, hold)| hold.is_fleetwide());
         let explained = fleetwide.filter(|(part, _)| self.is_wholly_explained(part, now));
         let explained: Vec<_> = explained.map(|(part, _)| part.clone()).collect();
-        let clearing = Clearing { passed_at: now, learned_at: now };
+        let clearing = Clearing { passed_at: now, learned_at: now, is_own: true };
         for part in &explained {
             self.clear_at(part, RequestProgress::Complete, clearing);
         }
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -434,6 +434,27 @@
     assert!(site.is_refused(&[FATAL, 104]));
 }
 
+/// Guards against progress seeming younger with each daemon that passes it on, and clearing a part of crashes after it.
+#[rstest]
+#[case::daemons(false)]
+#[case::readers(true)]
+fn passed_on(#[case] are_readers: bool) {
+    let mut sites = [Site::new(), Site::new()];
+    sites[0].crash(&[FATAL, 99]);
+    sites[0].progress(&[FATAL], RequestProgress::FirstEvent);
+    let mut now = sites[0].now;
+    for n in 0..200 {
+        let report = sites[n % 2].quarantine.report(now, are_readers);
+        now += SECOND / 200;
+        sites[(n + 1) % 2].quarantine.merge(&report, now);
+    }
+    let [site, _other] = &mut sites;
+    for n in 0..3 {
+        site.crash_after(SECOND * 3 / 10, &[FATAL, 100 + n]);
+    }
+    assert_eq!(site.held(&[FATAL]), [FATAL]);
+}
+
 /// Guards against a sound part staying held though a request with it began after its last crash, before the hold was
 /// decided.
 #[test]
