gossip: what a reader's report confirms is dated by when the report may have come

Cause, shown for fleets with readers (37 daemons and more): a daemon that does not read the store dated a reader's reads by the moment at which it read the report. Reports that waited in its socket while it stood still seemed as fresh as its next caller's request, so that wait_for_servers, which guards the choice of the only version, was over with a list from before the standstill.

Ruled out: small fleets, whose daemons read the store themselves (a read's age counts from the call there).

Change: the receive loop knows when its socket was last empty, by asking the kernel every 20 ms at least, and ages count from then. The configuration's confirmation too. No change of the wire format.

Not shown: the whole course with a release beside a frozen process; clearings and crashes that a daemon reads late.

--- a/lib/src/cluster/readers.rs
+++ b/lib/src/cluster/readers.rs
@@ -30,9 +30,9 @@
 }
 
 impl ReaderStatus {
-    /// Converts the ages in a report received at `now`.
-    pub fn new(report: &ReaderReport, now: Moment) -> Self {
-        let ago = |ms: u32| now.saturating_sub(Duration::from_millis(ms.into()));
+    /// Converts the ages in a report that arrived at `since` or later and was read at `now`.
+    pub fn new(report: &ReaderReport, since: Moment, now: Moment) -> Self {
+        let ago = |ms: u32| since.saturating_sub(Duration::from_millis(ms.into()));
         Self {
             received_at: now,
             last_read: ago(report.read_age_ms),
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -2,13 +2,16 @@
 //! engine inventories, trials and reader reports.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::net::UdpSocket;
+use tokio::task::coop::consume_budget;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
 use crate::cluster::digest::Digest;
@@ -44,12 +47,15 @@
 use crate::serve::quotas;
 use crate::serve::restored_store::note_era;
 use crate::serve::share_slowdowns;
+use crate::serve::socket;
 use crate::serve::suspects;
 
 /// Delay after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
 /// Largest datagram in bytes.
 const MAX_DATAGRAM: usize = 60_000;
+/// Interval at which an empty socket is looked at: the most that the ages in a datagram are taken for longer than they are.
+const EMPTY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The exchange of datagrams between daemons, and when digests were last sent.
 #[derive(Debug)]
@@ -95,29 +101,45 @@
     }
 
     /// Receives datagrams on `socket` and applies their messages, for as long as the daemon runs.
+    ///
+    /// While this process or its event loop stands still, datagrams wait in the socket. So one that is read may have arrived
+    /// at any time since the socket was last empty.
     pub async fn receive(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
+        let mut empty_at = self.daemon.now();
         loop {
-            let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-                sleep(RECEIVE_PAUSE).await;
-                continue;
-            };
-            self.apply_datagram(&buffer[..length], from);
+            match socket.try_recv_from(&mut buffer) {
+                Ok((length, from)) => {
+                    self.apply_received(&buffer[..length], from, empty_at);
+                    consume_budget().await;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    let now = self.daemon.now();
+                    empty_at = if socket::is_empty(&socket) { now } else { empty_at };
+                    let _checked = timeout(EMPTY_INTERVAL, socket.readable()).await;
+                }
+                Err(_) => sleep(RECEIVE_PAUSE).await,
+            }
         }
     }
 
-    /// Applies the message of a datagram from `from`; one that is malformed is logged.
+    /// Applies the message of a datagram from `from` that has just arrived; one that is malformed is logged.
     pub fn apply_datagram(&self, bytes: &[u8], from: SocketAddr) {
-        if let Err(error) = self.try_apply(bytes, from) {
+        self.apply_received(bytes, from, self.daemon.now());
+    }
+
+    /// Applies the message of a datagram from `from` that arrived at `since` or later.
+    fn apply_received(&self, bytes: &[u8], from: SocketAddr, since: Moment) {
+        if let Err(error) = self.try_apply(bytes, from, since) {
             self.log_malformed(&error, from);
         }
     }
 
-    fn try_apply(&self, bytes: &[u8], from: SocketAddr) -> Result<(), MessageError> {
+    fn try_apply(&self, bytes: &[u8], from: SocketAddr, since: Moment) -> Result<(), MessageError> {
         if OriginMessage::matches(bytes) {
             origin_exchange::apply_message(&self.daemon, OriginMessage::decode(bytes)?, from);
         } else {
-            self.apply_message(PeerMessage::decode(bytes)?, from);
+            self.apply_message(PeerMessage::decode(bytes)?, from, since);
         }
         Ok(())
     }
@@ -133,7 +155,7 @@
     }
 
     /// Applies a message, unless it is this daemon's own.
-    fn apply_message(&self, message: PeerMessage, from: SocketAddr) {
+    fn apply_message(&self, message: PeerMessage, from: SocketAddr, since: Moment) {
         let daemon = &self.daemon;
         if message.process == daemon.process {
             return;
@@ -153,7 +175,7 @@
             }
             Payload::Inventories(fence, list) => self.apply_inventories(&message.from, fence, list),
             Payload::ReaderReport(report) => {
-                self.apply_reader_report(&message.from, addr, message.process, report);
+                self.apply_reader_report(&message.from, addr, message.process, report, since);
             }
             Payload::RejectionLimits(limits) => {
                 let known = daemon.directory.borrow();
@@ -281,17 +303,18 @@
         self.daemon.workloads.set_peer(from, self.daemon.now(), reports.map(to_entry).collect());
     }
 
-    /// Applies a reader report.
+    /// Applies a reader report that arrived at `since` or later: its ages count from then.
     fn apply_reader_report(
         &self,
         from: &DaemonId,
         addr: SocketAddr,
         process: ProcessId,
         report: ReaderReport,
+        since: Moment,
     ) {
         let daemon = &self.daemon;
         let now = daemon.now();
-        let status = ReaderStatus::new(&report, now);
+        let status = ReaderStatus::new(&report, since, now);
         let ReaderReport {
             digest, changes_from, joined_servers, checksum, scope, workloads, ..
         } = report;
@@ -313,7 +336,7 @@
         }
         if digest.config_version <= daemon.config_version() {
             let age = Duration::from_millis(digest.config_age.into());
-            daemon.freshness.confirm_config(now.saturating_sub(age));
+            daemon.freshness.confirm_config(since.saturating_sub(age));
         }
         if self.apply_changes(&status, changes_from, digest.servers_end, joined_servers) {
             self.check_divergence(from, digest.servers_end, checksum);
--- a/lib/src/serve/socket.rs
+++ b/lib/src/serve/socket.rs
@@ -1,6 +1,7 @@
 //! TCP and UDP sockets; TCP connections end within three seconds if the other end is unresponsive.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -92,3 +93,9 @@
     socket.set_nonblocking(true)?;
     UdpSocket::from_std(socket)
 }
+
+/// Returns whether no datagram waits to be read, by asking the kernel: what the event loop knows may be out of date.
+pub fn is_empty(socket: &UdpSocket) -> bool {
+    let peeked = SockRef::from(socket).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
