quarantine: a stream whose caller leaves is suspected of the crash that follows

What callers saw: engines end one after the other under a prompt part whose callers leave soon, and nothing is held (the first request in the users' record has "status left").

A crash is noticed by the connection that breaks; a caller that leaves takes it along, and the other requests at the engine are the only suspects.

Change: a stream that is given up between its head and half a second after its first event is remembered for 100 ms, then the server is asked as after a break.

Not covered: callers that leave before the response's head, and crashes more than 100 ms after they left.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -1,6 +1,7 @@
 //! The entry daemon. A request is accepted, routed, held until its model is loaded, and sent to a backend server,
 //! whose response is relayed. Other tasks exchange state with the store, peers and engines.
 
+pub mod abandoned_streams;
 pub mod accept;
 pub mod active_request;
 pub mod active_requests;
@@ -25,6 +26,7 @@
 pub mod events;
 pub mod exchange_plain;
 pub mod exchange_stream;
+mod exposure;
 pub mod failover;
 pub mod failover_origin;
 pub mod find_origin;
@@ -75,6 +77,7 @@
 pub mod stored_crashes;
 pub mod stored_origins;
 pub mod stored_quarantine;
+mod stream_exposure;
 pub mod suspects;
 pub mod transfer_slots;
 pub mod trials;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -51,6 +51,7 @@
 use crate::placement::engine_table::EngineTable;
 use crate::placement::lease_state::LeaseState;
 use crate::protocol::Protocol;
+use crate::serve::abandoned_streams::AbandonedStreams;
 use crate::serve::attempt::Attempt;
 use crate::serve::choose::Chooser;
 use crate::serve::choose::ChosenServer;
@@ -131,6 +132,8 @@
     pub part_quarantine: RefCell<PartQuarantine>,
     /// Whether the stored quarantine was read.
     pub stored_quarantine: StoredQuarantine,
+    /// Streams whose callers left when they had just begun.
+    pub abandoned_streams: AbandonedStreams,
     /// Which crashes must be stored.
     pub stored_crashes: StoredCrashes,
     /// Trials of suspected requests in progress at engines.
@@ -270,6 +273,7 @@
             quarantine: RefCell::default(),
             part_quarantine: RefCell::default(),
             stored_quarantine: StoredQuarantine::default(),
+            abandoned_streams: AbandonedStreams::default(),
             stored_crashes: StoredCrashes::default(),
             trials: Trials::default(),
             stream_origins: RefCell::default(),
--- a/lib/src/serve/event_stream.rs
+++ b/lib/src/serve/event_stream.rs
@@ -12,9 +12,11 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::events::EventOrder;
 use crate::serve::events::EventSplitter;
+use crate::serve::exposure::Exposure;
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
 use crate::serve::send::ServerResponse;
+use crate::serve::stream_exposure::StreamExposure;
 use crate::serve::suspects;
 
 /// The event stream of one server's response.
@@ -28,6 +30,7 @@
     /// Counts the request towards the server's workload until dropped.
     pub workload_guard: WorkloadGuard,
     _brittle_send: Option<BrittleSend>,
+    exposure: StreamExposure,
     daemon: Rc<DaemonState>,
     server: Rc<Server>,
     /// Whether the end of the connection is that of the stream.
@@ -46,12 +49,13 @@
 impl EventStream {
     /// Makes a reader of `response` from a server, whose first event must follow `last`, the last one that the caller
     /// has.
-    pub fn new(
+    pub(super) fn new(
         (daemon, server): (Rc<DaemonState>, Rc<Server>),
         response: ServerResponse,
         last: Option<u64>,
         workload_guard: WorkloadGuard,
         brittle_send: Option<BrittleSend>,
+        exposure: Option<Exposure>,
     ) -> Self {
         let splitter = EventSplitter::default();
         let is_unframed = response.ends_with_connection();
@@ -62,6 +66,7 @@
             event_count: 0,
             workload_guard,
             _brittle_send: brittle_send,
+            exposure: StreamExposure::new(&daemon, exposure),
             daemon,
             server,
             is_unframed,
@@ -84,6 +89,15 @@
     ///
     /// Returns an error if the stream is cut off, or if an event is out of order or too large.
     pub async fn next(&mut self) -> Result<StreamItem, SendFailure> {
+        let item = self.read_item().await;
+        match &item {
+            Ok(StreamItem::Events(_)) => self.exposure.record_events(),
+            Ok(StreamItem::End) | Err(_) => self.exposure.end(),
+        }
+        item
+    }
+
+    async fn read_item(&mut self) -> Result<StreamItem, SendFailure> {
         loop {
             let mut out = BytesMut::new();
             loop {
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -9,12 +9,14 @@
 use tokio::task::spawn_local;
 
 use crate::boot_clock::Moment;
+use crate::cluster::quarantine_report::CrashStage;
 use crate::serve::attempt::Attempt;
 use crate::serve::body::ReplyBody;
 use crate::serve::choose::ChosenServer;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::event_stream::EventStream;
 use crate::serve::event_stream::StreamItem;
+use crate::serve::exposure::Exposure;
 use crate::serve::failover::SendFuture;
 use crate::serve::failover::await_with_failover;
 use crate::serve::find_origin::find_origin;
@@ -127,6 +129,7 @@
     let server = Rc::clone(&chosen.server);
     let open_send = attempt.record_send(chosen, daemon.now());
     let mut brittle_send = daemon.record_send(&server.instance());
+    let exposure = Exposure::new(attempt, CrashStage::BeforeEvents);
     let request = attempt.request(daemon, &server, resume);
     let workload_guard =
         daemon.workloads.begin(attempt.workload_key(&server), attempt.caller_headers.prompt_tokens);
@@ -148,7 +151,8 @@
         }
         let head = response.head.clone();
         let origin = (Rc::clone(&daemon), Rc::clone(&server));
-        let mut stream = EventStream::new(origin, response, resume, workload_guard, brittle_send);
+        let mut stream =
+            EventStream::new(origin, response, resume, workload_guard, brittle_send, exposure);
         let first_events = match stream.next().await? {
             StreamItem::Events(events) => events,
             // A caller may resume a stream after its last event, so an empty rest is valid.
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::serve::abandoned_streams;
 use crate::serve::accept;
 use crate::serve::apply_updates;
 use crate::serve::daemon_state::DaemonState;
@@ -82,6 +83,7 @@
     spawn_local(follow_versions::follow_versions(Rc::clone(daemon)));
     spawn_local(stored_origins::store_origins(Rc::clone(daemon)));
     spawn_local(stored_origins::remove_expired(Rc::clone(daemon)));
+    spawn_local(abandoned_streams::check_abandoned(Rc::clone(daemon)));
     spawn_local(stored_crashes::store_crashes(Rc::clone(daemon)));
     spawn_local(stored_crashes::remove_expired(Rc::clone(daemon)));
     spawn_local(peer_transfer::serve_peers(Rc::clone(daemon), peers));
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -8,12 +8,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::boot_clock::Moment;
-use crate::cluster::configuration::ServiceName;
 use crate::cluster::directory::Server;
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::part_report::ExposedPrompt;
-use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine::HOLD_TIME;
 use crate::cluster::quarantine_report::CrashStage;
 use crate::cluster::quarantine_report::QuarantineReport;
@@ -22,6 +19,7 @@
 use crate::ids::DaemonId;
 use crate::serve::attempt::Attempt;
 use crate::serve::daemon_state::DaemonState;
+use crate::serve::exposure::Exposure;
 use crate::serve::part_suspects;
 use crate::serve::reply::Refusal;
 use crate::serve::send::Disconnect;
@@ -40,7 +38,7 @@
 /// Time within which a host refuses a connection to a port without a listener: some round trips between data centres.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after its first event during which a stream counts as just begun.
-const EARLY_STREAM_TIME: Duration = Duration::from_millis(500);
+pub(super) const EARLY_STREAM_TIME: Duration = Duration::from_millis(500);
 /// Daemons that tell a peer what they know of a request without having detected a crash: some may be gone.
 const MAX_ANSWERS: usize = 3;
 
@@ -112,19 +110,6 @@
     }
 }
 
-/// A request that a server had when the connection to it ended.
-#[derive(Debug)]
-struct Exposure {
-    fingerprint: Fingerprint,
-    service: ServiceName,
-    parts: Vec<PromptPart>,
-    /// Id of the caller's attempt, for the log.
-    attempt: String,
-    server: ServerInstance,
-    sent_at: Moment,
-    stage: CrashStage,
-}
-
 /// Checks after a failed send whether the server crashed; if so, records that the request may have caused it. Either way
 /// the trial of a suspect ends.
 ///
@@ -136,20 +121,9 @@
     failure: &SendFailure,
 ) {
     let trial = attempt.trial.take();
-    let (Some(disconnect), Some(server)) = (failure.disconnect, attempt.last_server.clone()) else {
-        return;
-    };
+    let Some(disconnect) = failure.disconnect else { return };
     let stage = crash_stage(daemon, attempt, disconnect);
-    let (fingerprint, sent_at) = (attempt.fingerprint, attempt.sent_at);
-    let exposure = Exposure {
-        fingerprint,
-        service: attempt.service.clone(),
-        parts: attempt.prompt_parts.clone(),
-        attempt: attempt.id().to_owned(),
-        server,
-        sent_at,
-        stage,
-    };
+    let Some(exposure) = Exposure::new(attempt, stage) else { return };
     // A task of its own: the caller may leave before the check is over.
     let check = spawn_local(record_if_crashed(Rc::clone(daemon), exposure, trial));
     let result = check.await;
@@ -170,6 +144,18 @@
     drop(trial);
 }
 
+/// Records a crash of the server of an abandoned stream if there was one.
+pub(super) async fn record_if_ended(daemon: &Rc<DaemonState>, exposure: &Exposure) {
+    let listed = active_instance(daemon, &exposure.server);
+    let Some((_server, addr)) = listed.filter(|(listed, _)| *listed == exposure.server) else {
+        return;
+    };
+    let is_known = daemon.quarantine.borrow().has_crashed(&exposure.server, exposure.sent_at);
+    if is_known || refuses_connections(daemon, &exposure.server, addr).await {
+        record_crash(daemon, exposure);
+    }
+}
+
 /// Returns the current instance of a server and its address; `None` if it is leaving or no longer in the directory.
 fn active_instance(
     daemon: &DaemonState,
