--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -156,8 +156,8 @@
         }
     }
 
-    /// Records whether the parts that were held before this process started are not known yet. Until they are, a part may have
-    /// crashed any number of servers before the first crash that this process hears of.
+    /// Records whether the parts that were held before this process started are not known yet. Until then, earlier
+    /// crashes of a part may be missing.
     pub fn set_unread(&mut self, is_unread: bool) {
         self.is_unread = is_unread;
     }
--- a/lib/src/cluster/part_verdicts.rs
+++ b/lib/src/cluster/part_verdicts.rs
@@ -14,8 +14,8 @@
 use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine_report::RequestProgress;
 
-/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer. Of those that are
-/// suspected of as many the likeliest is held, and another one in its place as soon as crashes tell them apart.
+/// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer. Of those
+/// with equally many the likeliest is held; the hold is replaced once further crashes distinguish them.
 const SOLE_SUSPECT_CRASHES: usize = 3;
 /// Different requests under which servers crashed before their common part is held; one alone may itself be the cause.
 const MIN_REQUESTS: usize = 2;
--- a/lib/src/serve/abandoned_streams.rs
+++ b/lib/src/serve/abandoned_streams.rs
@@ -1,6 +1,6 @@
 //! Streams that are abandoned when they have just begun, because their callers leave or another server takes over.
 //!
-//! Their connections are closed, so nothing tells that the server crashed a moment later.
+//! Their connections are closed, so a later crash of the server is not detected on them.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -54,7 +54,7 @@
 const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
 /// Largest datagram in bytes.
 const MAX_DATAGRAM: usize = 60_000;
-/// Interval at which an empty socket is looked at: the most that the ages in a datagram are taken for longer than they are.
+/// Interval at which an idle socket is checked; ages in datagrams are overestimated by this much at most.
 const EMPTY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The exchange of datagrams between daemons, and when digests were last sent.
@@ -102,8 +102,8 @@
 
     /// Receives datagrams on `socket` and applies their messages, for as long as the daemon runs.
     ///
-    /// While this process or its event loop stands still, datagrams wait in the socket. So one that is read may have arrived
-    /// at any time since the socket was last empty.
+    /// Datagrams are buffered in the socket while the event loop is stopped. One that is read may therefore have arrived at any
+    /// time since the socket was last empty.
     pub async fn receive(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
         let mut empty_at = self.daemon.now();
--- a/lib/src/serve/outdated_records.rs
+++ b/lib/src/serve/outdated_records.rs
@@ -17,8 +17,8 @@
 /// Interval at which the lease holder looks for such records.
 const CLEANUP_INTERVAL: Duration = Duration::from_mins(1);
 
-/// Removes, as the lease holder, those records of a feed that have not changed for longer than `lifetime`, in which a running
-/// process replaces them. `is_removable` tells by its key whether a record is that of a process.
+/// Removes, as the lease holder, records of a feed that have not changed for longer than `lifetime`; those of running processes
+/// are rewritten within it. `is_removable` selects records of processes by their keys.
 pub(super) async fn remove_outdated(
     daemon: Rc<DaemonState>,
     feed: Feed,
