--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -23,7 +23,7 @@
 /// Number of events in a complete stream of a stand-in server.
 pub const EVENTS: u64 = 10;
 /// Deadline that callers send with each request.
-const DEADLINE: Duration = Duration::from_secs(4);
+pub const DEADLINE: Duration = Duration::from_secs(4);
 /// After the deadline, a daemon must send its own response within this time.
 const RESPONSE_MARGIN: Duration = Duration::from_secs(2);
 /// Statuses that guarantee that a request has not run and will not run.
@@ -98,6 +98,8 @@
     pub faults_over: Cell<bool>,
     /// Whether callers must stop sending.
     pub stopped: Cell<bool>,
+    /// Longest pause between two requests of a caller.
+    pub pause: Cell<Duration>,
 }
 
 impl CallerRecord {
@@ -185,7 +187,8 @@
                 }
             }
         }
-        sleep(Duration::from_millis(rng.random_range(5..60))).await;
+        let pause = seen.pause.get().as_millis() as u64;
+        sleep(Duration::from_millis(rng.random_range(5..pause))).await;
     }
 }
 
--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -15,8 +15,16 @@
         optional --seconds seconds: u64
         /// Sends requests that crash servers as well.
         optional --fatal
+        /// Sends requests whose prompts have parts that crash engines.
+        optional --parts
         /// Servers fail most requests and stand still again and again, before many callers; nothing else is injected.
         optional --stalls
+        /// The same beside the usual troubles, kills of all daemons among them.
+        optional --mixed
+        /// Callers per daemon.
+        optional --callers count: usize
+        /// Longest pause of a caller between two requests, in milliseconds.
+        optional --pause milliseconds: u64
         /// Number of daemons.
         optional --daemons count: usize
         /// Folder for logs; those of failed seeds stay.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,12 +2,14 @@
 
 mod callers;
 mod calm_stop;
+mod fatal_parts;
 mod flags;
 mod plan;
 mod process;
 mod proxy;
 mod resumed_streams;
 mod retry_check;
+mod send_check;
 mod socket_owner;
 mod world;
 
@@ -21,6 +23,7 @@
 use std::time::Duration;
 
 use comfreymux_platform_testutils::rig;
+use comfreymux_testutils::retry_windows::RetryWindow;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -36,7 +39,9 @@
 
 /// Callers per daemon.
 const CALLERS_PER_DAEMON: usize = 4;
-/// The same with `--stalls`: enough for retries beyond the slack.
+/// Longest pause of a caller between two requests.
+const CALLER_PAUSE: Duration = Duration::from_millis(60);
+/// Callers per daemon with `--stalls`: enough for retries beyond the slack.
 const MANY_CALLERS: usize = 40;
 /// Engines per daemon with `--stalls`, which have slots for the streams of these callers.
 const MANY_ENGINES: usize = 3;
@@ -55,7 +60,18 @@
     let first = flags.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
     let time = Duration::from_secs(flags.seconds.unwrap_or(15));
     let daemons = flags.daemons.unwrap_or(4);
-    let course = Course { is_fatal: flags.fatal, stalls: flags.stalls };
+    let usual = if flags.stalls { MANY_CALLERS } else { CALLERS_PER_DAEMON };
+    let course = Course {
+        is_fatal: flags.fatal,
+        has_parts: flags.parts,
+        faults: match (flags.mixed, flags.stalls) {
+            (true, _) => Faults::Mixed,
+            (false, true) => Faults::Stalls,
+            (false, false) => Faults::Usual,
+        },
+        callers: flags.callers.unwrap_or(usual),
+        pause: flags.pause.map_or(CALLER_PAUSE, Duration::from_millis),
+    };
     let mut failed = 0;
     for seed in first..first + flags.seeds.unwrap_or(1) {
         let folder = folder.join(format!("seed-{seed}"));
@@ -83,13 +99,29 @@
     if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-/// What a soak injects.
+/// Which faults a soak injects.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Faults {
+    /// All but stalls of servers.
+    Usual,
+    /// Servers that fail requests and stand still.
+    Stalls,
+    /// All of them, and kills of all daemons.
+    Mixed,
+}
+
+/// What a soak plays.
 #[derive(Clone, Copy, Debug)]
 struct Course {
     /// Requests that crash servers.
     is_fatal: bool,
-    /// Servers that fail requests and stand still, and no other fault.
-    stalls: bool,
+    /// Requests with prompt parts that crash engines.
+    has_parts: bool,
+    faults: Faults,
+    /// Callers per daemon.
+    callers: usize,
+    /// Longest pause of a caller between two requests.
+    pause: Duration,
 }
 
 async fn soak(
@@ -105,8 +137,8 @@
     let outcome = Rc::new(CallerRecord::default());
     sleep(Duration::from_millis(1500)).await;
     let fronts: Vec<_> = world.front_proxies.iter().map(|p| p.addr).collect();
-    let callers = if course.stalls { MANY_CALLERS } else { CALLERS_PER_DAEMON };
-    for number in 0..size.daemons * callers {
+    outcome.pause.set(course.pause);
+    for number in 0..size.daemons * course.callers {
         spawn_local(callers::send_requests(Rc::clone(&outcome), fronts.clone(), seed, number));
     }
     if course.is_fatal {
@@ -120,6 +152,15 @@
             seed,
         ));
     }
+    if course.has_parts {
+        fatal_parts::make_fatal(&world);
+        spawn_local(fatal_parts::send_requests(Rc::clone(&outcome), fronts.clone(), seed));
+    }
+    let stalls = ChaCha8Rng::seed_from_u64(seed.rotate_left(24));
+    if course.faults == Faults::Mixed {
+        spawn_local(plan::stall_repeatedly(Rc::clone(&world), Rc::clone(&outcome), stalls));
+    }
+    let mut herds = ChaCha8Rng::seed_from_u64(!seed.rotate_left(24));
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut broken = ChaCha8Rng::seed_from_u64(!seed);
     let mut foreign = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
@@ -130,7 +171,7 @@
     let mut restores = ChaCha8Rng::seed_from_u64(!seed.rotate_left(48));
     let began = Instant::now();
     while began.elapsed() < time {
-        if course.stalls {
+        if course.faults == Faults::Stalls {
             plan::stall_servers(&world, &mut rng).await;
             continue;
         }
@@ -142,6 +183,9 @@
         plan::inject_cut(&world, &mut cuts);
         plan::roll_release(&world, &mut releases);
         plan::inject_restore(&world, &mut restores);
+        if course.faults == Faults::Mixed {
+            plan::kill_herd(&world, &mut herds);
+        }
         let pause = Duration::from_millis(rng.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
@@ -158,17 +202,24 @@
     let mut faults = check(&world, &outcome);
     let windows = retry_check::worst_windows(&world, &outcome);
     faults.extend(retry_check::faults(windows));
+    let handed = send_check::tallies(&world, &outcome);
+    // What engines are told is reported only: a stream ends with its events, not by its deadline.
+    faults.extend(handed[0].fault());
+    let parts = fatal_parts::tallies(&world);
+    faults.extend(parts.iter().filter_map(fatal_parts::PartTally::fault));
     if (good as f64) < MIN_GOOD_RATIO * all as f64 || all == 0 {
         faults.push(format!("after the recovery {good} of {all} answers are good"));
     }
     let attempts = outcome.attempts.borrow().len();
     let crashes = crashes(&world);
     let (resumed, tries) = outcome.resumed.get();
+    let excess = |w: RetryWindow| format!("{:.0}", w.excess());
+    let repeats = windows.map(|w| w.map_or_else(|| "-".to_owned(), excess)).join(" and ");
+    let handed = handed.map(|tally| tally.to_string()).join(" and ");
+    let parts = parts.map(|tally| tally.to_string()).join(", ");
     let summary = format!(
-        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, crashes {crashes:?}, repeats beyond the budget {}",
-        windows
-            .map(|w| w.map_or_else(|| "-".to_owned(), |w| format!("{:.0}", w.excess())))
-            .join(" and ")
+        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, crashes {crashes:?}, \
+         repeats beyond the budget {repeats}; {handed}; {parts}"
     );
     Ok((faults, summary))
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::callers::CallerRecord;
 use crate::proxy::Cut;
 use crate::proxy::NetworkFault;
 use crate::world::World;
@@ -130,6 +131,22 @@
     });
 }
 
+/// Probability that all daemons are killed at once with an injected fault.
+const HERD_PROBABILITY: f64 = 0.08;
+
+/// Kills all daemons with probability [`HERD_PROBABILITY`].
+///
+/// Uses a random generator of its own, as [`inject_bad_responses`] does.
+pub fn kill_herd(world: &World, rng: &mut ChaCha8Rng) {
+    if !rng.random_bool(HERD_PROBABILITY) {
+        return;
+    }
+    world.note("kill all daemons");
+    for daemon in 0..world.daemons.len() {
+        world.signal(daemon, Signal::KILL);
+    }
+}
+
 /// Probability that a rolling release of all engines begins with an injected fault.
 const RELEASE_PROBABILITY: f64 = 0.4;
 
@@ -192,6 +209,13 @@
     sleep(pause.saturating_sub(time)).await;
 }
 
+/// Does so again and again until the troubles end.
+pub async fn stall_repeatedly(world: Rc<World>, seen: Rc<CallerRecord>, mut rng: ChaCha8Rng) {
+    while !seen.faults_over.get() {
+        stall_servers(&world, &mut rng).await;
+    }
+}
+
 fn later(time: Duration, action: impl FnOnce() + 'static) {
     spawn_local(async move {
         sleep(time).await;
