calls: answers of engines and of the store have a longest length

An engine that answers an order or a report request with a body that does not end filled the daemon's memory: the call was bounded by time alone, again and again. Answers of the store were bounded by progress alone, so that one without end was read for ever.

An order whose answer is too long may have been carried out, and its engine is avoided after three, as before for orders without an answer.

--- a/lib/src/serve/call.rs
+++ b/lib/src/serve/call.rs
@@ -27,6 +27,12 @@
 /// Time that an idle connection stays open after a call.
 const KEEP_ALIVE: Duration = Duration::from_secs(8);
 
+/// Longest body of an answer to a call of an engine's control interface: some times the report of one with 256 runs and
+/// 100 models.
+const MAX_CONTROL_BYTES: usize = 128 * 1024;
+/// Longest body of an answer of the store, whose pages and reads are of about a megabyte; one record may be larger.
+const MAX_STORE_BYTES: usize = 32 * 1024 * 1024;
+
 /// Why a call has no response.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum CallError {
@@ -36,6 +42,9 @@
     /// The request may have been sent and may still be carried out.
     #[error("no answer")]
     NoResponse,
+    /// The response is longer than any that the call may have; the request may be carried out.
+    #[error("the answer is too long")]
+    TooLong,
 }
 
 /// Sends a request and returns the response, which must be complete within `limit`.
@@ -54,9 +63,11 @@
     limit: Duration,
 ) -> Result<Response<Bytes>, CallError> {
     let expires = Instant::now() + limit;
-    let read = async |body: Incoming| {
-        let body = timeout_at(expires, body.collect()).await.map_err(|_elapsed| None)?;
-        body.map(http_body_util::Collected::to_bytes).map_err(|_broken| Some(CallError::NoResponse))
+    let read = async |mut body: Incoming| {
+        let mut bytes = BytesMut::new();
+        let read = read_until(&mut body, &mut bytes, usize::MAX, MAX_CONTROL_BYTES);
+        timeout_at(expires, read).await.map_err(|_elapsed| None)??;
+        Ok(bytes.freeze())
     };
     exchange(pool, &peer.into(), addr, request, HeadLimits::only(limit), read).await
 }
@@ -93,27 +104,36 @@
     exchange(pool, &peer.into(), addr, request, limits, read_with_progress).await
 }
 
-/// Reads a body; the error is `None` if it stopped making progress.
+/// Reads a body of the store; the error is `None` if it stopped making progress.
 async fn read_with_progress(mut body: Incoming) -> Result<Bytes, Option<CallError>> {
     let mut bytes = BytesMut::new();
     loop {
         let target = bytes.len() + PROGRESS_BYTES;
-        let step = async {
-            while bytes.len() < target {
-                let Some(frame) = body.frame().await else {
-                    return Ok::<bool, Option<CallError>>(true);
-                };
-                let frame = frame.map_err(|_broken| Some(CallError::NoResponse))?;
-                bytes.extend(frame.into_data().ok());
-            }
-            Ok(false)
-        };
+        let step = read_until(&mut body, &mut bytes, target, MAX_STORE_BYTES);
         if timeout(PROGRESS_TIMEOUT, step).await.map_err(|_elapsed| None)?? {
             return Ok(bytes.freeze());
         }
     }
 }
 
+/// Reads frames until `bytes` has `target` bytes; returns whether the body has ended. It fails beyond `limit`.
+async fn read_until(
+    body: &mut Incoming,
+    bytes: &mut BytesMut,
+    target: usize,
+    limit: usize,
+) -> Result<bool, CallError> {
+    while bytes.len() < target {
+        let Some(frame) = body.frame().await else { return Ok(true) };
+        let frame = frame.map_err(|_broken| CallError::NoResponse)?;
+        bytes.extend(frame.into_data().ok());
+        if bytes.len() > limit {
+            return Err(CallError::TooLong);
+        }
+    }
+    Ok(false)
+}
+
 async fn exchange(
     pool: &ConnectionPool,
     peer: &ServerInstance,
--- a/lib/src/serve/engine_orders.rs
+++ b/lib/src/serve/engine_orders.rs
@@ -168,7 +168,7 @@
                 }
                 Err(error) => {
                     unanswered_tries += 1;
-                    if error == CallError::NoResponse {
+                    if error != CallError::Unsent {
                         may_have_run = true;
                         self.with_engine(server, |engine| engine.orders_inflight = true);
                     }
