memory: responses and bodies of callers that are read whole share a budget

Each response that is read whole was bounded (8 MiB), and so was each body of a caller (64 MiB declared), but not all of them together: memory grew with servers times slots, and with callers. A host has 260 MB; the process ended, and with it the requests of all.

A message now has two thirds of what the others leave of 32 MiB (responses) or 96 MiB (bodies), and 16 KiB in any case, so that usual messages go on while the largest are refused: a response as one that is too long, a body with 503, at once if its declared length has no room. Memory is returned with the last byte that waits for a slow caller. Weighed: a semaphore (deadlocks when all messages are half read), the newest is refused (usual ones pay for endless ones).

The metric buffered_bytes tells both.

--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -44,6 +44,7 @@
     reader_reports: Counter<u64>,
     relays: Counter<u64>,
     load_time: Histogram<f64>,
+    buffered_bytes: Gauge<u64>,
     quarantined: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
     origins: Counter<u64>,
@@ -134,6 +135,10 @@
             ),
             reader_reports: counter("reader_words", "Words of readers by what came of them"),
             relays: counter("relays", "Connections to servers that peers asked for, by outcome"),
+            buffered_bytes: gauge(
+                "buffered_bytes",
+                "Memory of messages that are read whole, by kind",
+            ),
             quarantined: gauge(
                 "held_requests",
                 "Requests that go to no server, since several crashed under each",
@@ -166,6 +171,11 @@
         self.verdicts.add(1, &[model, KeyValue::new("verdict", verdict.as_str())]);
     }
 
+    /// Sets the memory of messages of a kind that are read whole, in bytes.
+    pub fn set_buffered(&self, kind: &'static str, bytes: usize) {
+        self.buffered_bytes.record(bytes as u64, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a refused request.
     pub fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod authorize;
 pub mod body;
+pub mod byte_budget;
 pub mod call;
 pub mod call_guard;
 pub mod caller_socket;
--- a/lib/src/serve/accept.rs
+++ b/lib/src/serve/accept.rs
@@ -100,6 +100,8 @@
     serve_text(daemon, listener, |daemon, path| match path {
         "/metrics" => {
             daemon.metrics.set_requests(daemon.model_waits.total(), daemon.active.get());
+            daemon.metrics.set_buffered("responses", daemon.response_bytes.used());
+            daemon.metrics.set_buffered("requests", daemon.request_bytes.used());
             let version = daemon.config_version();
             daemon.metrics.set_configuration(version, daemon.config_age(daemon.now()));
             (StatusCode::OK, daemon.metrics.to_text())
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -53,6 +53,7 @@
 use crate::protocol::Protocol;
 use crate::serve::abandoned_streams::AbandonedStreams;
 use crate::serve::attempt::Attempt;
+use crate::serve::byte_budget::ByteBudget;
 use crate::serve::choose::Chooser;
 use crate::serve::choose::ChosenServer;
 use crate::serve::connector::Connector;
@@ -84,6 +85,12 @@
 /// it for this long. Calls of two readers may have been lost by then, and callers notice after three seconds.
 const MAX_CONFIG_AGE: Duration = Duration::from_secs(2);
 
+/// Memory for all responses that are read whole: with what their connections take, a quarter of a small host's. Three of the
+/// longest are read at a time.
+const RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+/// Memory for all bodies of callers' requests; one may have the longest that is accepted.
+const REQUEST_BYTES: usize = 96 * 1024 * 1024;
+
 /// State of one entry daemon, shared by its tasks.
 #[derive(Debug)]
 pub struct DaemonState {
@@ -98,6 +105,10 @@
     pub store: Rc<dyn Store>,
     /// Connections to backend servers.
     pub pool: ConnectionPool,
+    /// Memory for responses that are read whole.
+    pub response_bytes: ByteBudget,
+    /// Memory for the bodies of callers' requests.
+    pub request_bytes: ByteBudget,
     /// The configuration in force, replaced as a whole; `None` before the first.
     pub config: RefCell<Option<Rc<Configuration>>>,
     /// The last configurations as the platform stores them, from which peers get updates.
@@ -258,6 +269,8 @@
             protocol,
             store,
             pool,
+            response_bytes: ByteBudget::new(RESPONSE_BYTES),
+            request_bytes: ByteBudget::new(REQUEST_BYTES),
             config: RefCell::default(),
             config_history: RefCell::default(),
             directory: RefCell::default(),
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -113,7 +112,7 @@
     }
     let body = tokio::select! {
         biased;
-        body = read_body(body, config.limits.max_body) => body,
+        body = read_body(daemon, body, config.limits.max_body) => body,
         () = daemon.aborted() => Err(Refusal::not_run(STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER)),
     };
     let body = match body {
@@ -142,21 +141,29 @@
     Ok(attempt)
 }
 
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+async fn read_body(
+    daemon: &DaemonState,
+    mut body: Incoming,
+    limit: usize,
+) -> Result<Bytes, Refusal> {
     let too_large =
         || Refusal::client_error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > limit.min(MAX_DECLARED_BODY) as u64 {
+    let declared = body.size_hint().lower();
+    if declared > limit.min(MAX_DECLARED_BODY) as u64 {
         return Err(too_large());
     }
-    let mut bytes = BytesMut::new();
+    let no_memory = || Refusal::not_run("no memory for the body", OTHER_DAEMON_RETRY_AFTER);
+    if !daemon.request_bytes.has_room(declared as usize) {
+        return Err(no_memory());
+    }
+    let mut bytes = daemon.request_bytes.buffer();
     let receive = async {
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_broken| {
                 Refusal::client_error(StatusCode::BAD_REQUEST, "the body broke off")
             })?;
-            if let Ok(data) = frame.into_data() {
-                bytes.extend_from_slice(&data);
-            }
+            let data = frame.into_data().unwrap_or_default();
+            bytes.extend(&data).map_err(|_exceeded| no_memory())?;
             if bytes.len() > limit {
                 return Err(too_large());
             }
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -250,7 +250,7 @@
 ///
 /// # Errors
 ///
-/// Returns a failure if the response is cut off or too long.
+/// Returns a failure if the response is cut off or too long, or if there is no memory for it.
 pub async fn read_whole(
     daemon: &Rc<DaemonState>,
     server: &Server,
@@ -259,15 +259,16 @@
 ) -> Result<(response::Parts, Bytes), SendFailure> {
     let ends_with_connection = response.ends_with_connection();
     let ServerResponse { head, headers, mut body, connection } = response;
-    let mut bytes = Vec::new();
+    let mut bytes = daemon.response_bytes.buffer();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_error| {
             SendFailure::disconnected("the answer broke off", Disconnect::AfterHead)
         })?;
         connection.meter().restart();
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
-        }
+        let data = frame.into_data().unwrap_or_default();
+        bytes
+            .extend(&data)
+            .map_err(|_exceeded| SendFailure::may_have_run("no memory for the answer"))?;
         if bytes.len() > limit {
             return Err(SendFailure::may_have_run("the answer is too long"));
         }
@@ -277,5 +278,5 @@
         return Err(SendFailure::disconnected(reason, Disconnect::AfterHead));
     }
     daemon.pool.release(connection, headers.keep_alive);
-    Ok((head, Bytes::from(bytes)))
+    Ok((head, bytes.freeze()))
 }
