sends: the time that is left is taken when a request is written

Servers were told the time that was left when the request was built: before a connection was opened (up to 0.3 s each for up to three connections, and relays), and before a stream's next engine was asked whether it had restarted.

slow_connection failed before: 251 to 253 ms too long with connections that take 250 ms (100 ms are allowed); passes. A request with less than a millisecond left is not sent: servers are told milliseconds.

--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -83,8 +83,6 @@
 pub struct SendHeaders {
     /// The server instance that the request is meant for.
     pub server: ServerId,
-    /// Time until the caller's deadline.
-    pub time_left: Duration,
     /// Rank in the engine's queue; 0 is served first.
     pub priority: Option<u8>,
     /// Last event that the caller received of a stream to be resumed.
@@ -240,6 +238,9 @@
     /// set.
     fn set_send_headers(&self, headers: &mut HeaderMap, terms: &SendHeaders);
 
+    /// Tells the server how much time is left until the caller's deadline.
+    fn set_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
+
     /// Parses the headers of a backend server's response.
     fn parse_response_headers(&self, head: &response::Parts) -> ResponseHeaders;
 
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -255,7 +255,8 @@
             && self.possible_runs < self.route.max_attempts
     }
 
-    /// Builds the request to send to `server`; a stream resumes after event `resume_after` if given.
+    /// Builds the request to send to `server`; a stream resumes after event `resume_after` if given. The send adds the time
+    /// that is left.
     pub fn request(
         &self,
         daemon: &DaemonState,
@@ -265,10 +266,9 @@
         let offset = if self.is_late { LATE_PRIORITY_OFFSET } else { 0 };
         let level = self.priority().saturating_add(offset).min(MAX_PRIORITY);
         let priority = self.model_target().map(|_| level);
-        let time_left = self.deadline.saturating_sub(daemon.now());
         let workspace = self.workspace.as_ref().map(|workspace| workspace.name.clone());
         let server = server.id.clone();
-        let terms = SendHeaders { server, time_left, priority, resume_after, workspace };
+        let terms = SendHeaders { server, priority, resume_after, workspace };
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.parts.uri.clone();
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -149,6 +149,7 @@
     let server = Rc::clone(&chosen.server);
     let open_send = attempt.record_send(chosen, daemon.now());
     let brittle_send = daemon.record_send(&server.instance());
+    let deadline = attempt.deadline;
     let request = attempt.request(daemon, &server, None);
     let workload_guard =
         daemon.workloads.begin(attempt.workload_key(&server), attempt.caller_headers.prompt_tokens);
@@ -157,7 +158,8 @@
     Box::pin(async move {
         let _workload_guard = workload_guard;
         let _brittle_send = brittle_send;
-        let response = send::send(&daemon, &server, id.as_ref(), &open_send, request).await?;
+        let response =
+            send::send(&daemon, &server, id.as_ref(), &open_send, deadline, request).await?;
         send::read_whole(&daemon, &server, response, MAX_RESPONSE_BYTES).await
     })
 }
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -130,6 +130,7 @@
     let open_send = attempt.record_send(chosen, daemon.now());
     let mut brittle_send = daemon.record_send(&server.instance());
     let exposure = Exposure::new(attempt, CrashStage::BeforeEvents);
+    let deadline = attempt.deadline;
     let request = attempt.request(daemon, &server, resume);
     let workload_guard =
         daemon.workloads.begin(attempt.workload_key(&server), attempt.caller_headers.prompt_tokens);
@@ -140,7 +141,8 @@
             let verified = verify_instance(&daemon, &server).await;
             verified.inspect_err(|_unsent| open_send.end(daemon.now()))?;
         }
-        let response = send::send(&daemon, &server, id.as_ref(), &open_send, request).await?;
+        let response =
+            send::send(&daemon, &server, id.as_ref(), &open_send, deadline, request).await?;
         if let Some(send) = &mut brittle_send {
             send.mark_answered();
         }
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -13,6 +14,7 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 
+use crate::boot_clock::Moment;
 use crate::cluster::directory::Server;
 use crate::cluster::open_send::OpenSend;
 use crate::cluster::server_health::Evidence;
@@ -23,6 +25,9 @@
 use crate::serve::suspects;
 use crate::verdict::Verdict;
 
+/// Least time left with which a request is sent: the unit in which servers are told.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
+
 /// The head of a server's response, and what is needed to read the rest.
 #[derive(Debug)]
 pub struct ServerResponse {
@@ -97,6 +102,11 @@
         Self { delivered: false, ..Self::not_run(reason) }
     }
 
+    /// Nothing was sent, which says nothing about the server.
+    fn unsent(reason: &'static str) -> Self {
+        Self { evidence: None, delivered: false, ..Self::not_run(reason) }
+    }
+
     /// A healthy server reported that the request did not run.
     fn not_run(reason: &'static str) -> Self {
         let verdict = Verdict::DidNotRun;
@@ -139,7 +149,8 @@
     }
 }
 
-/// Sends a request and waits for the head of the response; then ends `open_send`. It stays open if the future is dropped.
+/// Sends a request, whose caller waits until `deadline`, and waits for the head of the response; then ends `open_send`. It stays
+/// open if the future is dropped.
 ///
 /// # Errors
 ///
@@ -149,9 +160,10 @@
     server: &Server,
     attempt: Option<&AttemptId>,
     open_send: &OpenSend,
+    deadline: Moment,
     request: Request<Bytes>,
 ) -> Result<ServerResponse, SendFailure> {
-    let result = exchange(daemon, server, attempt, request).await;
+    let result = exchange(daemon, server, attempt, deadline, request).await;
     let now = daemon.now();
     open_send.end(now);
     if open_send.is_retry {
@@ -167,6 +179,7 @@
     daemon: &DaemonState,
     server: &Server,
     attempt: Option<&AttemptId>,
+    deadline: Moment,
     request: Request<Bytes>,
 ) -> Result<ServerResponse, SendFailure> {
     let mut request = request.map(Full::new);
@@ -179,6 +192,11 @@
     let mut tries = 0;
     let response = loop {
         connection.meter().restart();
+        let time_left = deadline.saturating_sub(daemon.now());
+        if time_left < MIN_TIME_LEFT {
+            return Err(SendFailure::unsent("no time is left"));
+        }
+        daemon.protocol.set_time_left(request.headers_mut(), time_left);
         match connection.sender().try_send_request(request).await {
             Ok(response) => break response,
             Err(mut error) => {
