servers: one that does not respond gets no retry, and others are preferred

Cause: a server that stands still reads what its system holds once it continues, also requests that were given up and run elsewhere, with the time that was left when they were sent. Nothing bounded how many lay there: each daemon found out for itself, by requests, after three latency goals each, and again after each pause; retries went there too. Class: a limit for each daemon and request, none for all together.

Now a plain server counts as silent once a request of it is unanswered for six times the usual response time (150 ms at least) and nothing else came. Other servers are preferred, from a third of that on; retries and failovers never go there; peers are told at once, and a health check, which does no harm when read late, shows that it is back. What cannot be withdrawn is now about one request a server and stop, not some a daemon.

Engines are not covered: a full one is silent for long by right.

--- a/lib/benches/choice.rs
+++ b/lib/benches/choice.rs
@@ -19,6 +19,7 @@
 use comfreymux_lib::cluster::server_health::ServerHealth;
 use comfreymux_lib::cluster::server_slowdowns::ServerSlowdowns;
 use comfreymux_lib::cluster::server_slowdowns::SlowdownSource;
+use comfreymux_lib::cluster::silent_servers::SilentServers;
 use comfreymux_lib::cluster::workloads::Workloads;
 use comfreymux_lib::placement::demand::ModelTarget;
 use comfreymux_lib::serve::choose::Chooser;
@@ -67,6 +68,7 @@
             inventories: &EngineInventories::default(),
             workloads: &Workloads::default(),
             health: &ServerHealth::default(),
+            silent: &SilentServers::default(),
             run_times: &RunTimes::default(),
             slowdowns: &slowdowns,
             send_permits: &SendPermits::new(),
--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -50,6 +50,7 @@
 pub mod server_paths;
 pub mod server_rests;
 pub mod server_slowdowns;
+pub mod silent_servers;
 pub mod slowdown_estimate;
 pub mod slowdown_report;
 pub mod store_health;
--- a/lib/src/cluster/configuration.rs
+++ b/lib/src/cluster/configuration.rs
@@ -118,6 +118,8 @@
     pub name: ServiceName,
     /// Set if its backend servers are model engines.
     pub engine: Option<EngineSpec>,
+    /// Path of its backend servers' health check; `None` if they have none.
+    pub health_path: Option<SmolStr>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -178,6 +178,8 @@
     Quota(QuotaMessage),
     /// Slowdowns of servers.
     Slowdowns(SlowdownReport),
+    /// Servers that have not responded to a request of the sender, and for how long, in milliseconds.
+    SilentServers(Vec<(ServerInstance, u32)>),
 }
 
 /// Version number of the datagram format; increment it whenever these types change, except for a variant of [`Payload`]
--- /dev/null
+++ b/lib/src/cluster/silent_servers.rs
@@ -0,0 +1,178 @@
+//! Servers of plain services that have had a request for longer than their service usually takes, and sent nothing since.
+//!
+//! A server that stands still reads what its system has received once it continues, also requests whose callers have been
+//! answered by then. Each is work in vain, so such a server gets no more of them than is known.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::boot_clock::Moment;
+use crate::cluster::configuration::ServiceName;
+use crate::cluster::server_instance::ServerInstance;
+
+/// Bounds of the time without a response after which a server counts as silent. The shortest is longer than the pauses of
+/// a busy host.
+const MIN_PATIENCE: Duration = Duration::from_millis(150);
+const MAX_PATIENCE: Duration = Duration::from_secs(2);
+/// Multiple of a service's mean response time that may pass: few responses take as long.
+const PATIENCE_FACTOR: f64 = 6.0;
+/// Part of that time after which this daemon itself prefers other servers.
+const DOUBT_FRACTION: f64 = 1.0 / 3.0;
+/// Assumed mean before any response.
+const INITIAL_MEAN: Duration = Duration::from_millis(100);
+/// Least weight of the newest response in the mean; the first ones weigh as much as those before together.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// Time for which a peer's report counts: some reports, of which one may be lost.
+const REPORT_TIME: Duration = Duration::from_millis(1200);
+/// Time from the first unanswered request to the first health check, and between the last ones.
+const FIRST_CHECK: Duration = Duration::from_millis(400);
+const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which a server that cannot be checked gets a request again.
+const EXPIRY: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    service: ServiceName,
+    /// When the oldest request was sent that has no response; `None` if the server has responded since.
+    unanswered_since: Option<Moment>,
+    /// When the server last responded to this daemon.
+    answered_at: Moment,
+    /// Until when it counts as silent by peers' reports.
+    reported_until: Moment,
+    next_check: Moment,
+    check_interval: Duration,
+    /// Whether its silence was logged.
+    is_known: bool,
+}
+
+/// The servers of plain services that this daemon, or a peer, waits for.
+#[derive(Debug, Default)]
+pub struct SilentServers {
+    entries: HashMap<ServerInstance, Entry>,
+    times: HashMap<ServiceName, ResponseTimes>,
+}
+
+/// Response times of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct ResponseTimes {
+    /// Mean in seconds.
+    mean: f64,
+    count: u32,
+}
+
+impl ResponseTimes {
+    fn record(&mut self, time: Duration) {
+        self.count = self.count.saturating_add(1);
+        let weight = (1.0 / f64::from(self.count)).max(NEWEST_WEIGHT);
+        self.mean += weight * (time.as_secs_f64() - self.mean);
+    }
+
+    fn mean(self) -> Duration {
+        if self.count == 0 { INITIAL_MEAN } else { Duration::from_secs_f64(self.mean) }
+    }
+}
+
+impl SilentServers {
+    /// Records a request that is sent now.
+    pub fn record_send(&mut self, service: &ServiceName, server: &ServerInstance, now: Moment) {
+        let entry = self.entries.entry(server.clone()).or_default();
+        if entry.unanswered_since.is_none() {
+            entry.service.clone_from(service);
+            entry.unanswered_since = Some(now);
+            entry.next_check = now + FIRST_CHECK;
+            entry.check_interval = FIRST_CHECK;
+        }
+    }
+
+    /// Records the response to a request that was sent at `sent_at`.
+    pub fn record_response(&mut self, server: &ServerInstance, sent_at: Moment, now: Moment) {
+        let Some(entry) = self.entries.get(server) else { return };
+        // The responses of a server that stood still say little about how long its service takes.
+        let time = now.saturating_sub(sent_at).min(self.patience(&entry.service));
+        self.times.entry(entry.service.clone()).or_default().record(time);
+        self.record_sign(server, now);
+    }
+
+    /// Records a sign of the server that is no response to a request: its silence has ended. Returns whether it was known.
+    pub fn record_sign(&mut self, server: &ServerInstance, now: Moment) -> bool {
+        let Some(entry) = self.entries.get_mut(server) else { return false };
+        entry.unanswered_since = None;
+        entry.answered_at = now;
+        entry.reported_until = Moment::ZERO;
+        std::mem::take(&mut entry.is_known)
+    }
+
+    /// Records that a peer's request has been unanswered for `age`, unless the server has responded to this daemon since.
+    pub fn record_peer(&mut self, server: &ServerInstance, age: Duration, now: Moment) {
+        let entry = self.entries.entry(server.clone()).or_default();
+        if entry.answered_at <= now.saturating_sub(age) {
+            entry.reported_until = now + REPORT_TIME;
+        }
+    }
+
+    /// Returns whether the server counts as silent.
+    pub fn is_silent(&self, server: &ServerInstance, now: Moment) -> bool {
+        let entry = self.entries.get(server);
+        entry.is_some_and(|e| now < e.reported_until || self.is_own(e, now))
+    }
+
+    /// Returns whether other servers are preferred: the server is silent, or may soon turn out to be.
+    pub fn is_doubtful(&self, server: &ServerInstance, now: Moment) -> bool {
+        let entry = self.entries.get(server);
+        entry.is_some_and(|entry| {
+            let doubt = self.patience(&entry.service).mul_f64(DOUBT_FRACTION);
+            let since = entry.unanswered_since.map(|since| now.saturating_sub(since));
+            now < entry.reported_until || since.is_some_and(|time| time > doubt && time < EXPIRY)
+        })
+    }
+
+    /// Returns the servers that this daemon itself finds silent, and for how long, for its peers.
+    pub fn own(&self, now: Moment) -> Vec<(ServerInstance, Duration)> {
+        let own = self.entries.iter().filter(|(_, entry)| self.is_own(entry, now));
+        let age = |entry: &Entry| now.saturating_sub(entry.unanswered_since.unwrap_or(now));
+        own.map(|(server, entry)| (server.clone(), age(entry))).collect()
+    }
+
+    fn own_instances(&self, now: Moment) -> Vec<ServerInstance> {
+        self.own(now).into_iter().map(|(server, _)| server).collect()
+    }
+
+    /// Returns those of them that were not known to be silent.
+    pub fn take_new(&mut self, now: Moment) -> Vec<ServerInstance> {
+        let mut list = self.own_instances(now);
+        list.retain(|server| {
+            let entry = self.entries.get_mut(server);
+            entry.is_some_and(|entry| !std::mem::replace(&mut entry.is_known, true))
+        });
+        list
+    }
+
+    /// Returns the silent servers whose health checks are due; the next ones are later.
+    pub fn take_due(&mut self, now: Moment) -> Vec<ServerInstance> {
+        let mut list = self.own_instances(now);
+        list.retain(|server| {
+            let Some(entry) = self.entries.get_mut(server).filter(|e| now >= e.next_check) else {
+                return false;
+            };
+            entry.check_interval = (entry.check_interval * 2).min(MAX_CHECK_INTERVAL);
+            entry.next_check = now + entry.check_interval;
+            true
+        });
+        list
+    }
+
+    /// Drops servers that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(&ServerInstance) -> bool) {
+        self.entries.retain(|server, _| known(server));
+    }
+
+    fn is_own(&self, entry: &Entry, now: Moment) -> bool {
+        let since = entry.unanswered_since.map(|since| now.saturating_sub(since));
+        since.is_some_and(|time| time > self.patience(&entry.service) && time < EXPIRY)
+    }
+
+    fn patience(&self, service: &ServiceName) -> Duration {
+        let mean = self.times.get(service).copied().unwrap_or_default().mean();
+        mean.mul_f64(PATIENCE_FACTOR).clamp(MIN_PATIENCE, MAX_PATIENCE)
+    }
+}
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -256,6 +256,9 @@
     /// Maps the status of an engine's response to the outcome of the order.
     fn order_reply(&self, status: StatusCode) -> OrderReply;
 
+    /// Builds the HTTP request for a server's health check; `None` if the path is invalid.
+    fn health_request(&self, server: &Server, path: &str) -> Option<Request<Bytes>>;
+
     /// Builds the HTTP request for an engine's report.
     fn report_request(&self, server: &Server) -> Request<Bytes>;
 
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -72,6 +72,7 @@
 pub mod server_relay;
 pub mod server_socket;
 pub mod share_slowdowns;
+pub mod silence_checks;
 pub mod socket;
 pub mod standstill;
 pub mod store_calls;
--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -225,6 +225,7 @@
     daemon.server_rests.borrow_mut().retain(is_known);
     daemon.server_paths.borrow_mut().retain(is_known);
     daemon.brittle_servers.retain(is_known);
+    daemon.silent_servers.borrow_mut().retain(is_known);
     daemon.pool.evict_idle(is_known);
     daemon.model_waits.inventories_changed.notify_waiters();
     daemon.plan_due.notify_one();
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -14,6 +14,7 @@
 use crate::cluster::server_health::ServerHealth;
 use crate::cluster::server_instance::ServerInstance;
 use crate::cluster::server_slowdowns::ServerSlowdowns;
+use crate::cluster::silent_servers::SilentServers;
 use crate::cluster::slowdown_estimate::preference;
 use crate::cluster::workloads::Workload;
 use crate::cluster::workloads::Workloads;
@@ -68,6 +69,8 @@
     pub workloads: &'a Workloads,
     /// Health of the servers: which to avoid, which are unreachable.
     pub health: &'a ServerHealth,
+    /// Servers of plain services that do not respond.
+    pub silent: &'a SilentServers,
     /// Mean run time of requests by service.
     pub run_times: &'a RunTimes,
     /// Slowdowns of servers.
@@ -235,7 +238,7 @@
     ) -> Option<ChosenServer> {
         let is_available = |s: &Server| {
             let holds = |i: &ModelTarget| self.inventories.holds(s, &i.model, i.adapter.as_deref());
-            !self.health.is_avoided(&s.instance(), self.now)
+            self.is_healthy(s)
                 && model_target.is_none_or(holds)
                 && self.workloads.workload_at(&s.instance(), self.now).running < s.slots
         };
@@ -269,6 +272,18 @@
         !reports_copies
     }
 
+    /// Returns whether a server is neither avoided nor likely to be silent.
+    fn is_healthy(&self, server: &Server) -> bool {
+        let server = server.instance();
+        !self.health.is_avoided(&server, self.now) && !self.silent.is_doubtful(&server, self.now)
+    }
+
+    /// Returns the servers of a service that are silent.
+    pub fn silent_servers(&self, service: &str) -> Vec<ServerInstance> {
+        let servers = self.directory.servers().filter(|s| self.is_eligible(s, service));
+        servers.map(|s| s.instance()).filter(|s| self.silent.is_silent(s, self.now)).collect()
+    }
+
     /// Returns the servers of a service that are unreachable from this daemon.
     pub fn unreachable_servers(&self, service: &str) -> Vec<ServerInstance> {
         let unreachable = |s: &&Rc<Server>| {
@@ -342,8 +357,8 @@
                     && is_suitable(s)
             })
             .collect();
-        let is_healthy = |s: &&&Rc<Server>| !self.health.is_avoided(&s.instance(), self.now);
-        let healthy: Vec<&Rc<Server>> = usable.iter().filter(is_healthy).copied().collect();
+        let healthy: Vec<&Rc<Server>> =
+            usable.iter().filter(|s| self.is_healthy(s)).copied().collect();
         let list = self.prefer_unlimited(if healthy.is_empty() { usable } else { healthy });
         let candidate = |s: &&Rc<Server>| {
             let work = self.workloads.workload_at(&s.instance(), self.now);
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -35,6 +35,7 @@
 use crate::cluster::server_paths::ServerPaths;
 use crate::cluster::server_rests::ServerRests;
 use crate::cluster::server_slowdowns::ServerSlowdowns;
+use crate::cluster::silent_servers::SilentServers;
 use crate::cluster::store_health::StoreHealth;
 use crate::cluster::stream_origins::StreamOrigins;
 use crate::cluster::unreadable_records::UnreadableRecords;
@@ -121,6 +122,8 @@
     pub workloads: Workloads,
     /// Servers that are avoided after failures.
     pub health: RefCell<ServerHealth>,
+    /// Servers of plain services that do not respond.
+    pub silent_servers: RefCell<SilentServers>,
     /// Run times of requests at engines.
     pub run_times: RunTimes,
     /// Slowdowns of servers.
@@ -175,6 +178,8 @@
     pub departure_heard: Notify,
     /// Signalled when a server told this daemon a new rejection limit, which must be sent to peers at once.
     pub limit_heard: Notify,
+    /// Signalled when a server has fallen silent, which must be sent to peers at once.
+    pub silence_noticed: Notify,
     /// Signalled when a crash report or quarantine must be sent to peers at once.
     pub quarantine_changed: Notify,
     /// Signalled when a prompt part is held from now on.
@@ -277,6 +282,7 @@
             inventories: RefCell::default(),
             workloads: Workloads::default(),
             health: RefCell::default(),
+            silent_servers: RefCell::default(),
             run_times: RunTimes::default(),
             slowdowns,
             rate_limits: RefCell::default(),
@@ -302,6 +308,7 @@
             report_due: Notify::new(),
             departure_heard: Notify::new(),
             limit_heard: Notify::new(),
+            silence_noticed: Notify::new(),
             quarantine_changed: Notify::new(),
             part_held: Notify::new(),
             fetch_due: Notify::new(),
@@ -560,6 +567,7 @@
         let directory = self.directory.borrow();
         let inventories = self.inventories.borrow();
         let health = self.health.borrow();
+        let silent = self.silent_servers.borrow();
         let settings = self.settings.borrow();
         f(&Chooser {
             directory: &directory,
@@ -567,6 +575,7 @@
             inventories: &inventories,
             workloads: &self.workloads,
             health: &health,
+            silent: &silent,
             run_times: &self.run_times,
             slowdowns: &self.slowdowns,
             send_permits: &send_permits,
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -106,8 +106,13 @@
 
 fn choose(daemon: &DaemonState, attempt: &Attempt) -> Option<ChosenServer> {
     match attempt.model_target() {
-        None => daemon
-            .with_chooser(attempt.version(), |c| c.choose_plain(&attempt.service, &attempt.tried)),
+        None => daemon.with_chooser(attempt.version(), |c| {
+            let mut excluded = attempt.tried.clone();
+            if attempt.failed_deliveries > 0 {
+                excluded.extend(c.silent_servers(&attempt.service));
+            }
+            c.choose_plain(&attempt.service, &excluded)
+        }),
         Some(model_target) => {
             match daemon
                 .with_chooser(attempt.version(), |c| c.choose_engine(&model_target, &attempt.tried))
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -70,6 +70,8 @@
     pub(super) last_broadcast: Cell<Moment>,
     /// When this daemon last told its peers the rejection limits of servers.
     pub(super) last_limits: Cell<Moment>,
+    /// When this daemon last told its peers of silent servers.
+    pub(super) last_silence: Cell<Moment>,
     /// When this daemon last told all its peers of crashes.
     pub(super) last_crashes: Cell<Moment>,
     /// Number of digests published; wraps around.
@@ -87,6 +89,7 @@
             last_digest: Cell::default(),
             last_broadcast: Cell::default(),
             last_limits: Cell::default(),
+            last_silence: Cell::default(),
             last_crashes: Cell::default(),
             digest_round: Cell::default(),
         })
@@ -183,6 +186,7 @@
                     daemon.brittle_servers.record_peer(server, *limit, now);
                 }
             }
+            Payload::SilentServers(servers) => daemon.apply_silence(&servers),
             Payload::VersionDemand(reports) => {
                 if daemon.fence().is_some() {
                     daemon.demand.borrow_mut().update_versions(&message.from, reports, now);
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -28,6 +28,7 @@
 use crate::serve::placement_controller::PlacementController;
 use crate::serve::pooled_client::PooledEngineClient;
 use crate::serve::restored_store;
+use crate::serve::silence_checks;
 use crate::serve::socket;
 use crate::serve::standstill;
 use crate::serve::stored_crashes;
@@ -105,6 +106,7 @@
         Err(error) => slog::warn!(daemon.log, "metrics-unserved"; "error" => %error),
     }
     spawn_local(sweep(Rc::clone(daemon)));
+    spawn_local(silence_checks::check_silent(Rc::clone(daemon)));
     spawn_local(standstill::record_turns(Rc::clone(daemon)));
     Ok(lease)
 }
--- a/lib/src/serve/publish.rs
+++ b/lib/src/serve/publish.rs
@@ -30,6 +30,8 @@
 const MIN_DEMAND_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between demand reports while no request begins to wait.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between messages with silent servers; two arrive before one that is not renewed expires.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between messages with rejection limits; several arrive before a limit that is not renewed expires.
 const LIMITS_INTERVAL: Duration = Duration::from_secs(3);
 /// Most rejection limits in one message, which then fits into an Ethernet frame.
@@ -163,6 +165,7 @@
                 }
                 () = self.daemon.departure_heard.notified() => self.send_digest(false),
                 () = self.daemon.limit_heard.notified() => self.send_limits(),
+                () = self.daemon.silence_noticed.notified() => self.send_silence(),
                 () = sleep(CLAIM_REPEAT_INTERVAL), if self.daemon.trials.has_claim() => self.send_trials(),
                 () = self.daemon.trials.changed.notified() => {
                     self.daemon.model_waits.inventories_changed.notify_waiters();
@@ -215,6 +218,9 @@
         if now >= self.last_limits.get() + LIMITS_INTERVAL {
             self.send_limits();
         }
+        if now >= self.last_silence.get() + SILENCE_INTERVAL {
+            self.send_silence();
+        }
         if !self.daemon.trials.own().is_empty() {
             self.send_trials();
         }
@@ -234,6 +240,21 @@
         }
     }
 
+    /// Sends the servers that this daemon finds silent to all daemons.
+    fn send_silence(&self) {
+        let now = self.daemon.now();
+        self.last_silence.set(now);
+        let silent = self.daemon.silent_servers.borrow().own(now);
+        let silent: Vec<_> =
+            silent.into_iter().map(|(server, age)| (server, age.as_millis() as u32)).collect();
+        for part in silent.chunks(LIMITS_PER_MESSAGE) {
+            let bytes = self.encode(Payload::SilentServers(part.to_vec()));
+            for (_, peer) in self.daemon.peers.borrow().all() {
+                self.send(peer.addr, &bytes, "silence");
+            }
+        }
+    }
+
     /// Sends the crashes that this daemon has just detected to all daemons. Digests take several rounds to all of a large
     /// fleet, in which copies of a fatal request would be sent as if it were none.
     fn send_crashes(&self) {
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -197,6 +197,7 @@
             return Err(SendFailure::unsent("no time is left"));
         }
         daemon.protocol.set_time_left(request.headers_mut(), time_left);
+        daemon.record_plain_send(server);
         match connection.sender().try_send_request(request).await {
             Ok(response) => break response,
             Err(mut error) => {
@@ -206,6 +207,7 @@
                     paths.record_broken(&instance, connection.is_relayed(), daemon.now());
                 }
                 let Some(unsent) = error.take_message() else {
+                    daemon.record_connection_end(&instance);
                     let reason = "the connection ended without an answer";
                     return Err(SendFailure::disconnected(reason, Disconnect::BeforeHead));
                 };
@@ -220,6 +222,7 @@
             }
         }
     };
+    daemon.record_plain_response(&instance, sent);
     daemon.retry_budgets.borrow_mut().record_response(
         &server.service,
         &instance,
--- /dev/null
+++ b/lib/src/serve/silence_checks.rs
@@ -0,0 +1,99 @@
+//! Notices servers that fall silent, tells peers, and checks when they respond again.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::boot_clock::Moment;
+use crate::cluster::directory::Server;
+use crate::cluster::server_instance::ServerInstance;
+use crate::serve::call::call;
+use crate::serve::daemon_state::DaemonState;
+
+/// Interval between looks for servers that have fallen silent: shorter than the time after which one counts as such.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time limit of a health check, which may wait for a slot.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl DaemonState {
+    /// Records a request that is sent to a server now, unless the server is an engine: a full one says nothing for long.
+    pub(super) fn record_plain_send(&self, server: &Server) {
+        let config = self.config();
+        let service = config.as_ref().and_then(|config| config.services.get(&server.service));
+        if service.is_none_or(|service| service.engine.is_none()) {
+            let mut silent = self.silent_servers.borrow_mut();
+            silent.record_send(&server.service, &server.instance(), self.now());
+        }
+    }
+
+    /// Records the response to a request that was sent to a server at `sent_at`.
+    pub(super) fn record_plain_response(&self, server: &ServerInstance, sent_at: Moment) {
+        let now = self.now();
+        self.silent_servers.borrow_mut().record_response(server, sent_at, now);
+    }
+
+    /// Records that a server shows that it runs, or that its connection has ended.
+    fn record_sign(&self, server: &ServerInstance, sign: &'static str) {
+        let now = self.now();
+        if self.silent_servers.borrow_mut().record_sign(server, now) {
+            slog::info!(self.log, "server-heard"; "server" => %server, "sign" => sign);
+        }
+    }
+
+    /// Records that the connection to a server has ended while it had a request.
+    pub(super) fn record_connection_end(&self, server: &ServerInstance) {
+        self.record_sign(server, "connection-end");
+    }
+
+    /// Records that a peer finds servers silent.
+    pub(super) fn apply_silence(&self, servers: &[(ServerInstance, u32)]) {
+        let (directory, now) = (self.directory.borrow(), self.now());
+        let mut silent = self.silent_servers.borrow_mut();
+        for (server, millis) in servers.iter().filter(|(server, _)| directory.is_current(server)) {
+            silent.record_peer(server, Duration::from_millis(u64::from(*millis)), now);
+        }
+    }
+}
+
+/// Looks for servers that fall silent, for as long as the daemon runs.
+pub async fn check_silent(daemon: Rc<DaemonState>) {
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        look(&daemon);
+    }
+}
+
+fn look(daemon: &Rc<DaemonState>) {
+    let now = daemon.now();
+    let new = daemon.silent_servers.borrow_mut().take_new(now);
+    for server in &new {
+        slog::info!(daemon.log, "server-unheard"; "server" => %server);
+    }
+    if !new.is_empty() {
+        daemon.silence_noticed.notify_one();
+    }
+    let due = daemon.silent_servers.borrow_mut().take_due(now);
+    let permits = daemon.send_permits();
+    for server in due.into_iter().filter(|server| !permits.contains_key(server)) {
+        spawn_local(check(Rc::clone(daemon), server));
+    }
+}
+
+/// Sends a health check to a silent server; any response of it ends its silence.
+async fn check(daemon: Rc<DaemonState>, instance: ServerInstance) {
+    let server = daemon.directory.borrow().get(&instance.id).cloned();
+    let Some(server) = server.filter(|server| server.instance() == instance) else { return };
+    let Some(config) = daemon.config() else { return };
+    let path = config.services.get(&server.service).and_then(|s| s.health_path.as_ref());
+    let Some(path) = path else { return };
+    let Some(request) = daemon.protocol.health_request(&server, path) else { return };
+    let response = call(&daemon.pool, &instance, server.addr, request, CHECK_TIMEOUT).await;
+    let Ok(response) = response else { return };
+    let (head, _body) = response.into_parts();
+    let responder = daemon.protocol.parse_response_headers(&head).instance;
+    if responder.is_none_or(|id| id == instance.id) {
+        daemon.record_sign(&instance, "health-check");
+    }
+}
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -13,6 +13,7 @@
 use comfreymux_lib::cluster::send_permit::SendPermits;
 use comfreymux_lib::cluster::server_health::ServerHealth;
 use comfreymux_lib::cluster::server_slowdowns::ServerSlowdowns;
+use comfreymux_lib::cluster::silent_servers::SilentServers;
 use comfreymux_lib::cluster::workloads::Workloads;
 use comfreymux_lib::placement::demand::ModelTarget;
 use comfreymux_lib::serve::choose::Chooser;
@@ -235,6 +236,7 @@
         inventories: &EngineInventories::default(),
         workloads: &Workloads::default(),
         health: &ServerHealth::default(),
+        silent: &SilentServers::default(),
         run_times: &RunTimes::default(),
         slowdowns: &ServerSlowdowns::default(),
         centre: &"north".into(),
--- /dev/null
+++ b/lib/tests/test_silent_servers.rs
@@ -0,0 +1,107 @@
+//! When a server of a plain service counts as silent.
+
+use std::time::Duration;
+
+use comfreymux_lib::boot_clock::Moment;
+use comfreymux_lib::cluster::server_instance::ServerInstance;
+use comfreymux_lib::cluster::silent_servers::SilentServers;
+
+const SERVICE: &str = "booking";
+
+fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_mins(1) + Duration::from_millis(millis)
+}
+
+fn server(id: &str) -> ServerInstance {
+    ServerInstance { id: id.into(), born: None }
+}
+
+/// Returns servers of a service whose responses take `millis`.
+fn usual(millis: u64) -> SilentServers {
+    let mut servers = SilentServers::default();
+    for n in 0..100 {
+        let sent_at = at(0).saturating_sub(Duration::from_millis(20_000 - n * 100));
+        servers.record_send(&SERVICE.into(), &server("b1"), sent_at);
+        servers.record_response(&server("b1"), sent_at, sent_at + Duration::from_millis(millis));
+    }
+    servers
+}
+
+/// Guards against a server that stands still getting requests for as long as its first one is not given up.
+#[test]
+fn noticed_soon() {
+    let mut servers = usual(15);
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    assert!(!servers.is_doubtful(&server("b1"), at(40)));
+    assert!(servers.is_doubtful(&server("b1"), at(60)), "others are preferred");
+    assert!(!servers.is_silent(&server("b1"), at(100)));
+    assert!(servers.is_silent(&server("b1"), at(200)));
+    servers.record_response(&server("b1"), at(0), at(300));
+    assert!(!servers.is_silent(&server("b1"), at(300)));
+}
+
+/// Guards against servers that take long as usual being avoided.
+#[test]
+fn slow_usual() {
+    let mut servers = usual(300);
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    assert!(!servers.is_silent(&server("b1"), at(1500)));
+}
+
+/// Guards against the late responses of servers that stood still making the next ones count as silent too late.
+#[test]
+fn late_responses() {
+    let mut servers = usual(15);
+    for n in 0..4 {
+        servers.record_send(&SERVICE.into(), &server("b1"), at(n * 5000));
+        servers.record_response(&server("b1"), at(n * 5000), at(n * 5000 + 4000));
+    }
+    servers.record_send(&SERVICE.into(), &server("b1"), at(30_000));
+    assert!(servers.is_silent(&server("b1"), at(30_300)));
+}
+
+/// Guards against a busy server that responds to some requests being avoided for one that takes long.
+#[test]
+fn others_answered() {
+    let mut servers = usual(15);
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    servers.record_send(&SERVICE.into(), &server("b1"), at(100));
+    servers.record_response(&server("b1"), at(100), at(115));
+    assert!(!servers.is_silent(&server("b1"), at(400)));
+}
+
+/// Guards against each daemon sending a request of its own to a server that one of them waits for.
+#[test]
+fn peers_believed() {
+    let mut servers = usual(15);
+    servers.record_peer(&server("b2"), Duration::from_millis(200), at(0));
+    assert!(servers.is_silent(&server("b2"), at(1000)));
+    assert!(servers.own(at(1000)).is_empty(), "peers' reports are not passed on");
+    assert!(!servers.is_silent(&server("b2"), at(1300)), "the report is not renewed");
+}
+
+/// Guards against a peer whose own path is cut keeping this daemon from a server that responds to it.
+#[test]
+fn own_response() {
+    let mut servers = usual(15);
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    servers.record_response(&server("b1"), at(0), at(15));
+    servers.record_peer(&server("b1"), Duration::from_millis(600), at(500));
+    assert!(!servers.is_silent(&server("b1"), at(500)));
+    servers.record_peer(&server("b1"), Duration::from_millis(400), at(500));
+    assert!(servers.is_silent(&server("b1"), at(500)), "it has not responded since");
+}
+
+/// Guards against health checks without end, or none at all.
+#[test]
+fn checks_due() {
+    let mut servers = usual(15);
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    let due = |servers: &mut SilentServers| {
+        (0..80).filter(|n| !servers.take_due(at(n * 100)).is_empty()).count()
+    };
+    let count = due(&mut servers);
+    assert!((4..=8).contains(&count), "{count} checks in eight seconds");
+    servers.record_sign(&server("b1"), at(8000));
+    assert_eq!(due(&mut servers), 0);
+}
--- a/lib/testutils/src/placing_site.rs
+++ b/lib/testutils/src/placing_site.rs
@@ -72,7 +72,7 @@
         let models = models.iter().map(|(n, size, a)| ((*n).into(), spec(*size, *a))).collect();
         let engine =
             EngineSpec { models, slots: 64, memory: 200_000, adapter_slots: 8, load_rate: 2.2 };
-        let service = Service { name: SERVICE.into(), engine: Some(engine) };
+        let service = Service { name: SERVICE.into(), engine: Some(engine), health_path: None };
         let limits = CallerLimits {
             max_head: 8192,
             max_body: 8192,
