tests: requests that arrive throughout a planned stop

Requests of the soak's that crash servers state the deadline of all others, which the check of handed time knows.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -207,6 +207,7 @@
         let kind = [Kind::Draft, Kind::Note, Kind::Look][which % 3];
         let attempt = format!("f{count}");
         let mut ask = Ask::model(&attempt, kind.path(), MODELS[0]);
+        ask.deadline = DEADLINE.as_millis() as u64;
         ask.body.clone_from(&bodies[which]);
         seen.record_sent(&attempt, kind);
         let front = fronts[rng.random_range(0..fronts.len())];
