--- a/lib/src/serve/silence_checks.rs
+++ b/lib/src/serve/silence_checks.rs
@@ -38,7 +38,7 @@
     fn record_sign(&self, server: &ServerInstance, sign: &'static str) {
         let now = self.now();
         if self.silent_servers.borrow_mut().record_sign(server, now) {
-            slog::info!(self.log, "server-heard"; "server" => %server, "sign" => sign);
+            slog::info!(self.log, "server-responsive"; "server" => %server, "sign" => sign);
         }
     }
 
@@ -69,7 +69,7 @@
     let now = daemon.now();
     let new = daemon.silent_servers.borrow_mut().take_new(now);
     for server in &new {
-        slog::info!(daemon.log, "server-unheard"; "server" => %server);
+        slog::info!(daemon.log, "server-unresponsive"; "server" => %server);
     }
     if !new.is_empty() {
         daemon.silence_noticed.notify_one();
