--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -1,7 +1,7 @@
 //! Servers of plain services that have had a request for longer than their service usually takes, and sent nothing since.
 //!
-//! A server that stands still reads what its system has received once it continues, also requests whose callers have been
-//! answered by then. Each is work in vain, so such a server gets no more of them than is known.
+//! A suspended server reads what its kernel has buffered once it continues, also requests that have been answered elsewhere
+//! by then. Such runs are wasted, so few requests are sent to a server that does not respond.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -87,7 +87,7 @@
     /// Records the response to a request that was sent at `sent_at`.
     pub fn record_response(&mut self, server: &ServerInstance, sent_at: Moment, now: Moment) {
         let Some(entry) = self.entries.get(server) else { return };
-        // The responses of a server that stood still say little about how long its service takes.
+        // A response that was delayed by a standstill of its server is no measure of the service's usual time.
         let time = now.saturating_sub(sent_at).min(self.patience(&entry.service));
         self.times.entry(entry.service.clone()).or_default().record(time);
         self.record_sign(server, now);
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -238,7 +238,7 @@
     /// set.
     fn set_send_headers(&self, headers: &mut HeaderMap, terms: &SendHeaders);
 
-    /// Tells the server how much time is left until the caller's deadline.
+    /// Sets the header with the time that is left until the caller's deadline.
     fn set_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
 
     /// Parses the headers of a backend server's response.
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -70,7 +70,7 @@
     pub(super) last_broadcast: Cell<Moment>,
     /// When this daemon last told its peers the rejection limits of servers.
     pub(super) last_limits: Cell<Moment>,
-    /// When this daemon last told its peers of silent servers.
+    /// When silent servers were last sent to peers.
     pub(super) last_silence: Cell<Moment>,
     /// When this daemon last told all its peers of crashes.
     pub(super) last_crashes: Cell<Moment>,
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -25,7 +25,7 @@
 use crate::serve::suspects;
 use crate::verdict::Verdict;
 
-/// Least time left with which a request is sent: the unit in which servers are told.
+/// Least time left with which a request is sent: the unit of the deadline header.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 
 /// The head of a server's response, and what is needed to read the rest.
@@ -102,7 +102,7 @@
         Self { delivered: false, ..Self::not_run(reason) }
     }
 
-    /// Nothing was sent, which says nothing about the server.
+    /// Nothing was sent, so the server's health is not recorded.
     fn unsent(reason: &'static str) -> Self {
         Self { evidence: None, delivered: false, ..Self::not_run(reason) }
     }
--- a/lib/src/serve/silence_checks.rs
+++ b/lib/src/serve/silence_checks.rs
@@ -1,4 +1,4 @@
-//! Notices servers that fall silent, tells peers, and checks when they respond again.
+//! Detects servers that do not respond, sends reports of them to peers, and runs health checks until they respond again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl DaemonState {
-    /// Records a request that is sent to a server now, unless the server is an engine: a full one says nothing for long.
+    /// Records a request that is sent to a server now, unless the server is an engine: a full one sends no response until a slot is free.
     pub(super) fn record_plain_send(&self, server: &Server) {
         let config = self.config();
         let service = config.as_ref().and_then(|config| config.services.get(&server.service));
--- a/lib/tests/test_byte_budgets.rs
+++ b/lib/tests/test_byte_budgets.rs
@@ -41,7 +41,7 @@
     assert!(usual.iter_mut().all(|buffer| read(buffer, 4_800)));
 }
 
-/// Guards against memory that stays charged when its message is gone, until every message is refused.
+/// Guards against memory that stays charged after its message was dropped, until every message is refused.
 #[test]
 fn returned_whole() {
     let budget = ByteBudget::new(LIMIT);
--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -27,7 +27,7 @@
     servers
 }
 
-/// Guards against a server that stands still getting requests for as long as its first one is not given up.
+/// Guards against requests being sent to a suspended server until the first one times out.
 #[test]
 fn noticed_soon() {
     let mut servers = usual(15);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -203,7 +203,7 @@
     let windows = retry_check::worst_windows(&world, &outcome);
     faults.extend(retry_check::faults(windows));
     let handed = send_check::tallies(&world, &outcome);
-    // What engines are told is reported only: a stream ends with its events, not by its deadline.
+    // Runs of engines are reported, but are no fault: a stream ends with its events, not at its deadline.
     faults.extend(handed[0].fault());
     let parts = fatal_parts::tallies(&world);
     faults.extend(parts.iter().filter_map(fatal_parts::PartTally::fault));
--- a/soak/src/send_check.rs
+++ b/soak/src/send_check.rs
@@ -31,7 +31,7 @@
     spread: usize,
     /// Runs that began late after the first one.
     late: usize,
-    /// Runs that may end too late by what their server was told.
+    /// Runs that may end too late by the deadline header that their server received.
     overlong: usize,
     /// By how much the worst of them may end too late.
     worst: Duration,
