quarantine: lines of held parts name data centres and the crashes a daemon knows to be cleared

Tells the hypotheses of short-class apart: servers of one data centre speak for a cut, a cleared count above zero for a hold that its taker knows better.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -258,6 +258,13 @@
         suspected.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns the number of known crashes that a part was cleared of: a server had a request with it, and one got further
+    /// since.
+    pub fn cleared_count(&self, part: &PromptPart) -> usize {
+        let exposed = self.crashes.values().filter(|crash| crash.has_part(part));
+        exposed.filter(|crash| self.is_cleared(part, crash)).count()
+    }
+
     /// Returns whether a part is held, at all daemons or at this one.
     pub fn is_held(&self, part: &PromptPart) -> bool {
         self.held.contains_key(part)
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -1,6 +1,7 @@
 //! Quarantine of prompt parts under which servers crash: records what requests show of them, refuses requests with
 //! quarantined ones, reports and stores these.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use tokio::task::spawn_local;
@@ -159,9 +160,14 @@
     let parts = daemon.part_quarantine.borrow();
     let crashes = parts.crash_ids(part);
     let servers: Vec<_> = crashes.iter().map(|c| c.server.id.as_str()).collect();
+    let directory = daemon.directory.borrow();
+    let listed = servers.iter().filter_map(|id| directory.get(id));
+    let centres: BTreeSet<_> = listed.map(|server| server.centre.as_str()).collect();
+    let centres: Vec<_> = centres.into_iter().collect();
     let scope = if parts.is_held_fleetwide(part) { "fleet" } else { "isolated" };
     slog::warn!(daemon.log, "part-held"; "part" => %part, "from" => from, "scope" => scope,
-        "servers" => servers.join(","), "rivals" => shown_evidence(&parts.rivals(part)),
+        "servers" => servers.join(","), "centres" => centres.join(","),
+        "cleared" => parts.cleared_count(part), "rivals" => shown_evidence(&parts.rivals(part)),
         "held" => parts.held_count());
     daemon.metrics.set_quarantined_parts(parts.held_count());
     daemon.part_held.notify_waiters();
