quarantine: peers are asked before a prompt part is held, and nobody holds one that it knows to be sound

Cause: a conclusion from missing evidence was spread as a fact. A hold bound every daemon that heard of it, also those that had served the part since. A hold that a daemon knows to be unfounded is not taken over, and the sender is told; one that turns out to be is released. Requests that a daemon served before it heard of a crash clear their parts of it.

--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -195,7 +195,12 @@
             }
             Payload::CrashNews(report) => suspects::merge_report(daemon, &report, &message.from),
             Payload::PromptParts(report) => {
-                part_suspects::merge_report(daemon, &report, &message.from);
+                let answer = part_suspects::merge_report(daemon, &report, &message.from);
+                self.send_parts(answer, &[addr]);
+            }
+            Payload::PartQuestion(report) => {
+                let answer = part_suspects::answer_question(daemon, report, &message.from);
+                self.send_parts(answer, &[addr]);
             }
             Payload::Slowdowns(report) => {
                 share_slowdowns::apply_report(daemon, &message.from, &report);
