--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -19,7 +19,6 @@
 pub mod part_evidence;
 mod part_hold;
 pub mod part_quarantine;
-pub mod part_questions;
 pub mod part_report;
 mod part_reports;
 mod part_verdicts;
--- a/lib/src/cluster/digest.rs
+++ b/lib/src/cluster/digest.rs
@@ -180,9 +180,6 @@
     Slowdowns(SlowdownReport),
     /// Servers that have not responded to a request of the sender, and for how long, in milliseconds.
     SilentServers(Vec<(ServerInstance, u32)>),
-    /// Prompt parts that the sender is about to hold, with crashes that they are suspected of: receivers that served requests
-    /// with them since answer.
-    PartQuestion(PartReport),
 }
 
 /// Version number of the datagram format; increment it whenever these types change, except for a variant of [`Payload`]
--- a/lib/src/cluster/part_hold.rs
+++ b/lib/src/cluster/part_hold.rs
@@ -24,8 +24,6 @@
     pub last_attempt: Moment,
     /// The daemons that it binds.
     pub scope: HoldScope,
-    /// Whether this daemon decided on it.
-    pub is_own: bool,
 }
 
 impl PartHold {
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -63,12 +63,6 @@
     pub(super) held: HashMap<PromptPart, PartHold>,
     /// Parts with which requests were served in the last hour.
     pub(super) served: HashMap<PromptPart, ServedPart>,
-    /// When peers were last asked whether they served requests with a part that may be held.
-    pub(super) questions: HashMap<PromptPart, Moment>,
-    /// Parts of questions that are not sent yet.
-    pub(super) unsent: Vec<PromptPart>,
-    /// Whether there are peers that can be asked.
-    pub(super) has_peers: bool,
     /// Whether reports of other data centres are received, which may clear parts.
     pub(super) remote: RemoteContact,
     /// Whether the parts that were held before this process started are not known yet.
@@ -144,8 +138,7 @@
         // After a start a request has to be tried before any other one can be, or nothing would clear a sound part.
         let crashes = parts.iter().filter(is_delayed).flat_map(|part| self.suspected_crashes(part));
         let newest = crashes.filter(|crash| crash.is_live).map(|crash| crash.at).max();
-        let decision = newest.map_or(Duration::ZERO, |at| (at + CLEAR_TIME).saturating_sub(now));
-        decision.max(self.answer_delay(parts, now))
+        newest.map_or(Duration::ZERO, |at| (at + CLEAR_TIME).saturating_sub(now))
     }
 
     /// Records when the last message of another data centre was received; `None` if there is no other data centre.
@@ -297,7 +290,7 @@
     pub fn hold(&mut self, part: &PromptPart, now: Moment) -> bool {
         let (since, learned_at, last_attempt) = (now, now, now);
         let scope = HoldScope::Fleet;
-        self.merge_hold(part, PartHold { since, learned_at, last_attempt, scope, is_own: false })
+        self.merge_hold(part, PartHold { since, learned_at, last_attempt, scope })
     }
 
     pub(super) fn merge_hold(&mut self, part: &PromptPart, hold: PartHold) -> bool {
@@ -308,9 +301,6 @@
         if released.max().is_some_and(|at| at >= hold.since) {
             return false;
         }
-        if hold.is_fleetwide() && self.is_unfounded(part, &hold) {
-            return false;
-        }
         if let Some(known) = self.held.get_mut(part) {
             known.since = known.since.max(hold.since);
             known.last_attempt = known.last_attempt.max(hold.last_attempt);
@@ -368,7 +358,6 @@
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
         self.cleared.retain(|_, clearing| now <= clearing.passed_at + CRASH_RETENTION);
         self.served.retain(|_, served| now <= served.at + HOLD_TIME);
-        self.questions.retain(|_, at| now <= *at + CLEAR_TIME);
         let expired = self.held.extract_if(|_, hold| now > hold.last_attempt + HOLD_TIME);
         expired.map(|(part, _)| part).collect()
     }
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -161,13 +161,11 @@
             ids.map(|id| PromptPart { service: crash.service.clone(), id: *id })
         });
         let exposed: BTreeSet<_> = exposed.collect();
-        let exposed: Vec<_> = exposed.into_iter().collect();
-        self.clear_served(&exposed, now);
-        let mut held = self.evaluate(&exposed, now);
+        let mut held = self.evaluate(&exposed.into_iter().collect::<Vec<_>>(), now);
         for HeldPart { part, age, idle } in &report.held {
             let (since, last_attempt) = (now.saturating_sub(*age), now.saturating_sub(*idle));
             let scope = HoldScope::Fleet;
-            let reported = PartHold { since, learned_at: now, last_attempt, scope, is_own: false };
+            let reported = PartHold { since, learned_at: now, last_attempt, scope };
             if self.merge_hold(part, reported) {
                 held.push(part.clone());
             }
--- a/lib/src/cluster/part_verdicts.rs
+++ b/lib/src/cluster/part_verdicts.rs
@@ -25,19 +25,16 @@
 
 impl PartQuarantine {
     /// Holds those of some parts that are suspected of enough crashes; returns which are held from now on, or bind all
-    /// daemons from now on. Peers are asked before ([`Self::take_questions`]).
+    /// daemons from now on.
     pub fn evaluate(&mut self, parts: &[PromptPart], now: Moment) -> Vec<PromptPart> {
         let is_open = |part: &&PromptPart| !self.held.get(part).is_some_and(PartHold::is_fleetwide);
         let found = |part: &PromptPart| Some((part.clone(), self.find_fatal(part, now)?));
         let fatal: Vec<_> = parts.iter().filter(is_open).filter_map(found).collect();
         let mut new_parts = Vec::new();
         for (part, scope) in fatal {
-            if scope == HoldScope::Fleet && !self.is_answered(&part, now) {
-                continue;
-            }
             let newest = self.suspected_crashes(&part).map(|crash| crash.at).max();
             let since = newest.unwrap_or(now);
-            let hold = PartHold { since, learned_at: now, last_attempt: now, scope, is_own: true };
+            let hold = PartHold { since, learned_at: now, last_attempt: now, scope };
             if self.merge_hold(&part, hold) {
                 new_parts.push(part);
             }
--- a/lib/src/serve/gossip.rs
+++ b/lib/src/serve/gossip.rs
@@ -195,12 +195,7 @@
             }
             Payload::CrashNews(report) => suspects::merge_report(daemon, &report, &message.from),
             Payload::PromptParts(report) => {
-                let answer = part_suspects::merge_report(daemon, &report, &message.from);
-                self.send_parts(answer, &[addr]);
-            }
-            Payload::PartQuestion(report) => {
-                let answer = part_suspects::answer_question(daemon, report, &message.from);
-                self.send_parts(answer, &[addr]);
+                part_suspects::merge_report(daemon, &report, &message.from);
             }
             Payload::Slowdowns(report) => {
                 share_slowdowns::apply_report(daemon, &message.from, &report);
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -5,11 +5,8 @@
 use std::rc::Rc;
 
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
-use crate::cluster::digest::Payload;
 use crate::cluster::part_evidence::PartEvidence;
-use crate::cluster::part_questions::ANSWER_TIME;
 use crate::cluster::part_report::PartReport;
 use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine_report::RequestProgress;
@@ -31,7 +28,6 @@
     let directory = daemon.directory.borrow();
     let mut parts = daemon.part_quarantine.borrow_mut();
     parts.set_remote_heard(heard);
-    parts.set_has_peers(peers.reachable(daemon.now()).next().is_some());
     parts.set_local(|server| directory.get(&server.id).is_some_and(|s| s.centre == centre));
 }
 
@@ -68,15 +64,6 @@
     if !daemon.part_quarantine.borrow().has_no_crashes() {
         update_surroundings(daemon);
     }
-    evaluate(daemon, parts);
-    for part in release_explained(daemon) {
-        spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
-    }
-    daemon.part_quarantine.borrow_mut().held_part(parts, daemon.now()).is_some()
-}
-
-/// Quarantines those of some parts that crash servers, once peers had time to answer.
-fn evaluate(daemon: &Rc<DaemonState>, parts: &[PromptPart]) {
     let held = daemon.part_quarantine.borrow_mut().evaluate(parts, daemon.now());
     for part in held {
         log_held(daemon, &part, "own");
@@ -85,44 +72,10 @@
             spawn_local(store(Rc::clone(daemon), part));
         }
     }
-    ask_peers(daemon);
-}
-
-/// Asks all peers whether they served requests with the parts that are about to be quarantined.
-fn ask_peers(daemon: &Rc<DaemonState>) {
-    let questions = daemon.part_quarantine.borrow_mut().take_questions(daemon.now());
-    for (part, question) in questions {
-        slog::info!(daemon.log, "part-asked"; "part" => %part, "crashes" => question.crashes.len());
-        let bytes = daemon.encode_message(Payload::PartQuestion(question));
-        for (_, peer) in daemon.peers.borrow().all() {
-            daemon.send_datagram(peer.addr, &bytes, "parts");
-        }
-        spawn_local(evaluate_later(Rc::clone(daemon), part));
-    }
-}
-
-/// Decides on a part when peers had time to answer: requests with it may wait in a server's queue.
-async fn evaluate_later(daemon: Rc<DaemonState>, part: PromptPart) {
-    sleep(ANSWER_TIME).await;
-    update_surroundings(&daemon);
-    evaluate(&daemon, &[part]);
-    daemon.model_waits.inventories_changed.notify_waiters();
-}
-
-/// Returns what this daemon answers to a peer that is about to quarantine a part.
-pub fn answer_question(daemon: &Rc<DaemonState>, report: PartReport, from: &str) -> PartReport {
-    let crashes = PartReport { crashes: report.crashes.clone(), ..PartReport::default() };
-    merge_report(daemon, &crashes, from);
-    answer(daemon, &report, from)
-}
-
-fn answer(daemon: &DaemonState, report: &PartReport, from: &str) -> PartReport {
-    let answer = daemon.part_quarantine.borrow().answer(report, daemon.now());
-    if let Some(((part, progress), age)) = answer.cleared.last() {
-        slog::info!(daemon.log, "part-answered"; "part" => %part, "to" => from,
-            "progress" => progress.name(), "first_event_ms_ago" => age.as_millis());
+    for part in release_explained(daemon) {
+        spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
     }
-    answer
+    daemon.part_quarantine.borrow_mut().held_part(parts, daemon.now()).is_some()
 }
 
 /// Releases prompt parts of whose crashes another one is the cause; returns them.
@@ -148,8 +101,8 @@
     }
 }
 
-/// Merges a peer's report on prompt parts; returns the answer to it, which clears parts that the peer holds.
-pub fn merge_report(daemon: &Rc<DaemonState>, report: &PartReport, from: &str) -> PartReport {
+/// Merges a peer's report on prompt parts.
+pub fn merge_report(daemon: &Rc<DaemonState>, report: &PartReport, from: &str) {
     update_surroundings(daemon);
     let held = daemon.part_quarantine.borrow_mut().merge(report, daemon.now());
     for part in held {
@@ -160,31 +113,14 @@
             spawn_local(store(Rc::clone(daemon), part));
         }
     }
-    ask_peers(daemon);
     for part in release_explained(daemon) {
         if daemon.fence().is_some() {
             spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
         }
     }
     if !report.cleared.is_empty() {
-        release_unfounded(daemon);
         daemon.model_waits.inventories_changed.notify_waiters();
     }
-    answer(daemon, report, from)
-}
-
-/// Releases prompt parts with which requests had been served when they were held, as peers report only now.
-fn release_unfounded(daemon: &Rc<DaemonState>) {
-    let released = daemon.part_quarantine.borrow_mut().release_unfounded(daemon.now());
-    for (part, is_own) in released {
-        release(daemon, &part, "unfounded");
-        if is_own {
-            daemon.quarantine_changed.notify_one();
-        }
-        if is_own || daemon.fence().is_some() {
-            spawn_local(append(Rc::clone(daemon), FeedRecord { key: part.key(), value: None }));
-        }
-    }
 }
 
 /// Loads a prompt part that was quarantined before this daemon started, by its key in the store.
