quarantine: a daemon does not take over the hold of a part that it knows to be unfounded

Requests with a sound part were refused also by daemons that had served requests with it after the crashes on which the hold rests: a hold bound every daemon that heard of it. Cause: a conclusion from missing evidence was spread as a fact. Change: a daemon that knows crashes of the part, and that it is cleared of all of them by a request whose first event came after the newest crash of the hold, does not take it over. A fatal part is never cleared so. Evidence: hold_refuted fails without the change.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -311,6 +311,9 @@
             }
             return hold.is_fleetwide() && !was_fleetwide;
         }
+        if hold.is_fleetwide() && self.refuted_at(part).is_some_and(|at| at >= hold.since) {
+            return false;
+        }
         if let Some(at) = self.served.get(part).and_then(|served| served.own_at) {
             self.tell_served(part, at, hold.learned_at);
         }
@@ -319,6 +322,18 @@
         true
     }
 
+    /// Returns when a request with a part had its first event that clears the part of all known crashes; `None` if there is
+    /// none, or no crash is known.
+    fn refuted_at(&self, part: &PromptPart) -> Option<Moment> {
+        let mut crashes = self.crashes.values().filter(|crash| crash.has_part(part)).peekable();
+        crashes.peek()?;
+        if crashes.any(|crash| self.may_have_caused(part, crash)) {
+            return None;
+        }
+        let clearings = RequestProgress::ALL.map(|p| self.cleared.get(&(part.clone(), p)));
+        clearings.into_iter().flatten().map(|clearing| clearing.passed_at).max()
+    }
+
     /// Reports to peers that a part which is held was served here before: they may not know, and take it for one that never was.
     fn tell_served(&mut self, part: &PromptPart, at: Moment, now: Moment) {
         let key = (part.clone(), RequestProgress::FirstEvent);
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -595,6 +595,28 @@
     assert!(there.held_part(&[part(FATAL)], here.now).is_some());
 }
 
+/// Guards against a hold spreading to daemons that know it to be unfounded, as they served requests with the part since.
+#[test]
+fn hold_refuted() {
+    let mut here = Site::new();
+    for n in 0..3 {
+        here.crash_after(SECOND / 5, &[COMMON, 100 + n]);
+    }
+    let crashes = here.quarantine.own_news(Moment::ZERO, here.now);
+    let (mut there, mut unknowing) = (Site::new(), Site::new());
+    there.now = here.now;
+    there.quarantine.merge(&crashes, there.now);
+    unknowing.quarantine.merge(&crashes, here.now);
+    there.now += Duration::from_millis(300);
+    there.progress(&[COMMON], RequestProgress::FirstEvent);
+    here.now += SECOND;
+    assert_eq!(here.quarantine.evaluate(&[part(COMMON)], here.now), [part(COMMON)]);
+    let held = here.quarantine.report(here.now, false).held;
+    let told = PartReport { held, ..PartReport::default() };
+    assert_eq!(there.quarantine.merge(&told, here.now), []);
+    assert_eq!(unknowing.quarantine.merge(&told, here.now), [part(COMMON)]);
+}
+
 #[test]
 fn released_unasked() {
     let mut site = Site::new();
