quarantine: only what a daemon saw itself keeps it from taking over a hold

Change: a hold is declined on requests that this daemon relayed, not on reports of peers. Evidence: read_late fails without the change. No course of a whole fleet was played with a daemon that stands still.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -322,16 +322,26 @@
         true
     }
 
-    /// Returns when a request with a part had its first event that clears the part of all known crashes; `None` if there is
-    /// none, or no crash is known.
+    /// Returns when the last request with a part had its first event that this daemon saw get further than all known crashes
+    /// with the part; `None` if there is none, no crash is known, or the part is suspected of one.
+    ///
+    /// Reports of peers do not count: they are dated by when they are read, which may be long after the event.
     fn refuted_at(&self, part: &PromptPart) -> Option<Moment> {
-        let mut crashes = self.crashes.values().filter(|crash| crash.has_part(part)).peekable();
-        crashes.peek()?;
-        if crashes.any(|crash| self.may_have_caused(part, crash)) {
+        let exposed = || self.crashes.values().filter(|crash| crash.has_part(part));
+        if exposed().any(|crash| self.may_have_caused(part, crash)) {
             return None;
         }
-        let clearings = RequestProgress::ALL.map(|p| self.cleared.get(&(part.clone(), p)));
-        clearings.into_iter().flatten().map(|clearing| clearing.passed_at).max()
+        let last_stage = exposed().map(PromptCrash::worst_stage).max()?;
+        let passed = RequestProgress::ALL.into_iter().filter(|p| p.clears(last_stage));
+        passed.filter_map(|progress| self.own_progress(part, progress)).max()
+    }
+
+    /// Returns when the last request with a part had its first event that this daemon saw get so far.
+    fn own_progress(&self, part: &PromptPart, progress: RequestProgress) -> Option<Moment> {
+        let cleared = self.cleared.get(&(part.clone(), progress)).filter(|c| c.is_own);
+        let served = self.served.get(part).and_then(|served| served.own_at);
+        let served = served.filter(|_| progress == RequestProgress::FirstEvent);
+        cleared.map(|clearing| clearing.passed_at).max(served)
     }
 
     /// Reports to peers that a part which is held was served here before: they may not know, and take it for one that never was.
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -595,26 +595,45 @@
     assert!(there.held_part(&[part(FATAL)], here.now).is_some());
 }
 
-/// Guards against a hold spreading to daemons that know it to be unfounded, as they served requests with the part since.
-#[test]
-fn hold_refuted() {
+/// Records three crashes under a sound part at one daemon and holds the part there; returns it, and a daemon that was sent
+/// reports of the crashes.
+fn unfounded_hold() -> (Site, Site) {
     let mut here = Site::new();
     for n in 0..3 {
         here.crash_after(SECOND / 5, &[COMMON, 100 + n]);
     }
-    let crashes = here.quarantine.own_news(Moment::ZERO, here.now);
-    let (mut there, mut unknowing) = (Site::new(), Site::new());
-    there.now = here.now;
-    there.quarantine.merge(&crashes, there.now);
-    unknowing.quarantine.merge(&crashes, here.now);
-    there.now += Duration::from_millis(300);
-    there.progress(&[COMMON], RequestProgress::FirstEvent);
+    let mut there = Site { now: here.now, ..Site::new() };
+    there.quarantine.merge(&here.quarantine.own_news(Moment::ZERO, here.now), there.now);
     here.now += SECOND;
     assert_eq!(here.quarantine.evaluate(&[part(COMMON)], here.now), [part(COMMON)]);
-    let held = here.quarantine.report(here.now, false).held;
-    let told = PartReport { held, ..PartReport::default() };
-    assert_eq!(there.quarantine.merge(&told, here.now), []);
-    assert_eq!(unknowing.quarantine.merge(&told, here.now), [part(COMMON)]);
+    (here, there)
+}
+
+/// Returns a report of what a daemon holds, without the crashes.
+fn held_only(site: &Site) -> PartReport {
+    let held = site.quarantine.report(site.now, false).held;
+    PartReport { held, ..PartReport::default() }
+}
+
+/// Guards against a hold spreading to daemons that served requests with the part after the crashes on which it rests.
+#[test]
+fn hold_refuted() {
+    let (here, mut there) = unfounded_hold();
+    there.now += Duration::from_millis(300);
+    there.progress(&[COMMON], RequestProgress::FirstEvent);
+    assert_eq!(there.quarantine.merge(&held_only(&here), here.now), []);
+    let (here, mut unserved) = unfounded_hold();
+    assert_eq!(unserved.quarantine.merge(&held_only(&here), here.now), [part(COMMON)]);
+}
+
+/// Guards against a daemon that stood still not taking over the hold of a fatal part, as a report from before the crashes is
+/// dated by when it is read.
+#[test]
+fn read_late() {
+    let (here, mut there) = unfounded_hold();
+    let cleared = vec![((part(COMMON), RequestProgress::FirstEvent), Duration::ZERO)];
+    there.quarantine.merge(&PartReport { cleared, ..PartReport::default() }, here.now);
+    assert_eq!(there.quarantine.merge(&held_only(&here), here.now), [part(COMMON)]);
 }
 
 #[test]
