quarantine: a daemon that declines a hold reports that the part is served

What is told merges times of peers' reports, so that first events are judged by the daemon's own record of what it served. Evidence: refutation_told fails without the change; read_late::case_2 fails if it is told and judged by the same record.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -311,12 +311,12 @@
             }
             return hold.is_fleetwide() && !was_fleetwide;
         }
-        if hold.is_fleetwide() && self.refuted_at(part).is_some_and(|at| at >= hold.since) {
-            return false;
-        }
         if let Some(at) = self.served.get(part).and_then(|served| served.own_at) {
             self.tell_served(part, at, hold.learned_at);
         }
+        if hold.is_fleetwide() && self.refuted_at(part).is_some_and(|at| at >= hold.since) {
+            return false;
+        }
         make_room(&mut self.held, MAX_PARTS, |hold| hold.last_attempt);
         self.held.insert(part.clone(), hold);
         true
@@ -338,10 +338,11 @@
 
     /// Returns when the last request with a part had its first event that this daemon saw get so far.
     fn own_progress(&self, part: &PromptPart, progress: RequestProgress) -> Option<Moment> {
+        if progress == RequestProgress::FirstEvent {
+            return self.served.get(part)?.own_at;
+        }
         let cleared = self.cleared.get(&(part.clone(), progress)).filter(|c| c.is_own);
-        let served = self.served.get(part).and_then(|served| served.own_at);
-        let served = served.filter(|_| progress == RequestProgress::FirstEvent);
-        cleared.map(|clearing| clearing.passed_at).max(served)
+        cleared.map(|clearing| clearing.passed_at)
     }
 
     /// Reports to peers that a part which is held was served here before: they may not know, and take it for one that never was.
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -628,14 +628,32 @@
 
 /// Guards against a daemon that stood still not taking over the hold of a fatal part, as a report from before the crashes is
 /// dated by when it is read.
-#[test]
-fn read_late() {
+#[rstest]
+#[case::never_served(false)]
+#[case::served_before(true)]
+fn read_late(#[case] is_served: bool) {
     let (here, mut there) = unfounded_hold();
+    if is_served {
+        let before = there.now.saturating_sub(SECOND);
+        there.progress_since(&[COMMON], RequestProgress::FirstEvent, before);
+    }
     let cleared = vec![((part(COMMON), RequestProgress::FirstEvent), Duration::ZERO)];
     there.quarantine.merge(&PartReport { cleared, ..PartReport::default() }, here.now);
     assert_eq!(there.quarantine.merge(&held_only(&here), here.now), [part(COMMON)]);
 }
 
+/// Guards against peers that hold a part not being told that it is served, as the report of that has expired.
+#[test]
+fn refutation_told() {
+    let (mut here, mut there) = unfounded_hold();
+    there.now += Duration::from_millis(300);
+    there.progress(&[COMMON], RequestProgress::FirstEvent);
+    here.now += SECOND * 5;
+    assert!(there.quarantine.report(here.now, false).cleared.is_empty());
+    there.quarantine.merge(&held_only(&here), here.now);
+    assert_eq!(there.quarantine.report(here.now, false).cleared.len(), 1);
+}
+
 #[test]
 fn released_unasked() {
     let mut site = Site::new();
