--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -22,7 +22,7 @@
 
 /// Number of events in a complete stream of a stand-in server.
 pub const EVENTS: u64 = 10;
-/// Deadline that callers send with each request.
+/// Deadline that callers send with each request, unless told otherwise.
 pub const DEADLINE: Duration = Duration::from_secs(4);
 /// After the deadline, a daemon must send its own response within this time.
 const RESPONSE_MARGIN: Duration = Duration::from_secs(2);
@@ -100,9 +100,16 @@
     pub stopped: Cell<bool>,
     /// Longest pause between two requests of a caller.
     pub pause: Cell<Duration>,
+    /// Deadline that callers send with each request.
+    pub deadline: Cell<Duration>,
 }
 
 impl CallerRecord {
+    /// Returns the deadline of callers in milliseconds.
+    pub fn deadline_ms(&self) -> u64 {
+        self.deadline.get().as_millis() as u64
+    }
+
     /// Records an attempt that is sent now.
     pub fn record_sent(&self, id: &str, kind: Kind) {
         self.attempts.borrow_mut().push(SentAttempt {
@@ -121,6 +128,7 @@
     number: usize,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(course ^ ((number as u64) << 32));
+    let deadline = seen.deadline.get();
     let mut open: Option<Wire> = None;
     let mut count = 0;
     let mut front = fronts[number % fronts.len()];
@@ -129,7 +137,7 @@
         let kind = [Kind::Book, Kind::Look, Kind::Draft, Kind::Note][rng.random_range(0..4)];
         let attempt = format!("c{number}-{count}");
         let mut ask = Ask::new(&attempt, kind.path());
-        ask.deadline = DEADLINE.as_millis() as u64;
+        ask.deadline = seen.deadline_ms();
         if kind.is_stream() {
             ask.model = Some(MODELS[rng.random_range(0..MODELS.len())].to_owned());
         }
@@ -137,7 +145,7 @@
         let began = Instant::now();
         let had_only_stops = seen.only_stops.get();
         let leaves = rng.random_bool(0.05);
-        let limit = if leaves { Duration::from_millis(30) } else { DEADLINE + RESPONSE_MARGIN };
+        let limit = if leaves { Duration::from_millis(30) } else { deadline + RESPONSE_MARGIN };
         let exchange = async {
             let mut wire = match open.take() {
                 Some(mut wire) => {
@@ -182,7 +190,7 @@
                 count_response(&seen, false);
                 front = fronts[rng.random_range(0..fronts.len())];
                 let waited = began.elapsed();
-                if waited > DEADLINE + RESPONSE_MARGIN * 2 {
+                if waited > deadline + RESPONSE_MARGIN * 2 {
                     seen.faults.borrow_mut().push(format!("{attempt} waited {waited:?}"));
                 }
             }
@@ -200,6 +208,7 @@
     course: u64,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(course.rotate_left(16));
+    let deadline = seen.deadline.get();
     let mut count = 0;
     while !seen.faults_over.get() {
         count += 1;
@@ -207,13 +216,13 @@
         let kind = [Kind::Draft, Kind::Note, Kind::Look][which % 3];
         let attempt = format!("f{count}");
         let mut ask = Ask::model(&attempt, kind.path(), MODELS[0]);
-        ask.deadline = DEADLINE.as_millis() as u64;
+        ask.deadline = seen.deadline_ms();
         ask.body.clone_from(&bodies[which]);
         seen.record_sent(&attempt, kind);
         let front = fronts[rng.random_range(0..fronts.len())];
         let seen = Rc::clone(&seen);
         spawn_local(async move {
-            if let Ok(Ok(answer)) = timeout(DEADLINE + RESPONSE_MARGIN, ask.get(front)).await
+            if let Ok(Ok(answer)) = timeout(deadline + RESPONSE_MARGIN, ask.get(front)).await
                 && NOT_RUN.contains(&answer.status())
             {
                 seen.not_run.borrow_mut().push(attempt);
--- a/soak/src/calm_stop.rs
+++ b/soak/src/calm_stop.rs
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use crate::callers::CallerRecord;
-use crate::callers::DEADLINE;
 use crate::callers::Kind;
 use crate::world::World;
 
@@ -25,6 +24,8 @@
 /// Number of requests that keep a daemon running until the end of its grace period, and the time between two.
 const HANGING_REQUESTS: usize = 12;
 const HANGING_INTERVAL: Duration = Duration::from_millis(500);
+/// Deadline of these requests.
+const HANGING_DEADLINE: Duration = Duration::from_secs(4);
 /// Interval between checks of the daemons.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -40,7 +41,7 @@
     let set_service_time =
         |work| world.servers.borrow().iter().for_each(|server| server.work.set(work));
     world.note("calm stops");
-    set_service_time(SERVICE_TIME);
+    set_service_time(SERVICE_TIME.min(seen.deadline.get() / 2));
     sleep(MARGIN_TIME).await;
     seen.only_stops.set(true);
     for daemon in 0..world.daemons.len() {
@@ -66,7 +67,7 @@
         for n in 0..HANGING_REQUESTS {
             let mut ask = Ask::new(&format!("h{daemon}-{n}"), "/book/7");
             ask.body = HANGING_BODY.to_vec();
-            ask.deadline = DEADLINE.as_millis() as u64;
+            ask.deadline = HANGING_DEADLINE.as_millis() as u64;
             seen.record_sent(&ask.attempt, Kind::Book);
             spawn_local(async move { ask.get(front).await.is_ok() });
             sleep(HANGING_INTERVAL).await;
--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -25,6 +25,10 @@
         optional --callers count: usize
         /// Longest pause of a caller between two requests, in milliseconds.
         optional --pause milliseconds: u64
+        /// Deadline of callers, in milliseconds.
+        optional --deadline milliseconds: u64
+        /// Kills all daemons at the end of the troubles.
+        optional --herd
         /// Number of daemons.
         optional --daemons count: usize
         /// Folder for logs; those of failed seeds stay.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod calm_stop;
 mod fatal_parts;
+mod fatal_tally;
 mod flags;
 mod plan;
 mod process;
@@ -14,7 +15,6 @@
 mod world;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -33,6 +33,8 @@
 use tokio::time::sleep;
 
 use crate::callers::CallerRecord;
+use crate::callers::DEADLINE;
+use crate::fatal_tally::FatalTally;
 use crate::flags::ComfreymuxSoak;
 use crate::world::Size;
 use crate::world::World;
@@ -71,6 +73,8 @@
         },
         callers: flags.callers.unwrap_or(usual),
         pause: flags.pause.map_or(CALLER_PAUSE, Duration::from_millis),
+        deadline: flags.deadline.map_or(DEADLINE, Duration::from_millis),
+        ends_herd: flags.herd,
     };
     let mut failed = 0;
     for seed in first..first + flags.seeds.unwrap_or(1) {
@@ -122,6 +126,10 @@
     callers: usize,
     /// Longest pause of a caller between two requests.
     pause: Duration,
+    /// Deadline of callers.
+    deadline: Duration,
+    /// Whether all daemons are killed at the end of the faults.
+    ends_herd: bool,
 }
 
 async fn soak(
@@ -138,6 +146,7 @@
     sleep(Duration::from_millis(1500)).await;
     let fronts: Vec<_> = world.front_proxies.iter().map(|p| p.addr).collect();
     outcome.pause.set(course.pause);
+    outcome.deadline.set(course.deadline);
     for number in 0..size.daemons * course.callers {
         spawn_local(callers::send_requests(Rc::clone(&outcome), fronts.clone(), seed, number));
     }
@@ -194,6 +203,9 @@
             sleep(Duration::from_millis(50)).await;
         }
     }
+    if course.ends_herd {
+        plan::kill_all(&world);
+    }
     recover(&world, &outcome).await?;
     let (good, all) = outcome.responses.get();
     calm_stop::stop_each(&world, &outcome).await?;
@@ -206,20 +218,21 @@
     // Runs of engines are reported, but are no fault: a stream ends with its events, not at its deadline.
     faults.extend(handed[0].fault());
     let parts = fatal_parts::tallies(&world);
-    faults.extend(parts.iter().filter_map(fatal_parts::PartTally::fault));
+    let fatal = fatal_tally::of_requests(&world);
+    faults.extend(parts.iter().chain(&fatal).filter_map(FatalTally::fault));
     if (good as f64) < MIN_GOOD_RATIO * all as f64 || all == 0 {
         faults.push(format!("after the recovery {good} of {all} answers are good"));
     }
     let attempts = outcome.attempts.borrow().len();
-    let crashes = crashes(&world);
     let (resumed, tries) = outcome.resumed.get();
     let excess = |w: RetryWindow| format!("{:.0}", w.excess());
     let repeats = windows.map(|w| w.map_or_else(|| "-".to_owned(), excess)).join(" and ");
     let handed = handed.map(|tally| tally.to_string()).join(" and ");
-    let parts = parts.map(|tally| tally.to_string()).join(", ");
+    let fatal: Vec<_> = parts.iter().chain(&fatal).map(FatalTally::to_string).collect();
+    let fatal = fatal.join(", ");
     let summary = format!(
-        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, crashes {crashes:?}, \
-         repeats beyond the budget {repeats}; {handed}; {parts}"
+        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, \
+         repeats beyond the budget {repeats}; {handed}; {fatal}"
     );
     Ok((faults, summary))
 }
@@ -248,16 +261,6 @@
     Ok(())
 }
 
-/// Returns how many servers each fatal request crashed.
-fn crashes(world: &World) -> Vec<usize> {
-    let runs = world.runs.borrow();
-    let count = |body: &Vec<u8>| {
-        let fatal = runs.iter().filter(|run| run.body == *body);
-        fatal.map(|run| (&run.server, run.born)).collect::<BTreeSet<_>>().len()
-    };
-    world.fatal.borrow().iter().map(count).collect()
-}
-
 /// Returns the violated guarantees, from the records of callers, servers, engines and daemons.
 fn check(world: &World, seen: &CallerRecord) -> Vec<String> {
     let mut faults = seen.faults.borrow().clone();
@@ -290,8 +293,8 @@
     }
     // Daemons that are cut off from each other and the store each detect the crashes alone.
     let most = CRASHES_PER_DAEMON * world.daemons.len();
-    let too_many = crashes(world).into_iter().filter(|count| *count > most);
-    faults.extend(too_many.map(|count| format!("a request crashed {count} servers")));
+    let fatal = fatal_tally::of_requests(world).into_iter().filter(|tally| tally.ended > most);
+    faults.extend(fatal.map(|tally| format!("a request crashed too many servers: {tally}")));
     let mut holders: BTreeMap<u64, String> = BTreeMap::new();
     let servers = world.servers.borrow();
     let removed = world.removed.borrow();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -141,6 +141,11 @@
     if !rng.random_bool(HERD_PROBABILITY) {
         return;
     }
+    kill_all(world);
+}
+
+/// Kills all daemons.
+pub fn kill_all(world: &World) {
     world.note("kill all daemons");
     for daemon in 0..world.daemons.len() {
         world.signal(daemon, Signal::KILL);
--- a/soak/src/send_check.rs
+++ b/soak/src/send_check.rs
@@ -9,7 +9,6 @@
 use tokio::time::Instant;
 
 use crate::callers::CallerRecord;
-use crate::callers::DEADLINE;
 use crate::world::World;
 
 /// Servers on which a request that may be repeated may run.
@@ -24,6 +23,20 @@
 /// Share of the late runs that may end too late.
 const MAX_SHARE: f64 = 0.2;
 
+/// Header that tells a server how long it may take.
+const DEADLINE_HEADER: &str = "x-comfreymux-deadline-ms";
+
+/// A run that began late and may end too late.
+#[derive(Debug)]
+struct Overlong {
+    attempt: String,
+    server: String,
+    /// When the attempt first ran.
+    first: Instant,
+    /// When this run began.
+    at: Instant,
+}
+
 /// Runs of a service's requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SendTally {
@@ -45,20 +58,29 @@
         (!is_kept).then(|| format!("servers were handed too much: {self}"))
     }
 
-    fn count(&mut self, runs: &[&Run], sent_at: Instant) {
+    fn count(&mut self, runs: &[&Run], sent_at: Instant, deadline: Duration) -> Vec<Overlong> {
         let servers: BTreeSet<_> = runs.iter().map(|run| (&run.server, run.born)).collect();
         self.spread += usize::from(servers.len() > MAX_SERVERS);
-        let Some(first) = runs.first() else { return };
+        let Some(first) = runs.first() else { return Vec::new() };
         let end = |run: &Run| run.at + Duration::from_millis(run.deadline);
-        let latest = end(first).max(sent_at + DEADLINE) + TOLERANCE;
+        let latest = end(first).max(sent_at + deadline) + TOLERANCE;
+        let mut list = Vec::new();
         for run in runs.iter().filter(|run| run.at > first.at + TOLERANCE) {
             self.late += 1;
             let excess = end(run).saturating_duration_since(latest);
-            self.overlong += usize::from(!excess.is_zero());
             self.worst = self.worst.max(excess);
+            if !excess.is_zero() {
+                self.overlong += 1;
+                let (attempt, server) = (run.attempt.clone(), run.server.clone());
+                list.push(Overlong { attempt, server, first: first.at, at: run.at });
+            }
         }
+        // Without a deadline header a server is given all the time it wants.
+        let is_unbounded = |run: &&&Run| !run.headers.contains_key(DEADLINE_HEADER);
+        self.overlong += runs.iter().filter(is_unbounded).count();
         let longest = Duration::from_millis(first.deadline);
-        self.overlong += usize::from(longest > DEADLINE + TOLERANCE);
+        self.overlong += usize::from(longest > deadline + TOLERANCE);
+        list
     }
 }
 
@@ -72,7 +94,7 @@
     }
 }
 
-/// Returns what the servers of the plain service were handed, and the engines.
+/// Returns what the servers of the plain service were handed, and the engines. Notes the plain runs that may end too late.
 pub fn tallies(world: &World, seen: &CallerRecord) -> [SendTally; 2] {
     let runs = world.runs.borrow();
     let mut by_attempt: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
@@ -82,7 +104,13 @@
     let mut tallies = [SendTally::default(); 2];
     for sent in seen.attempts.borrow().iter() {
         if let Some(runs) = by_attempt.get(sent.id.as_str()) {
-            tallies[usize::from(sent.kind.is_stream())].count(runs, sent.at);
+            let is_stream = sent.kind.is_stream();
+            let list = tallies[usize::from(is_stream)].count(runs, sent.at, seen.deadline.get());
+            for run in list.iter().filter(|_| !is_stream) {
+                let (first, at) = (world.time_of(run.first), world.time_of(run.at));
+                let Overlong { attempt, server, .. } = run;
+                world.note(&format!("overlong {attempt} server={server} {first:.3?} {at:.3?}"));
+            }
         }
     }
     tallies
