servers: where one stood still, a plain request is sent only after a health check

Callers: bookings waited in the sockets of servers that stood still again, and servers worked on requests that had long been answered elsewhere. Ruled out: load (the same soak beside others keeps it with the mend); the kind of failure (sound servers too). Change: after a standstill a service is unsteady for six hours; a server gets a plain request within 2 ms of a response or after a health check, else the request goes elsewhere, unsent; if none answers it is sent as before; no retries to doubtful servers there.

--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -1,7 +1,8 @@
 //! Servers of plain services that have had a request for longer than their service usually takes, and sent nothing since.
 //!
 //! A suspended server reads what its kernel has buffered once it continues, also requests that have been answered elsewhere
-//! by then. Such runs are wasted, so few requests are sent to a server that does not respond.
+//! by then. Such runs are wasted, so few requests are sent to a server that does not respond. One is enough to find out, at
+//! each stop of each server; where servers have stood still before, a health check goes first instead.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -27,6 +28,13 @@
 const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after which a server that cannot be checked gets a request again.
 const EXPIRY: Duration = Duration::from_secs(10);
+/// Time from a health check by which a server that runs has answered it.
+const CHECK_MARGIN: Duration = Duration::from_millis(250);
+/// Time after a standstill in which servers of the service are asked before they get a request: each standstill after that
+/// costs a wasted run again, of which there may be few in a day.
+const UNSTEADY_TIME: Duration = Duration::from_hours(6);
+/// Time after a response in which a server need not be asked.
+const CONFIRMED_TIME: Duration = Duration::from_millis(2);
 
 #[derive(Clone, Debug, Default)]
 struct Entry {
@@ -41,6 +49,8 @@
     check_interval: Duration,
     /// Whether `take_new` has returned it since it fell silent.
     is_known: bool,
+    /// Whether a peer has waited for it for so long that it stands still.
+    stands_still: bool,
 }
 
 /// The servers of plain services that this daemon, or a peer, waits for.
@@ -48,6 +58,10 @@
 pub struct SilentServers {
     entries: HashMap<ServerInstance, Entry>,
     times: HashMap<ServiceName, ResponseTimes>,
+    /// Services of which a server has responded again after a standstill, and until when that counts.
+    unsteady: HashMap<ServiceName, Moment>,
+    /// Those that `take_unsteady` has not returned yet.
+    new_unsteady: Vec<ServiceName>,
 }
 
 /// Response times of a service.
@@ -89,27 +103,83 @@
         let Some(entry) = self.entries.get(server) else { return };
         // A response that was delayed by a standstill of its server is no measure of the service's usual time.
         let time = now.saturating_sub(sent_at).min(self.patience(&entry.service));
-        self.times.entry(entry.service.clone()).or_default().record(time);
-        self.record_sign(server, now);
+        let service = entry.service.clone();
+        self.record_check(server, now);
+        self.times.entry(service).or_default().record(time);
     }
 
-    /// Records a sign of the server, which ends its silence. Returns whether `take_new` had returned it since the last one.
-    pub fn record_sign(&mut self, server: &ServerInstance, now: Moment) -> bool {
-        let Some(entry) = self.entries.get_mut(server) else { return false };
+    /// Records that the server answered a health check. Returns for how long it had been silent, if `take_new` had returned it.
+    pub fn record_check(&mut self, server: &ServerInstance, now: Moment) -> Option<Duration> {
+        self.record_standstill(server, now);
+        self.record_sign(server, now)
+    }
+
+    /// Records a sign of the server or of its host, which ends its silence. Returns for how long it had been silent, if
+    /// `take_new` had returned it.
+    pub fn record_sign(&mut self, server: &ServerInstance, now: Moment) -> Option<Duration> {
+        let entry = self.entries.get_mut(server)?;
+        let silence = entry.unanswered_since.map(|since| now.saturating_sub(since));
         entry.unanswered_since = None;
         entry.answered_at = now;
         entry.reported_until = Moment::ZERO;
-        std::mem::take(&mut entry.is_known)
+        entry.stands_still = false;
+        silence.filter(|_| std::mem::take(&mut entry.is_known))
+    }
+
+    /// Records that the service is unsteady if the server, which runs now, stood still.
+    fn record_standstill(&mut self, server: &ServerInstance, now: Moment) {
+        let Some(entry) = self.entries.get(server) else { return };
+        let silence = entry.unanswered_since.map(|since| now.saturating_sub(since));
+        let least = self.standstill_time(&entry.service);
+        if !entry.stands_still && silence.is_none_or(|silence| silence < least) {
+            return;
+        }
+        let service = entry.service.clone();
+        if self.unsteady.insert(service.clone(), now + UNSTEADY_TIME).is_none() {
+            self.new_unsteady.push(service);
+        }
     }
 
     /// Records that a peer's request has been unanswered for `age`, unless the server has responded to this daemon since.
-    pub fn record_peer(&mut self, server: &ServerInstance, age: Duration, now: Moment) {
+    pub fn record_peer(
+        &mut self,
+        service: &ServiceName,
+        server: &ServerInstance,
+        age: Duration,
+        now: Moment,
+    ) {
+        let least = self.standstill_time(service);
         let entry = self.entries.entry(server.clone()).or_default();
         if entry.answered_at <= now.saturating_sub(age) {
+            entry.service.clone_from(service);
             entry.reported_until = now + REPORT_TIME;
+            entry.stands_still |= age >= least;
         }
     }
 
+    /// Returns whether a server of the service has stood still lately.
+    pub fn is_unsteady(&self, service: &str, now: Moment) -> bool {
+        self.unsteady.get(service).is_some_and(|until| now < *until)
+    }
+
+    /// Returns whether a server is to be asked before it gets a request: one of its service has stood still, and nothing shows
+    /// that this one runs now.
+    pub fn must_confirm(&self, service: &str, server: &ServerInstance, now: Moment) -> bool {
+        let entry = self.entries.get(server);
+        let is_confirmed = entry.is_some_and(|e| now < e.answered_at + CONFIRMED_TIME);
+        self.is_unsteady(service, now) && !is_confirmed
+    }
+
+    /// Returns the time within which a server answers a health check before it gets a request; it is doubtful after that.
+    pub fn confirm_time(&self, service: &ServiceName) -> Duration {
+        self.doubt_time(service)
+    }
+
+    /// Returns the services that have become unsteady since the last call.
+    pub fn take_unsteady(&mut self) -> Vec<ServiceName> {
+        std::mem::take(&mut self.new_unsteady)
+    }
+
     /// Returns whether the server counts as silent.
     pub fn is_silent(&self, server: &ServerInstance, now: Moment) -> bool {
         let entry = self.entries.get(server);
@@ -120,7 +190,7 @@
     pub fn is_doubtful(&self, server: &ServerInstance, now: Moment) -> bool {
         let entry = self.entries.get(server);
         entry.is_some_and(|entry| {
-            let doubt = self.patience(&entry.service).mul_f64(DOUBT_FRACTION);
+            let doubt = self.doubt_time(&entry.service);
             let since = entry.unanswered_since.map(|since| now.saturating_sub(since));
             now < entry.reported_until || since.is_some_and(|time| time > doubt && time < EXPIRY)
         })
@@ -171,6 +241,15 @@
         since.is_some_and(|time| time > self.patience(&entry.service) && time < EXPIRY)
     }
 
+    /// Returns the time without a response after which a server stands still: one that runs has answered a health check.
+    fn standstill_time(&self, service: &ServiceName) -> Duration {
+        self.patience(service).max(FIRST_CHECK) + CHECK_MARGIN
+    }
+
+    fn doubt_time(&self, service: &ServiceName) -> Duration {
+        self.patience(service).mul_f64(DOUBT_FRACTION)
+    }
+
     fn patience(&self, service: &ServiceName) -> Duration {
         let mean = self.times.get(service).copied().unwrap_or_default().mean();
         mean.mul_f64(PATIENCE_FACTOR).max(MIN_PATIENCE)
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -17,6 +17,7 @@
 pub mod caller_socket;
 pub mod choose;
 mod config_reads;
+mod confirm_server;
 pub mod connector;
 pub mod daemon_state;
 pub mod datagram_sender;
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -116,6 +116,8 @@
     pub slowdown: f64,
     /// Number of events received from the server of the last send.
     pub events: u32,
+    /// Number of times that no server answered a health check before it was to be sent.
+    pub unconfirmed_rounds: u32,
     /// Reason why the last send failed.
     pub reason: &'static str,
     /// Time spent waiting for tokens of the workspace's quota.
@@ -192,6 +194,7 @@
             running: 0,
             slowdown: 1.0,
             events: 0,
+            unconfirmed_rounds: 0,
             reason: "",
             quota_wait: Duration::ZERO,
             model_wait: Duration::ZERO,
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -278,10 +278,16 @@
         !self.health.is_avoided(&server, self.now) && !self.silent.is_doubtful(&server, self.now)
     }
 
-    /// Returns the servers of a service that are silent.
-    pub fn silent_servers(&self, service: &str) -> Vec<ServerInstance> {
+    /// Returns the servers of a service that get no retry: they are silent, or may soon turn out to be where servers have stood
+    /// still before.
+    pub fn unretried_servers(&self, service: &str) -> Vec<ServerInstance> {
+        let is_unsteady = self.silent.is_unsteady(service, self.now);
+        let is_out = |server: &ServerInstance| {
+            let is_doubtful = || self.silent.is_doubtful(server, self.now);
+            self.silent.is_silent(server, self.now) || (is_unsteady && is_doubtful())
+        };
         let servers = self.directory.servers().filter(|s| self.is_eligible(s, service));
-        servers.map(|s| s.instance()).filter(|s| self.silent.is_silent(s, self.now)).collect()
+        servers.map(|s| s.instance()).filter(is_out).collect()
     }
 
     /// Returns the servers of a service that are unreachable from this daemon.
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -11,6 +11,8 @@
 use crate::serve::attempt::Attempt;
 use crate::serve::choose::ChosenServer;
 use crate::serve::choose::EngineChoice;
+use crate::serve::confirm_server::UNCONFIRMED;
+use crate::serve::confirm_server::confirm;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::failover::SendFuture;
 use crate::serve::failover::await_with_failover;
@@ -61,6 +63,13 @@
             if attempt.tried.is_empty() {
                 return Err(no_server(daemon, attempt, FULL_RETRY_AFTER));
             }
+            if attempt.verdict == Verdict::DidNotRun && attempt.reason == UNCONFIRMED {
+                // No server is known to run, so one of them gets the request all the same.
+                attempt.unconfirmed_rounds += 1;
+                attempt.tried.clear();
+                attempt.reason = "";
+                continue;
+            }
             if attempt.must_not_retry() || attempt.verdict != Verdict::DidNotRun {
                 return Err(Refusal::failed(attempt.verdict, attempt.reason, FULL_RETRY_AFTER));
             }
@@ -109,7 +118,7 @@
         None => daemon.with_chooser(attempt.version(), |c| {
             let mut excluded = attempt.tried.clone();
             if attempt.failed_deliveries > 0 {
-                excluded.extend(c.silent_servers(&attempt.service));
+                excluded.extend(c.unretried_servers(&attempt.service));
             }
             c.choose_plain(&attempt.service, &excluded)
         }),
@@ -159,10 +168,15 @@
     let workload_guard =
         daemon.workloads.begin(attempt.workload_key(&server), attempt.caller_headers.prompt_tokens);
     let id = attempt.caller_headers.attempt.clone();
+    let may_confirm = attempt.unconfirmed_rounds == 0;
     let daemon = Rc::clone(daemon);
     Box::pin(async move {
         let _workload_guard = workload_guard;
         let _brittle_send = brittle_send;
+        if may_confirm {
+            let confirmed = confirm(&daemon, &server).await;
+            confirmed.inspect_err(|_unsent| open_send.end(daemon.now()))?;
+        }
         let response =
             send::send(&daemon, &server, id.as_ref(), &open_send, deadline, request).await?;
         send::read_whole(&daemon, &server, response, MAX_RESPONSE_BYTES).await
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -90,7 +90,7 @@
         Self { evidence: Some(Evidence::Unreachable), delivered: false, ..Self::not_run(reason) }
     }
 
-    fn connect_failed(error: &io::Error) -> Self {
+    pub(super) fn connect_failed(error: &io::Error) -> Self {
         match error.kind() {
             io::ErrorKind::ConnectionRefused => Self::unreachable("connection refused"),
             _ => Self::unreachable("no connection"),
@@ -103,7 +103,7 @@
     }
 
     /// Nothing was sent, so the server's health is not recorded.
-    fn unsent(reason: &'static str) -> Self {
+    pub(super) fn unsent(reason: &'static str) -> Self {
         Self { evidence: None, delivered: false, ..Self::not_run(reason) }
     }
 
@@ -190,6 +190,7 @@
         .map_err(|error| SendFailure::connect_failed(&error))?;
     // If the pooled connection ended while it was idle, the request is returned unsent, and a new connection is tried.
     let mut tries = 0;
+    let mut written;
     let response = loop {
         connection.meter().restart();
         let time_left = deadline.saturating_sub(daemon.now());
@@ -198,6 +199,7 @@
         }
         daemon.protocol.set_time_left(request.headers_mut(), time_left);
         daemon.record_plain_send(server);
+        written = daemon.now();
         match connection.sender().try_send_request(request).await {
             Ok(response) => break response,
             Err(mut error) => {
@@ -222,7 +224,7 @@
             }
         }
     };
-    daemon.record_plain_response(&instance, sent);
+    daemon.record_plain_response(&instance, written);
     daemon.retry_budgets.borrow_mut().record_response(
         &server.service,
         &instance,
--- a/lib/src/serve/silence_checks.rs
+++ b/lib/src/serve/silence_checks.rs
@@ -3,6 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http::response::Parts;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -34,17 +37,23 @@
         self.silent_servers.borrow_mut().record_response(server, sent_at, now);
     }
 
-    /// Records that a server shows that it runs, or that its connection has ended.
-    fn record_sign(&self, server: &ServerInstance, sign: &'static str) {
-        let now = self.now();
-        if self.silent_servers.borrow_mut().record_sign(server, now) {
-            slog::info!(self.log, "server-responsive"; "server" => %server, "sign" => sign);
-        }
+    /// Records that a server answered a health check.
+    pub(super) fn record_check(&self, server: &ServerInstance) {
+        let silence = self.silent_servers.borrow_mut().record_check(server, self.now());
+        self.log_responsive(server, silence, "health-check");
     }
 
     /// Records that the connection to a server has ended while it had a request.
     pub(super) fn record_connection_end(&self, server: &ServerInstance) {
-        self.record_sign(server, "connection-end");
+        let silence = self.silent_servers.borrow_mut().record_sign(server, self.now());
+        self.log_responsive(server, silence, "connection-end");
+    }
+
+    fn log_responsive(&self, server: &ServerInstance, silence: Option<Duration>, sign: &str) {
+        if let Some(silence) = silence {
+            slog::info!(self.log, "server-responsive"; "server" => %server, "sign" => sign,
+                "ms" => silence.as_millis());
+        }
     }
 
     /// Records that a peer finds servers silent.
@@ -52,7 +61,9 @@
         let (directory, now) = (self.directory.borrow(), self.now());
         let mut silent = self.silent_servers.borrow_mut();
         for (server, millis) in servers.iter().filter(|(server, _)| directory.is_current(server)) {
-            silent.record_peer(server, Duration::from_millis(u64::from(*millis)), now);
+            let Some(listed) = directory.get(&server.id) else { continue };
+            let age = Duration::from_millis(u64::from(*millis));
+            silent.record_peer(&listed.service, server, age, now);
         }
     }
 }
@@ -74,6 +85,9 @@
     if !new.is_empty() {
         daemon.silence_noticed.notify_one();
     }
+    for service in daemon.silent_servers.borrow_mut().take_unsteady() {
+        slog::info!(daemon.log, "service-unsteady"; "service" => service.as_str());
+    }
     let due = daemon.silent_servers.borrow_mut().take_due(now);
     let permits = daemon.send_permits();
     for server in due.into_iter().filter(|server| !permits.contains_key(server)) {
@@ -85,15 +99,24 @@
 async fn check(daemon: Rc<DaemonState>, instance: ServerInstance) {
     let server = daemon.directory.borrow().get(&instance.id).cloned();
     let Some(server) = server.filter(|server| server.instance() == instance) else { return };
-    let Some(config) = daemon.config() else { return };
-    let path = config.services.get(&server.service).and_then(|s| s.health_path.as_ref());
-    let Some(path) = path else { return };
-    let Some(request) = daemon.protocol.health_request(&server, path) else { return };
+    let Some(request) = health_request(&daemon, &server) else { return };
     let response = call(&daemon.pool, &instance, server.addr, request, CHECK_TIMEOUT).await;
     let Ok(response) = response else { return };
     let (head, _body) = response.into_parts();
-    let responder = daemon.protocol.parse_response_headers(&head).instance;
-    if responder.is_none_or(|id| id == instance.id) {
-        daemon.record_sign(&instance, "health-check");
+    if is_from(&daemon, &head, &instance) {
+        daemon.record_check(&instance);
     }
 }
+
+/// Returns a health check of a server; `None` if its service has none.
+pub(super) fn health_request(daemon: &DaemonState, server: &Server) -> Option<Request<Bytes>> {
+    let config = daemon.config()?;
+    let path = config.services.get(&server.service)?.health_path.as_ref()?;
+    daemon.protocol.health_request(server, path)
+}
+
+/// Returns whether a response may be that of `server`, rather than of another one at its address.
+pub(super) fn is_from(daemon: &DaemonState, head: &Parts, server: &ServerInstance) -> bool {
+    let responder = daemon.protocol.parse_response_headers(head).instance;
+    responder.is_none_or(|id| id == server.id)
+}
--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -76,7 +76,7 @@
 #[test]
 fn peers_believed() {
     let mut servers = usual(15);
-    servers.record_peer(&server("b2"), Duration::from_millis(200), at(0));
+    servers.record_peer(&SERVICE.into(), &server("b2"), Duration::from_millis(200), at(0));
     assert!(servers.is_silent(&server("b2"), at(1000)));
     assert!(servers.own(at(1000)).is_empty(), "peers' reports are not passed on");
     assert!(!servers.is_silent(&server("b2"), at(1300)), "the report is not renewed");
@@ -88,9 +88,9 @@
     let mut servers = usual(15);
     servers.record_send(&SERVICE.into(), &server("b1"), at(0));
     servers.record_response(&server("b1"), at(0), at(15));
-    servers.record_peer(&server("b1"), Duration::from_millis(600), at(500));
+    servers.record_peer(&SERVICE.into(), &server("b1"), Duration::from_millis(600), at(500));
     assert!(!servers.is_silent(&server("b1"), at(500)));
-    servers.record_peer(&server("b1"), Duration::from_millis(400), at(500));
+    servers.record_peer(&SERVICE.into(), &server("b1"), Duration::from_millis(400), at(500));
     assert!(servers.is_silent(&server("b1"), at(500)), "it has not responded since");
 }
 
@@ -118,3 +118,54 @@
     servers.record_sign(&server("b1"), at(8000));
     assert_eq!(due(&mut servers), 0);
 }
+
+/// Returns servers of a service of which b1 stood still from 0 to 3 s.
+fn stood_still() -> SilentServers {
+    let mut servers = usual(15);
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    servers.record_response(&server("b1"), at(0), at(3000));
+    servers
+}
+
+/// Guards against a request in the socket of each server that stands still once more.
+#[test]
+fn asked_first() {
+    let mut servers = stood_still();
+    let must_ask = |servers: &SilentServers, id: &str, service: &str, millis| {
+        servers.must_confirm(service, &server(id), at(millis))
+    };
+    assert!(!must_ask(&servers, "b1", SERVICE, 3001), "it has just responded");
+    assert!(must_ask(&servers, "b1", SERVICE, 3500));
+    assert!(must_ask(&servers, "b2", SERVICE, 3500), "another server may stand still, too");
+    assert!(!must_ask(&servers, "b1", "other", 3500));
+    assert!(must_ask(&servers, "b1", SERVICE, 5 * 3_600_000));
+    assert!(!must_ask(&servers, "b1", SERVICE, 7 * 3_600_000));
+    assert_eq!(servers.take_unsteady(), [SERVICE]);
+    assert!(servers.take_unsteady().is_empty());
+}
+
+/// Guards against health checks for requests of a service of which no server stood still: one took long, one has gone.
+#[test]
+fn others_unasked() {
+    let mut servers = usual(15);
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    servers.record_check(&server("b1"), at(420));
+    servers.record_send(&SERVICE.into(), &server("b2"), at(0));
+    servers.record_sign(&server("b2"), at(3000));
+    assert!(!servers.must_confirm(SERVICE, &server("b1"), at(4000)));
+    assert!(servers.take_unsteady().is_empty());
+}
+
+/// Guards against each daemon finding out about standstills by a request of its own.
+#[test]
+fn peer_standstill() {
+    for (age, must_ask) in [(500, false), (1000, true)] {
+        let mut servers = usual(15);
+        let age = Duration::from_millis(age);
+        servers.record_peer(&SERVICE.into(), &server("b2"), age, at(1000));
+        assert!(!servers.must_confirm(SERVICE, &server("b1"), at(3000)), "it may be dead");
+        servers.record_send(&SERVICE.into(), &server("b2"), at(3000));
+        servers.record_response(&server("b2"), at(3000), at(3015));
+        assert_eq!(servers.must_confirm(SERVICE, &server("b1"), at(3500)), must_ask);
+    }
+}
