servers: a plain request waits while no server answers health checks

Change: the request waits, unsent, until a server answers, and is refused as not run a tenth of a second before its deadline. Health checks last as long as the interval between them, so that one is always under way.

--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -23,9 +23,10 @@
 const NEWEST_WEIGHT: f64 = 0.05;
 /// Time for which a peer's report counts: some reports, of which one may be lost.
 const REPORT_TIME: Duration = Duration::from_millis(1200);
-/// Time from the first unanswered request to the first health check, and between the last ones.
+/// Time from the first unanswered request to the first health check.
 const FIRST_CHECK: Duration = Duration::from_millis(400);
-const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest time between two health checks of a server.
+pub const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after which a server that cannot be checked gets a request again.
 const EXPIRY: Duration = Duration::from_secs(10);
 /// Time from a health check by which a server that runs has answered it.
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -27,6 +27,7 @@
 use crate::protocol::CallerHeaders;
 use crate::protocol::SendHeaders;
 use crate::serve::choose::ChosenServer;
+use crate::serve::confirm_server::UNCONFIRMED;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::failover_origin::FailoverOrigin;
 use crate::serve::headers::strip_hop_by_hop;
@@ -116,8 +117,8 @@
     pub slowdown: f64,
     /// Number of events received from the server of the last send.
     pub events: u32,
-    /// Number of times that no server answered a health check before it was to be sent.
-    pub unconfirmed_rounds: u32,
+    /// Number of tried servers that did not answer a health check before it was to be sent.
+    pub unconfirmed: u32,
     /// Reason why the last send failed.
     pub reason: &'static str,
     /// Time spent waiting for tokens of the workspace's quota.
@@ -194,7 +195,7 @@
             running: 0,
             slowdown: 1.0,
             events: 0,
-            unconfirmed_rounds: 0,
+            unconfirmed: 0,
             reason: "",
             quota_wait: Duration::ZERO,
             model_wait: Duration::ZERO,
@@ -403,6 +404,7 @@
     pub fn record_failure(&mut self, daemon: &DaemonState, failure: &SendFailure) {
         self.sending = false;
         self.reason = failure.reason;
+        self.unconfirmed += u32::from(failure.reason == UNCONFIRMED);
         self.failed_deliveries += u32::from(failure.delivered);
         self.verdict = self.verdict.combine(failure.verdict);
         if failure.verdict != Verdict::DidNotRun {
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -278,6 +278,11 @@
         !self.health.is_avoided(&server, self.now) && !self.silent.is_doubtful(&server, self.now)
     }
 
+    /// Returns whether a server of a service is neither avoided nor likely to be silent.
+    pub fn has_responsive(&self, service: &str) -> bool {
+        self.eligible_servers(service).any(|server| self.is_healthy(server))
+    }
+
     /// Returns the servers of a service that get no retry: they are silent, or may soon turn out to be where servers have stood
     /// still before.
     pub fn unretried_servers(&self, service: &str) -> Vec<ServerInstance> {
--- a/lib/src/serve/confirm_server.rs
+++ b/lib/src/serve/confirm_server.rs
@@ -1,15 +1,18 @@
 //! Asks servers whether they run, before they get a request, where servers of their service have stood still.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::cluster::directory::Server;
+use crate::serve::attempt::Attempt;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::pool::Connection;
 use crate::serve::send::SendFailure;
@@ -19,6 +22,12 @@
 /// Why a request was not sent to a server that did not answer.
 pub const UNCONFIRMED: &str = "the server does not respond";
 
+/// Time before a caller's deadline at which its request is refused, so that the refusal arrives in time.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(100);
+/// Time after which servers that neither responded nor were found silent are tried again.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Interval between looks for servers that are new or no longer avoided.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest body of the answer to a health check that is read, so that its connection can carry the request.
 const MAX_BODY_BYTES: usize = 4096;
 
@@ -36,6 +45,25 @@
     }
 }
 
+/// Waits until a server of the attempt's service may respond again. Returns false if none does in time; the attempt can then be
+/// refused as one that did not run.
+///
+/// A request that is sent to a server that stands still can move only by a retry, and the server still runs it later.
+pub async fn await_responsive(daemon: &DaemonState, attempt: &Attempt) -> bool {
+    let until = attempt.deadline.saturating_sub(REFUSAL_MARGIN);
+    sleep(RETRY_DELAY).await;
+    loop {
+        let responded = daemon.server_responded.notified();
+        let has_server =
+            daemon.with_chooser(attempt.version(), |c| c.has_responsive(&attempt.service));
+        let left = until.saturating_sub(daemon.now());
+        if has_server || left.is_zero() {
+            return has_server;
+        }
+        let _elapsed = timeout(left.min(POLL_INTERVAL), responded).await;
+    }
+}
+
 /// Returns a health check; `None` if none is due or possible. Requests to a rate-limited server need a permit.
 fn due_request(daemon: &DaemonState, server: &Server) -> Option<Request<Bytes>> {
     let (instance, now) = (server.instance(), daemon.now());
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -180,6 +180,8 @@
     pub limit_heard: Notify,
     /// Signalled when a server has fallen silent, which must be sent to peers at once.
     pub silence_noticed: Notify,
+    /// Notified when a server answers a health check.
+    pub server_responded: Notify,
     /// Signalled when a crash report or quarantine must be sent to peers at once.
     pub quarantine_changed: Notify,
     /// Signalled when a prompt part is held from now on.
@@ -309,6 +311,7 @@
             departure_heard: Notify::new(),
             limit_heard: Notify::new(),
             silence_noticed: Notify::new(),
+            server_responded: Notify::new(),
             quarantine_changed: Notify::new(),
             part_held: Notify::new(),
             fetch_due: Notify::new(),
--- a/lib/src/serve/exchange_plain.rs
+++ b/lib/src/serve/exchange_plain.rs
@@ -11,7 +11,7 @@
 use crate::serve::attempt::Attempt;
 use crate::serve::choose::ChosenServer;
 use crate::serve::choose::EngineChoice;
-use crate::serve::confirm_server::UNCONFIRMED;
+use crate::serve::confirm_server::await_responsive;
 use crate::serve::confirm_server::confirm;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::failover::SendFuture;
@@ -63,16 +63,17 @@
             if attempt.tried.is_empty() {
                 return Err(no_server(daemon, attempt, FULL_RETRY_AFTER));
             }
-            if attempt.verdict == Verdict::DidNotRun && attempt.reason == UNCONFIRMED {
-                // No server is known to run, so one of them gets the request all the same.
-                attempt.unconfirmed_rounds += 1;
-                attempt.tried.clear();
-                attempt.reason = "";
-                continue;
-            }
             if attempt.must_not_retry() || attempt.verdict != Verdict::DidNotRun {
                 return Err(Refusal::failed(attempt.verdict, attempt.reason, FULL_RETRY_AFTER));
             }
+            if attempt.unconfirmed > 0 {
+                if !await_responsive(daemon, attempt).await {
+                    return Err(Refusal::not_run("no server responds", FULL_RETRY_AFTER));
+                }
+                attempt.tried.clear();
+                attempt.unconfirmed = 0;
+                continue;
+            }
             // Every server refused it. They are tried again after a delay, until the latency goal.
             if now > attempt.arrived + attempt.route.latency_goal {
                 return Err(Refusal::not_run("all servers are full", FULL_RETRY_AFTER));
@@ -168,15 +169,12 @@
     let workload_guard =
         daemon.workloads.begin(attempt.workload_key(&server), attempt.caller_headers.prompt_tokens);
     let id = attempt.caller_headers.attempt.clone();
-    let may_confirm = attempt.unconfirmed_rounds == 0;
     let daemon = Rc::clone(daemon);
     Box::pin(async move {
         let _workload_guard = workload_guard;
         let _brittle_send = brittle_send;
-        if may_confirm {
-            let confirmed = confirm(&daemon, &server).await;
-            confirmed.inspect_err(|_unsent| open_send.end(daemon.now()))?;
-        }
+        let confirmed = confirm(&daemon, &server).await;
+        confirmed.inspect_err(|_unsent| open_send.end(daemon.now()))?;
         let response =
             send::send(&daemon, &server, id.as_ref(), &open_send, deadline, request).await?;
         send::read_whole(&daemon, &server, response, MAX_RESPONSE_BYTES).await
--- a/lib/src/serve/silence_checks.rs
+++ b/lib/src/serve/silence_checks.rs
@@ -12,13 +12,15 @@
 use crate::boot_clock::Moment;
 use crate::cluster::directory::Server;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::silent_servers::MAX_CHECK_INTERVAL;
 use crate::serve::call::call;
 use crate::serve::daemon_state::DaemonState;
 
 /// Interval between looks for servers that have fallen silent: shorter than the time after which one counts as such.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time limit of a health check, which may wait for a slot.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit of a health check: no shorter than the interval between two, so that a server that goes on after a standstill
+/// always has one to answer at once.
+const CHECK_TIMEOUT: Duration = MAX_CHECK_INTERVAL;
 
 impl DaemonState {
     /// Records a request that is sent to a server now, unless the server is an engine: a full one sends no response until a slot is free.
@@ -41,6 +43,7 @@
     pub(super) fn record_check(&self, server: &ServerInstance) {
         let silence = self.silent_servers.borrow_mut().record_check(server, self.now());
         self.log_responsive(server, silence, "health-check");
+        self.server_responded.notify_waiters();
     }
 
     /// Records that the connection to a server has ended while it had a request.
--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -163,7 +163,7 @@
         let mut servers = usual(15);
         let age = Duration::from_millis(age);
         servers.record_peer(&SERVICE.into(), &server("b2"), age, at(1000));
-        assert!(!servers.must_confirm(SERVICE, &server("b1"), at(3000)), "it may be dead");
+        assert!(!servers.must_confirm(SERVICE, &server("b1"), at(3000)), "b2 may be dead");
         servers.record_send(&SERVICE.into(), &server("b2"), at(3000));
         servers.record_response(&server("b2"), at(3000), at(3015));
         assert_eq!(servers.must_confirm(SERVICE, &server("b1"), at(3500)), must_ask);
