--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -51,9 +51,9 @@
         }
     }
 
-    /// Returns whether a connection from `peer` is cut off. One of a process that has ended is not.
-    fn affects(self, peer: SocketAddr) -> bool {
-        is_owner(self.process(), peer).unwrap_or(false)
+    /// Returns whether a connection from `peer` to `proxy` is cut off. One of a process that has ended is not.
+    fn affects(self, peer: SocketAddr, proxy: SocketAddr) -> bool {
+        is_owner(self.process(), peer, proxy).unwrap_or(false)
     }
 }
 
@@ -147,7 +147,7 @@
     async fn cut_off(&self, peer: SocketAddr) {
         loop {
             self.cuts.notified().await;
-            if self.cut.get().is_some_and(|cut| cut.affects(peer)) {
+            if self.cut.get().is_some_and(|cut| cut.affects(peer, self.addr)) {
                 return;
             }
         }
@@ -159,7 +159,7 @@
         peer: SocketAddr,
         target: SocketAddr,
     ) -> io::Result<()> {
-        if let Some(cut) = self.cut.get().filter(|cut| cut.affects(peer)) {
+        if let Some(cut) = self.cut.get().filter(|cut| cut.affects(peer, self.addr)) {
             while matches!(cut, Cut::Hang(_)) && self.cut.get() == Some(cut) {
                 sleep(POLL_INTERVAL).await;
             }
--- a/soak/src/socket_owner.rs
+++ b/soak/src/socket_owner.rs
@@ -2,27 +2,34 @@
 
 use std::fs;
 use std::io;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 
-/// Column of the socket's inode in the kernel's table of TCP sockets.
-const INODE_COLUMN: usize = 9;
+use netlink_packet_core::NLM_F_REQUEST;
+use netlink_packet_core::NetlinkHeader;
+use netlink_packet_core::NetlinkMessage;
+use netlink_packet_core::NetlinkPayload;
+use netlink_packet_sock_diag::SockDiagMessage;
+use netlink_packet_sock_diag::constants::AF_INET;
+use netlink_packet_sock_diag::constants::IPPROTO_TCP;
+use netlink_packet_sock_diag::inet::ExtensionFlags;
+use netlink_packet_sock_diag::inet::InetRequest;
+use netlink_packet_sock_diag::inet::SocketId;
+use netlink_packet_sock_diag::inet::StateFlags;
+use netlink_sys::Socket;
+use netlink_sys::protocols::NETLINK_SOCK_DIAG;
 
-/// Returns whether a process has the socket whose own address is `local`.
+/// Stands for any cookie of a socket.
+const NO_COOKIE: [u8; 8] = [0xff; 8];
+/// More than the kernel's answer to a query for one socket.
+const ANSWER_BYTES: usize = 4096;
+
+/// Returns whether a process has the socket of a connection from `local` to `remote`.
 ///
 /// # Errors
 ///
-/// The kernel's tables cannot be read, for example because the process has ended.
-pub fn is_owner(pid: u32, local: SocketAddr) -> io::Result<bool> {
-    let IpAddr::V4(ip) = local.ip() else { return Ok(false) };
-    // A row begins with its number, a colon and the socket's own address. The table has thousands of rows after a
-    // while, so it is searched as a whole.
-    let shown = format!(": {:08X}:{:04X} ", u32::from_le_bytes(ip.octets()), local.port());
-    let table = fs::read_to_string("/proc/net/tcp")?;
-    let row = table.find(&shown).and_then(|at| table[at..].lines().next());
-    let Some(inode) = row.and_then(|row| row.split_whitespace().nth(INODE_COLUMN)) else {
-        return Ok(false);
-    };
+/// The kernel cannot be asked, or the process has ended.
+pub fn is_owner(pid: u32, local: SocketAddr, remote: SocketAddr) -> io::Result<bool> {
+    let Some(inode) = inode(local, remote)? else { return Ok(false) };
     let target = format!("socket:[{inode}]");
     for entry in fs::read_dir(format!("/proc/{pid}/fd"))? {
         // A descriptor may be closed while the folder is read.
@@ -32,3 +39,42 @@
     }
     Ok(false)
 }
+
+/// Returns the inode of a connection's socket at `local`; `None` if it is closed. Queries one socket: reading the kernel's
+/// table of all takes the longer, the more there are on the host.
+fn inode(local: SocketAddr, remote: SocketAddr) -> io::Result<Option<u32>> {
+    let socket_id = SocketId {
+        source_port: local.port(),
+        destination_port: remote.port(),
+        source_address: local.ip(),
+        destination_address: remote.ip(),
+        interface_id: 0,
+        cookie: NO_COOKIE,
+    };
+    let request = InetRequest {
+        family: AF_INET,
+        protocol: IPPROTO_TCP,
+        extensions: ExtensionFlags::empty(),
+        states: StateFlags::all(),
+        socket_id,
+    };
+    let mut header = NetlinkHeader::default();
+    header.flags = NLM_F_REQUEST;
+    let mut query = NetlinkMessage::new(header, SockDiagMessage::InetRequest(request).into());
+    query.finalize();
+    let mut bytes = vec![0; query.buffer_len()];
+    query.serialize(&mut bytes);
+
+    let socket = Socket::new(NETLINK_SOCK_DIAG)?;
+    socket.send(&bytes, 0)?;
+    let mut answer = Vec::with_capacity(ANSWER_BYTES);
+    socket.recv(&mut answer, 0)?;
+    let answer = NetlinkMessage::<SockDiagMessage>::deserialize(&answer);
+    match answer.map_err(io::Error::other)?.payload {
+        NetlinkPayload::InnerMessage(SockDiagMessage::InetResponse(found)) => {
+            Ok(Some(found.header.inode))
+        }
+        // The kernel knows no such socket.
+        _ => Ok(None),
+    }
+}
