--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -52,6 +52,8 @@
     is_known: bool,
     /// Whether a peer has waited for it for so long that it stands still.
     stands_still: bool,
+    /// Whether it has responded to this process.
+    has_responded: bool,
 }
 
 /// The servers of plain services that this daemon, or a peer, waits for.
@@ -112,6 +114,9 @@
     /// Records that the server answered a health check. Returns for how long it had been silent, if `take_new` had returned it.
     pub fn record_check(&mut self, server: &ServerInstance, now: Moment) -> Option<Duration> {
         self.record_standstill(server, now);
+        if let Some(entry) = self.entries.get_mut(server) {
+            entry.has_responded = true;
+        }
         self.record_sign(server, now)
     }
 
@@ -163,12 +168,12 @@
         self.unsteady.get(service).is_some_and(|until| now < *until)
     }
 
-    /// Returns whether a server is to be asked before it gets a request: one of its service has stood still, and nothing shows
-    /// that this one runs now.
+    /// Returns whether a server is to be asked before it gets a request: it has never responded to this process, which may have
+    /// started during a standstill, or one of its service has stood still and nothing shows that this one runs now.
     pub fn must_confirm(&self, service: &str, server: &ServerInstance, now: Moment) -> bool {
-        let entry = self.entries.get(server);
-        let is_confirmed = entry.is_some_and(|e| now < e.answered_at + CONFIRMED_TIME);
-        self.is_unsteady(service, now) && !is_confirmed
+        let Some(entry) = self.entries.get(server) else { return true };
+        let is_confirmed = now < entry.answered_at + CONFIRMED_TIME;
+        !entry.has_responded || (self.is_unsteady(service, now) && !is_confirmed)
     }
 
     /// Returns the time within which a server answers a health check before it gets a request; it is doubtful after that.
--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -138,6 +138,7 @@
     assert!(must_ask(&servers, "b1", SERVICE, 3500));
     assert!(must_ask(&servers, "b2", SERVICE, 3500), "another server may stand still, too");
     assert!(!must_ask(&servers, "b1", "other", 3500));
+    assert!(must_ask(&servers, "b3", "other", 3500), "it has never responded");
     assert!(must_ask(&servers, "b1", SERVICE, 5 * 3_600_000));
     assert!(!must_ask(&servers, "b1", SERVICE, 7 * 3_600_000));
     assert_eq!(servers.take_unsteady(), [SERVICE]);
