servers: for ten minutes after its start a process asks plain servers before each request

Cause: what a process knows of standstills ends with it. Change: all services count as unsteady in the first ten minutes of a process.

--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -34,6 +34,8 @@
 /// Time after a standstill in which servers of the service are asked before they get a request: each standstill after that
 /// costs a wasted run again, of which there may be few in a day.
 const UNSTEADY_TIME: Duration = Duration::from_hours(6);
+/// Time after the start of a process in which it treats all services alike: it does not know what stood still before.
+const LEARNING_TIME: Duration = Duration::from_mins(10);
 /// Time after a response in which a server need not be asked.
 const CONFIRMED_TIME: Duration = Duration::from_millis(2);
 
@@ -61,6 +63,8 @@
 pub struct SilentServers {
     entries: HashMap<ServerInstance, Entry>,
     times: HashMap<ServiceName, ResponseTimes>,
+    /// Until when all services count as unsteady.
+    learning_until: Moment,
     /// Services of which a server has responded again after a standstill, and until when that counts.
     unsteady: HashMap<ServiceName, Moment>,
     /// Those that `take_unsteady` has not returned yet.
@@ -88,6 +92,11 @@
 }
 
 impl SilentServers {
+    /// Returns the state of a process that starts now.
+    pub fn new(now: Moment) -> Self {
+        Self { learning_until: now + LEARNING_TIME, ..Self::default() }
+    }
+
     /// Records a request that is sent now.
     pub fn record_send(&mut self, service: &ServiceName, server: &ServerInstance, now: Moment) {
         let entry = self.entries.entry(server.clone()).or_default();
@@ -163,13 +172,14 @@
         }
     }
 
-    /// Returns whether a server of the service has stood still lately.
+    /// Returns whether a server of the service has stood still lately, or may have done so before the start of this process.
     pub fn is_unsteady(&self, service: &str, now: Moment) -> bool {
-        self.unsteady.get(service).is_some_and(|until| now < *until)
+        let until = self.unsteady.get(service).copied().unwrap_or_default();
+        now < until.max(self.learning_until)
     }
 
-    /// Returns whether a server is to be asked before it gets a request: it has never responded to this process, which may have
-    /// started during a standstill, or one of its service has stood still and nothing shows that this one runs now.
+    /// Returns whether a server is to be asked before it gets a request: it has never responded to this process, or its service
+    /// is unsteady and nothing shows that this one runs now.
     pub fn must_confirm(&self, service: &str, server: &ServerInstance, now: Moment) -> bool {
         let Some(entry) = self.entries.get(server) else { return true };
         let is_confirmed = now < entry.answered_at + CONFIRMED_TIME;
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -255,6 +255,7 @@
         log: Logger,
         clock: Rc<dyn HostClock>,
     ) -> Rc<Self> {
+        let now = clock.now();
         let peers = PeerTable::new(settings.readers_from);
         // Replaced before each bid.
         let bid_delay = Duration::ZERO;
@@ -269,7 +270,7 @@
         slowdowns.set_limit(settings.max_slowdown);
         Rc::new(Self {
             standstill: Standstill::default(),
-            retry_budgets: RefCell::new(RetryBudgets::new(settings.budget, clock.now())),
+            retry_budgets: RefCell::new(RetryBudgets::new(settings.budget, now)),
             settings: RefCell::new(Rc::new(settings)),
             process,
             clock,
@@ -284,7 +285,7 @@
             inventories: RefCell::default(),
             workloads: Workloads::default(),
             health: RefCell::default(),
-            silent_servers: RefCell::default(),
+            silent_servers: RefCell::new(SilentServers::new(now)),
             run_times: RunTimes::default(),
             slowdowns,
             rate_limits: RefCell::default(),
--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -170,3 +170,13 @@
         assert_eq!(servers.must_confirm(SERVICE, &server("b1"), at(3500)), must_ask);
     }
 }
+
+/// Guards against a process that starts anew and trusts servers of which those before it knew that they stand still at times.
+#[test]
+fn learns_first() {
+    let mut servers = SilentServers::new(at(0));
+    servers.record_send(&SERVICE.into(), &server("b1"), at(0));
+    servers.record_response(&server("b1"), at(0), at(15));
+    assert!(servers.must_confirm(SERVICE, &server("b1"), at(60_000)));
+    assert!(!servers.must_confirm(SERVICE, &server("b1"), at(11 * 60_000)));
+}
