servers: only the answer to a health check before a request is awaited for a short time, not the connection

Change: the connection has its own limits as before; a relayed one is used without a health check, as it carries one request.

--- a/lib/src/serve/confirm_server.rs
+++ b/lib/src/serve/confirm_server.rs
@@ -1,6 +1,5 @@
 //! Asks servers whether they run, before they get a request, where servers of their service have stood still.
 
-use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -38,11 +37,20 @@
 /// The server does not answer in time, or cannot be reached.
 pub async fn confirm(daemon: &DaemonState, server: &Server) -> Result<(), SendFailure> {
     let Some(request) = due_request(daemon, server) else { return Ok(()) };
+    let connected = daemon.acquire_connection(&server.instance(), server.addr).await;
+    let connection = connected.map_err(|error| SendFailure::connect_failed(&error))?;
+    // A relayed connection carries one request only.
+    if connection.is_relayed() {
+        keep(daemon, connection).await;
+        return Ok(());
+    }
     let limit = daemon.silent_servers.borrow().confirm_time(&server.service);
-    match timeout(limit, ask(daemon, server, request)).await {
-        Ok(asked) => asked.map_err(|error| SendFailure::connect_failed(&error)),
-        Err(_elapsed) => Err(SendFailure::unsent(UNCONFIRMED)),
+    let asked = timeout(limit, ask(daemon, server, connection, request)).await;
+    let open = asked.map_err(|_elapsed| SendFailure::unsent(UNCONFIRMED))?;
+    if let Some(connection) = open {
+        keep(daemon, connection).await;
     }
+    Ok(())
 }
 
 /// Waits until a server of the attempt's service may respond again. Returns false if none does in time; the attempt can then be
@@ -72,45 +80,36 @@
     if is_due { health_request(daemon, server) } else { None }
 }
 
-/// Sends a health check over a connection that stays open for the next request, or is replaced if the server closes it.
-async fn ask(daemon: &DaemonState, server: &Server, request: Request<Bytes>) -> io::Result<()> {
+/// Sends a health check; returns the connection if it is still open.
+async fn ask(
+    daemon: &DaemonState,
+    server: &Server,
+    mut connection: Connection,
+    request: Request<Bytes>,
+) -> Option<Connection> {
     let instance = server.instance();
-    let mut connection = daemon.acquire_connection(&instance, server.addr).await?;
     daemon.record_plain_send(server);
     let mut sent = connection.sender().try_send_request(request.map(Full::new)).await;
     // The pooled connection may have ended while it was idle.
     if let Err(error) = &mut sent
         && let Some(unsent) = error.take_message()
     {
-        connection = daemon.connect_server(&instance, server.addr).await?;
+        connection = daemon.connect_server(&instance, server.addr).await.ok()?;
         sent = connection.sender().try_send_request(unsent).await;
     }
-    let is_open = match sent {
-        Ok(response) => {
-            let (head, body) = response.into_parts();
-            if is_from(daemon, &head, &instance) {
-                daemon.record_check(&instance);
-            }
-            Limited::new(body, MAX_BODY_BYTES).collect().await.is_ok()
-        }
-        Err(_broken) => {
-            daemon.record_connection_end(&instance);
-            false
-        }
+    let Ok(response) = sent else {
+        daemon.record_connection_end(&instance);
+        return None;
     };
-    keep(daemon, server, connection, is_open).await
+    let (head, body) = response.into_parts();
+    if is_from(daemon, &head, &instance) {
+        daemon.record_check(&instance);
+    }
+    Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
+    Some(connection)
 }
 
-/// Leaves a connection in the pool. A relayed one carries one request only.
-async fn keep(
-    daemon: &DaemonState,
-    server: &Server,
-    connection: Connection,
-    is_open: bool,
-) -> io::Result<()> {
-    if is_open && !connection.is_relayed() && daemon.pool.add_idle(connection).await.is_ok() {
-        return Ok(());
-    }
-    let fresh = daemon.connect_server(&server.instance(), server.addr).await?;
-    daemon.pool.add_idle(fresh).await
+/// Leaves a connection in the pool for the next request, unless the server closes it.
+async fn keep(daemon: &DaemonState, connection: Connection) {
+    let _closed = daemon.pool.add_idle(connection).await;
 }
