--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -88,7 +88,7 @@
 
 /// Memory for all responses that are read whole: with what their connections take, a quarter of a small host's. Three of the
 /// longest are read at a time.
-const RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+const RESPONSE_BYTES: usize = 28 * 1024 * 1024;
 /// Memory for all bodies of callers' requests; one may have the longest that is accepted.
 const REQUEST_BYTES: usize = 96 * 1024 * 1024;
 
