servers: requests go on where servers serve them and answer no health checks

Change: after five unanswered health checks and ten seconds a server gets requests without one for ten minutes; a server that answers another request while it is asked counts as running.

--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -36,6 +36,10 @@
 const UNSTEADY_TIME: Duration = Duration::from_hours(6);
 /// Time after the start of a process in which it treats all services alike: it does not know what stood still before.
 const LEARNING_TIME: Duration = Duration::from_mins(10);
+/// Number of unanswered health checks after which a server may be one that answers none, though it serves requests; it gets
+/// requests without one, as after [`EXPIRY`], for this long.
+const FUTILE_CHECKS: u32 = 5;
+const FUTILE_TIME: Duration = Duration::from_mins(10);
 /// Time after a response in which a server need not be asked.
 const CONFIRMED_TIME: Duration = Duration::from_millis(2);
 
@@ -56,6 +60,9 @@
     stands_still: bool,
     /// Whether it has responded to this process.
     has_responded: bool,
+    /// Number of health checks before requests since it last answered one, and when the first of them was sent.
+    unanswered_checks: u32,
+    checked_since: Moment,
 }
 
 /// The servers of plain services that this daemon, or a peer, waits for.
@@ -116,12 +123,29 @@
         // A response that was delayed by a standstill of its server is no measure of the service's usual time.
         let time = now.saturating_sub(sent_at).min(self.patience(&entry.service));
         let service = entry.service.clone();
-        self.record_check(server, now);
+        self.record_answer(server, now);
         self.times.entry(service).or_default().record(time);
     }
 
+    /// Records that a health check is sent before a request.
+    pub fn record_ask(&mut self, server: &ServerInstance, now: Moment) {
+        let entry = self.entries.entry(server.clone()).or_default();
+        let is_over = now.saturating_sub(entry.checked_since) >= FUTILE_TIME;
+        if entry.unanswered_checks == 0 || is_over {
+            (entry.unanswered_checks, entry.checked_since) = (0, now);
+        }
+        entry.unanswered_checks += 1;
+    }
+
     /// Records that the server answered a health check. Returns for how long it had been silent, if `take_new` had returned it.
     pub fn record_check(&mut self, server: &ServerInstance, now: Moment) -> Option<Duration> {
+        if let Some(entry) = self.entries.get_mut(server) {
+            entry.unanswered_checks = 0;
+        }
+        self.record_answer(server, now)
+    }
+
+    fn record_answer(&mut self, server: &ServerInstance, now: Moment) -> Option<Duration> {
         self.record_standstill(server, now);
         if let Some(entry) = self.entries.get_mut(server) {
             entry.has_responded = true;
@@ -183,7 +207,15 @@
     pub fn must_confirm(&self, service: &str, server: &ServerInstance, now: Moment) -> bool {
         let Some(entry) = self.entries.get(server) else { return true };
         let is_confirmed = now < entry.answered_at + CONFIRMED_TIME;
-        !entry.has_responded || (self.is_unsteady(service, now) && !is_confirmed)
+        let checked_for = now.saturating_sub(entry.checked_since);
+        let is_futile = entry.unanswered_checks >= FUTILE_CHECKS
+            && (EXPIRY..FUTILE_TIME).contains(&checked_for);
+        !is_futile && (!entry.has_responded || (self.is_unsteady(service, now) && !is_confirmed))
+    }
+
+    /// Returns whether a server has responded at `since` or later.
+    pub fn has_answered(&self, server: &ServerInstance, since: Moment) -> bool {
+        self.entries.get(server).is_some_and(|entry| entry.answered_at >= since)
     }
 
     /// Returns the time within which a server answers a health check before it gets a request; it is doubtful after that.
--- a/lib/src/serve/confirm_server.rs
+++ b/lib/src/serve/confirm_server.rs
@@ -44,13 +44,16 @@
         keep(daemon, connection).await;
         return Ok(());
     }
-    let limit = daemon.silent_servers.borrow().confirm_time(&server.service);
+    let (limit, asked_at) =
+        (daemon.silent_servers.borrow().confirm_time(&server.service), daemon.now());
     let asked = timeout(limit, ask(daemon, server, connection, request)).await;
-    let open = asked.map_err(|_elapsed| SendFailure::unsent(UNCONFIRMED))?;
-    if let Some(connection) = open {
+    if let Ok(Some(connection)) = asked {
         keep(daemon, connection).await;
+        return Ok(());
     }
-    Ok(())
+    // A busy server may answer other requests first.
+    let has_answered = daemon.silent_servers.borrow().has_answered(&server.instance(), asked_at);
+    if asked.is_ok() || has_answered { Ok(()) } else { Err(SendFailure::unsent(UNCONFIRMED)) }
 }
 
 /// Waits until a server of the attempt's service may respond again. Returns false if none does in time; the attempt can then be
@@ -89,6 +92,7 @@
 ) -> Option<Connection> {
     let instance = server.instance();
     daemon.record_plain_send(server);
+    daemon.silent_servers.borrow_mut().record_ask(&instance, daemon.now());
     let mut sent = connection.sender().try_send_request(request.map(Full::new)).await;
     // The pooled connection may have ended while it was idle.
     if let Err(error) = &mut sent
--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -180,3 +180,21 @@
     assert!(servers.must_confirm(SERVICE, &server("b1"), at(60_000)));
     assert!(!servers.must_confirm(SERVICE, &server("b1"), at(11 * 60_000)));
 }
+
+/// Guards against a server that answers no health checks, though it serves requests, getting none for ever.
+#[test]
+fn checks_futile() {
+    let mut servers = SilentServers::new(at(0));
+    let must_ask =
+        |servers: &SilentServers, millis| servers.must_confirm(SERVICE, &server("b1"), at(millis));
+    for n in 0..5 {
+        servers.record_ask(&server("b1"), at(n * 100));
+        servers.record_send(&SERVICE.into(), &server("b1"), at(n * 100));
+    }
+    assert!(must_ask(&servers, 9_900));
+    assert!(!must_ask(&servers, 10_100));
+    servers.record_response(&server("b1"), at(10_200), at(10_215));
+    assert!(!must_ask(&servers, 11_000), "a response is no answer to a health check");
+    servers.record_check(&server("b1"), at(12_000));
+    assert!(must_ask(&servers, 13_000));
+}
