--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -49,6 +49,9 @@
     server.script.borrow_mut().extend(broken);
 }
 
+/// Topic of the configuration.
+const CONFIG_TOPIC: &str = "keyed.op";
+
 /// Writes a record of a foreign writer to one of the store's topics, over a valid record or beside it.
 /// The configuration is never overwritten: if all daemons restart, the store is its only source.
 ///
@@ -60,7 +63,8 @@
     };
     let places = foreign::places(&server);
     let (topic, taken) = places[rng.random_range(0..places.len())];
-    let key = if rng.random_bool(0.3) { taken.as_bytes() } else { foreign::ODD_KEY };
+    let is_taken = rng.random_bool(0.3) && topic != CONFIG_TOPIC;
+    let key = if is_taken { taken.as_bytes() } else { foreign::ODD_KEY };
     let value = foreign::VALUES[rng.random_range(0..foreign::VALUES.len())];
     world.note(&format!("foreign topic={topic} key={}", key.escape_ascii()));
     world.store.put_raw(topic, key, value);
