--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -1,8 +1,8 @@
 //! Servers of plain services that have had a request for longer than their service usually takes, and sent nothing since.
 //!
 //! A suspended server reads what its kernel has buffered once it continues, also requests that have been answered elsewhere
-//! by then. Such runs are wasted, so few requests are sent to a server that does not respond. One is enough to find out, at
-//! each stop of each server; where servers have stood still before, a health check goes first instead.
+//! by then. Such runs are wasted, so few requests are sent to a server that does not respond. At least one finds out, at each
+//! standstill of each server; a health check does so instead where servers have stood still before, or may have.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -203,7 +203,7 @@
     }
 
     /// Returns whether a server is to be asked before it gets a request: it has never responded to this process, or its service
-    /// is unsteady and nothing shows that this one runs now.
+    /// is unsteady and nothing shows that this one runs now. Not if it answers no health checks for a while.
     pub fn must_confirm(&self, service: &str, server: &ServerInstance, now: Moment) -> bool {
         let Some(entry) = self.entries.get(server) else { return true };
         let is_confirmed = now < entry.answered_at + CONFIRMED_TIME;
--- a/lib/src/serve/confirm_server.rs
+++ b/lib/src/serve/confirm_server.rs
@@ -44,8 +44,8 @@
         keep(daemon, connection).await;
         return Ok(());
     }
-    let (limit, asked_at) =
-        (daemon.silent_servers.borrow().confirm_time(&server.service), daemon.now());
+    let limit = daemon.silent_servers.borrow().confirm_time(&server.service);
+    let asked_at = daemon.now();
     let asked = timeout(limit, ask(daemon, server, connection, request)).await;
     if let Ok(Some(connection)) = asked {
         keep(daemon, connection).await;
@@ -75,10 +75,12 @@
     }
 }
 
-/// Returns a health check; `None` if none is due or possible. Requests to a rate-limited server need a permit.
+/// Returns a health check; `None` if none is due or possible. Engines are silent by right while they are full, and requests to
+/// a rate-limited server need a permit.
 fn due_request(daemon: &DaemonState, server: &Server) -> Option<Request<Bytes>> {
     let (instance, now) = (server.instance(), daemon.now());
     let is_due = daemon.silent_servers.borrow().must_confirm(&server.service, &instance, now)
+        && daemon.is_plain(&server.service)
         && !daemon.send_permits().contains_key(&instance);
     if is_due { health_request(daemon, server) } else { None }
 }
--- a/lib/src/serve/silence_checks.rs
+++ b/lib/src/serve/silence_checks.rs
@@ -25,14 +25,19 @@
 impl DaemonState {
     /// Records a request that is sent to a server now, unless the server is an engine: a full one sends no response until a slot is free.
     pub(super) fn record_plain_send(&self, server: &Server) {
-        let config = self.config();
-        let service = config.as_ref().and_then(|config| config.services.get(&server.service));
-        if service.is_none_or(|service| service.engine.is_none()) {
+        if self.is_plain(&server.service) {
             let mut silent = self.silent_servers.borrow_mut();
             silent.record_send(&server.service, &server.instance(), self.now());
         }
     }
 
+    /// Returns whether a service has no engines.
+    pub(super) fn is_plain(&self, service: &str) -> bool {
+        let config = self.config();
+        let service = config.as_ref().and_then(|config| config.services.get(service));
+        service.is_none_or(|service| service.engine.is_none())
+    }
+
     /// Records the response to a request that was sent to a server at `sent_at`.
     pub(super) fn record_plain_response(&self, server: &ServerInstance, sent_at: Moment) {
         let now = self.now();
