--- a/lib/src/serve/apply_updates.rs
+++ b/lib/src/serve/apply_updates.rs
@@ -227,6 +227,7 @@
     daemon.brittle_servers.retain(is_known);
     daemon.silent_servers.borrow_mut().retain(is_known);
     daemon.pool.evict_idle(is_known);
+    daemon.check_pool.evict_idle(is_known);
     daemon.model_waits.inventories_changed.notify_waiters();
     daemon.plan_due.notify_one();
 }
--- a/lib/src/serve/confirm_server.rs
+++ b/lib/src/serve/confirm_server.rs
@@ -4,16 +4,14 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::BodyExt as _;
-use http_body_util::Full;
-use http_body_util::Limited;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::cluster::directory::Server;
 use crate::serve::attempt::Attempt;
+use crate::serve::call::CallError;
+use crate::serve::call::call;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::pool::Connection;
 use crate::serve::send::SendFailure;
 use crate::serve::silence_checks::health_request;
 use crate::serve::silence_checks::is_from;
@@ -27,33 +25,44 @@
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval between looks for servers that are new or no longer avoided.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest body of the answer to a health check that is read, so that its connection can carry the request.
-const MAX_BODY_BYTES: usize = 4096;
 
-/// Returns once a server has answered a health check, if one is due; the next request is sent over the same connection.
+/// Returns once a server has answered a health check, if one is due.
+///
+/// Health checks have connections of their own: an answer to one that comes late, or after another request's second answer,
+/// must not be taken for that of the request.
 ///
 /// # Errors
 ///
-/// The server does not answer in time, or cannot be reached.
+/// The server does not answer in time.
 pub async fn confirm(daemon: &DaemonState, server: &Server) -> Result<(), SendFailure> {
     let Some(request) = due_request(daemon, server) else { return Ok(()) };
-    let connected = daemon.acquire_connection(&server.instance(), server.addr).await;
-    let connection = connected.map_err(|error| SendFailure::connect_failed(&error))?;
-    // A relayed connection carries one request only.
-    if connection.is_relayed() {
-        keep(daemon, connection).await;
-        return Ok(());
-    }
+    let instance = server.instance();
     let limit = daemon.silent_servers.borrow().confirm_time(&server.service);
+    // The connection for the request shows whether the server is reached, and whether a peer has to relay it.
+    if !daemon.check_pool.has_idle(&instance) {
+        let opened = timeout(limit, daemon.check_pool.open_idle(&instance, server.addr)).await;
+        if !matches!(opened, Ok(Ok(()))) {
+            return Ok(());
+        }
+    }
     let asked_at = daemon.now();
-    let asked = timeout(limit, ask(daemon, server, connection, request)).await;
-    if let Ok(Some(connection)) = asked {
-        keep(daemon, connection).await;
-        return Ok(());
+    daemon.record_plain_send(server);
+    daemon.silent_servers.borrow_mut().record_ask(&instance, asked_at);
+    match call(&daemon.check_pool, &instance, server.addr, request, limit).await {
+        Ok(response) => {
+            if is_from(daemon, &response.into_parts().0, &instance) {
+                daemon.record_check(&instance);
+            }
+            Ok(())
+        }
+        // A busy server may answer other requests first.
+        Err(CallError::NoResponse)
+            if !daemon.silent_servers.borrow().has_answered(&instance, asked_at) =>
+        {
+            Err(SendFailure::unsent(UNCONFIRMED))
+        }
+        Err(_answered) => Ok(()),
     }
-    // A busy server may answer other requests first.
-    let has_answered = daemon.silent_servers.borrow().has_answered(&server.instance(), asked_at);
-    if asked.is_ok() || has_answered { Ok(()) } else { Err(SendFailure::unsent(UNCONFIRMED)) }
 }
 
 /// Waits until a server of the attempt's service may respond again. Returns false if none does in time; the attempt can then be
@@ -75,47 +84,13 @@
     }
 }
 
-/// Returns a health check; `None` if none is due or possible. Engines are silent by right while they are full, and requests to
-/// a rate-limited server need a permit.
+/// Returns a health check; `None` if none is due or possible. Engines are silent by right while they are full, requests to a
+/// rate-limited server need a permit, and peers relay requests only.
 fn due_request(daemon: &DaemonState, server: &Server) -> Option<Request<Bytes>> {
     let (instance, now) = (server.instance(), daemon.now());
     let is_due = daemon.silent_servers.borrow().must_confirm(&server.service, &instance, now)
+        && !daemon.server_paths.borrow().is_relayed(&instance, now)
         && daemon.is_plain(&server.service)
         && !daemon.send_permits().contains_key(&instance);
     if is_due { health_request(daemon, server) } else { None }
 }
-
-/// Sends a health check; returns the connection if it is still open.
-async fn ask(
-    daemon: &DaemonState,
-    server: &Server,
-    mut connection: Connection,
-    request: Request<Bytes>,
-) -> Option<Connection> {
-    let instance = server.instance();
-    daemon.record_plain_send(server);
-    daemon.silent_servers.borrow_mut().record_ask(&instance, daemon.now());
-    let mut sent = connection.sender().try_send_request(request.map(Full::new)).await;
-    // The pooled connection may have ended while it was idle.
-    if let Err(error) = &mut sent
-        && let Some(unsent) = error.take_message()
-    {
-        connection = daemon.connect_server(&instance, server.addr).await.ok()?;
-        sent = connection.sender().try_send_request(unsent).await;
-    }
-    let Ok(response) = sent else {
-        daemon.record_connection_end(&instance);
-        return None;
-    };
-    let (head, body) = response.into_parts();
-    if is_from(daemon, &head, &instance) {
-        daemon.record_check(&instance);
-    }
-    Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
-    Some(connection)
-}
-
-/// Leaves a connection in the pool for the next request, unless the server closes it.
-async fn keep(daemon: &DaemonState, connection: Connection) {
-    let _closed = daemon.pool.add_idle(connection).await;
-}
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -106,6 +106,8 @@
     pub store: Rc<dyn Store>,
     /// Connections to backend servers.
     pub pool: ConnectionPool,
+    /// Connections to backend servers for health checks before requests.
+    pub check_pool: ConnectionPool,
     /// Memory for responses that are read whole.
     pub response_bytes: ByteBudget,
     /// Memory for the bodies of callers' requests.
@@ -276,6 +278,7 @@
             clock,
             protocol,
             store,
+            check_pool: pool.separate(),
             pool,
             response_bytes: ByteBudget::new(RESPONSE_BYTES),
             request_bytes: ByteBudget::new(REQUEST_BYTES),
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -156,6 +156,7 @@
         suspects::release_expired(&daemon);
         let directory = daemon.directory.borrow();
         daemon.pool.evict_idle(|instance| directory.is_current(instance));
+        daemon.check_pool.evict_idle(|instance| directory.is_current(instance));
     }
 }
 
--- a/lib/src/serve/pool.rs
+++ b/lib/src/serve/pool.rs
@@ -133,6 +133,12 @@
         Self { idle: Rc::default(), connector }
     }
 
+    /// Returns an empty pool whose connections are opened in the same way.
+    #[must_use]
+    pub fn separate(&self) -> Self {
+        Self::new(Rc::clone(&self.connector))
+    }
+
     /// Returns an idle connection that is open and has not expired; one that a peer relays only with `relayed`.
     pub fn take_idle(&self, server: &ServerInstance, relayed: bool) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -90,7 +90,7 @@
         Self { evidence: Some(Evidence::Unreachable), delivered: false, ..Self::not_run(reason) }
     }
 
-    pub(super) fn connect_failed(error: &io::Error) -> Self {
+    fn connect_failed(error: &io::Error) -> Self {
         match error.kind() {
             io::ErrorKind::ConnectionRefused => Self::unreachable("connection refused"),
             _ => Self::unreachable("no connection"),
