--- a/lib/src/cluster/silent_servers.rs
+++ b/lib/src/cluster/silent_servers.rs
@@ -1,8 +1,8 @@
 //! Servers of plain services that have had a request for longer than their service usually takes, and sent nothing since.
 //!
 //! A suspended server reads what its kernel has buffered once it continues, also requests that have been answered elsewhere
-//! by then. Such runs are wasted, so few requests are sent to a server that does not respond. At least one finds out, at each
-//! standstill of each server; a health check does so instead where servers have stood still before, or may have.
+//! by then. Such runs are wasted, so few requests are sent to a server that does not respond. Without a health check first, each
+//! stall of each server costs at least one such run.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -31,16 +31,16 @@
 const EXPIRY: Duration = Duration::from_secs(10);
 /// Time from a health check by which a server that runs has answered it.
 const CHECK_MARGIN: Duration = Duration::from_millis(250);
-/// Time after a standstill in which servers of the service are asked before they get a request: each standstill after that
-/// costs a wasted run again, of which there may be few in a day.
+/// Time after a stall in which requests to the service are sent only after a health check: a stall later than that costs a
+/// wasted run, of which there may be few in a day.
 const UNSTEADY_TIME: Duration = Duration::from_hours(6);
-/// Time after the start of a process in which it treats all services alike: it does not know what stood still before.
+/// Time after the start of a process in which all services count as unsteady: records of earlier stalls end with a process.
 const LEARNING_TIME: Duration = Duration::from_mins(10);
-/// Number of unanswered health checks after which a server may be one that answers none, though it serves requests; it gets
-/// requests without one, as after [`EXPIRY`], for this long.
+/// Number of unanswered health checks after which, and after [`EXPIRY`], requests are sent without one for `FUTILE_TIME`: the
+/// health path may be wrong.
 const FUTILE_CHECKS: u32 = 5;
 const FUTILE_TIME: Duration = Duration::from_mins(10);
-/// Time after a response in which a server need not be asked.
+/// Time after a response in which no health check is sent before a request.
 const CONFIRMED_TIME: Duration = Duration::from_millis(2);
 
 #[derive(Clone, Debug, Default)]
@@ -56,9 +56,9 @@
     check_interval: Duration,
     /// Whether `take_new` has returned it since it fell silent.
     is_known: bool,
-    /// Whether a peer has waited for it for so long that it stands still.
+    /// Whether a peer reported that its health checks are unanswered, too.
     stands_still: bool,
-    /// Whether it has responded to this process.
+    /// Whether this process has received a response from it.
     has_responded: bool,
     /// Number of health checks before requests since it last answered one, and when the first of them was sent.
     unanswered_checks: u32,
@@ -72,7 +72,7 @@
     times: HashMap<ServiceName, ResponseTimes>,
     /// Until when all services count as unsteady.
     learning_until: Moment,
-    /// Services of which a server has responded again after a standstill, and until when that counts.
+    /// Services with a server that responded again after a stall, and when that expires.
     unsteady: HashMap<ServiceName, Moment>,
     /// Those that `take_unsteady` has not returned yet.
     new_unsteady: Vec<ServiceName>,
@@ -165,7 +165,7 @@
         silence.filter(|_| std::mem::take(&mut entry.is_known))
     }
 
-    /// Records that the service is unsteady if the server, which runs now, stood still.
+    /// Records that the service is unsteady if the server, which responds now, had stalled.
     fn record_standstill(&mut self, server: &ServerInstance, now: Moment) {
         let Some(entry) = self.entries.get(server) else { return };
         let silence = entry.unanswered_since.map(|since| now.saturating_sub(since));
@@ -196,14 +196,14 @@
         }
     }
 
-    /// Returns whether a server of the service has stood still lately, or may have done so before the start of this process.
+    /// Returns whether a stall of one of the service's servers is recorded, or one may have been before the start of this process.
     pub fn is_unsteady(&self, service: &str, now: Moment) -> bool {
         let until = self.unsteady.get(service).copied().unwrap_or_default();
         now < until.max(self.learning_until)
     }
 
-    /// Returns whether a server is to be asked before it gets a request: it has never responded to this process, or its service
-    /// is unsteady and nothing shows that this one runs now. Not if it answers no health checks for a while.
+    /// Returns whether a health check is sent before a request: no response was ever received from the server, or its service is
+    /// unsteady and the last response is not recent. `false` while its health checks are futile.
     pub fn must_confirm(&self, service: &str, server: &ServerInstance, now: Moment) -> bool {
         let Some(entry) = self.entries.get(server) else { return true };
         let is_confirmed = now < entry.answered_at + CONFIRMED_TIME;
@@ -289,7 +289,8 @@
         since.is_some_and(|time| time > self.patience(&entry.service) && time < EXPIRY)
     }
 
-    /// Returns the time without a response after which a server stands still: one that runs has answered a health check.
+    /// Returns the time without a response after which a server counts as stalled: a health check was sent before, and its answer
+    /// would have been received.
     fn standstill_time(&self, service: &ServiceName) -> Duration {
         self.patience(service).max(FIRST_CHECK) + CHECK_MARGIN
     }
--- a/lib/src/serve/choose.rs
+++ b/lib/src/serve/choose.rs
@@ -283,8 +283,7 @@
         self.eligible_servers(service).any(|server| self.is_healthy(server))
     }
 
-    /// Returns the servers of a service that get no retry: they are silent, or may soon turn out to be where servers have stood
-    /// still before.
+    /// Returns the servers of a service that get no retry: they are silent, or doubtful and of an unsteady service.
     pub fn unretried_servers(&self, service: &str) -> Vec<ServerInstance> {
         let is_unsteady = self.silent.is_unsteady(service, self.now);
         let is_out = |server: &ServerInstance| {
--- a/lib/src/serve/confirm_server.rs
+++ b/lib/src/serve/confirm_server.rs
@@ -1,4 +1,4 @@
-//! Asks servers whether they run, before they get a request, where servers of their service have stood still.
+//! Health checks before requests to services whose servers may stall.
 
 use std::time::Duration;
 
@@ -68,7 +68,7 @@
 /// Waits until a server of the attempt's service may respond again. Returns false if none does in time; the attempt can then be
 /// refused as one that did not run.
 ///
-/// A request that is sent to a server that stands still can move only by a retry, and the server still runs it later.
+/// A request in the socket of a stalled server moves only by a retry, and is run once the server continues.
 pub async fn await_responsive(daemon: &DaemonState, attempt: &Attempt) -> bool {
     let until = attempt.deadline.saturating_sub(REFUSAL_MARGIN);
     sleep(RETRY_DELAY).await;
--- a/lib/src/serve/silence_checks.rs
+++ b/lib/src/serve/silence_checks.rs
@@ -18,8 +18,8 @@
 
 /// Interval between looks for servers that have fallen silent: shorter than the time after which one counts as such.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time limit of a health check: no shorter than the interval between two, so that a server that goes on after a standstill
-/// always has one to answer at once.
+/// Time limit of a health check: no shorter than the interval between two, so that one is always
+/// pending when a stalled server continues.
 const CHECK_TIMEOUT: Duration = MAX_CHECK_INTERVAL;
 
 impl DaemonState {
--- a/lib/tests/test_silent_servers.rs
+++ b/lib/tests/test_silent_servers.rs
@@ -119,7 +119,7 @@
     assert_eq!(due(&mut servers), 0);
 }
 
-/// Returns servers of a service of which b1 stood still from 0 to 3 s.
+/// Returns servers of a service of which b1 was stalled from 0 to 3 s.
 fn stood_still() -> SilentServers {
     let mut servers = usual(15);
     servers.record_send(&SERVICE.into(), &server("b1"), at(0));
@@ -127,7 +127,7 @@
     servers
 }
 
-/// Guards against a request in the socket of each server that stands still once more.
+/// Guards against a wasted request at each stall after the first one.
 #[test]
 fn asked_first() {
     let mut servers = stood_still();
@@ -145,7 +145,7 @@
     assert!(servers.take_unsteady().is_empty());
 }
 
-/// Guards against health checks for requests of a service of which no server stood still: one took long, one has gone.
+/// Guards against health checks for requests of a service without a stall: one response is slow, one connection ended.
 #[test]
 fn others_unasked() {
     let mut servers = usual(15);
@@ -157,7 +157,7 @@
     assert!(servers.take_unsteady().is_empty());
 }
 
-/// Guards against each daemon finding out about standstills by a request of its own.
+/// Guards against a wasted request of each daemon where a peer has reported the stall.
 #[test]
 fn peer_standstill() {
     for (age, must_ask) in [(500, false), (1000, true)] {
@@ -171,7 +171,7 @@
     }
 }
 
-/// Guards against a process that starts anew and trusts servers of which those before it knew that they stand still at times.
+/// Guards against wasted requests of a new process, which has no record of earlier stalls.
 #[test]
 fn learns_first() {
     let mut servers = SilentServers::new(at(0));
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -22,7 +22,7 @@
 
 /// Number of events in a complete stream of a stand-in server.
 pub const EVENTS: u64 = 10;
-/// Deadline that callers send with each request, unless told otherwise.
+/// Default deadline of callers' requests.
 pub const DEADLINE: Duration = Duration::from_secs(4);
 /// After the deadline, a daemon must send its own response within this time.
 const RESPONSE_MARGIN: Duration = Duration::from_secs(2);
@@ -102,7 +102,7 @@
     pub stopped: Cell<bool>,
     /// Longest pause between two requests of a caller.
     pub pause: Cell<Duration>,
-    /// Deadline that callers send with each request.
+    /// Deadline of callers' requests.
     pub deadline: Cell<Duration>,
 }
 
--- a/soak/src/send_check.rs
+++ b/soak/src/send_check.rs
@@ -23,7 +23,7 @@
 /// Share of the late runs that may end too late.
 const MAX_SHARE: f64 = 0.2;
 
-/// Header that tells a server how long it may take.
+/// Header with the time that is left, in milliseconds.
 const DEADLINE_HEADER: &str = "x-comfreymux-deadline-ms";
 
 /// A run that began late and may end too late.
@@ -75,7 +75,7 @@
                 list.push(Overlong { attempt, server, first: first.at, at: run.at });
             }
         }
-        // Without a deadline header a server is given all the time it wants.
+        // Without a deadline header the time is unbounded.
         let is_unbounded = |run: &&&Run| !run.headers.contains_key(DEADLINE_HEADER);
         self.overlong += runs.iter().filter(is_unbounded).count();
         let longest = Duration::from_millis(first.deadline);
--- a/soak/src/socket_owner.rs
+++ b/soak/src/socket_owner.rs
@@ -18,7 +18,7 @@
 use netlink_sys::Socket;
 use netlink_sys::protocols::NETLINK_SOCK_DIAG;
 
-/// Stands for any cookie of a socket.
+/// Matches any cookie (`INET_DIAG_NOCOOKIE`).
 const NO_COOKIE: [u8; 8] = [0xff; 8];
 /// More than the kernel's answer to a query for one socket.
 const ANSWER_BYTES: usize = 4096;
