--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,18 +1,6 @@
 //! `comfreymux-soak`: runs real daemons under random faults and checks their guarantees from outside.
 
-mod callers;
-mod calm_stop;
-mod fatal_parts;
-mod fatal_tally;
 mod flags;
-mod plan;
-mod process;
-mod proxy;
-mod resumed_streams;
-mod retry_check;
-mod send_check;
-mod socket_owner;
-mod world;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -23,6 +11,18 @@
 use std::time::Duration;
 
 use comfreymux_platform_testutils::rig;
+use comfreymux_soak::callers;
+use comfreymux_soak::callers::CallerRecord;
+use comfreymux_soak::callers::DEADLINE;
+use comfreymux_soak::calm_stop;
+use comfreymux_soak::fatal_parts;
+use comfreymux_soak::fatal_tally;
+use comfreymux_soak::fatal_tally::FatalTally;
+use comfreymux_soak::plan;
+use comfreymux_soak::retry_check;
+use comfreymux_soak::send_check;
+use comfreymux_soak::world::Size;
+use comfreymux_soak::world::World;
 use comfreymux_testutils::retry_windows::RetryWindow;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -32,12 +32,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::callers::CallerRecord;
-use crate::callers::DEADLINE;
-use crate::fatal_tally::FatalTally;
 use crate::flags::ComfreymuxSoak;
-use crate::world::Size;
-use crate::world::World;
 
 /// Callers per daemon.
 const CALLERS_PER_DAEMON: usize = 4;
--- a/soak/tests/test_socket_owner.rs
+++ b/soak/tests/test_socket_owner.rs
@@ -1,13 +1,10 @@
 //! Which process has a connection.
 
-#[path = "../src/socket_owner.rs"]
-mod socket_owner;
-
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::process;
 
-use socket_owner::is_owner;
+use comfreymux_soak::socket_owner::is_owner;
 
 /// Id of a process that is not this one, and whose descriptors may be unreadable.
 const OTHER_PROCESS: u32 = 1;
