soak: notes each repeated arrival with its server

The course lists each repeat with its server instance and time now, so that it can be joined with the sends in the daemons' logs. No logic is changed.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -209,6 +209,7 @@
     sleep(Duration::from_millis(200)).await;
     let mut faults = check(&world, &outcome);
     let windows = retry_check::worst_windows(&world, &outcome);
+    retry_check::note_repeats(&world);
     faults.extend(retry_check::faults(windows));
     let handed = send_check::tallies(&world, &outcome);
     // Runs of engines are reported, but are no fault: a stream ends with its events, not at its deadline.
--- a/soak/src/retry_check.rs
+++ b/soak/src/retry_check.rs
@@ -29,15 +29,44 @@
 
 /// Returns when each request arrived again at any server of a service, in order.
 fn repeats(world: &World, is_engine: bool) -> Vec<Duration> {
+    let again = repeated_arrivals(world, is_engine);
+    again.into_iter().map(|arrival| world.time_of(arrival.at)).collect()
+}
+
+/// Notes each repeated arrival with its server, to be compared with the sends in the daemons' logs.
+pub fn note_repeats(world: &World) {
+    for arrival in
+        [false, true].into_iter().flat_map(|is_engine| repeated_arrivals(world, is_engine))
+    {
+        let SeenArrival { at, attempt, server } = arrival;
+        world.note(&format!("repeat {attempt} server={server} {:.3?}", world.time_of(at)));
+    }
+}
+
+/// An arrival at a server.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct SeenArrival {
+    at: Instant,
+    attempt: String,
+    /// The server instance: id and start time.
+    server: String,
+}
+
+/// Returns the arrivals of each request after the first, in order.
+fn repeated_arrivals(world: &World, is_engine: bool) -> Vec<SeenArrival> {
     let (servers, removed) = (world.servers.borrow(), world.removed.borrow());
     let servers = servers.iter().chain(removed.iter()).filter(|s| s.engine.is_some() == is_engine);
-    let mut arrivals: Vec<(Instant, String)> = servers
-        .flat_map(|s| {
-            s.arrivals.borrow().iter().map(|a| (a.at, a.attempt.clone())).collect::<Vec<_>>()
-        })
-        .collect();
+    let mut arrivals: Vec<SeenArrival> = Vec::new();
+    for server in servers {
+        let name = format!("{}@{}", server.id, server.born);
+        arrivals.extend(server.arrivals.borrow().iter().map(|a| SeenArrival {
+            at: a.at,
+            attempt: a.attempt.clone(),
+            server: name.clone(),
+        }));
+    }
     arrivals.sort();
     let mut known = BTreeSet::new();
-    arrivals.retain(|(_, attempt)| !known.insert(attempt.clone()));
-    arrivals.into_iter().map(|(at, _)| world.time_of(at)).collect()
+    arrivals.retain(|arrival| !known.insert(arrival.attempt.clone()));
+    arrivals
 }
