soak: a server that leaves while it restarts counts once

At 26.814 s the soak restarted engine 3 and waited for its port; the rolling release, whose pause was over in the same milliseconds, let the same engine leave. Both put it on the list of removed servers, so that each of its arrivals counted once more as a repeat.

Before: left_restarting fails, the engine is removed twice and five requests count as five repeats. After: it passes.

--- a/soak/src/retry_check.rs
+++ b/soak/src/retry_check.rs
@@ -33,6 +33,11 @@
     again.into_iter().map(|arrival| world.time_of(arrival.at)).collect()
 }
 
+/// Returns the number of arrivals after the first of each request, at all servers of a service.
+pub fn repeat_count(world: &World, is_engine: bool) -> usize {
+    repeated_arrivals(world, is_engine).len()
+}
+
 /// Notes each repeated arrival with its server, to be compared with the sends in the daemons' logs.
 pub fn note_repeats(world: &World) {
     for arrival in
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -270,10 +270,11 @@
                         proxy.open();
                         Self::close_at_crash(&again, proxy);
                         servers[place] = again;
+                        self.removed.borrow_mut().push(server);
                     }
+                    // It was removed meanwhile.
                     None => again.crash(),
                 }
-                self.removed.borrow_mut().push(server);
             }
             Err(error) => self.note(&format!("not started again: {error}")),
         }
