soak: servers that refuse, hang, lose or fail most requests throughout; callers that send an attempt again

Services that fail in one way for a whole run, budgets with a site's slack, and HTTP libraries that repeat an attempt on another connection when a kept one ends were not played over real processes. No logic of a daemon is changed.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -104,6 +104,11 @@
     pub pause: Cell<Duration>,
     /// Deadline of callers' requests.
     pub deadline: Cell<Duration>,
+    /// Whether an attempt that may run again is sent once more, at another daemon, when a kept connection ends without a
+    /// response, as HTTP libraries do.
+    pub resends: Cell<bool>,
+    /// Number of attempts that were.
+    pub resent: Cell<u32>,
 }
 
 impl CallerRecord {
@@ -149,18 +154,16 @@
         let had_only_stops = seen.only_stops.get();
         let leaves = rng.random_bool(0.05);
         let limit = if leaves { Duration::from_millis(30) } else { deadline + RESPONSE_MARGIN };
+        let other = fronts[(number + count) % fronts.len()];
         let exchange = async {
-            let mut wire = match open.take() {
-                Some(mut wire) => {
-                    if ask.send_on(&mut wire).await.is_err() {
-                        return None;
-                    }
-                    wire
+            let Some(kept) = open.take() else { return exchange_new(&ask, front).await };
+            match exchange_kept(&ask, kept).await {
+                None if seen.resends.get() && !kind.is_single() => {
+                    seen.resent.set(seen.resent.get() + 1);
+                    exchange_new(&ask, other).await
                 }
-                None => ask.send(front).await.ok()?,
-            };
-            let answer = wire.message().await.ok()?;
-            Some((wire, answer))
+                answered => answered,
+            }
         };
         match timeout(limit, exchange).await {
             Ok(Some((wire, answer))) => {
@@ -203,6 +206,18 @@
     }
 }
 
+async fn exchange_kept(ask: &Ask, mut wire: Wire) -> Option<(Wire, Message)> {
+    ask.send_on(&mut wire).await.ok()?;
+    let answer = wire.message().await.ok()?;
+    Some((wire, answer))
+}
+
+async fn exchange_new(ask: &Ask, front: SocketAddr) -> Option<(Wire, Message)> {
+    let mut wire = ask.send(front).await.ok()?;
+    let answer = wire.message().await.ok()?;
+    Some((wire, answer))
+}
+
 /// Sends the requests that crash servers repeatedly to random daemons until fault injection ends.
 pub async fn send_fatal_requests(
     seen: Rc<CallerRecord>,
--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use comfreymux_soak::failure::Failure;
+
 xflags::xflags! {
     /// Runs daemons as processes under random troubles and checks their promises.
     cmd comfreymux-soak {
@@ -21,6 +23,10 @@
         optional --stalls
         /// The same beside the usual troubles, kills of all daemons among them.
         optional --mixed
+        /// How servers treat most requests throughout: refuse, hang, lose or fail.
+        optional --failure kind: Failure
+        /// Callers send an attempt again, at another daemon, when a kept connection ends without a response.
+        optional --resend
         /// Callers per daemon.
         optional --callers count: usize
         /// Longest pause of a caller between two requests, in milliseconds.
@@ -29,6 +35,8 @@
         optional --deadline milliseconds: u64
         /// Kills all daemons at the end of the troubles.
         optional --herd
+        /// Retries that all daemons may send in a window regardless of the number of requests.
+        optional --slack count: u32
         /// Number of daemons.
         optional --daemons count: usize
         /// Folder for logs; those of failed seeds stay.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,10 +15,12 @@
 use comfreymux_soak::callers::CallerRecord;
 use comfreymux_soak::callers::DEADLINE;
 use comfreymux_soak::calm_stop;
+use comfreymux_soak::failure::Failure;
 use comfreymux_soak::fatal_parts;
 use comfreymux_soak::fatal_tally;
 use comfreymux_soak::fatal_tally::FatalTally;
 use comfreymux_soak::plan;
+use comfreymux_soak::process::BUDGET_LIMITS;
 use comfreymux_soak::retry_check;
 use comfreymux_soak::send_check;
 use comfreymux_soak::world::Size;
@@ -66,16 +68,21 @@
             (false, true) => Faults::Stalls,
             (false, false) => Faults::Usual,
         },
-        callers: flags.callers.unwrap_or(usual),
-        pause: flags.pause.map_or(CALLER_PAUSE, Duration::from_millis),
-        deadline: flags.deadline.map_or(DEADLINE, Duration::from_millis),
+        callers: Callers {
+            per_daemon: flags.callers.unwrap_or(usual),
+            pause: flags.pause.map_or(CALLER_PAUSE, Duration::from_millis),
+            deadline: flags.deadline.map_or(DEADLINE, Duration::from_millis),
+            resends: flags.resend,
+        },
         ends_herd: flags.herd,
+        failure: flags.failure,
+        slack: flags.slack.map_or(BUDGET_LIMITS.slack, f64::from),
     };
     let mut failed = 0;
     for seed in first..first + flags.seeds.unwrap_or(1) {
         let folder = folder.join(format!("seed-{seed}"));
         let engines = if flags.stalls { MANY_ENGINES } else { 1 } * daemons;
-        let size = Size { daemons, plain: 3, engines: engines.max(4) };
+        let size = Size { daemons, plain: 3, engines: engines.max(4), slack: course.slack };
         match rig::run(soak(size, seed, time, course, &flags.program, &folder)) {
             Ok((faults, summary)) if faults.is_empty() => {
                 println!("seed {seed}: kept; {summary}");
@@ -110,6 +117,19 @@
     Mixed,
 }
 
+/// How callers behave.
+#[derive(Clone, Copy, Debug)]
+struct Callers {
+    /// Their number per daemon.
+    per_daemon: usize,
+    /// Longest pause between two requests of one.
+    pause: Duration,
+    /// For how long they wait.
+    deadline: Duration,
+    /// Whether they send an attempt again when a kept connection ends without a response.
+    resends: bool,
+}
+
 /// What a soak plays.
 #[derive(Clone, Copy, Debug)]
 struct Course {
@@ -118,14 +138,13 @@
     /// Requests with prompt parts that crash engines.
     has_parts: bool,
     faults: Faults,
-    /// Callers per daemon.
-    callers: usize,
-    /// Longest pause of a caller between two requests.
-    pause: Duration,
-    /// Deadline of callers.
-    deadline: Duration,
+    callers: Callers,
     /// Whether all daemons are killed at the end of the faults.
     ends_herd: bool,
+    /// How servers treat most requests.
+    failure: Option<Failure>,
+    /// Retries of all daemons in a window regardless of the number of requests.
+    slack: f64,
 }
 
 async fn soak(
@@ -140,31 +159,15 @@
     let world = World::start(size, seed, program, folder).await?;
     let outcome = Rc::new(CallerRecord::default());
     sleep(Duration::from_millis(1500)).await;
-    let fronts: Vec<_> = world.front_proxies.iter().map(|p| p.addr).collect();
-    outcome.pause.set(course.pause);
-    outcome.deadline.set(course.deadline);
-    for number in 0..size.daemons * course.callers {
-        spawn_local(callers::send_requests(Rc::clone(&outcome), fronts.clone(), seed, number));
-    }
-    if course.is_fatal {
-        let bodies = (0..FATAL_REQUESTS).map(|n| format!("fatal {n}").into_bytes());
-        world.fatal.borrow_mut().extend(bodies);
-        let bodies = world.fatal.borrow().clone();
-        spawn_local(callers::send_fatal_requests(
-            Rc::clone(&outcome),
-            fronts.clone(),
-            bodies,
-            seed,
-        ));
-    }
-    if course.has_parts {
-        fatal_parts::make_fatal(&world);
-        spawn_local(fatal_parts::send_requests(Rc::clone(&outcome), fronts.clone(), seed));
-    }
+    start_callers(&world, &outcome, course, seed);
     let stalls = ChaCha8Rng::seed_from_u64(seed.rotate_left(24));
     if course.faults == Faults::Mixed {
         spawn_local(plan::stall_repeatedly(Rc::clone(&world), Rc::clone(&outcome), stalls));
     }
+    if let Some(failure) = course.failure {
+        let rng = ChaCha8Rng::seed_from_u64(!seed.rotate_left(8));
+        spawn_local(failure.inject(Rc::clone(&world), Rc::clone(&outcome), rng));
+    }
     let mut herds = ChaCha8Rng::seed_from_u64(!seed.rotate_left(24));
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut broken = ChaCha8Rng::seed_from_u64(!seed);
@@ -222,18 +225,40 @@
     }
     let attempts = outcome.attempts.borrow().len();
     let (resumed, tries) = outcome.resumed.get();
+    let resent = outcome.resent.get();
     let excess = |w: RetryWindow| format!("{:.0}", w.excess());
     let repeats = windows.map(|w| w.map_or_else(|| "-".to_owned(), excess)).join(" and ");
     let handed = handed.map(|tally| tally.to_string()).join(" and ");
     let fatal: Vec<_> = parts.iter().chain(&fatal).map(FatalTally::to_string).collect();
     let fatal = fatal.join(", ");
     let summary = format!(
-        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, \
+        "{attempts} requests, {good} of {all} good after recovery, streams taken up {resumed} of {tries} times, {resent} sent again, \
          repeats beyond the budget {repeats}; {handed}; {fatal}"
     );
     Ok((faults, summary))
 }
 
+/// Starts the callers, and those of requests that crash servers.
+fn start_callers(world: &Rc<World>, outcome: &Rc<CallerRecord>, course: Course, seed: u64) {
+    let fronts: Vec<_> = world.front_proxies.iter().map(|p| p.addr).collect();
+    outcome.pause.set(course.callers.pause);
+    outcome.deadline.set(course.callers.deadline);
+    outcome.resends.set(course.callers.resends);
+    for number in 0..fronts.len() * course.callers.per_daemon {
+        spawn_local(callers::send_requests(Rc::clone(outcome), fronts.clone(), seed, number));
+    }
+    if course.is_fatal {
+        let bodies = (0..FATAL_REQUESTS).map(|n| format!("fatal {n}").into_bytes());
+        world.fatal.borrow_mut().extend(bodies);
+        let bodies = world.fatal.borrow().clone();
+        spawn_local(callers::send_fatal_requests(Rc::clone(outcome), fronts.clone(), bodies, seed));
+    }
+    if course.has_parts {
+        fatal_parts::make_fatal(world);
+        spawn_local(fatal_parts::send_requests(Rc::clone(outcome), fronts.clone(), seed));
+    }
+}
+
 /// Ends all faults, waits for service to recover and then counts responses for as long again.
 async fn recover(world: &Rc<World>, seen: &CallerRecord) -> io::Result<()> {
     world.note("troubles end");
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -17,7 +17,7 @@
 use rustix::process::kill_process;
 use tokio::time::Instant;
 
-/// Retry limits of all daemons together, as in their settings.
+/// Usual retry limits of all daemons together.
 pub const BUDGET_LIMITS: BudgetLimits =
     BudgetLimits { window: Duration::from_secs(10), ratio: 0.2, slack: 50.0 };
 /// Longest time from SIGTERM to the exit of a daemon; `grace_s` in its settings.
@@ -42,7 +42,7 @@
 }
 
 impl Daemon {
-    /// Prepares a daemon whose store is at `store`.
+    /// Prepares a daemon whose store is at `store`; `limits` are those of all daemons together.
     pub fn new(
         name: &str,
         program: &Path,
@@ -50,9 +50,10 @@
         front: SocketAddr,
         store: SocketAddr,
         seed: SocketAddr,
+        limits: &BudgetLimits,
     ) -> Self {
         let ip = front.ip();
-        let BudgetLimits { window, ratio, slack } = BUDGET_LIMITS;
+        let BudgetLimits { window, ratio, slack } = limits;
         let window = window.as_secs();
         let settings = format!(
             "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"north\"\ninternal_ports = [7380, 7395]\n\
--- a/soak/src/retry_check.rs
+++ b/soak/src/retry_check.rs
@@ -8,7 +8,6 @@
 use tokio::time::Instant;
 
 use crate::callers::CallerRecord;
-use crate::process::BUDGET_LIMITS;
 use crate::world::World;
 
 /// Returns the worst window of the plain service, and that of the engines.
@@ -17,7 +16,7 @@
         let sent = seen.attempts.borrow();
         let sent = sent.iter().filter(|s| s.kind.is_stream() == is_engine);
         let sent: Vec<Duration> = sent.map(|s| world.time_of(s.at)).collect();
-        worst_window(&BUDGET_LIMITS, &sent, &repeats(world, is_engine))
+        worst_window(&world.limits, &sent, &repeats(world, is_engine))
     })
 }
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use comfreymux_lib::cluster::retry_budgets::BudgetLimits;
 use comfreymux_platform_testutils::engine_state::EngineState;
 use comfreymux_platform_testutils::rig::BEAT;
 use comfreymux_platform_testutils::rig::configuration;
@@ -25,6 +26,7 @@
 use tokio::time::sleep;
 
 use crate::callers::EVENTS;
+use crate::process::BUDGET_LIMITS;
 use crate::process::Daemon;
 use crate::proxy::Cut;
 use crate::proxy::Proxy;
@@ -48,6 +50,8 @@
     pub plain: usize,
     /// Number of engines.
     pub engines: usize,
+    /// Retries that all daemons may send in a window regardless of the number of requests.
+    pub slack: f64,
 }
 
 /// State of one soak.
@@ -65,6 +69,8 @@
     pub front_proxies: Vec<Rc<Proxy>>,
     /// The daemon processes.
     pub daemons: Vec<RefCell<Daemon>>,
+    /// Retry limits of all daemons together.
+    pub limits: BudgetLimits,
     /// Every request that a server started to run.
     pub runs: Runs,
     /// Bodies of the requests that crash every server that begins to run them.
@@ -103,6 +109,7 @@
         let mut store_proxies = Vec::new();
         let mut front_proxies = Vec::new();
         let process = std::process::id().to_be_bytes();
+        let limits = BudgetLimits { slack: size.slack, ..BUDGET_LIMITS };
         for n in 0..size.daemons {
             let host = |n: usize| {
                 let [_, high, low] = [0, (n / 250) as u8, (n % 250 + 1) as u8];
@@ -113,7 +120,7 @@
             front_proxies.push(Proxy::start(front).await?);
             let other = SocketAddr::from((host((n + 1) % size.daemons), 7380));
             let name = format!("d{n}");
-            let daemon = Daemon::new(&name, program, folder, front, to_store.addr, other);
+            let daemon = Daemon::new(&name, program, folder, front, to_store.addr, other, &limits);
             daemons.push(RefCell::new(daemon));
             store_proxies.push(to_store);
         }
@@ -124,6 +131,7 @@
             store_proxies,
             front_proxies,
             daemons,
+            limits,
             runs: Rc::default(),
             fatal: Rc::default(),
             crashed_since: RefCell::default(),
--- a/soak/tests/test_server_lists.rs
+++ b/soak/tests/test_server_lists.rs
@@ -23,7 +23,7 @@
     run(async {
         let folder = std::env::temp_dir().join(format!("left-restarting-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
-        let size = Size { daemons: 0, plain: 1, engines: 3 };
+        let size = Size { daemons: 0, plain: 1, engines: 3, slack: 0.0 };
         let world = World::start(size, 1, Path::new("no-daemon"), &folder).await?;
         let server = Rc::clone(&world.servers.borrow()[ENGINE]);
         for n in 0..REQUESTS {
