callers: their connections are bounded by the host's descriptors and memory

Callers that begin a request and never finish it kept their connections until a timeout, however many there were. On a host with 600 descriptors 500 of them took 519 sockets: the daemon reaches no server, store or peer then, and an ordinary caller waits.

The limits of the host (memory_mb, max_fds) are read now. Callers get half of the descriptors that are left beside the daemon's own, since each whole request needs a connection to a server, and no more connections than two fifths of the memory bear; those without a whole request no more than 0.15 of it. Beyond that the oldest connection without a whole request ends for the new one, so that strangers do not keep others out; where all have whole requests the new one is closed. A line a second at most (callers-ended) and gauges tell of it.

Ruled out: refusing new connections while strangers hold the old ones, and unreadiness, with either of which strangers take a daemon out.

--- a/cli/tests/test_unruly_callers.rs
+++ b/cli/tests/test_unruly_callers.rs
@@ -26,7 +26,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// The daemon's host.
+/// The daemon's host. `CROWD_HOST=MEGABYTES,DESCRIPTORS,CALLERS` plays another one, and crowds of so many callers.
 const HOST: HostLimits = HostLimits { memory_mb: 64, max_fds: 600 };
 /// Longest body that the configuration allows.
 const MAX_BODY: usize = 4 * MEGABYTE;
@@ -64,6 +64,25 @@
     Whole(usize),
 }
 
+/// A host and, if not the usual one, the size of a crowd.
+#[derive(Clone, Copy, Debug)]
+struct Scene {
+    host: HostLimits,
+    callers: Option<usize>,
+}
+
+impl Scene {
+    fn from_env() -> Self {
+        let Ok(text) = std::env::var("CROWD_HOST") else {
+            return Self { host: HOST, callers: None };
+        };
+        let numbers: Vec<usize> = text.split(',').map(|n| n.parse().expect("a number")).collect();
+        let [memory_mb, descriptors, callers] = numbers[..] else { panic!("three numbers") };
+        let host = HostLimits { memory_mb, max_fds: descriptors as u64 };
+        Self { host, callers: Some(callers) }
+    }
+}
+
 impl Crowd {
     fn size(self) -> usize {
         match self {
@@ -160,10 +179,10 @@
         Ok(())
     }
 
-    fn check(&self) {
+    fn check(&self, host: &HostLimits) {
         println!("{} MiB, {} sockets", self.memory / MEGABYTE, self.sockets);
-        assert!(self.memory <= HOST.memory_mb * MEGABYTE, "memory: {} bytes", self.memory);
-        let sockets = HOST.max_fds - FILE_DESCRIPTORS;
+        assert!(self.memory <= host.memory_mb * MEGABYTE, "memory: {} bytes", self.memory);
+        let sockets = host.max_fds - FILE_DESCRIPTORS;
         assert!(self.sockets as u64 <= sockets, "descriptors: {} sockets", self.sockets);
     }
 }
@@ -186,7 +205,12 @@
     last
 }
 
-fn start_crowd(crowd: Crowd, front: SocketAddr, sent: &Rc<Semaphore>) -> Vec<JoinHandle<()>> {
+fn start_crowd(
+    crowd: Crowd,
+    size: usize,
+    front: SocketAddr,
+    sent: &Rc<Semaphore>,
+) -> Vec<JoinHandle<()>> {
     let caller = |number| {
         let sent = Rc::clone(sent);
         spawn_local(async move {
@@ -197,7 +221,7 @@
             }
         })
     };
-    (0..crowd.size()).map(caller).collect()
+    (0..size).map(caller).collect()
 }
 
 /// Guards against callers that end a daemon, exceed its host's memory or descriptors, or keep others from it.
@@ -219,15 +243,17 @@
         let mut config = rig::configuration(2);
         config["limits"]["max_body_bytes"] = json!(MAX_BODY);
         rig.store.put("keyed.op", "config", Some(&config));
+        let scene = Scene::from_env();
+        let size = scene.callers.unwrap_or(crowd.size());
         let program = Path::new(env!("CARGO_BIN_EXE_comfreymux-entry"));
-        let mut daemon = EntryProcess::start(program, rig.store.addr, &HOST)?;
+        let mut daemon = EntryProcess::start(program, rig.store.addr, &scene.host)?;
         let front = daemon.front;
         assert_eq!(ask_ordinary(front, 10).await, Some(200), "before the crowd");
         assert_eq!(ask_ordinary(front, MAX_BODY).await, Some(200), "a long body in calm");
         let mut usage = Usage::default();
         let sent = Rc::new(Semaphore::new(0));
-        let callers = start_crowd(crowd, front, &sent);
-        while sent.available_permits() < crowd.size() {
+        let callers = start_crowd(crowd, size, front, &sent);
+        while sent.available_permits() < size {
             usage.sample(&mut daemon)?;
             sleep(Duration::from_millis(20)).await;
         }
@@ -236,7 +262,7 @@
         callers.iter().for_each(JoinHandle::abort);
         assert_eq!(ask_ordinary(front, MAX_BODY).await, Some(200), "a long body afterwards");
         usage.sample(&mut daemon)?;
-        usage.check();
+        usage.check(&scene.host);
         Ok(())
     })
 }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::serve::caller_connections::EndedConnections;
 use crate::verdict::Verdict;
 
 /// Bucket bounds of the time histograms, in seconds.
@@ -45,6 +46,8 @@
     relays: Counter<u64>,
     load_time: Histogram<f64>,
     buffered_bytes: Gauge<u64>,
+    callers: Gauge<u64>,
+    ended_callers: Gauge<u64>,
     quarantined: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
     origins: Counter<u64>,
@@ -139,6 +142,11 @@
                 "buffered_bytes",
                 "Memory of messages that are read whole, by kind",
             ),
+            callers: gauge("caller_connections", "Open connections of callers, by phase"),
+            ended_callers: gauge(
+                "caller_connections_ended",
+                "Connections of callers that ended to keep the limits, by outcome",
+            ),
             quarantined: gauge(
                 "held_requests",
                 "Requests that go to no server, since several crashed under each",
@@ -176,6 +184,16 @@
         self.buffered_bytes.record(bytes as u64, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Sets the number of callers' connections, of those with a whole request, and those that ended to keep the limits.
+    pub fn set_callers(&self, open: usize, serving: usize, ended: EndedConnections) {
+        let phase = |name: &'static str| [KeyValue::new("phase", name)];
+        self.callers.record((open - serving) as u64, &phase("unfinished"));
+        self.callers.record(serving as u64, &phase("serving"));
+        let outcome = |name: &'static str| [KeyValue::new("outcome", name)];
+        self.ended_callers.record(ended.evicted, &outcome("evicted"));
+        self.ended_callers.record(ended.refused, &outcome("refused"));
+    }
+
     /// Counts a refused request.
     pub fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -14,6 +14,7 @@
 pub mod byte_budget;
 pub mod call;
 pub mod call_guard;
+pub mod caller_connections;
 pub mod caller_socket;
 pub mod choose;
 mod config_reads;
--- a/lib/src/serve/accept.rs
+++ b/lib/src/serve/accept.rs
@@ -16,11 +16,13 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::cluster::configuration::CallerLimits;
 use crate::serve::active_requests::ActiveRequests;
 use crate::serve::body::ReplyBody;
+use crate::serve::caller_connections::CallerConnection;
 use crate::serve::caller_socket::CallerSocket;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::handle::handle_request;
@@ -45,8 +47,12 @@
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
-                let daemon = Rc::clone(&daemon);
-                spawn_local(serve_caller(daemon, stream));
+                if let Some(connection) = daemon.callers.admit(daemon.now()) {
+                    spawn_local(serve_caller(Rc::clone(&daemon), stream, connection));
+                }
+                daemon.log_ended_callers();
+                // Connections that were evicted end before the next one is accepted.
+                yield_now().await;
             }
             Err(error) => {
                 slog::warn!(daemon.log, "accept-failed"; "error" => %error);
@@ -56,14 +62,15 @@
     }
 }
 
-async fn serve_caller(daemon: Rc<DaemonState>, stream: TcpStream) {
+async fn serve_caller(daemon: Rc<DaemonState>, stream: TcpStream, connection: CallerConnection) {
     if socket::configure_accepted(&stream).is_err() {
         return;
     }
     let limits = daemon.config().map_or(DEFAULT_LIMITS, |c| c.limits);
-    let requests = ActiveRequests::new(Rc::clone(&daemon));
+    let requests = ActiveRequests::new(Rc::clone(&daemon), connection);
     let socket = CallerSocket::new(stream, Rc::clone(&requests));
     let service_daemon = Rc::clone(&daemon);
+    let listed = Rc::clone(&requests);
     let service = service_fn(move |request: Request<Incoming>| {
         let daemon = Rc::clone(&service_daemon);
         let active = requests.begin();
@@ -74,8 +81,14 @@
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout) + IDLE_MARGIN)
         .max_buf_size(limits.max_head.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
-    if let Err(error) = connection.await {
-        slog::debug!(daemon.log, "caller-connection-ended"; "error" => %error);
+    tokio::select! {
+        biased;
+        ended = connection => {
+            if let Err(error) = ended {
+                slog::debug!(daemon.log, "caller-connection-ended"; "error" => %error);
+            }
+        }
+        () = listed.connection().evicted() => {}
     }
 }
 
@@ -100,6 +113,8 @@
     serve_text(daemon, listener, |daemon, path| match path {
         "/metrics" => {
             daemon.metrics.set_requests(daemon.model_waits.total(), daemon.active.get());
+            let (open, serving) = daemon.callers.counts();
+            daemon.metrics.set_callers(open, serving, daemon.callers.ended());
             daemon.metrics.set_buffered("responses", daemon.response_bytes.used());
             daemon.metrics.set_buffered("requests", daemon.request_bytes.used());
             let version = daemon.config_version();
--- a/lib/src/serve/active_request.rs
+++ b/lib/src/serve/active_request.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::boot_clock::Moment;
 use crate::serve::active_requests::ActiveRequests;
 
 /// A request in progress.
@@ -16,6 +17,11 @@
     pub fn new(connection: Rc<ActiveRequests>) -> Self {
         Self(connection)
     }
+
+    /// Records that the request was read whole.
+    pub fn begin_serving(&self, now: Moment) {
+        self.0.connection().begin_serving(now);
+    }
 }
 
 impl Drop for ActiveRequest {
--- a/lib/src/serve/active_requests.rs
+++ b/lib/src/serve/active_requests.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use crate::serve::active_request::ActiveRequest;
+use crate::serve::caller_connections::CallerConnection;
 use crate::serve::daemon_state::DaemonState;
 
 /// Counts a connection's requests from their heads until the last byte of their responses is written.
@@ -16,17 +17,24 @@
     /// Requests whose whole response the HTTP library has, but may not have written yet. They are
     /// still included in the daemon's count.
     buffered: Cell<u32>,
+    connection: CallerConnection,
 }
 
 impl ActiveRequests {
     /// Makes the counter of a new connection.
-    pub fn new(daemon: Rc<DaemonState>) -> Rc<Self> {
-        Rc::new(Self { daemon, buffered: Cell::default() })
+    pub fn new(daemon: Rc<DaemonState>, connection: CallerConnection) -> Rc<Self> {
+        Rc::new(Self { daemon, buffered: Cell::default(), connection })
+    }
+
+    /// Returns the connection.
+    pub fn connection(&self) -> &CallerConnection {
+        &self.connection
     }
 
     /// Counts a request as in progress until its response is written.
     pub fn begin(self: &Rc<Self>) -> ActiveRequest {
         self.daemon.active.set(self.daemon.active.get() + 1);
+        self.connection.begin_request(self.daemon.now());
         ActiveRequest::new(Rc::clone(self))
     }
 
@@ -37,8 +45,12 @@
 
     /// Records that all buffered responses are written, which ends their requests.
     pub fn mark_flushed(&self) {
+        let written = self.buffered.take();
+        if written > 0 {
+            self.connection.end_request(self.daemon.now());
+        }
         let active = self.daemon.active.get();
-        self.daemon.active.set(active.saturating_sub(self.buffered.take()));
+        self.daemon.active.set(active.saturating_sub(written));
     }
 }
 
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -55,6 +55,7 @@
 use crate::serve::abandoned_streams::AbandonedStreams;
 use crate::serve::attempt::Attempt;
 use crate::serve::byte_budget::ByteBudget;
+use crate::serve::caller_connections::CallerConnections;
 use crate::serve::choose::Chooser;
 use crate::serve::choose::ChosenServer;
 use crate::serve::connector::Connector;
@@ -108,6 +109,8 @@
     pub pool: ConnectionPool,
     /// Connections to backend servers for health checks before requests.
     pub check_pool: ConnectionPool,
+    /// The open connections of callers.
+    pub callers: Rc<CallerConnections>,
     /// Memory for responses that are read whole.
     pub response_bytes: ByteBudget,
     /// Memory for the bodies of callers' requests.
@@ -271,6 +274,9 @@
         let slowdowns = ServerSlowdowns::default();
         slowdowns.set_limit(settings.max_slowdown);
         Rc::new(Self {
+            callers: CallerConnections::new(settings.host.caller_connections()),
+            response_bytes: ByteBudget::new(RESPONSE_BYTES),
+            request_bytes: ByteBudget::new(REQUEST_BYTES),
             standstill: Standstill::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(settings.budget, now)),
             settings: RefCell::new(Rc::new(settings)),
@@ -280,8 +286,6 @@
             store,
             check_pool: pool.separate(),
             pool,
-            response_bytes: ByteBudget::new(RESPONSE_BYTES),
-            request_bytes: ByteBudget::new(REQUEST_BYTES),
             config: RefCell::default(),
             config_history: RefCell::default(),
             directory: RefCell::default(),
@@ -536,6 +540,14 @@
         }
     }
 
+    /// Logs the callers' connections that ended to keep the limits, in a line a second at most.
+    pub fn log_ended_callers(&self) {
+        let Some(ended) = self.callers.take_unlogged(self.now()) else { return };
+        let (open, serving) = self.callers.counts();
+        slog::warn!(self.log, "callers-ended"; "evicted" => ended.evicted, "refused" => ended.refused,
+            "open" => open, "serving" => serving, "request_bytes" => self.request_bytes.used());
+    }
+
     /// Counts an unreadable record, and logs it if its reason is new and the log's rate limit allows.
     pub fn log_unreadable(&self, feed: Feed, key: &str, reason: &str) {
         self.metrics.record_unreadable(feed.name());
--- a/lib/src/serve/entry_settings.rs
+++ b/lib/src/serve/entry_settings.rs
@@ -7,12 +7,20 @@
 use crate::cluster::retry_budgets::BudgetLimits;
 use crate::ids::CentreId;
 use crate::ids::DaemonId;
+use crate::serve::caller_connections::ConnectionLimits;
 
 /// Link speed in Mbit/s that a lease holder of a large fleet needs: it sends inventories to many daemons in bursts,
 /// beside engines' reports and callers' streams.
 const MIN_HOLDER_MBPS: f64 = 50.0;
 /// CPU cores that a lease holder of a large fleet needs: it plans loads beside serving callers' requests.
 const MIN_HOLDER_CORES: f64 = 0.2;
+/// Fraction of a host's memory for all connections of callers, and for those without a whole request.
+const CONNECTION_FRACTION: f64 = 0.4;
+const UNFINISHED_FRACTION: f64 = 0.15;
+/// Memory of a connection: its buffers here and in the kernel, and a short body.
+const CONNECTION_BYTES: f64 = 64.0 * 1024.0;
+/// Descriptors that no caller's connection takes: those of the store, of other daemons and of the daemon's own files.
+const OWN_DESCRIPTORS: usize = 128;
 
 /// Checked settings of an entry daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,7 +56,7 @@
     pub stale_after: Duration,
     /// How far the tokens that workspaces take may exceed their quotas.
     pub quota_tolerance: QuotaTolerance,
-    /// CPU and link of the host.
+    /// What the daemon may use of its host. A change of the memory takes effect at the next start of the process.
     pub host: HostSize,
     /// Number of daemons from which a fleet is large, so that daemons get state through readers. A change takes
     /// effect at the next start of the process.
@@ -62,13 +70,17 @@
     pub store_writes: f64,
 }
 
-/// CPU and link capacity of a host that the daemon may use.
+/// What the daemon may use of its host.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HostSize {
     /// CPU share in cores, summed over all cores.
     pub core: f64,
     /// Link speed in Mbit/s.
     pub link: f64,
+    /// Memory in bytes.
+    pub memory: usize,
+    /// Descriptors for sockets.
+    pub sockets: usize,
 }
 
 impl HostSize {
@@ -76,4 +88,12 @@
     pub fn is_small(self) -> bool {
         self.link < MIN_HOLDER_MBPS || self.core < MIN_HOLDER_CORES
     }
+
+    /// Returns how many connections callers may have. Each whole request needs one to a server as well.
+    pub fn caller_connections(self) -> ConnectionLimits {
+        let fitting = |fraction: f64| (self.memory as f64 * fraction / CONNECTION_BYTES) as usize;
+        let open = self.sockets.saturating_sub(OWN_DESCRIPTORS) / 2;
+        let open = open.min(fitting(CONNECTION_FRACTION)).max(1);
+        ConnectionLimits { open, unfinished: fitting(UNFINISHED_FRACTION).clamp(1, open) }
+    }
 }
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -63,7 +63,10 @@
     let arrived = daemon.now();
     let (parts, body) = request.into_parts();
     let mut response = match read_request(&daemon, parts, body, arrived).await {
-        Ok(attempt) => answer(&daemon, attempt).await,
+        Ok(attempt) => {
+            active.begin_serving(daemon.now());
+            answer(&daemon, attempt).await
+        }
         Err((parts, refusal)) => refuse_unrouted(&daemon, &parts, &refusal),
     };
     if daemon.closes_connections() {
