--- a/cli/tests/test_unruly_callers.rs
+++ b/cli/tests/test_unruly_callers.rs
@@ -39,6 +39,8 @@
 const RETURN_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time for one connection of such a caller to send what it has.
 const SEND_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time that requests take while callers send more behind them.
+const SERVICE_TIME: Duration = Duration::from_millis(1500);
 /// Times that an ordinary caller asks, at most.
 const ORDINARY_TRIES: usize = 20;
 
@@ -62,6 +64,8 @@
     Head,
     /// Whole requests with this body.
     Whole(usize),
+    /// Whole requests, and this many bytes more while they are served.
+    Behind(usize),
 }
 
 /// A host and, if not the usual one, the size of a crowd.
@@ -120,6 +124,10 @@
                 stream.write_all(head.as_bytes()).await?;
                 stream.write_all(&vec![b'a'; length]).await
             }
+            Self::Behind(length) => {
+                stream.write_all(head("Content-Length: 1\r\n\r\na").as_bytes()).await?;
+                stream.write_all(&vec![b'a'; length]).await
+            }
             Self::Pieces(length, count) => {
                 let head = head(&format!("Content-Length: {length}\r\n\r\n"));
                 stream.write_all(head.as_bytes()).await?;
@@ -236,6 +244,7 @@
 #[case::small_bodies(Crowd::Body(60 * 1024))]
 #[case::small_pieces(Crowd::Pieces(60 * 1024, 8))]
 #[case::whole(Crowd::Whole(MAX_BODY))]
+#[case::behind(Crowd::Behind(MAX_BODY))]
 fn crowd_borne(#[case] crowd: Crowd) -> io::Result<()> {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     rig::run(async {
@@ -250,6 +259,9 @@
         let front = daemon.front;
         assert_eq!(ask_ordinary(front, 10).await, Some(200), "before the crowd");
         assert_eq!(ask_ordinary(front, MAX_BODY).await, Some(200), "a long body in calm");
+        if matches!(crowd, Crowd::Behind(_)) {
+            rig.servers.iter().for_each(|server| server.work.set(SERVICE_TIME));
+        }
         let mut usage = Usage::default();
         let sent = Rc::new(Semaphore::new(0));
         let callers = start_crowd(crowd, size, front, &sent);
--- a/lib/src/serve/lifecycle.rs
+++ b/lib/src/serve/lifecycle.rs
@@ -64,7 +64,7 @@
 /// Fails if an address cannot be bound.
 pub fn start(daemon: &Rc<DaemonState>) -> io::Result<Rc<LeaseManager>> {
     let settings = daemon.settings();
-    let front = socket::listen(settings.front)?;
+    let front = socket::listen_callers(settings.front)?;
     let ready = socket::listen(settings.ready)?;
     let peers = socket::listen(settings.peer)?;
     daemon.lease.borrow_mut().set_address(settings.peer, daemon.now());
--- a/lib/src/serve/socket.rs
+++ b/lib/src/serve/socket.rs
@@ -25,6 +25,9 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Time after which sent bytes that are still unacknowledged end the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Bytes that the kernel keeps of each caller's connection until they are read: the window of a long body over a round trip of
+/// some milliseconds.
+const CALLER_BUFFER_BYTES: usize = 32 * 1024;
 /// Connections that may wait to be accepted: enough for a burst of callers at one daemon.
 const LISTEN_BACKLOG: i32 = 1024;
 
@@ -75,7 +78,23 @@
 ///
 /// Returns an error if the address cannot be used.
 pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    listen_on(Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?, addr)
+}
+
+/// Listens for callers' TCP connections. What they send beyond a small buffer stays with them until it is read: what the kernel
+/// holds takes the host's memory, too.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be used.
+pub fn listen_callers(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    // Accepted connections inherit it.
+    socket.set_recv_buffer_size(CALLER_BUFFER_BYTES)?;
+    listen_on(socket, addr)
+}
+
+fn listen_on(socket: Socket, addr: SocketAddr) -> io::Result<TcpListener> {
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&addr.into())?;
