memory: messages share the memory of their host, and stalled bodies return theirs

Bodies of callers shared 96 MiB and responses 28, at a host of 120 MB as at one of 512: 24 callers with bodies of 4 MiB but for a byte took 107 MiB at a host of 64.

Bodies share a quarter of the host's memory now, and responses 0.11 of it, which is the longest response at a host of 120 MB; one body may have two thirds of the quarter, and a longer one is refused with 413 at once. Where bodies have no room, the one that takes longest ends for them if it takes longer than the configuration gives a head, so that callers that stop short do not keep long bodies of others out until their timeout.

Ruled out: shares alone. With them small_chunks fails, which passed before: 20 tries of a body of 4 MiB were refused while the bodies of callers who had left were still being read.

--- a/lib/src/serve/byte_budget.rs
+++ b/lib/src/serve/byte_budget.rs
@@ -62,9 +62,17 @@
         bytes <= self.allowance(0)
     }
 
+    /// Returns the most bytes that a message may have while there is no other.
+    pub fn longest(&self) -> usize {
+        Self::allowed_of(self.limit)
+    }
+
     /// Returns the most bytes that a message may have that is charged with `own` bytes.
     fn allowance(&self, own: usize) -> usize {
-        let left = self.limit.saturating_sub(self.used().saturating_sub(own));
+        Self::allowed_of(self.limit.saturating_sub(self.used().saturating_sub(own)))
+    }
+
+    fn allowed_of(left: usize) -> usize {
         (left / 3 * 2).max(MIN_BYTES)
     }
 }
--- a/lib/src/serve/daemon_state.rs
+++ b/lib/src/serve/daemon_state.rs
@@ -87,12 +87,6 @@
 /// it for this long. Calls of two readers may have been lost by then, and callers notice after three seconds.
 const MAX_CONFIG_AGE: Duration = Duration::from_secs(2);
 
-/// Memory for all responses that are read whole: with what their connections take, a quarter of a small host's. Three of the
-/// longest are read at a time.
-const RESPONSE_BYTES: usize = 28 * 1024 * 1024;
-/// Memory for all bodies of callers' requests; one may have the longest that is accepted.
-const REQUEST_BYTES: usize = 96 * 1024 * 1024;
-
 /// State of one entry daemon, shared by its tasks.
 #[derive(Debug)]
 pub struct DaemonState {
@@ -275,8 +269,8 @@
         slowdowns.set_limit(settings.max_slowdown);
         Rc::new(Self {
             callers: CallerConnections::new(settings.host.caller_connections()),
-            response_bytes: ByteBudget::new(RESPONSE_BYTES),
-            request_bytes: ByteBudget::new(REQUEST_BYTES),
+            response_bytes: ByteBudget::new(settings.host.response_bytes()),
+            request_bytes: ByteBudget::new(settings.host.request_bytes()),
             standstill: Standstill::default(),
             retry_budgets: RefCell::new(RetryBudgets::new(settings.budget, now)),
             settings: RefCell::new(Rc::new(settings)),
--- a/lib/src/serve/entry_settings.rs
+++ b/lib/src/serve/entry_settings.rs
@@ -14,6 +14,8 @@
 const MIN_HOLDER_MBPS: f64 = 50.0;
 /// CPU cores that a lease holder of a large fleet needs: it plans loads beside serving callers' requests.
 const MIN_HOLDER_CORES: f64 = 0.2;
+/// Fraction of a host's memory for the bodies of callers' requests that are being read or sent.
+const REQUEST_FRACTION: f64 = 0.25;
 /// Fraction of a host's memory for all connections of callers, and for those without a whole request.
 const CONNECTION_FRACTION: f64 = 0.4;
 const UNFINISHED_FRACTION: f64 = 0.15;
@@ -21,6 +23,8 @@
 const CONNECTION_BYTES: f64 = 64.0 * 1024.0;
 /// Descriptors that no caller's connection takes: those of the store, of other daemons and of the daemon's own files.
 const OWN_DESCRIPTORS: usize = 128;
+/// Fraction of a host's memory for responses that are read whole. A host of 120 MB can read the longest.
+const RESPONSE_FRACTION: f64 = 0.11;
 
 /// Checked settings of an entry daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -89,6 +93,11 @@
         self.link < MIN_HOLDER_MBPS || self.core < MIN_HOLDER_CORES
     }
 
+    /// Returns the bytes that the bodies of callers' requests may take together.
+    pub fn request_bytes(self) -> usize {
+        (self.memory as f64 * REQUEST_FRACTION) as usize
+    }
+
     /// Returns how many connections callers may have. Each whole request needs one to a server as well.
     pub fn caller_connections(self) -> ConnectionLimits {
         let fitting = |fraction: f64| (self.memory as f64 * fraction / CONNECTION_BYTES) as usize;
@@ -96,4 +105,9 @@
         let open = open.min(fitting(CONNECTION_FRACTION)).max(1);
         ConnectionLimits { open, unfinished: fitting(UNFINISHED_FRACTION).clamp(1, open) }
     }
+
+    /// Returns the bytes that responses which are read whole may take together.
+    pub fn response_bytes(self) -> usize {
+        (self.memory as f64 * RESPONSE_FRACTION) as usize
+    }
 }
--- a/lib/src/serve/handle.rs
+++ b/lib/src/serve/handle.rs
@@ -15,9 +15,11 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use rand::RngExt as _;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
+use crate::cluster::configuration::CallerLimits;
 use crate::cluster::configuration::Route;
 use crate::cluster::configuration::RouteKind;
 use crate::cluster::configuration::ServiceName;
@@ -39,9 +41,6 @@
 use crate::serve::unanswered::UnansweredAttempt;
 use crate::verdict::Verdict;
 
-/// Largest declared length of a body in bytes, whatever the configuration allows: longer ones would not fit in a
-/// small host's memory.
-const MAX_DECLARED_BODY: usize = 64 * 1024 * 1024;
 /// Time limit for a caller to send the body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Retry delay for a caller if this daemon's configuration or list of servers is missing, incomplete or possibly old.
@@ -115,7 +114,7 @@
     }
     let body = tokio::select! {
         biased;
-        body = read_body(daemon, body, config.limits.max_body) => body,
+        body = read_body(daemon, body, config.limits) => body,
         () = daemon.aborted() => Err(Refusal::not_run(STOPPING_REASON, OTHER_DAEMON_RETRY_AFTER)),
     };
     let body = match body {
@@ -147,17 +146,21 @@
 async fn read_body(
     daemon: &DaemonState,
     mut body: Incoming,
-    limit: usize,
+    limits: CallerLimits,
 ) -> Result<Bytes, Refusal> {
+    let limit = limits.max_body;
     let too_large =
         || Refusal::client_error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
     let declared = body.size_hint().lower();
-    if declared > limit.min(MAX_DECLARED_BODY) as u64 {
+    // Whatever the configuration allows, a longer one never fits in the memory of this host.
+    if declared > limit.min(daemon.request_bytes.longest()) as u64 {
         return Err(too_large());
     }
     let no_memory = || Refusal::not_run("no memory for the body", OTHER_DAEMON_RETRY_AFTER);
-    if !daemon.request_bytes.has_room(declared as usize) {
-        return Err(no_memory());
+    while !daemon.request_bytes.has_room(declared as usize) {
+        if !end_stalled_body(daemon, limits).await {
+            return Err(no_memory());
+        }
     }
     let mut bytes = daemon.request_bytes.buffer();
     let receive = async {
@@ -166,7 +169,11 @@
                 Refusal::client_error(StatusCode::BAD_REQUEST, "the body broke off")
             })?;
             let data = frame.into_data().unwrap_or_default();
-            bytes.extend(&data).map_err(|_exceeded| no_memory())?;
+            while bytes.extend(&data).is_err() {
+                if !end_stalled_body(daemon, limits).await {
+                    return Err(no_memory());
+                }
+            }
             if bytes.len() > limit {
                 return Err(too_large());
             }
@@ -185,6 +192,17 @@
     Ok(bytes.freeze())
 }
 
+/// Ends the connection whose body takes longest, if it takes longer than a head may, and lets it return its memory. Returns
+/// false if there is none.
+async fn end_stalled_body(daemon: &DaemonState, limits: CallerLimits) -> bool {
+    let is_ended = daemon.callers.evict_stalled(daemon.now(), limits.head_timeout);
+    if is_ended {
+        daemon.log_ended_callers();
+        yield_now().await;
+    }
+    is_ended
+}
+
 /// Picks a service of the route at random in proportion to the weights.
 fn pick_service(route: &Route) -> Option<ServiceName> {
     let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
