--- a/lib/src/serve/caller_connections.rs
+++ b/lib/src/serve/caller_connections.rs
@@ -62,7 +62,7 @@
     limits: ConnectionLimits,
     state: RefCell<State>,
     ended: Cell<EndedConnections>,
-    /// What the last log line told, and when it was due.
+    /// Totals at the last log line, and its time.
     logged: Cell<(EndedConnections, Option<Moment>)>,
 }
 
--- a/lib/src/serve/caller_socket.rs
+++ b/lib/src/serve/caller_socket.rs
@@ -20,7 +20,7 @@
 
 /// Time after the last response in which a caller that still sends can read it before the connection is reset.
 const DRAIN_TIME: Duration = Duration::from_secs(1);
-/// Bytes that are discarded meanwhile at most.
+/// Most bytes that are discarded in that time.
 const MAX_DRAINED: usize = 8 * 1024 * 1024;
 /// Bytes that are discarded at a time.
 const DRAIN_BYTES: usize = 4096;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -280,7 +280,7 @@
                         servers[place] = again;
                         self.removed.borrow_mut().push(server);
                     }
-                    // It was removed meanwhile.
+                    // Another task has removed it from the list.
                     None => again.crash(),
                 }
             }
--- a/soak/tests/test_server_lists.rs
+++ b/soak/tests/test_server_lists.rs
@@ -17,7 +17,7 @@
 /// Requests that it gets before it is replaced.
 const REQUESTS: usize = 5;
 
-/// Guards against arrivals of a server that count twice, as repeats that nobody sent, once it leaves while it restarts.
+/// Guards against counting the arrivals of a server twice if it leaves while it restarts.
 #[test]
 fn left_restarting() -> io::Result<()> {
     run(async {
