logs: each request of an ended server, and each end that is not counted

request-suspected is written for a first crash at any stage, and crash-uncounted where the end of a connection is not taken for a crash. Tells the hypotheses of docs/incidents/crash-moments.md apart. No logic is changed.

--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -135,11 +135,16 @@
 async fn record_if_crashed(daemon: Rc<DaemonState>, exposure: Exposure, trial: Option<Trial>) {
     // The server may have restarted unnoticed before the request was sent: the connection ends at the time of the crash,
     // so it was one to the instance that is listed now.
-    let Some((server, addr)) = active_instance(&daemon, &exposure.server) else { return };
+    let Some((server, addr)) = active_instance(&daemon, &exposure.server) else {
+        log_uncounted(&daemon, &exposure, "unlisted");
+        return;
+    };
     let exposure = Exposure { server, ..exposure };
     let is_known = daemon.quarantine.borrow().has_crashed(&exposure.server, exposure.sent_at);
     if is_known || refuses_connections(&daemon, &exposure.server, addr).await {
         record_crash(&daemon, &exposure);
+    } else {
+        log_uncounted(&daemon, &exposure, "running");
     }
     drop(trial);
 }
@@ -156,6 +161,14 @@
     }
 }
 
+/// Logs that the end of a connection to a server is not taken for a crash.
+fn log_uncounted(daemon: &DaemonState, exposure: &Exposure, reason: &str) {
+    slog::info!(daemon.log, "crash-uncounted"; "print" => %exposure.fingerprint,
+        "attempt" => &exposure.attempt, "server" => %exposure.server,
+        "stage" => exposure.stage.name(), "reason" => reason,
+        "sent_ms_ago" => daemon.now().saturating_sub(exposure.sent_at).as_millis());
+}
+
 /// Returns the current instance of a server and its address; `None` if it is leaving or no longer in the directory.
 fn active_instance(
     daemon: &DaemonState,
@@ -212,11 +225,10 @@
     parts.record_crash(&id, &exposure.service, prompt, daemon.now());
     let evidence = parts.evidence(&exposure.parts);
     drop(parts);
-    if stage < CrashStage::Other || crashes > 1 {
-        slog::info!(daemon.log, "request-suspected"; "print" => %fingerprint,
-            "attempt" => &exposure.attempt, "server" => %server, "stage" => stage.name(),
-            "crashes" => crashes, "parts" => part_suspects::shown_evidence(&evidence));
-    }
+    slog::info!(daemon.log, "request-suspected"; "print" => %fingerprint,
+        "attempt" => &exposure.attempt, "server" => %server, "stage" => stage.name(),
+        "sent_ms_ago" => daemon.now().saturating_sub(sent_at).as_millis(),
+        "crashes" => crashes, "parts" => part_suspects::shown_evidence(&evidence));
     if stage == CrashStage::BeforeEvents {
         daemon.quarantine_changed.notify_one();
         daemon.stored_crashes.record_detected();
