test_crash_moments, soak: engines that crash at other moments of a request

The stand-in crashed engines 40 ms after the head of the response only. The tallies count from the crash, as the rule does, and no longer from the start of the run that caused it (40 ms earlier for the old moment).

--- a/soak/src/fatal_tally.rs
+++ b/soak/src/fatal_tally.rs
@@ -30,7 +30,8 @@
         let runs: Vec<_> = runs.iter().filter(|run| is_fatal(run)).collect();
         let mut servers = BTreeSet::new();
         let first = runs.iter().filter(|run| servers.insert((&run.server, run.born)));
-        let crashes: Vec<_> = first.map(|run| run.at).collect();
+        let crash = |run: &&Run| run.at + run.crash_after.unwrap_or_default();
+        let crashes: Vec<_> = first.map(crash).collect();
         let last = crashes.get(MAX_CRASHES - 1).map(|at| *at + CONTACT_TIME);
         let late: Vec<_> =
             runs.iter().filter(|run| last.is_some_and(|last| run.at > last)).collect();
--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use comfreymux_platform_testutils::crash_moment::CrashMoment;
 use comfreymux_soak::failure::Failure;
 
 xflags::xflags! {
@@ -19,6 +20,8 @@
         optional --fatal
         /// Sends requests whose prompts have parts that crash engines.
         optional --parts
+        /// When engines crash under them: head (the default), request, prompt, event, stream, silent-request, silent-head or any.
+        optional --moment moment: CrashMoment
         /// Servers fail most requests and stand still again and again, before many callers; nothing else is injected.
         optional --stalls
         /// The same beside the usual troubles, kills of all daemons among them.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use comfreymux_platform_testutils::crash_moment::CrashMoment;
 use comfreymux_platform_testutils::rig;
 use comfreymux_soak::callers;
 use comfreymux_soak::callers::CallerRecord;
@@ -63,6 +64,7 @@
     let course = Course {
         is_fatal: flags.fatal,
         has_parts: flags.parts,
+        moment: flags.moment.unwrap_or_default(),
         faults: match (flags.mixed, flags.stalls) {
             (true, _) => Faults::Mixed,
             (false, true) => Faults::Stalls,
@@ -137,6 +139,8 @@
     is_fatal: bool,
     /// Requests with prompt parts that crash engines.
     has_parts: bool,
+    /// When engines crash under them.
+    moment: CrashMoment,
     faults: Faults,
     callers: Callers,
     /// Whether all daemons are killed at the end of the faults.
@@ -156,7 +160,7 @@
     folder: &Path,
 ) -> io::Result<(Vec<String>, String)> {
     fs::create_dir_all(folder)?;
-    let world = World::start(size, seed, program, folder).await?;
+    let world = World::start(size, seed, course.moment, program, folder).await?;
     let outcome = Rc::new(CallerRecord::default());
     sleep(Duration::from_millis(1500)).await;
     start_callers(&world, &outcome, course, seed);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use comfreymux_lib::cluster::retry_budgets::BudgetLimits;
+use comfreymux_platform_testutils::crash_moment::CrashMoment;
 use comfreymux_platform_testutils::engine_state::EngineState;
 use comfreymux_platform_testutils::rig::BEAT;
 use comfreymux_platform_testutils::rig::configuration;
@@ -75,6 +76,8 @@
     pub runs: Runs,
     /// Bodies of the requests that crash every server that begins to run them.
     pub fatal: Fatal,
+    /// When engines crash under fatal requests.
+    moment: CrashMoment,
     /// When each server that a request crashed was found crashed, by server id.
     pub crashed_since: RefCell<BTreeMap<String, Instant>>,
     /// Servers that were removed or replaced; the checks at the end read the state of their engines.
@@ -100,6 +103,7 @@
     pub async fn start(
         size: Size,
         seed: u64,
+        moment: CrashMoment,
         program: &Path,
         folder: &Path,
     ) -> io::Result<Rc<Self>> {
@@ -134,6 +138,7 @@
             limits,
             runs: Rc::default(),
             fatal: Rc::default(),
+            moment,
             crashed_since: RefCell::default(),
             removed: RefCell::default(),
             is_cut: Cell::default(),
@@ -181,6 +186,7 @@
         let server = ServerStandin::start(&id, service, "north", engine, runs, fatal).await?;
         if is_engine {
             server.events.set((EVENTS, EVENT_GAP));
+            server.crash_moment.set(self.moment);
             *server.version.borrow_mut() = self.newest_version();
         }
         let proxy = Proxy::start(server.addr).await?;
