quarantine: each crash counts for all requests that the server had

Callers saw requests with one prompt part, or copies of one request, end engine after engine whenever engines crash at another moment than right after the head of the response.

Cause: only the most suspicious stage of a crash counted, and its order rests on one moment. A request without a head was the least suspicious, so that a stream which had just begun beside it took the blame; half a second of events cleared a request of all crashes, also of those a second into a stream. Class: evidence weighed by an assumed moment.

Change: exposures of all stages are counted beside the most suspicious ones. They end when a request gets beyond the stage of the crash elsewhere, and partial progress is void once a later crash comes beyond it. Three of them hold what was at more crashes than all else at one. Requests are tried one at a time from two on, until they are beyond their crashes. Streams in progress have two run times to end before their part is held.

Tests: bystanders_free, bystanders_elsewhere and order_irrelevant know the new stage Unanswered besides; unanswered_held uses it, which it describes. Unanswered is a new variant on the wire: daemons of before reject reports with it.

--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -23,12 +23,12 @@
 
 /// Number of crashes after which requests with a part are tried one at a time. At one, all callers of a service whose
 /// prompts begin alike would wait for each other.
-const SUSPECT_CRASHES: usize = 2;
+pub(super) const SUSPECT_CRASHES: usize = 2;
 /// Time after a request with a part was served during which others are not tried one at a time as soon as the part is
 /// suspected.
-const SERVED_TRUST: Duration = Duration::from_mins(1);
+pub(super) const SERVED_TRUST: Duration = Duration::from_mins(1);
 /// Number of crashes from which on they are in any case.
-const MAX_TRUSTED_CRASHES: usize = 5;
+pub(super) const MAX_TRUSTED_CRASHES: usize = 5;
 /// Time within which other parts of a crash are cleared by requests with them at any daemon.
 pub(super) const CLEAR_TIME: Duration = Duration::from_secs(1);
 /// Time that a report takes between daemons. One that was passed on makes the same progress seem younger by as much.
@@ -63,6 +63,10 @@
     pub(super) held: HashMap<PromptPart, PartHold>,
     /// Parts with which requests were served in the last hour.
     pub(super) served: HashMap<PromptPart, ServedPart>,
+    /// Parts with which requests were answered whole in the last hour, and when the first event of the last one came.
+    pub(super) answered: HashMap<PromptPart, Moment>,
+    /// Mean run time of requests.
+    pub(super) run_time: Duration,
     /// Whether reports of other data centres are received, which may clear parts.
     pub(super) remote: RemoteContact,
     /// Whether the parts that were held before this process started are not known yet.
@@ -93,16 +97,26 @@
         let mut change = PartChange::default();
         for part in parts {
             self.record_served(part, ServedPart { at: passed_at, own_at: Some(passed_at) });
-            let is_exposed =
-                |c: &&PromptCrash| progress.clears(c.worst_stage()) && c.at <= passed_at;
+            if progress == RequestProgress::Complete {
+                self.record_answered(part, passed_at);
+            }
+            let is_passed = |c: &PromptCrash| {
+                c.worst_stage_of(part).is_some_and(|stage| progress.clears(stage))
+            };
+            let is_exposed = |c: &&PromptCrash| is_passed(c) && c.at <= passed_at;
             let exposed = self.uncleared_crashes(part).filter(is_exposed).count();
-            let is_released = releases(progress)
+            let is_released = self.releases(part, progress)
                 && self.held.get(part).is_some_and(|hold| hold.since <= passed_at);
-            if exposed == 0 && !is_released {
+            let is_news = self.is_instructive_progress(part, progress, passed_at);
+            if exposed == 0 && !is_released && !is_news {
                 continue;
             }
-            change.cleared.push((part.clone(), exposed));
-            change.is_urgent |= is_released || self.is_suspect(part);
+            let suspected = exposed.max(self.exposures(part).len());
+            if suspected > 0 {
+                change.cleared.push((part.clone(), suspected));
+            }
+            let is_suspect = self.is_suspect(part) || suspected >= SUSPECT_CRASHES;
+            change.is_urgent |= is_released || is_suspect;
             let clearing = Clearing { passed_at, learned_at: now, is_own: true };
             if self.clear_at(part, progress, clearing) {
                 change.released.push(part.clone());
@@ -111,6 +125,15 @@
         change
     }
 
+    pub(super) fn record_answered(&mut self, part: &PromptPart, at: Moment) {
+        if let Some(known) = self.answered.get_mut(part) {
+            *known = at.max(*known);
+            return;
+        }
+        make_room(&mut self.answered, MAX_SERVED, |known| *known);
+        self.answered.insert(part.clone(), at);
+    }
+
     pub(super) fn record_served(&mut self, part: &PromptPart, served: ServedPart) {
         if let Some(known) = self.served.get_mut(part) {
             known.at = known.at.max(served.at);
@@ -125,7 +148,7 @@
     /// suspected of several crashes.
     pub fn main_suspect<'a>(&self, parts: &'a [PromptPart], now: Moment) -> Option<&'a PromptPart> {
         let suspects = parts.iter().filter(|part| self.is_tried(part, now));
-        suspects.max_by_key(|part| self.count(part))
+        suspects.max_by_key(|part| self.count(part).max(self.exposures(part).len()))
     }
 
     /// Returns how long to delay a request with these parts, one of which may be held after one more crash: the others
@@ -138,7 +161,10 @@
         // After a start a request has to be tried before any other one can be, or nothing would clear a sound part.
         let crashes = parts.iter().filter(is_delayed).flat_map(|part| self.suspected_crashes(part));
         let newest = crashes.filter(|crash| crash.is_live).map(|crash| crash.at).max();
-        newest.map_or(Duration::ZERO, |at| (at + CLEAR_TIME).saturating_sub(now))
+        let delay = newest.map_or(Duration::ZERO, |at| (at + CLEAR_TIME).saturating_sub(now));
+        let exposed = parts.iter().filter(|part| self.is_exposed_suspect(part, now));
+        let delays = exposed.map(|part| self.exposure_delay(part, now));
+        delays.max().unwrap_or_default().max(delay)
     }
 
     /// Records when the last message of another data centre was received; `None` if there is no other data centre.
@@ -172,7 +198,7 @@
     fn is_tried(&self, part: &PromptPart, now: Moment) -> bool {
         let may_be_cause =
             || self.is_suspect(part) && (!self.is_trusted(part, now) || self.is_alternative(part));
-        may_be_cause() || self.held.contains_key(part)
+        may_be_cause() || self.is_exposed_suspect(part, now) || self.held.contains_key(part)
     }
 
     /// Returns whether a part will soon be cleared if it is sound: a whole route may share it, and would go in single file
@@ -224,11 +250,12 @@
 
     /// Returns whether a server had a request with a part when it crashed, and none got further since.
     pub(super) fn may_have_caused(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
-        crash.has_part(part) && !self.is_cleared(part, crash)
+        crash.worst_stage_of(part).is_some() && !self.is_cleared(part, crash)
     }
 
     fn is_cleared(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
-        let clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(crash.worst_stage()));
+        let Some(stage) = crash.worst_stage_of(part) else { return false };
+        let clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(stage));
         let mut clearings = clearing.filter_map(|p| self.cleared.get(&(part.clone(), p)));
         clearings.any(|clearing| clearing.passed_at >= crash.at)
     }
@@ -254,15 +281,16 @@
 
     /// Returns the ids of the crashes that a part is suspected of.
     pub fn crash_ids(&self, part: &PromptPart) -> Vec<CrashId> {
-        let suspected = self.crashes.iter().filter(|(_, c)| self.may_have_caused(part, c));
+        let suspected = self.crashes.iter().filter(|(_, crash)| {
+            self.may_have_caused(part, crash) || self.is_exposure(part, crash)
+        });
         suspected.map(|(id, _)| id.clone()).collect()
     }
 
     /// Returns the number of known crashes that a part was cleared of: a server had a request with it, and one got further
     /// since.
     pub fn cleared_count(&self, part: &PromptPart) -> usize {
-        let exposed = self.crashes.values().filter(|crash| crash.has_part(part));
-        exposed.filter(|crash| self.is_cleared(part, crash)).count()
+        self.crashes.values().filter(|crash| self.is_cleared(part, crash)).count()
     }
 
     /// Returns whether a part is held, at all daemons or at this one.
@@ -296,8 +324,8 @@
     pub(super) fn merge_hold(&mut self, part: &PromptPart, hold: PartHold) -> bool {
         let passed_at = |clearing: &Clearing| clearing.passed_at;
         let cleared = |progress| self.cleared.get(&(part.clone(), progress)).map(passed_at);
-        let released =
-            RequestProgress::ALL.into_iter().filter(|p| releases(*p)).filter_map(cleared);
+        let releasing = RequestProgress::ALL.into_iter().filter(|p| self.releases(part, *p));
+        let released = releasing.filter_map(cleared);
         if released.max().is_some_and(|at| at >= hold.since) {
             return false;
         }
@@ -327,12 +355,14 @@
     ///
     /// Reports of peers do not count: they are dated by when they are read, which may be long after the event.
     fn refuted_at(&self, part: &PromptPart) -> Option<Moment> {
-        let exposed = || self.crashes.values().filter(|crash| crash.has_part(part));
-        if exposed().any(|crash| self.may_have_caused(part, crash)) {
+        let stages = || self.crashes.values().filter_map(|crash| crash.stage_of(part));
+        if self.crashes.values().any(|crash| self.may_have_caused(part, crash))
+            || !self.exposures(part).is_empty()
+            || stages().next().is_none()
+        {
             return None;
         }
-        let last_stage = exposed().map(PromptCrash::worst_stage).max()?;
-        let passed = RequestProgress::ALL.into_iter().filter(|p| p.clears(last_stage));
+        let passed = RequestProgress::ALL.into_iter().filter(|p| stages().all(|s| p.clears(s)));
         passed.filter_map(|progress| self.own_progress(part, progress)).max()
     }
 
@@ -375,7 +405,8 @@
             self.cleared.insert(key, clearing);
         }
         let is_refuted = |hold: &PartHold| hold.since <= clearing.passed_at;
-        let is_released = releases(progress) && self.held.get(part).is_some_and(is_refuted);
+        let is_released =
+            self.releases(part, progress) && self.held.get(part).is_some_and(is_refuted);
         is_released && self.held.remove(part).is_some()
     }
 
@@ -384,10 +415,18 @@
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
         self.cleared.retain(|_, clearing| now <= clearing.passed_at + CRASH_RETENTION);
         self.served.retain(|_, served| now <= served.at + HOLD_TIME);
+        self.answered.retain(|_, at| now <= *at + HOLD_TIME);
         let expired = self.held.extract_if(|_, hold| now > hold.last_attempt + HOLD_TIME);
         expired.map(|(part, _)| part).collect()
     }
 
+    /// Returns whether a request that got this far releases its parts: further than any server that crashed under one.
+    fn releases(&self, part: &PromptPart, progress: RequestProgress) -> bool {
+        let is_passed =
+            |crash: &PromptCrash| crash.stage_of(part).is_none_or(|s| progress.clears(s));
+        progress != RequestProgress::FirstEvent && self.crashes.values().all(is_passed)
+    }
+
     pub(super) fn crash_entry(
         &mut self,
         id: &CrashId,
@@ -418,9 +457,3 @@
         oldest.and_then(|key| map.remove(&key));
     }
 }
-
-/// Returns whether a request that got this far releases its parts: a fatal part crashes a server soon after the beginning
-/// of the response.
-fn releases(progress: RequestProgress) -> bool {
-    progress != RequestProgress::FirstEvent
-}
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -41,15 +41,17 @@
     /// Returns the newest crashes that are not put down to one part yet, and which parts are cleared of them, for processes
     /// that start after all others ended; empty if requests of other daemons are more suspicious at each of them.
     pub fn open_crashes(&self, now: Moment) -> PartReport {
-        let is_open =
-            |crash: &PromptCrash| crash.parts().any(|part| self.may_have_caused(&part, crash));
+        let is_open = |crash: &PromptCrash| {
+            let mut parts = crash.all_parts();
+            parts.any(|p| self.may_have_caused(&p, crash) || self.is_exposure(&p, crash))
+        };
         let mut open: Vec<_> = self.crashes.iter().filter(|(_, crash)| is_open(crash)).collect();
         if !open.iter().any(|(_, crash)| crash.has_own_suspect()) {
             return PartReport::default();
         }
         open.sort_by_key(|(id, crash)| (std::cmp::Reverse(crash.at), *id));
         open.truncate(MAX_OPEN);
-        let parts: BTreeSet<_> = open.iter().flat_map(|(_, crash)| crash.parts()).collect();
+        let parts: BTreeSet<_> = open.iter().flat_map(|(_, crash)| crash.all_parts()).collect();
         let is_listed = |key: &(PromptPart, RequestProgress)| parts.contains(&key.0);
         let cleared = self.cleared.iter().filter(|(key, _)| is_listed(key));
         let mut cleared: Vec<_> = cleared
@@ -92,10 +94,12 @@
     /// of, and whether it is held. With `only_own`, only if this daemon detected one of the crashes.
     pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
         let Some(part) = self.part_of(fingerprint) else { return PartReport::default() };
-        if only_own && !self.suspected_crashes(&part).any(PromptCrash::is_own) {
+        let is_known = |crash: &PromptCrash| {
+            self.may_have_caused(&part, crash) || self.is_exposure(&part, crash)
+        };
+        if only_own && !self.crashes.values().any(|crash| is_known(crash) && crash.is_own()) {
             return PartReport::default();
         }
-        let is_known = |crash: &PromptCrash| self.may_have_caused(&part, crash);
         let held = self.held.get(&part).filter(|hold| hold.is_fleetwide());
         let held = held.map(|hold| held_report(&part, hold, now));
         let crashes = self.crash_reports(is_known, now);
@@ -104,7 +108,7 @@
 
     /// Returns the part, held or of a crash, that has a fingerprint.
     fn part_of(&self, fingerprint: &Fingerprint) -> Option<PromptPart> {
-        let exposed = self.crashes.values().flat_map(PromptCrash::parts);
+        let exposed = self.crashes.values().flat_map(PromptCrash::all_parts);
         let all: BTreeSet<_> = self.held.keys().cloned().chain(exposed).collect();
         all.into_iter().find(|part| part.fingerprint() == *fingerprint)
     }
@@ -144,8 +148,12 @@
             let passed_at = now.saturating_sub(*age);
             let clearing = Clearing { passed_at, learned_at: now, is_own: false };
             self.clear_at(part, *progress, clearing);
-            if *progress == RequestProgress::FirstEvent {
-                self.record_served(part, ServedPart { at: passed_at, own_at: None });
+            match progress {
+                RequestProgress::FirstEvent => {
+                    self.record_served(part, ServedPart { at: passed_at, own_at: None });
+                }
+                RequestProgress::Streaming => {}
+                RequestProgress::Complete => self.record_answered(part, passed_at),
             }
         }
     }
--- a/lib/src/cluster/part_verdicts.rs
+++ b/lib/src/cluster/part_verdicts.rs
@@ -16,12 +16,12 @@
 
 /// Number of crashes after which a part is held, if every other part of one of them is suspected of fewer. Of those
 /// with equally many the likeliest is held; the hold is replaced once further crashes distinguish them.
-const SOLE_SUSPECT_CRASHES: usize = 3;
+pub(super) const SOLE_SUSPECT_CRASHES: usize = 3;
 /// Different requests under which servers crashed before their common part is held; one alone may itself be the cause.
-const MIN_REQUESTS: usize = 2;
+pub(super) const MIN_REQUESTS: usize = 2;
 /// Least time from the first to the last crash before a part is held: the loss of many hosts at one instant exposes
 /// every common part to several crashes.
-const MIN_SPREAD: Duration = Duration::from_millis(150);
+pub(super) const MIN_SPREAD: Duration = Duration::from_millis(150);
 
 impl PartQuarantine {
     /// Holds those of some parts that are suspected of enough crashes; returns which are held from now on, or bind all
@@ -32,8 +32,9 @@
         let fatal: Vec<_> = parts.iter().filter(is_open).filter_map(found).collect();
         let mut new_parts = Vec::new();
         for (part, scope) in fatal {
-            let newest = self.suspected_crashes(&part).map(|crash| crash.at).max();
-            let since = newest.unwrap_or(now);
+            let exposed = self.exposures(&part);
+            let crashes = self.suspected_crashes(&part).chain(exposed);
+            let since = crashes.map(|crash| crash.at).max().unwrap_or(now);
             let hold = PartHold { since, learned_at: now, last_attempt: now, scope };
             if self.merge_hold(&part, hold) {
                 new_parts.push(part);
@@ -47,17 +48,23 @@
     /// An isolated data centre counts crashes of its own servers only: links to others that are cut off may end as those of
     /// a crashed server do.
     fn find_fatal(&self, part: &PromptPart, now: Moment) -> Option<HoldScope> {
-        let crashes: Vec<_> = self.suspected_crashes(part).collect();
-        let has_reported = |crash: &&PromptCrash| self.remote.has_reported(crash.at, now);
-        let reported: Vec<_> = crashes.iter().copied().filter(has_reported).collect();
-        if self.is_proven(part, &reported, self.remote.heard_until(now)) {
+        let (crashes, exposures): (Vec<_>, _) =
+            (self.suspected_crashes(part).collect(), self.exposures(part));
+        let heard_until = self.remote.heard_until(now);
+        let has_reported = |crash: &PromptCrash| self.remote.has_reported(crash.at, now);
+        if self.is_proven(part, &filtered(&crashes, has_reported), heard_until)
+            || self.is_outlived(part, &filtered(&exposures, has_reported), heard_until)
+        {
             return Some(HoldScope::Fleet);
         }
-        let local: Vec<_> = crashes.into_iter().filter(|crash| crash.is_local).collect();
-        let since = local.iter().map(|crash| crash.at).min()?;
-        let is_found = self.remote.is_isolated(now)
-            && self.is_contrasted(part, since)
-            && self.is_proven(part, &local, now);
+        if !self.remote.is_isolated(now) {
+            return None;
+        }
+        let is_local = |crash: &PromptCrash| crash.is_local;
+        let (crashes, exposures) = (filtered(&crashes, is_local), filtered(&exposures, is_local));
+        let since = crashes.iter().chain(&exposures).map(|crash| crash.at).min()?;
+        let is_found = self.is_contrasted(part, since) && self.is_proven(part, &crashes, now)
+            || self.is_unanswered(part, since) && self.is_outlived(part, &exposures, now);
         is_found.then_some(HoldScope::Isolated)
     }
 
@@ -76,8 +83,9 @@
             && last.saturating_sub(first) >= MIN_SPREAD
             && crashes.iter().any(|crash| {
                 crash.is_live
-                    && heard_until >= crash.at + CLEAR_TIME
+                    && heard_until >= crash.at + self.clear_time(crash.worst_stage_of(part))
                     && self.is_most_suspected(part, crash, count)
+                    && !self.is_outweighed(part, crash)
             })
     }
 
@@ -229,7 +237,7 @@
     ) -> Vec<PartEvidence> {
         let evidence = |part: &PromptPart| PartEvidence {
             id: part.id,
-            crashes: self.count(part),
+            crashes: self.count(part).max(self.exposures(part).len()),
             is_served: self.served.contains_key(part),
             is_held: self.held.contains_key(part),
         };
@@ -239,10 +247,17 @@
     /// Returns what is known for and against the other parts that servers had when they crashed under requests with a part, the
     /// most suspected first.
     pub fn rivals(&self, part: &PromptPart) -> Vec<PartEvidence> {
-        let crashes = self.crashes.values().filter(|crash| crash.has_part(part));
-        let others: BTreeSet<_> = crashes.flat_map(PromptCrash::parts).collect();
+        let crashes = self.crashes.values().filter(|crash| crash.stage_of(part).is_some());
+        let others: BTreeSet<_> = crashes.flat_map(PromptCrash::all_parts).collect();
         let mut rivals = self.evidence(others.iter().filter(|other| *other != part));
         rivals.sort_by_key(|rival| std::cmp::Reverse(rival.crashes));
         rivals
     }
 }
+
+fn filtered<'a>(
+    crashes: &[&'a PromptCrash],
+    is_chosen: impl Fn(&PromptCrash) -> bool,
+) -> Vec<&'a PromptCrash> {
+    crashes.iter().copied().filter(|crash| is_chosen(crash)).collect()
+}
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -16,14 +16,16 @@
 
 /// Number of suspected crashes after which a request is held, if it is the only suspect of at least one, or the others
 /// of one are suspected of fewer.
-const SOLE_SUSPECT_CRASHES: usize = 3;
+pub(super) const SOLE_SUSPECT_CRASHES: usize = 3;
 /// Number of suspected crashes after which a request is held, if each has other suspects of as many as well.
-const JOINT_SUSPECT_CRASHES: usize = 5;
+pub(super) const JOINT_SUSPECT_CRASHES: usize = 5;
+/// Number of crashes at any stage after which a request is tried.
+pub(super) const EXPOSED_CRASHES: usize = 2;
 /// Time within which all reachable daemons have reported which requests a server had when it crashed.
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(100);
 /// Other suspects of a crash that did not cause it get an event from another server within this time of
 /// the crash.
-const SUSPECT_CLEAR_TIME: Duration = Duration::from_millis(500);
+pub(super) const SUSPECT_CLEAR_TIME: Duration = Duration::from_millis(500);
 /// A request is held until callers have made no attempt at it for this long.
 pub const HOLD_TIME: Duration = Duration::from_hours(1);
 /// How long crashes and cleared suspects are remembered; long enough for callers that retry rarely.
@@ -42,14 +44,14 @@
 
 /// A server's crash, and the requests that it had.
 #[derive(Debug)]
-struct Crash {
+pub(super) struct Crash {
     /// When it happened, by the earliest report.
-    at: Moment,
+    pub at: Moment,
     /// When this daemon last learned of the crash or of another of its requests.
     updated_at: Moment,
     /// The most suspicious stage of this daemon's own requests; `None` if it did not detect the crash.
     own_stage: Option<CrashStage>,
-    requests: BTreeMap<Fingerprint, CrashStage>,
+    pub requests: BTreeMap<Fingerprint, CrashStage>,
     /// The most suspicious stage of all its requests, including those cleared since.
     worst_stage: CrashStage,
 }
@@ -62,7 +64,8 @@
 
     /// Returns whether it had the request and none of its other requests was at a more suspicious stage.
     fn has_worst(&self, fingerprint: &Fingerprint) -> bool {
-        self.requests.get(fingerprint) == Some(&self.worst_stage)
+        let stage = self.requests.get(fingerprint);
+        stage.is_some_and(|stage| stage.rank() == self.worst_stage.rank())
     }
 }
 
@@ -72,11 +75,13 @@
 /// counts once.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    crashes: HashMap<CrashId, Crash>,
+    pub(super) crashes: HashMap<CrashId, Crash>,
     /// Requests that reached a stage of progress without a crash, and when.
-    cleared: HashMap<(Fingerprint, RequestProgress), Moment>,
+    pub(super) cleared: HashMap<(Fingerprint, RequestProgress), Moment>,
     /// Held requests, and the time of each one's last attempt by a caller.
-    held: HashMap<Fingerprint, Moment>,
+    pub(super) held: HashMap<Fingerprint, Moment>,
+    /// Mean run time of requests.
+    pub(super) run_time: Duration,
 }
 
 impl Quarantine {
@@ -125,7 +130,11 @@
         // A later crash voids what an event cleared, but not what a whole answer did.
         let is_cleared = |c: &Crash| match progress {
             RequestProgress::Complete => c.requests.contains_key(&fingerprint),
-            _ => progress.clears(c.worst_stage) && self.is_suspect(&fingerprint, c),
+            _ => {
+                let stage = c.requests.get(&fingerprint);
+                stage.is_some_and(|stage| progress.clears(*stage))
+                    && (self.is_suspect(&fingerprint, c) || self.is_exposure(&fingerprint, c))
+            }
         };
         let is_change = is_released || self.crashes.values().any(is_cleared);
         if is_change {
@@ -140,15 +149,15 @@
         crashes.map(|(id, _)| id).collect()
     }
 
-    fn is_suspect(&self, fingerprint: &Fingerprint, crash: &Crash) -> bool {
+    pub(super) fn is_suspect(&self, fingerprint: &Fingerprint, crash: &Crash) -> bool {
         crash.has_worst(fingerprint) && !self.is_cleared(fingerprint, crash)
     }
 
     /// Returns whether a request has progressed beyond the stage of a crash since, and is no suspect of a later crash.
     /// The latter matters for requests whose servers crash near the first event: these progress further now and then.
     fn is_cleared(&self, fingerprint: &Fingerprint, crash: &Crash) -> bool {
-        let clearing =
-            RequestProgress::ALL.iter().filter(|progress| progress.clears(crash.worst_stage));
+        let Some(stage) = crash.requests.get(fingerprint) else { return true };
+        let clearing = RequestProgress::ALL.iter().filter(|progress| progress.clears(*stage));
         let newest =
             clearing.filter_map(|progress| self.cleared.get(&(*fingerprint, *progress))).max();
         let crashed_again = |since: &Moment| {
@@ -193,7 +202,8 @@
         let is_sole = || crashes.iter().any(|crash| self.has_sole_suspect(crash, now));
         let must_hold = crashes.len() >= JOINT_SUSPECT_CRASHES
             || crashes.len() >= SOLE_SUSPECT_CRASHES
-                && (is_sole() || self.is_most_suspected(&fingerprint, &crashes, now));
+                && (is_sole() || self.is_most_suspected(&fingerprint, &crashes, now))
+            || self.is_outlived(&fingerprint, now);
         must_hold && self.hold(fingerprint, now)
     }
 
@@ -201,9 +211,29 @@
     /// be cleared meanwhile.
     pub fn decision_delay(&self, fingerprint: &Fingerprint, now: Moment) -> Duration {
         let suspected = self.crashes.values().filter(|crash| self.is_suspect(fingerprint, crash));
-        let times: Vec<Moment> = suspected.map(|crash| crash.at).collect();
-        let newest = times.iter().max().filter(|_| times.len() + 1 >= SOLE_SUSPECT_CRASHES);
-        newest.map_or(Duration::ZERO, |at| (*at + SUSPECT_CLEAR_TIME).saturating_sub(now))
+        let delay = |crashes: Vec<&Crash>| {
+            let newest = crashes.iter().map(|crash| crash.at).max();
+            let newest = newest.filter(|_| crashes.len() + 1 >= SOLE_SUSPECT_CRASHES);
+            newest.map_or(Duration::ZERO, |at| (at + SUSPECT_CLEAR_TIME).saturating_sub(now))
+        };
+        let of_exposures = self.exposure_delay(fingerprint, now);
+        delay(suspected.collect()).max(of_exposures)
+    }
+
+    /// Returns the crashes that a request is suspected of, or that it has not survived.
+    pub fn open_crash_ids(&self, fingerprint: &Fingerprint) -> Vec<&CrashId> {
+        let is_counted = |crash: &Crash| {
+            self.is_suspect(fingerprint, crash) || self.is_exposure(fingerprint, crash)
+        };
+        let counted = self.crashes.iter().filter(|(_, crash)| is_counted(crash));
+        counted.map(|(id, _)| id).collect()
+    }
+
+    /// Returns whether a request is tried, one copy at a time: it is among the most suspicious of a crash, or was at a server
+    /// during several.
+    pub fn is_tried(&self, fingerprint: &Fingerprint) -> bool {
+        !self.suspected_crashes(fingerprint).is_empty()
+            || self.exposures(fingerprint).len() >= EXPOSED_CRASHES
     }
 
     /// Returns whether a request is held and must not be sent to any server; the call restarts its [`HOLD_TIME`].
@@ -231,11 +261,14 @@
     /// requests of other daemons are more suspicious at each of them.
     pub fn open_crashes(&self, now: Moment) -> QuarantineReport {
         let suspects = |crash: &Crash| {
-            let all = crash.requests.keys().filter(|print| self.is_suspect(print, crash));
+            let all = crash.requests.keys();
+            let all = all.filter(|p| self.is_suspect(p, crash) || self.is_exposure(p, crash));
             all.copied().collect::<Vec<_>>()
         };
         let is_open = |crash: &Crash| !suspects(crash).is_empty();
-        let has_own = |crash: &Crash| crash.own_stage == Some(crash.worst_stage);
+        let worst_rank = |crash: &Crash| crash.worst_stage.rank();
+        let has_own =
+            |crash: &Crash| crash.own_stage.map(CrashStage::rank) == Some(worst_rank(crash));
         if !self.crashes.values().any(|crash| has_own(crash) && is_open(crash)) {
             return QuarantineReport::default();
         }
@@ -263,11 +296,14 @@
         only_own: bool,
         now: Moment,
     ) -> Option<QuarantineReport> {
-        let is_own = |crash: &Crash| crash.is_own() && self.is_suspect(fingerprint, crash);
+        let is_known = |crash: &Crash| {
+            self.is_suspect(fingerprint, crash) || self.is_exposure(fingerprint, crash)
+        };
+        let is_own = |crash: &Crash| crash.is_own() && is_known(crash);
         if only_own && !self.crashes.values().any(is_own) {
             return None;
         }
-        let mut report = self.crash_report(|crash| self.is_suspect(fingerprint, crash), now);
+        let mut report = self.crash_report(is_known, now);
         let held = self.held.get(fingerprint);
         report.held.extend(held.map(|at| (*fingerprint, now.saturating_sub(*at))));
         (!report.crashes.is_empty() || !report.held.is_empty()).then_some(report)
@@ -281,7 +317,7 @@
             // If there are too many requests for a report, the most suspicious ones are reported.
             let mut requests: Vec<_> =
                 crash.requests.iter().map(|(fingerprint, stage)| (*fingerprint, *stage)).collect();
-            requests.sort_by_key(|(_, stage)| *stage);
+            requests.sort_by_key(|(_, stage)| (stage.rank(), stage.progress()));
             requests.truncate(MAX_REPORTED);
             let age = now.saturating_sub(crash.at);
             CrashReport { id: id.clone(), age, worst_stage: crash.worst_stage, requests }
@@ -340,7 +376,7 @@
             updated_at: now,
             own_stage: None,
             requests: BTreeMap::new(),
-            worst_stage: CrashStage::Other,
+            worst_stage: CrashStage::Unanswered,
         });
         crash.at = crash.at.min(at);
         for (fingerprint, stage) in requests {
--- a/lib/src/cluster/quarantine_report.rs
+++ b/lib/src/cluster/quarantine_report.rs
@@ -10,25 +10,48 @@
 
 /// How far a server had got with a request when it crashed, the most suspicious stage first.
 ///
-/// A request that crashes servers does so as soon as it runs. A request whose response has been streaming for
-/// a while, or that still waits to run, was interrupted by a crash that another request caused.
+/// Most requests that crash servers do so as soon as they run, but neither a request without a response nor one whose
+/// response has been streaming for a while is above suspicion.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum CrashStage {
     /// The response had begun, but no event had arrived.
     BeforeEvents,
     /// The first event had just arrived.
     FirstEvent,
-    /// Events had been arriving for a while, or there was no response yet.
-    Other,
+    /// Events had been arriving for a while.
+    Streaming,
+    /// There was no response yet: the request waited or was being read.
+    Unanswered,
 }
 
 impl CrashStage {
+    /// Returns how suspicious a request at this stage is, compared with others at the same crash; the least number is the
+    /// most suspicious.
+    pub fn rank(self) -> u8 {
+        match self {
+            Self::BeforeEvents => 0,
+            Self::FirstEvent => 1,
+            Self::Streaming | Self::Unanswered => 2,
+        }
+    }
+
+    /// Returns the number of steps that a server had made with the request.
+    pub fn progress(self) -> u8 {
+        match self {
+            Self::Unanswered => 0,
+            Self::BeforeEvents => 1,
+            Self::FirstEvent => 2,
+            Self::Streaming => 3,
+        }
+    }
+
     /// Returns the stage's name in logs.
     pub fn name(self) -> &'static str {
         match self {
             Self::BeforeEvents => "begun",
             Self::FirstEvent => "young",
-            Self::Other => "other",
+            Self::Streaming => "streaming",
+            Self::Unanswered => "unanswered",
         }
     }
 }
@@ -61,8 +84,8 @@
     /// crashes servers, it crashes each of them at the same point.
     pub fn clears(self, stage: CrashStage) -> bool {
         match self {
-            Self::FirstEvent => stage == CrashStage::BeforeEvents,
-            Self::Streaming => stage < CrashStage::Other,
+            Self::FirstEvent => stage.progress() < CrashStage::FirstEvent.progress(),
+            Self::Streaming => stage != CrashStage::Streaming,
             Self::Complete => true,
         }
     }
--- a/lib/src/cluster/run_times.rs
+++ b/lib/src/cluster/run_times.rs
@@ -26,6 +26,12 @@
         *mean += NEWEST_WEIGHT * (time.as_secs_f64() - *mean);
     }
 
+    /// Returns the longest of the mean run times of services.
+    pub fn longest_mean(&self) -> Duration {
+        let longest = self.means.borrow().values().copied().reduce(f64::max);
+        longest.map_or(INITIAL_MEAN, Duration::from_secs_f64)
+    }
+
     /// Returns the mean run time of a service.
     pub fn mean(&self, service: &str) -> Duration {
         self.means.borrow().get(service).map_or(INITIAL_MEAN, |mean| Duration::from_secs_f64(*mean))
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -314,7 +314,7 @@
         self.first_event = Some(first);
         self.unproven_since = Some(first);
         daemon.record_progress(self, RequestProgress::FirstEvent);
-        self.end_trial();
+        daemon.end_passed_trial(self);
     }
 
     /// Ends the trial of a suspect, so that its next copy may be sent: whether a server crashed is recorded by now.
--- a/lib/src/serve/part_suspects.rs
+++ b/lib/src/serve/part_suspects.rs
@@ -28,6 +28,7 @@
     let directory = daemon.directory.borrow();
     let mut parts = daemon.part_quarantine.borrow_mut();
     parts.set_remote_heard(heard);
+    parts.set_run_time(daemon.run_times.longest_mean());
     parts.set_local(|server| directory.get(&server.id).is_some_and(|s| s.centre == centre));
 }
 
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -39,6 +39,8 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after its first event during which a stream counts as just begun.
 pub(super) const EARLY_STREAM_TIME: Duration = Duration::from_millis(500);
+/// Longest trial after the first event. The next copy of a suspect would wait for the end of a long stream otherwise.
+const MAX_TRIAL_TIME: Duration = Duration::from_secs(3);
 /// Daemons that tell a peer what they know of a request without having detected a crash: some may be gone.
 const MAX_ANSWERS: usize = 3;
 
@@ -61,6 +63,17 @@
         if attempt.unproven_since.is_some_and(|first| self.now() >= first + EARLY_STREAM_TIME) {
             attempt.unproven_since = None;
             self.record_progress(attempt, RequestProgress::Streaming);
+            self.end_passed_trial(attempt);
+        }
+        if attempt.first_event.is_some_and(|first| self.now() >= first + MAX_TRIAL_TIME) {
+            attempt.end_trial();
+        }
+    }
+
+    /// Ends the trial of an attempt that got further than the crashes that it was suspected of.
+    pub fn end_passed_trial(&self, attempt: &mut Attempt) {
+        if attempt.trial.is_some() && self.trial_key(attempt).is_none() {
+            attempt.end_trial();
         }
     }
 
@@ -86,7 +99,7 @@
 
     /// Returns whether servers crashed under a request that has not been cleared of these crashes.
     pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
-        !self.quarantine.borrow().suspected_crashes(fingerprint).is_empty()
+        self.quarantine.borrow().is_tried(fingerprint)
     }
 
     /// Returns what a request is suspected for: one of its prompt parts, or itself. Requests that have it in common are
@@ -181,11 +194,12 @@
 
 fn crash_stage(daemon: &DaemonState, attempt: &Attempt, disconnect: Disconnect) -> CrashStage {
     match (disconnect, attempt.first_event) {
+        (Disconnect::BeforeHead, _) => CrashStage::Unanswered,
         (Disconnect::AfterHead, None) => CrashStage::BeforeEvents,
         (Disconnect::AfterHead, Some(first)) if daemon.now() < first + EARLY_STREAM_TIME => {
             CrashStage::FirstEvent
         }
-        _ => CrashStage::Other,
+        (Disconnect::AfterHead, Some(_)) => CrashStage::Streaming,
     }
 }
 
@@ -215,9 +229,10 @@
 fn record_crash(daemon: &Rc<DaemonState>, exposure: &Exposure) {
     let Exposure { fingerprint, ref server, sent_at, stage, .. } = *exposure;
     let mut quarantine = daemon.quarantine.borrow_mut();
+    quarantine.set_run_time(daemon.run_times.longest_mean());
     let id = quarantine.crash_after(server, sent_at);
     let is_held = quarantine.record_crash(server, sent_at, fingerprint, stage, daemon.now());
-    let crashes = quarantine.suspected_crashes(&fingerprint).len();
+    let crashes = quarantine.open_crash_ids(&fingerprint).len();
     drop(quarantine);
     let part_ids = exposure.parts.iter().map(|part| part.id).collect();
     let prompt = ExposedPrompt { fingerprint, stage, parts: part_ids };
@@ -229,7 +244,8 @@
         "attempt" => &exposure.attempt, "server" => %server, "stage" => stage.name(),
         "sent_ms_ago" => daemon.now().saturating_sub(sent_at).as_millis(),
         "crashes" => crashes, "parts" => part_suspects::shown_evidence(&evidence));
-    if stage == CrashStage::BeforeEvents {
+    let is_repeated = crashes > 1 || evidence.iter().any(|part| part.crashes > 1);
+    if stage != CrashStage::Streaming || is_repeated {
         daemon.quarantine_changed.notify_one();
         daemon.stored_crashes.record_detected();
     }
@@ -240,7 +256,10 @@
 
 /// Quarantines a request if the evidence suffices by now; peers may have reported more since the last check.
 fn evaluate(daemon: &Rc<DaemonState>, fingerprint: Fingerprint) {
-    let is_held = daemon.quarantine.borrow_mut().evaluate(fingerprint, daemon.now());
+    let mut quarantine = daemon.quarantine.borrow_mut();
+    quarantine.set_run_time(daemon.run_times.longest_mean());
+    let is_held = quarantine.evaluate(fingerprint, daemon.now());
+    drop(quarantine);
     if is_held {
         begin_quarantine(daemon, fingerprint);
     }
@@ -256,7 +275,7 @@
 pub(super) fn log_quarantined(daemon: &DaemonState, fingerprint: Fingerprint, from: &str) {
     let quarantine = daemon.quarantine.borrow();
     let servers: Vec<_> =
-        quarantine.suspected_crashes(&fingerprint).iter().map(|c| c.server.id.as_str()).collect();
+        quarantine.open_crash_ids(&fingerprint).iter().map(|c| c.server.id.as_str()).collect();
     slog::warn!(daemon.log, "request-held"; "print" => %fingerprint, "from" => from,
         "servers" => servers.join(","), "held" => quarantine.held().count());
     daemon.metrics.set_quarantined(quarantine.held().count());
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_part_quarantine.rs
@@ -21,6 +21,13 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 const SERVICE: &str = "drafting";
+/// All stages.
+const STAGES: [CrashStage; 4] = [
+    CrashStage::BeforeEvents,
+    CrashStage::FirstEvent,
+    CrashStage::Streaming,
+    CrashStage::Unanswered,
+];
 /// A part with which the prompts of all requests begin, and one that crashes servers.
 const COMMON: PartId = 1;
 const FATAL: PartId = 0xdead;
@@ -391,6 +398,52 @@
     assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
 }
 
+/// Guards against a part that crashes servers before the head of the response, or late in a stream, not being held because
+/// another request had just begun at each of them, and against a part that all requests share being held in its place.
+#[rstest]
+#[case::unanswered(CrashStage::Unanswered)]
+#[case::streaming(CrashStage::Streaming)]
+fn beside_younger(#[case] stage: CrashStage) {
+    let mut site = Site::new();
+    for n in 0..3 {
+        site.now += SECOND * 5;
+        assert_eq!(site.held(&[COMMON, FATAL]), [0; 0], "after {n} crashes");
+        if stage == CrashStage::Streaming {
+            site.progress(&[COMMON, FATAL], RequestProgress::FirstEvent);
+            site.progress(&[COMMON, FATAL], RequestProgress::Streaming);
+        }
+        site.now += SECOND * 2;
+        for (request, stage, parts) in [
+            (n, stage, [COMMON, FATAL]),
+            (100 + n, CrashStage::BeforeEvents, [COMMON, 50 + n as PartId]),
+        ] {
+            let prompt = prompt(request, stage, &parts);
+            site.quarantine.record_crash(&crash(n), &SERVICE.into(), prompt, site.now);
+        }
+    }
+    site.now += SECOND * 4;
+    assert_eq!(site.held(&[COMMON, FATAL]), [FATAL]);
+}
+
+/// Guards against a sound part of streams in progress being held because several servers crash before any of the streams
+/// that begin afterwards ends.
+#[test]
+fn streams_spared() {
+    let mut site = Site::new();
+    site.quarantine.set_run_time(SECOND * 2);
+    for n in 0..3 {
+        site.now += SECOND / 5;
+        let prompt = prompt(n, CrashStage::Streaming, &[COMMON, 50 + n as PartId]);
+        site.quarantine.record_crash(&crash(n), &SERVICE.into(), prompt, site.now);
+    }
+    let began = site.now;
+    site.now += SECOND * 2;
+    assert_eq!(site.held(&[COMMON]), [0; 0]);
+    site.progress_since(&[COMMON], RequestProgress::Complete, began);
+    site.now += SECOND * 9;
+    assert_eq!(site.held(&[COMMON]), [0; 0]);
+}
+
 /// Guards against a part counting as sound for ever because a request with it was served before it began to crash servers.
 #[test]
 fn served_before() {
@@ -691,13 +744,13 @@
     /// The order of reports and duplicates among them must not matter, or daemons would disagree permanently.
     #[test]
     fn order_irrelevant(
-        sightings in prop::collection::vec((0..5_usize, 0..6_usize, 0..3_usize), 1..24),
+        sightings in prop::collection::vec((0..5_usize, 0..6_usize, 0..STAGES.len()), 1..24),
         cleared in prop::collection::vec((0..4_u128, 0..3_usize, 0..4_u32), 0..4),
         order in any::<prop::sample::Index>(),
     ) {
         let now = start() + SECOND * 9;
         let sighting = |(at, request, stage): &(usize, usize, usize)| {
-            let stage = [CrashStage::BeforeEvents, CrashStage::FirstEvent, CrashStage::Other][*stage];
+            let stage = STAGES[*stage];
             let mut observer = PartQuarantine::default();
             // The parts of a request are the same in all reports.
             let prompt = prompt(*request, stage, &[*request as PartId % 4, 10 + *request as PartId]);
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -11,8 +11,16 @@
 use comfreymux_lib::cluster::server_instance::ServerInstance;
 use http::Method;
 use proptest::prelude::*;
+use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// All stages.
+const STAGES: [CrashStage; 4] = [
+    CrashStage::BeforeEvents,
+    CrashStage::FirstEvent,
+    CrashStage::Streaming,
+    CrashStage::Unanswered,
+];
 
 fn fingerprint(n: u32) -> Fingerprint {
     Fingerprint::new(&Method::POST, "shop.example", "/draft/7", &n.to_be_bytes())
@@ -246,14 +254,16 @@
     let now = start();
     let mut quarantine = Quarantine::default();
     for n in 0..5 {
-        quarantine.record_crash(&server(n), Moment::ZERO, fingerprint(2), CrashStage::Other, now);
         quarantine.record_crash(
             &server(n),
             Moment::ZERO,
-            fingerprint(3),
-            CrashStage::FirstEvent,
+            fingerprint(2),
+            CrashStage::Streaming,
             now,
         );
+        for (request, stage) in [(3, CrashStage::FirstEvent), (4, CrashStage::Unanswered)] {
+            quarantine.record_crash(&server(n), Moment::ZERO, fingerprint(request), stage, now);
+        }
         quarantine.record_crash(
             &server(n),
             Moment::ZERO,
@@ -265,6 +275,7 @@
     assert!(quarantine.is_held(&fingerprint(1), now));
     assert!(!quarantine.is_held(&fingerprint(2), now));
     assert!(!quarantine.is_held(&fingerprint(3), now));
+    assert!(!quarantine.is_held(&fingerprint(4), now));
 }
 
 /// The same as `bystanders_free`, but the request to blame is another daemon's.
@@ -275,20 +286,45 @@
     for n in 0..5 {
         there.record_crash(&server(n), Moment::ZERO, fingerprint(1), CrashStage::BeforeEvents, now);
         here.merge(&there.report(now, false), now);
-        here.record_crash(&server(n), Moment::ZERO, fingerprint(2), CrashStage::Other, now);
+        here.record_crash(&server(n), Moment::ZERO, fingerprint(2), CrashStage::Streaming, now);
+        here.record_crash(&server(n), Moment::ZERO, fingerprint(3), CrashStage::Unanswered, now);
     }
     assert!(here.is_held(&fingerprint(1), now));
     assert!(!here.is_held(&fingerprint(2), now));
+    assert!(!here.is_held(&fingerprint(3), now));
 }
 
 /// A server that sends no response head before the response itself does not show which request it was
 /// running. A request without a response must still be held after enough crashes.
 #[test]
 fn unanswered_held() {
-    let (mut quarantine, now) = after_crashes(3, CrashStage::Other);
+    let (mut quarantine, now) = after_crashes(3, CrashStage::Unanswered);
     assert!(quarantine.is_held(&fingerprint(1), now));
 }
 
+/// Guards against a request that crashes servers before the head of the response, or late in a stream, not being held because
+/// another request had just begun at each of them.
+#[rstest]
+#[case::unanswered(CrashStage::Unanswered)]
+#[case::streaming(CrashStage::Streaming)]
+fn beside_younger(#[case] stage: CrashStage) {
+    let mut quarantine = Quarantine::default();
+    let mut now = start();
+    for n in 0..3 {
+        now += SECOND * 5;
+        assert!(!quarantine.evaluate(fingerprint(1), now), "after {n} crashes");
+        if stage == CrashStage::Streaming {
+            quarantine.record_progress(fingerprint(1), RequestProgress::FirstEvent, now);
+            quarantine.record_progress(fingerprint(1), RequestProgress::Streaming, now + SECOND);
+        }
+        now += SECOND * 2;
+        quarantine.record_crash(&server(n), Moment::ZERO, fingerprint(1), stage, now);
+        let young = fingerprint(100 + n as u32);
+        quarantine.record_crash(&server(n), Moment::ZERO, young, CrashStage::BeforeEvents, now);
+    }
+    assert!(quarantine.evaluate(fingerprint(1), now + SECOND * 4));
+}
+
 /// A popular request is at several servers that crash in the course of a day, but is served in between. It
 /// must not be held.
 #[test]
@@ -386,14 +422,14 @@
     /// permanently.
     #[test]
     fn order_irrelevant(
-        sightings in prop::collection::vec((0..4_usize, 0..4_u32, 0..3_u8), 1..24),
+        sightings in prop::collection::vec((0..4_usize, 0..4_u32, 0..STAGES.len()), 1..24),
         order in any::<prop::sample::Index>(),
     ) {
         let now = start();
         let reports: Vec<_> = sightings
             .iter()
             .map(|(at, request, stage)| {
-                let stage = [CrashStage::BeforeEvents, CrashStage::FirstEvent, CrashStage::Other][*stage as usize];
+                let stage = STAGES[*stage];
                 let mut observer = Quarantine::default();
                 observer.record_crash(&server(*at), Moment::ZERO, fingerprint(*request), stage, now);
                 observer.report(now, false)
