abandoned sends: a server that stood still is watched until it ends

Callers saw engines that stand still under a fatal request and are ended seconds later go on ending: the send had been given up by then, by its deadline, its caller or for another engine, and a crash after that was put down to nothing, or to others.

Cause: a send that is given up was checked once, 100 ms later, and only after the head of the response. Class: a value that ends before the outcome that it stands for.

Change: what a send is suspected of begins with the send. A request that was answered whole elsewhere meanwhile is not suspected, nor are parts that were.

--- a/lib/src/cluster/directory.rs
+++ b/lib/src/cluster/directory.rs
@@ -306,6 +306,11 @@
         change
     }
 
+    /// Returns whether an instance announced in a response that it is leaving.
+    pub fn has_announced(&self, server: &ServerInstance) -> bool {
+        self.ended.has_announced(server)
+    }
+
     /// Returns whether an entry was written before its instance ended.
     fn is_ended(&self, server: &Server) -> bool {
         self.ended.is_outdated(&server.instance(), server.heartbeat)
--- a/lib/src/cluster/part_exposures.rs
+++ b/lib/src/cluster/part_exposures.rs
@@ -77,6 +77,11 @@
         newest.is_some_and(|newest| known.is_none_or(|known| known < newest))
     }
 
+    /// Returns whether a request with a part whose first event came after `since` was answered whole.
+    pub fn is_answered_since(&self, part: &PromptPart, since: Moment) -> bool {
+        self.answered.get(part).is_some_and(|at| *at > since)
+    }
+
     /// Records the mean run time of requests, within which a response becomes whole.
     pub fn set_run_time(&mut self, mean: Duration) {
         self.run_time = mean;
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -128,13 +128,14 @@
         let is_released =
             progress == RequestProgress::Complete && self.held.contains_key(&fingerprint);
         // A later crash voids what an event cleared, but not what a whole answer did.
-        let is_cleared = |c: &Crash| match progress {
-            RequestProgress::Complete => c.requests.contains_key(&fingerprint),
-            _ => {
-                let stage = c.requests.get(&fingerprint);
-                stage.is_some_and(|stage| progress.clears(*stage))
-                    && (self.is_suspect(&fingerprint, c) || self.is_exposure(&fingerprint, c))
-            }
+        let is_beyond = |c: &Crash| {
+            let stage = c.requests.get(&fingerprint);
+            stage.is_some_and(|stage| progress.clears(*stage))
+                && (self.is_suspect(&fingerprint, c) || self.is_exposure(&fingerprint, c))
+        };
+        let is_cleared = |c: &Crash| {
+            let is_whole = progress == RequestProgress::Complete;
+            is_whole && c.requests.contains_key(&fingerprint) || is_beyond(c)
         };
         let is_change = is_released || self.crashes.values().any(is_cleared);
         if is_change {
--- a/lib/src/serve/attempt.rs
+++ b/lib/src/serve/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a caller: the request, its deadline, and the results of its sends to servers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -135,6 +136,8 @@
     pub unproven_since: Option<Moment>,
     /// Longest pause between events so far.
     pub max_pause: Duration,
+    /// Whether it was answered whole.
+    pub survived: Rc<Cell<bool>>,
 }
 
 /// A request that was read whole.
@@ -204,6 +207,7 @@
             sent_at: arrived,
             first_event: None,
             max_pause: Duration::ZERO,
+            survived: Rc::default(),
         }
     }
 
--- a/lib/src/serve/event_stream.rs
+++ b/lib/src/serve/event_stream.rs
@@ -12,7 +12,6 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::events::EventOrder;
 use crate::serve::events::EventSplitter;
-use crate::serve::exposure::Exposure;
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
 use crate::serve::send::ServerResponse;
@@ -55,7 +54,7 @@
         last: Option<u64>,
         workload_guard: WorkloadGuard,
         brittle_send: Option<BrittleSend>,
-        exposure: Option<Exposure>,
+        exposure: StreamExposure,
     ) -> Self {
         let splitter = EventSplitter::default();
         let is_unframed = response.ends_with_connection();
@@ -66,7 +65,7 @@
             event_count: 0,
             workload_guard,
             _brittle_send: brittle_send,
-            exposure: StreamExposure::new(&daemon, exposure),
+            exposure,
             daemon,
             server,
             is_unframed,
--- a/lib/src/serve/exchange_stream.rs
+++ b/lib/src/serve/exchange_stream.rs
@@ -29,6 +29,7 @@
 use crate::serve::send::Disconnect;
 use crate::serve::send::SendFailure;
 use crate::serve::stored_origins::wait_until_stored;
+use crate::serve::stream_exposure::StreamExposure;
 use crate::serve::suspects;
 use crate::serve::verify_instance::verify_instance;
 
@@ -129,7 +130,7 @@
     let server = Rc::clone(&chosen.server);
     let open_send = attempt.record_send(chosen, daemon.now());
     let mut brittle_send = daemon.record_send(&server.instance());
-    let exposure = Exposure::new(attempt, CrashStage::BeforeEvents);
+    let exposure = Exposure::new(attempt, CrashStage::Unanswered);
     let deadline = attempt.deadline;
     let request = attempt.request(daemon, &server, resume);
     let workload_guard =
@@ -141,12 +142,15 @@
             let verified = verify_instance(&daemon, &server).await;
             verified.inspect_err(|_unsent| open_send.end(daemon.now()))?;
         }
-        let response =
-            send::send(&daemon, &server, id.as_ref(), &open_send, deadline, request).await?;
+        let mut exposure = StreamExposure::new(&daemon, exposure);
+        let sent = send::send(&daemon, &server, id.as_ref(), &open_send, deadline, request).await;
+        let response = sent.inspect_err(|_failed| exposure.end())?;
+        exposure.record_head();
         if let Some(send) = &mut brittle_send {
             send.mark_answered();
         }
         if response.head.status != StatusCode::OK {
+            exposure.end();
             let (head, body) =
                 send::read_whole(&daemon, &server, response, MAX_RESPONSE_BYTES).await?;
             return Ok(OpenOutcome::Whole(head, body));
--- a/lib/src/serve/exposure.rs
+++ b/lib/src/serve/exposure.rs
@@ -1,5 +1,8 @@
 //! Requests that servers had when connections to them ended.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use crate::boot_clock::Moment;
 use crate::cluster::configuration::ServiceName;
 use crate::cluster::fingerprint::Fingerprint;
@@ -25,6 +28,8 @@
     pub sent_at: Moment,
     /// How far the server had come.
     pub stage: CrashStage,
+    /// Whether the request was answered whole since, by another server.
+    pub survived: Rc<Cell<bool>>,
 }
 
 impl Exposure {
@@ -38,6 +43,7 @@
             server: attempt.last_server.clone()?,
             sent_at: attempt.sent_at,
             stage,
+            survived: Rc::clone(&attempt.survived),
         })
     }
 }
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -53,6 +53,7 @@
     /// Records how far a server progressed with a request.
     pub fn record_progress(self: &Rc<Self>, attempt: &Attempt, progress: RequestProgress) {
         part_suspects::record_progress(self, attempt, progress);
+        attempt.survived.set(attempt.survived.get() || progress == RequestProgress::Complete);
         if self.quarantine.borrow_mut().record_progress(attempt.fingerprint, progress, self.now()) {
             self.quarantine_changed.notify_one();
         }
@@ -162,16 +163,48 @@
     drop(trial);
 }
 
-/// Records a crash of the server of an abandoned stream if there was one.
-pub(super) async fn record_if_ended(daemon: &Rc<DaemonState>, exposure: &Exposure) {
-    let listed = active_instance(daemon, &exposure.server);
-    let Some((_server, addr)) = listed.filter(|(listed, _)| *listed == exposure.server) else {
-        return;
-    };
-    let is_known = daemon.quarantine.borrow().has_crashed(&exposure.server, exposure.sent_at);
-    if is_known || refuses_connections(daemon, &exposure.server, addr).await {
-        record_crash(daemon, exposure);
+/// What became of the server of an abandoned send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Fate {
+    /// It runs, or nothing shows that it ended.
+    Running,
+    /// It crashed.
+    Crashed,
+    /// It ends as planned, or the request has been answered elsewhere.
+    Irrelevant,
+}
+
+/// Records a crash of the server of an abandoned send if there was one. The server is asked only if `asks`; otherwise what
+/// others report and the directory decide.
+pub(super) async fn record_if_ended(
+    daemon: &Rc<DaemonState>,
+    exposure: &Exposure,
+    asks: bool,
+) -> Fate {
+    let server = &exposure.server;
+    if exposure.survived.get() {
+        return Fate::Irrelevant;
+    }
+    let listed = daemon.directory.borrow().get(&server.id).cloned();
+    let is_replaced = listed.as_ref().is_some_and(|listed| listed.instance() != *server);
+    let is_planned = listed.as_ref().is_some_and(|listed| !is_replaced && listed.leaving);
+    if is_planned || daemon.directory.borrow().has_announced(server) {
+        return Fate::Irrelevant;
+    }
+    let mut is_ended =
+        is_replaced || daemon.quarantine.borrow().has_crashed(server, exposure.sent_at);
+    if let Some(listed) = listed.filter(|_| asks && !is_ended) {
+        is_ended = refuses_connections(daemon, server, listed.addr).await;
     }
+    if !is_ended {
+        return Fate::Running;
+    }
+    let mut exposure = exposure.clone();
+    let parts = daemon.part_quarantine.borrow();
+    exposure.parts.retain(|part| !parts.is_answered_since(part, exposure.sent_at));
+    drop(parts);
+    record_crash(daemon, &exposure);
+    Fate::Crashed
 }
 
 /// Logs that the end of a connection to a server is not taken for a crash.
