answers: a status below 200 or from 600 on is none

Callers got 101, 600, 700 and 999 of a server in trouble as its answer, with its signature; a 101 even asked their library to take the connection for another protocol. 000 itself, and statuses that are no number of three digits, never passed: the HTTP library refuses them.

Cause: only 421 and successes were looked at. Change: is_answer decides for sends (plain, streams, streams that are taken up, over own links and relays) and for calls (orders, reports, health checks, the store). Such a send may have run, counts against the server and closes its connection; nothing that the response says of the server is applied.

--- a/lib/src/serve.rs
+++ b/lib/src/serve.rs
@@ -7,6 +7,7 @@
 pub mod active_requests;
 mod adapter_loading;
 pub mod admission;
+pub mod answer_status;
 pub mod apply_updates;
 pub mod attempt;
 pub mod authorize;
--- a/lib/src/serve/call.rs
+++ b/lib/src/serve/call.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout_at;
 
 use crate::cluster::server_instance::ServerInstance;
+use crate::serve::answer_status::is_answer;
 use crate::serve::call_guard::CallGuard;
 use crate::serve::pool::Connection;
 use crate::serve::pool::ConnectionPool;
@@ -152,6 +153,10 @@
         guard.mark_answered();
     })?;
     let (head, body) = response.into_parts();
+    if !is_answer(head.status) {
+        guard.mark_answered();
+        return Err(CallError::NoResponse);
+    }
     let body = read(body).await;
     if !matches!(body, Err(None)) {
         guard.mark_answered();
--- a/lib/src/serve/send.rs
+++ b/lib/src/serve/send.rs
@@ -20,6 +20,7 @@
 use crate::cluster::server_health::Evidence;
 use crate::protocol::AttemptId;
 use crate::protocol::ResponseHeaders;
+use crate::serve::answer_status::is_answer;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::pool::Connection;
 use crate::serve::suspects;
@@ -234,6 +235,9 @@
     if !connection.is_relayed() {
         daemon.server_paths.borrow_mut().record_response(&instance, daemon.now());
     }
+    if !is_answer(response.status()) {
+        return Err(SendFailure::may_have_run("the status is no answer"));
+    }
     connection.meter().restart();
     let (head, body) = response.into_parts();
     let headers = daemon.protocol.parse_response_headers(&head);
