quarantine: stored crashes do not hold a request alone

Cause: a process stores the crashes whose cause it has not found. It may be killed before it records that the request was answered since, and the daemons that start afterwards add up such records of several processes: three of them held the request at once. Parts need a live crash, requests did not. Class: evidence that outlives what refutes it.

Change: a crash is live once a running process reports it; without one a request is not held. Stored crashes are not passed on, so that peers do not take them for live ones; neither are those of parts, in answers to a claim.

--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -94,8 +94,9 @@
     /// of, and whether it is held. With `only_own`, only if this daemon detected one of the crashes.
     pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
         let Some(part) = self.part_of(fingerprint) else { return PartReport::default() };
+        // A stored crash that a peer was told of would count as live there.
         let is_known = |crash: &PromptCrash| {
-            self.may_have_caused(&part, crash) || self.is_exposure(&part, crash)
+            crash.is_live && (self.may_have_caused(&part, crash) || self.is_exposure(&part, crash))
         };
         if only_own && !self.crashes.values().any(|crash| is_known(crash) && crash.is_own()) {
             return PartReport::default();
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -47,6 +47,8 @@
 pub(super) struct Crash {
     /// When it happened, by the earliest report.
     pub at: Moment,
+    /// Whether a running process detected it; `false` if it is known from the store only.
+    pub is_live: bool,
     /// When this daemon last learned of the crash or of another of its requests.
     updated_at: Moment,
     /// The most suspicious stage of this daemon's own requests; `None` if it did not detect the crash.
@@ -99,6 +101,7 @@
         self.merge_crash(&id, now, &[(fingerprint, stage)], now);
         if let Some(crash) = self.crashes.get_mut(&id) {
             crash.own_stage = Some(crash.own_stage.map_or(stage, |known| known.min(stage)));
+            crash.is_live = true;
         }
         self.evaluate(fingerprint, now)
     }
@@ -201,10 +204,14 @@
         let suspected = self.crashes.values().filter(|crash| self.is_suspect(&fingerprint, crash));
         let crashes: Vec<&Crash> = suspected.collect();
         let is_sole = || crashes.iter().any(|crash| self.has_sole_suspect(crash, now));
-        let must_hold = crashes.len() >= JOINT_SUSPECT_CRASHES
-            || crashes.len() >= SOLE_SUSPECT_CRASHES
-                && (is_sole() || self.is_most_suspected(&fingerprint, &crashes, now))
-            || self.is_outlived(&fingerprint, now);
+        let is_proven = || {
+            crashes.len() >= JOINT_SUSPECT_CRASHES
+                || crashes.len() >= SOLE_SUSPECT_CRASHES
+                    && (is_sole() || self.is_most_suspected(&fingerprint, &crashes, now))
+        };
+        // What cleared the request of stored crashes may have ended with the processes that saw it.
+        let has_live = crashes.iter().any(|crash| crash.is_live);
+        let must_hold = has_live && is_proven() || self.is_outlived(&fingerprint, now);
         must_hold && self.hold(fingerprint, now)
     }
 
@@ -254,7 +261,10 @@
         QuarantineReport {
             cleared: newest_entries(&self.cleared, now, REPORT_TIME),
             held: newest_entries(&self.held, now, HOLD_TIME),
-            ..self.crash_report(|crash| is_fresh(crash) && (crash.is_own() || is_reader), now)
+            ..self.crash_report(
+                |crash| is_fresh(crash) && crash.is_live && (crash.is_own() || is_reader),
+                now,
+            )
         }
     }
 
@@ -300,6 +310,7 @@
         let is_known = |crash: &Crash| {
             self.is_suspect(fingerprint, crash) || self.is_exposure(fingerprint, crash)
         };
+        let is_known = |crash: &Crash| crash.is_live && is_known(crash);
         let is_own = |crash: &Crash| crash.is_own() && is_known(crash);
         if only_own && !self.crashes.values().any(is_own) {
             return None;
@@ -329,16 +340,9 @@
 
     /// Merges a peer's report; returns the requests that are held from now on.
     pub fn merge(&mut self, report: &QuarantineReport, now: Moment) -> Vec<Fingerprint> {
-        for ((fingerprint, progress), age) in &report.cleared {
-            self.clear_at(*fingerprint, *progress, now.saturating_sub(*age));
-        }
+        self.merge_all(report, true, now);
         let mut held = Vec::new();
         for crash in &report.crashes {
-            let at = now.saturating_sub(crash.age);
-            self.merge_crash(&crash.id, at, &crash.requests, now);
-            if let Some(known) = self.crashes.get_mut(&crash.id) {
-                known.worst_stage = known.worst_stage.min(crash.worst_stage);
-            }
             let fingerprints = crash.requests.iter().map(|(fingerprint, _)| *fingerprint);
             held.extend(fingerprints.filter(|fingerprint| self.evaluate(*fingerprint, now)));
         }
@@ -353,6 +357,25 @@
         held
     }
 
+    /// Merges what a process that may have ended stored of crashes.
+    pub fn merge_stored(&mut self, report: &QuarantineReport, now: Moment) {
+        self.merge_all(report, false, now);
+    }
+
+    fn merge_all(&mut self, report: &QuarantineReport, is_live: bool, now: Moment) {
+        for ((fingerprint, progress), age) in &report.cleared {
+            self.clear_at(*fingerprint, *progress, now.saturating_sub(*age));
+        }
+        for crash in &report.crashes {
+            let at = now.saturating_sub(crash.age);
+            self.merge_crash(&crash.id, at, &crash.requests, now);
+            if let Some(known) = self.crashes.get_mut(&crash.id) {
+                known.worst_stage = known.worst_stage.min(crash.worst_stage);
+                known.is_live |= is_live;
+            }
+        }
+    }
+
     /// Removes expired records; returns the requests that are no longer held.
     pub fn sweep(&mut self, now: Moment) -> Vec<Fingerprint> {
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
@@ -374,6 +397,7 @@
         }
         let crash = self.crashes.entry(id.clone()).or_insert_with(|| Crash {
             at,
+            is_live: false,
             updated_at: now,
             own_stage: None,
             requests: BTreeMap::new(),
--- a/lib/src/cluster/request_exposures.rs
+++ b/lib/src/cluster/request_exposures.rs
@@ -92,6 +92,7 @@
         let is_due =
             |crash: &&Crash| now >= crash.at + self.clear_time(crash.requests.get(fingerprint));
         crashes.len() >= SOLE_SUSPECT_CRASHES
+            && crashes.iter().any(|crash| crash.is_live)
             && crashes.iter().all(is_due)
             && crashes.iter().any(|crash| self.is_most_exposed(fingerprint, crash, crashes.len()))
             && (crashes.len() >= JOINT_SUSPECT_CRASHES
--- a/lib/src/serve/stored_crashes.rs
+++ b/lib/src/serve/stored_crashes.rs
@@ -23,15 +23,12 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::outdated_records::remove_outdated;
 use crate::serve::store_calls::track_call;
-use crate::serve::suspects;
 use crate::serve::write_pacer::WritePacer;
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
 /// Beginning of a record's key, which distinguishes it from those of quarantined requests and prompt parts.
 const KEY_PREFIX: &str = "crashes:";
-/// Source of what was read, in log lines.
-const FROM_STORE: &str = "store";
 /// Interval at which the record is written again if parts or requests were cleared.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay before a failed write is repeated.
@@ -124,8 +121,9 @@
 pub(super) fn load(daemon: &Rc<DaemonState>, key: &str, value: &[u8]) {
     match entries::decode::<CrashRecord>(value) {
         Ok(record) => {
-            suspects::merge_report(daemon, &record.requests, FROM_STORE);
-            daemon.part_quarantine.borrow_mut().merge_stored(&record.parts, daemon.now());
+            let now = daemon.now();
+            daemon.quarantine.borrow_mut().merge_stored(&record.requests, now);
+            daemon.part_quarantine.borrow_mut().merge_stored(&record.parts, now);
         }
         Err(error) => daemon.log_unreadable(Feed::Quarantine, key, &error.0),
     }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -248,6 +248,23 @@
     assert!(here.is_held(&fingerprint(1), later));
 }
 
+/// Guards against a sound request being held on stored crashes alone, of which it may have been cleared at processes that
+/// have ended, and against a fatal one not being held once another crash follows.
+#[test]
+fn stored_undecided() {
+    let (there, now) = after_crashes(4, CrashStage::BeforeEvents);
+    let mut here = Quarantine::default();
+    here.merge_stored(&there.open_crashes(now), now);
+    assert_eq!(here.suspected_crashes(&fingerprint(1)).len(), 4);
+    assert!(!here.evaluate(fingerprint(1), now + SECOND * 9));
+    assert!(here.report(now, true).crashes.is_empty(), "peers would take them for live");
+    assert!(here.known_of(&fingerprint(1), false, now).is_none());
+    let now = now + SECOND * 9;
+    here.record_crash(&server(9), Moment::ZERO, fingerprint(1), CrashStage::BeforeEvents, now);
+    here.evaluate(fingerprint(1), now + SECOND);
+    assert!(here.is_held(&fingerprint(1), now + SECOND));
+}
+
 /// Requests that waited, or whose events had begun, must not be held for crashes that another request caused.
 #[test]
 fn bystanders_free() {
