--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use comfreymux_platform_testutils::crash_moment::CrashMoment;
+use comfreymux_soak::crashed_port::CrashedPort;
 use comfreymux_soak::failure::Failure;
 
 xflags::xflags! {
@@ -22,6 +23,8 @@
         optional --parts
         /// When engines crash under them: head (the default), request, prompt, event, stream, silent-request, silent-head or any.
         optional --moment moment: CrashMoment
+        /// What becomes of the port of a server that crashed: refuses (the default), occupied or dark.
+        optional --port port: CrashedPort
         /// Servers fail most requests and stand still again and again, before many callers; nothing else is injected.
         optional --stalls
         /// The same beside the usual troubles, kills of all daemons among them.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod callers;
 pub mod calm_stop;
+pub mod crashed_port;
 pub mod failure;
 pub mod fatal_parts;
 pub mod fatal_tally;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -16,6 +16,7 @@
 use comfreymux_soak::callers::CallerRecord;
 use comfreymux_soak::callers::DEADLINE;
 use comfreymux_soak::calm_stop;
+use comfreymux_soak::crashed_port::CrashedPort;
 use comfreymux_soak::failure::Failure;
 use comfreymux_soak::fatal_parts;
 use comfreymux_soak::fatal_tally;
@@ -65,6 +66,7 @@
         is_fatal: flags.fatal,
         has_parts: flags.parts,
         moment: flags.moment.unwrap_or_default(),
+        port: flags.port.unwrap_or_default(),
         faults: match (flags.mixed, flags.stalls) {
             (true, _) => Faults::Mixed,
             (false, true) => Faults::Stalls,
@@ -141,6 +143,8 @@
     has_parts: bool,
     /// When engines crash under them.
     moment: CrashMoment,
+    /// What becomes of the ports of servers that crashed.
+    port: CrashedPort,
     faults: Faults,
     callers: Callers,
     /// Whether all daemons are killed at the end of the faults.
@@ -160,7 +164,7 @@
     folder: &Path,
 ) -> io::Result<(Vec<String>, String)> {
     fs::create_dir_all(folder)?;
-    let world = World::start(size, seed, course.moment, program, folder).await?;
+    let world = World::start(size, seed, (course.moment, course.port), program, folder).await?;
     let outcome = Rc::new(CallerRecord::default());
     sleep(Duration::from_millis(1500)).await;
     start_callers(&world, &outcome, course, seed);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -27,6 +27,7 @@
 use tokio::time::sleep;
 
 use crate::callers::EVENTS;
+use crate::crashed_port::CrashedPort;
 use crate::process::BUDGET_LIMITS;
 use crate::process::Daemon;
 use crate::proxy::Cut;
@@ -78,6 +79,8 @@
     pub fatal: Fatal,
     /// When engines crash under fatal requests.
     moment: CrashMoment,
+    /// What becomes of the ports of servers that crashed.
+    port: CrashedPort,
     /// When each server that a request crashed was found crashed, by server id.
     pub crashed_since: RefCell<BTreeMap<String, Instant>>,
     /// Servers that were removed or replaced; the checks at the end read the state of their engines.
@@ -103,7 +106,7 @@
     pub async fn start(
         size: Size,
         seed: u64,
-        moment: CrashMoment,
+        (moment, port): (CrashMoment, CrashedPort),
         program: &Path,
         folder: &Path,
     ) -> io::Result<Rc<Self>> {
@@ -139,6 +142,7 @@
             runs: Rc::default(),
             fatal: Rc::default(),
             moment,
+            port,
             crashed_since: RefCell::default(),
             removed: RefCell::default(),
             is_cut: Cell::default(),
@@ -192,18 +196,18 @@
         let proxy = Proxy::start(server.addr).await?;
         server.listed.set(proxy.addr);
         self.list(&server);
-        Self::close_at_crash(&server, &proxy);
+        self.close_at_crash(&server, &proxy);
         self.servers.borrow_mut().push(server);
         self.server_proxies.borrow_mut().push(proxy);
         Ok(())
     }
 
     /// Makes a server's proxy refuse connections once the server has crashed.
-    fn close_at_crash(server: &Rc<ServerStandin>, proxy: &Rc<Proxy>) {
-        let (server, proxy) = (Rc::clone(server), Rc::clone(proxy));
+    fn close_at_crash(&self, server: &Rc<ServerStandin>, proxy: &Rc<Proxy>) {
+        let (server, proxy, port) = (Rc::clone(server), Rc::clone(proxy), self.port);
         spawn_local(async move {
             server.crashed().await;
-            proxy.close();
+            port.begin(&proxy);
         });
     }
 
@@ -281,8 +285,8 @@
                 match servers.iter().position(|s| Rc::ptr_eq(s, &server)) {
                     Some(place) => {
                         let proxy = &self.server_proxies.borrow()[place];
-                        proxy.open();
-                        Self::close_at_crash(&again, proxy);
+                        self.port.end(proxy);
+                        self.close_at_crash(&again, proxy);
                         servers[place] = again;
                         self.removed.borrow_mut().push(server);
                     }
--- a/soak/tests/test_server_lists.rs
+++ b/soak/tests/test_server_lists.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use comfreymux_platform_testutils::caller::Ask;
-use comfreymux_platform_testutils::crash_moment::CrashMoment;
 use comfreymux_platform_testutils::rig::MODELS;
 use comfreymux_platform_testutils::rig::run;
 use comfreymux_soak::retry_check::repeat_count;
@@ -25,8 +24,7 @@
         let folder = std::env::temp_dir().join(format!("left-restarting-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let size = Size { daemons: 0, plain: 1, engines: 3, slack: 0.0 };
-        let world =
-            World::start(size, 1, CrashMoment::Head, Path::new("no-daemon"), &folder).await?;
+        let world = World::start(size, 1, <_>::default(), Path::new("no-daemon"), &folder).await?;
         let server = Rc::clone(&world.servers.borrow()[ENGINE]);
         for n in 0..REQUESTS {
             let mut ask = Ask::model(&format!("a{n}"), "/draft/7", MODELS[0]);
