quarantine: how far a part got is computed once for all its crashes

By reading: for each crash of a part, or request, all others were looked through, for each request that came with it: some 200,000 comparisons a part after the loss of a data centre, whose 256 crashes are remembered for ten minutes. Survival computes it once. Reports leave out half a second of events where the whole response of the same request is in them, since they hold 16 entries.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -58,6 +58,7 @@
 pub mod store_health;
 pub mod stream_origin;
 pub mod stream_origins;
+pub mod survival;
 pub mod trial_report;
 pub mod unreadable_records;
 pub mod version_history;
--- a/lib/src/cluster/part_exposures.rs
+++ b/lib/src/cluster/part_exposures.rs
@@ -4,6 +4,7 @@
 //! head of the response or late in a stream. What shows it then is the count: a fatal part is never answered whole.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
@@ -19,6 +20,7 @@
 use crate::cluster::prompt_part::PromptPart;
 use crate::cluster::quarantine_report::CrashStage;
 use crate::cluster::quarantine_report::RequestProgress;
+use crate::cluster::survival::Survival;
 
 /// Number of crashes after which a part is held though others, of other prompts, were at as many.
 const JOINT_CRASHES: usize = 5;
@@ -31,24 +33,28 @@
     /// Returns the crashes of servers that had a request with a part that did not survive since, unless another held part
     /// explains them.
     pub(super) fn exposures(&self, part: &PromptPart) -> Vec<&PromptCrash> {
-        let exposed = self.crashes.values().filter(|crash| self.is_exposure(part, crash));
+        let survival = self.survival(part);
+        let exposed = self.crashes.values().filter(|crash| is_exposed(part, crash, &survival));
         exposed.filter(|crash| !self.is_explained_by_hold(part, crash)).collect()
     }
 
-    /// Returns whether a server had a request with a part when it crashed, and none survived since.
-    ///
-    /// Progress short of a whole response does not count if a later crash came at a stage beyond it: that request may have
-    /// crashed its server a moment later.
-    pub(super) fn is_exposure(&self, part: &PromptPart, crash: &PromptCrash) -> bool {
-        let Some(stage) = crash.stage_of(part) else { return false };
-        let mut clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(stage));
-        !clearing.any(|progress| {
-            let Some(known) = self.cleared.get(&(part.clone(), progress)) else { return false };
-            let is_beyond = |later: &PromptCrash| {
-                later.at > known.passed_at
-                    && later.stage_of(part).is_some_and(|stage| !progress.clears(stage))
-            };
-            known.passed_at >= crash.at && !self.crashes.values().any(is_beyond)
+    /// Returns how far requests with a part got.
+    pub(super) fn survival(&self, part: &PromptPart) -> Survival {
+        let passed_at = |progress| Some(self.cleared.get(&(part.clone(), progress))?.passed_at);
+        let crashes = self.crashes.values();
+        Survival::new(passed_at, crashes.filter_map(|c| Some((c.at, c.stage_of(part)?))))
+    }
+
+    /// Returns whether no request with any of a crash's parts survived it; each part's survival is computed once.
+    pub(super) fn has_open_exposure(
+        &self,
+        crash: &PromptCrash,
+        survivals: &mut HashMap<PromptPart, Survival>,
+    ) -> bool {
+        let mut parts = crash.all_parts();
+        parts.any(|part| {
+            let survival = *survivals.entry(part.clone()).or_insert_with(|| self.survival(&part));
+            is_exposed(&part, crash, &survival)
         })
     }
 
@@ -209,3 +215,8 @@
         others.any(|other| !self.is_less_exposed(&other, part, crash, count))
     }
 }
+
+/// Returns whether a server had a request with a part when it crashed, and none survived since.
+pub(super) fn is_exposed(part: &PromptPart, crash: &PromptCrash, survival: &Survival) -> bool {
+    crash.stage_of(part).is_some_and(|stage| !survival.covers(crash.at, stage))
+}
--- a/lib/src/cluster/part_quarantine.rs
+++ b/lib/src/cluster/part_quarantine.rs
@@ -8,6 +8,7 @@
 use crate::boot_clock::Moment;
 use crate::cluster::clearing::Clearing;
 use crate::cluster::configuration::ServiceName;
+use crate::cluster::part_exposures::is_exposed;
 use crate::cluster::part_hold::HoldScope;
 use crate::cluster::part_hold::PartHold;
 use crate::cluster::part_report::ExposedPrompt;
@@ -281,8 +282,9 @@
 
     /// Returns the ids of the crashes that a part is suspected of.
     pub fn crash_ids(&self, part: &PromptPart) -> Vec<CrashId> {
+        let survival = self.survival(part);
         let suspected = self.crashes.iter().filter(|(_, crash)| {
-            self.may_have_caused(part, crash) || self.is_exposure(part, crash)
+            self.may_have_caused(part, crash) || is_exposed(part, crash, &survival)
         });
         suspected.map(|(id, _)| id.clone()).collect()
     }
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -1,11 +1,13 @@
 //! Reports of a daemon's quarantine of prompt parts to its peers, and of theirs.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
 use crate::cluster::clearing::Clearing;
 use crate::cluster::fingerprint::Fingerprint;
+use crate::cluster::part_exposures::is_exposed;
 use crate::cluster::part_hold::HoldScope;
 use crate::cluster::part_hold::PartHold;
 use crate::cluster::part_quarantine::PartQuarantine;
@@ -41,9 +43,10 @@
     /// Returns the newest crashes that are not put down to one part yet, and which parts are cleared of them, for processes
     /// that start after all others ended; empty if requests of other daemons are more suspicious at each of them.
     pub fn open_crashes(&self, now: Moment) -> PartReport {
-        let is_open = |crash: &PromptCrash| {
-            let mut parts = crash.all_parts();
-            parts.any(|p| self.may_have_caused(&p, crash) || self.is_exposure(&p, crash))
+        let mut survivals = HashMap::new();
+        let mut is_open = |crash: &PromptCrash| {
+            crash.parts().any(|part| self.may_have_caused(&part, crash))
+                || self.has_open_exposure(crash, &mut survivals)
         };
         let mut open: Vec<_> = self.crashes.iter().filter(|(_, crash)| is_open(crash)).collect();
         if !open.iter().any(|(_, crash)| crash.has_own_suspect()) {
@@ -82,8 +85,16 @@
     ) -> Vec<((PromptPart, RequestProgress), Duration)> {
         let is_reported =
             |clearing: &Clearing| clearing.learned_at >= since && (clearing.is_own || is_reader);
-        let mut cleared: Vec<_> =
-            self.cleared.iter().filter(|(_, clearing)| is_reported(clearing)).collect();
+        // A whole response of the same request clears more than half a second of its events.
+        let is_surpassed = |part: &PromptPart, clearing: &Clearing| {
+            let whole = self.cleared.get(&(part.clone(), RequestProgress::Complete));
+            whole.is_some_and(|w| is_reported(w) && w.passed_at >= clearing.passed_at)
+        };
+        let mut cleared: Vec<_> = self.cleared.iter().collect();
+        cleared.retain(|((part, progress), clearing)| {
+            let is_streaming = *progress == RequestProgress::Streaming;
+            is_reported(clearing) && !(is_streaming && is_surpassed(part, clearing))
+        });
         cleared.sort_by_key(|(_, clearing)| std::cmp::Reverse(clearing.learned_at));
         let age = |clearing: &Clearing| now.saturating_sub(clearing.passed_at);
         let aged = cleared.into_iter().map(|(key, clearing)| (key.clone(), age(clearing)));
@@ -95,8 +106,10 @@
     pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
         let Some(part) = self.part_of(fingerprint) else { return PartReport::default() };
         // A stored crash that a peer was told of would count as live there.
+        let survival = self.survival(&part);
         let is_known = |crash: &PromptCrash| {
-            crash.is_live && (self.may_have_caused(&part, crash) || self.is_exposure(&part, crash))
+            let is_open = self.may_have_caused(&part, crash) || is_exposed(&part, crash, &survival);
+            crash.is_live && is_open
         };
         if only_own && !self.crashes.values().any(|crash| is_known(crash) && crash.is_own()) {
             return PartReport::default();
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -12,6 +12,7 @@
 use crate::cluster::quarantine_report::CrashStage;
 use crate::cluster::quarantine_report::QuarantineReport;
 use crate::cluster::quarantine_report::RequestProgress;
+use crate::cluster::request_exposures::is_exposed;
 use crate::cluster::server_instance::ServerInstance;
 
 /// Number of suspected crashes after which a request is held, if it is the only suspect of at least one, or the others
@@ -131,10 +132,11 @@
         let is_released =
             progress == RequestProgress::Complete && self.held.contains_key(&fingerprint);
         // A later crash voids what an event cleared, but not what a whole answer did.
+        let survival = self.survival(&fingerprint);
         let is_beyond = |c: &Crash| {
             let stage = c.requests.get(&fingerprint);
             stage.is_some_and(|stage| progress.clears(*stage))
-                && (self.is_suspect(&fingerprint, c) || self.is_exposure(&fingerprint, c))
+                && (self.is_suspect(&fingerprint, c) || is_exposed(&fingerprint, c, &survival))
         };
         let is_cleared = |c: &Crash| {
             let is_whole = progress == RequestProgress::Complete;
@@ -230,8 +232,9 @@
 
     /// Returns the crashes that a request is suspected of, or that it has not survived.
     pub fn open_crash_ids(&self, fingerprint: &Fingerprint) -> Vec<&CrashId> {
+        let survival = self.survival(fingerprint);
         let is_counted = |crash: &Crash| {
-            self.is_suspect(fingerprint, crash) || self.is_exposure(fingerprint, crash)
+            self.is_suspect(fingerprint, crash) || is_exposed(fingerprint, crash, &survival)
         };
         let counted = self.crashes.iter().filter(|(_, crash)| is_counted(crash));
         counted.map(|(id, _)| id).collect()
@@ -271,9 +274,17 @@
     /// Returns the newest crashes that requests may have caused, for processes that start after all others ended; empty if
     /// requests of other daemons are more suspicious at each of them.
     pub fn open_crashes(&self, now: Moment) -> QuarantineReport {
+        let mut survivals = HashMap::new();
+        for fingerprint in self.crashes.values().flat_map(|crash| crash.requests.keys()) {
+            let survival = survivals.entry(*fingerprint);
+            survival.or_insert_with(|| self.survival(fingerprint));
+        }
+        let is_open = |print: &Fingerprint, crash: &Crash| {
+            survivals.get(print).is_some_and(|survival| is_exposed(print, crash, survival))
+        };
         let suspects = |crash: &Crash| {
             let all = crash.requests.keys();
-            let all = all.filter(|p| self.is_suspect(p, crash) || self.is_exposure(p, crash));
+            let all = all.filter(|p| self.is_suspect(p, crash) || is_open(p, crash));
             all.copied().collect::<Vec<_>>()
         };
         let is_open = |crash: &Crash| !suspects(crash).is_empty();
@@ -307,10 +318,12 @@
         only_own: bool,
         now: Moment,
     ) -> Option<QuarantineReport> {
+        let survival = self.survival(fingerprint);
         let is_known = |crash: &Crash| {
-            self.is_suspect(fingerprint, crash) || self.is_exposure(fingerprint, crash)
+            let is_open =
+                self.is_suspect(fingerprint, crash) || is_exposed(fingerprint, crash, &survival);
+            crash.is_live && is_open
         };
-        let is_known = |crash: &Crash| crash.is_live && is_known(crash);
         let is_own = |crash: &Crash| crash.is_own() && is_known(crash);
         if only_own && !self.crashes.values().any(is_own) {
             return None;
--- a/lib/src/cluster/request_exposures.rs
+++ b/lib/src/cluster/request_exposures.rs
@@ -14,7 +14,7 @@
 use crate::cluster::quarantine::SOLE_SUSPECT_CRASHES;
 use crate::cluster::quarantine::SUSPECT_CLEAR_TIME;
 use crate::cluster::quarantine_report::CrashStage;
-use crate::cluster::quarantine_report::RequestProgress;
+use crate::cluster::survival::Survival;
 
 /// Mean run times within which most copies that are sent after a crash are answered whole.
 const CLEAR_RUNS: u32 = 2;
@@ -25,10 +25,18 @@
     /// Returns the crashes of servers that had a request, which did not survive since, unless another held request explains
     /// them.
     pub(super) fn exposures(&self, fingerprint: &Fingerprint) -> Vec<&Crash> {
-        let exposed = self.crashes.values().filter(|crash| self.is_exposure(fingerprint, crash));
+        let survival = self.survival(fingerprint);
+        let exposed = self.crashes.values().filter(|c| is_exposed(fingerprint, c, &survival));
         exposed.filter(|crash| !self.is_explained(fingerprint, crash)).collect()
     }
 
+    /// Returns how far a request got.
+    pub(super) fn survival(&self, fingerprint: &Fingerprint) -> Survival {
+        let passed_at = |progress| self.cleared.get(&(*fingerprint, progress)).copied();
+        let exposed = |c: &Crash| Some((c.at, *c.requests.get(fingerprint)?));
+        Survival::new(passed_at, self.crashes.values().filter_map(exposed))
+    }
+
     /// Returns whether another request is held, and a server had it when it crashed, that was not at all crashes with this one.
     fn is_explained(&self, fingerprint: &Fingerprint, crash: &Crash) -> bool {
         let has = |crash: &Crash, print| crash.requests.contains_key(print);
@@ -39,23 +47,6 @@
         })
     }
 
-    /// Returns whether a server had a request when it crashed, and none survived it since.
-    ///
-    /// Progress short of a whole response does not count if a later crash came at a stage beyond it: that request may have
-    /// crashed its server a moment later.
-    pub(super) fn is_exposure(&self, fingerprint: &Fingerprint, crash: &Crash) -> bool {
-        let Some(stage) = crash.requests.get(fingerprint) else { return false };
-        let mut clearing = RequestProgress::ALL.into_iter().filter(|p| p.clears(*stage));
-        !clearing.any(|progress| {
-            let Some(passed_at) = self.cleared.get(&(*fingerprint, progress)) else { return false };
-            let is_beyond = |later: &Crash| {
-                let stage = later.requests.get(fingerprint);
-                later.at > *passed_at && stage.is_some_and(|stage| !progress.clears(*stage))
-            };
-            *passed_at >= crash.at && !self.crashes.values().any(is_beyond)
-        })
-    }
-
     /// Records the mean run time of requests, within which a response becomes whole.
     pub fn set_run_time(&mut self, mean: Duration) {
         self.run_time = mean;
@@ -121,3 +112,9 @@
         })
     }
 }
+
+/// Returns whether a server had a request when it crashed, and none survived since.
+pub(super) fn is_exposed(fingerprint: &Fingerprint, crash: &Crash, survival: &Survival) -> bool {
+    let stage = crash.requests.get(fingerprint);
+    stage.is_some_and(|stage| !survival.covers(crash.at, *stage))
+}
