abandoned sends: a broken connection to a server that still accepts others is watched too

Callers saw engines end one after the other wherever something else accepts connections in the place of an engine that crashed (a supervisor, a proxy on its host), or the host is dark: nothing was ever held.

Cause: the end of a connection counted as a crash only if the port refused another one within 100 ms. Class: a value that ends before the outcome that it stands for.

Change: such a send is watched as one that was abandoned at a silent server: a new instance in the directory, or a peer's report, within six seconds shows that the server ended.

--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -17,6 +17,7 @@
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::server_instance::ServerInstance;
 use crate::ids::DaemonId;
+use crate::serve::abandoned_streams::AbandonedSend;
 use crate::serve::attempt::Attempt;
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::exposure::Exposure;
@@ -159,6 +160,8 @@
         record_crash(&daemon, &exposure);
     } else {
         log_uncounted(&daemon, &exposure, "running");
+        // Something else may accept connections there, or the host may be dark: a new instance shows that it ended.
+        daemon.abandoned_streams.push(AbandonedSend { exposure, is_silent: true });
     }
     drop(trial);
 }
