--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -38,6 +38,8 @@
 const MAX_CRASHES: usize = 256;
 /// Maximum number of requests that are remembered for each crash, and of held and of cleared ones.
 const MAX_REQUESTS: usize = 1024;
+/// Maximum number of requests that are remembered as answered: those of a minute.
+const MAX_ANSWERED: usize = 4096;
 /// Maximum number of crashes in a digest, and of requests in each of its lists.
 const MAX_REPORTED: usize = 16;
 /// Maximum number of open crashes in the record of a process.
@@ -81,6 +83,8 @@
     pub(super) crashes: HashMap<CrashId, Crash>,
     /// Requests that reached a stage of progress without a crash, and when.
     pub(super) cleared: HashMap<(Fingerprint, RequestProgress), Moment>,
+    /// Requests that were answered whole here, and when: crashes of before may be reported, or read from the store, later.
+    answered: HashMap<Fingerprint, Moment>,
     /// Held requests, and the time of each one's last attempt by a caller.
     pub(super) held: HashMap<Fingerprint, Moment>,
     /// Mean run time of requests.
@@ -129,6 +133,9 @@
         progress: RequestProgress,
         now: Moment,
     ) -> bool {
+        if progress == RequestProgress::Complete {
+            self.record_answered(fingerprint, now);
+        }
         let is_released =
             progress == RequestProgress::Complete && self.held.contains_key(&fingerprint);
         // A later crash voids what an event cleared, but not what a whole answer did.
@@ -149,6 +156,22 @@
         is_change
     }
 
+    /// Returns when a request was last answered whole, here or at a daemon that knew of a crash with it.
+    fn answered_at(&self, fingerprint: &Fingerprint) -> Option<Moment> {
+        let whole = self.cleared.get(&(*fingerprint, RequestProgress::Complete));
+        self.answered.get(fingerprint).max(whole).copied()
+    }
+
+    fn record_answered(&mut self, fingerprint: Fingerprint, now: Moment) {
+        let is_full = self.answered.len() >= MAX_ANSWERED;
+        if is_full && !self.answered.contains_key(&fingerprint) {
+            let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
+            let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
+            oldest.and_then(|fingerprint| self.answered.remove(&fingerprint));
+        }
+        self.answered.insert(fingerprint, now);
+    }
+
     /// Returns the crashes that a request is suspected of.
     pub fn suspected_crashes(&self, fingerprint: &Fingerprint) -> Vec<&CrashId> {
         let crashes = self.crashes.iter().filter(|(_, crash)| self.is_suspect(fingerprint, crash));
@@ -361,8 +384,7 @@
         }
         for (fingerprint, age) in &report.held {
             let last_attempt = now.saturating_sub(*age);
-            let cleared = self.cleared.get(&(*fingerprint, RequestProgress::Complete));
-            let is_cleared = cleared.is_some_and(|at| *at >= last_attempt);
+            let is_cleared = self.answered_at(fingerprint).is_some_and(|at| at >= last_attempt);
             if !is_cleared && self.hold(*fingerprint, last_attempt) {
                 held.push(*fingerprint);
             }
@@ -393,6 +415,7 @@
     pub fn sweep(&mut self, now: Moment) -> Vec<Fingerprint> {
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
         self.cleared.retain(|_, at| now <= *at + CRASH_RETENTION);
+        self.answered.retain(|_, at| now <= *at + CRASH_RETENTION);
         let expired = self.held.extract_if(|_, last_attempt| now > *last_attempt + HOLD_TIME);
         expired.map(|(fingerprint, _)| fingerprint).collect()
     }
@@ -408,6 +431,7 @@
             let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at).map(|(id, _)| id.clone());
             oldest.and_then(|id| self.crashes.remove(&id));
         }
+        let (answered, cleared) = (&self.answered, &self.cleared);
         let crash = self.crashes.entry(id.clone()).or_insert_with(|| Crash {
             at,
             is_live: false,
@@ -419,8 +443,9 @@
         crash.at = crash.at.min(at);
         for (fingerprint, stage) in requests {
             crash.worst_stage = crash.worst_stage.min(*stage);
-            let cleared = self.cleared.get(&(*fingerprint, RequestProgress::Complete));
-            let is_cleared = cleared.is_some_and(|at| *at >= crash.at);
+            let answered = answered.get(fingerprint).copied();
+            let whole = cleared.get(&(*fingerprint, RequestProgress::Complete)).copied();
+            let is_cleared = answered.max(whole).is_some_and(|at| at >= crash.at);
             if is_cleared || crash.requests.len() >= MAX_REQUESTS {
                 continue;
             }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -265,6 +265,25 @@
     assert!(here.is_held(&fingerprint(1), now + SECOND));
 }
 
+/// Guards against a sound request being suspected of crashes that are read from the store, or reported, after it was answered.
+#[rstest]
+#[case::stored(true)]
+#[case::reported(false)]
+fn answered_before(#[case] is_stored: bool) {
+    let (there, now) = after_crashes(3, CrashStage::Unanswered);
+    let mut here = Quarantine::default();
+    here.record_progress(fingerprint(1), RequestProgress::Complete, now + SECOND);
+    let now = now + SECOND * 2;
+    if is_stored {
+        here.merge_stored(&there.open_crashes(now), now);
+    } else {
+        assert_eq!(here.merge(&there.report(now, false), now), []);
+    }
+    assert_eq!(here.suspected_crashes(&fingerprint(1)).len(), 0);
+    here.record_crash(&server(9), Moment::ZERO, fingerprint(1), CrashStage::Unanswered, now);
+    assert!(!here.evaluate(fingerprint(1), now + SECOND * 9));
+}
+
 /// Requests that waited, or whose events had begun, must not be held for crashes that another request caused.
 #[test]
 fn bystanders_free() {
