--- a/lib/src/cluster/request_exposures.rs
+++ b/lib/src/cluster/request_exposures.rs
@@ -20,6 +20,8 @@
 const CLEAR_RUNS: u32 = 2;
 /// Limit on that time.
 const MAX_CLEAR_TIME: Duration = Duration::from_secs(4);
+/// Time after a whole answer during which a request counts as one in use.
+const ANSWERED_TRUST: Duration = Duration::from_mins(1);
 
 impl Quarantine {
     /// Returns the crashes of servers that had a request, which did not survive since, unless another held request explains
@@ -82,7 +84,11 @@
         let crashes = self.exposures(fingerprint);
         let is_due =
             |crash: &&Crash| now >= crash.at + self.clear_time(crash.requests.get(fingerprint));
-        crashes.len() >= SOLE_SUSPECT_CRASHES
+        // One that was just answered is sent often, and so at many servers that crash.
+        let answered = self.answered_at(fingerprint);
+        let is_in_use = answered.is_some_and(|at| now <= at + ANSWERED_TRUST);
+        let least = if is_in_use { JOINT_SUSPECT_CRASHES } else { SOLE_SUSPECT_CRASHES };
+        crashes.len() >= least
             && crashes.iter().any(|crash| crash.is_live)
             && crashes.iter().all(is_due)
             && crashes.iter().any(|crash| self.is_most_exposed(fingerprint, crash, crashes.len()))
