--- a/lib/src/cluster/part_exposures.rs
+++ b/lib/src/cluster/part_exposures.rs
@@ -26,7 +26,7 @@
 const JOINT_CRASHES: usize = 5;
 /// Mean run times within which most streams that begin after a crash are whole.
 const CLEAR_RUNS: u32 = 2;
-/// Limit on that time: the crashes of a fatal part go on meanwhile.
+/// Limit on that time: a fatal part may crash further servers until it is held.
 const MAX_CLEAR_TIME: Duration = Duration::from_secs(4);
 
 impl PartQuarantine {
--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -105,7 +105,7 @@
     /// of, and whether it is held. With `only_own`, only if this daemon detected one of the crashes.
     pub fn known_of(&self, fingerprint: &Fingerprint, only_own: bool, now: Moment) -> PartReport {
         let Some(part) = self.part_of(fingerprint) else { return PartReport::default() };
-        // A stored crash that a peer was told of would count as live there.
+        // A stored crash in a report would count as live at its receiver.
         let survival = self.survival(&part);
         let is_known = |crash: &PromptCrash| {
             let is_open = self.may_have_caused(&part, crash) || is_exposed(&part, crash, &survival);
--- a/lib/src/cluster/request_exposures.rs
+++ b/lib/src/cluster/request_exposures.rs
@@ -1,7 +1,7 @@
 //! All crashes of servers that had a request, however far they had come with it.
 //!
-//! A request that crashes servers before the head of the response, or late in a stream, stands beside more suspicious ones at
-//! each crash, but it is at all of them and never answered whole.
+//! A request that crashes servers before the head of the response, or late in a stream, is less suspicious than others at each
+//! crash, but it is at all of them and never answered whole.
 
 use std::time::Duration;
 
--- a/lib/src/serve/abandoned_streams.rs
+++ b/lib/src/serve/abandoned_streams.rs
@@ -23,7 +23,7 @@
 const CHECK_DELAY: Duration = Duration::from_millis(100);
 /// Interval at which a server that was silent is asked again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for which it is: a watchdog ends a process that stands still within seconds.
+/// Time for which a silent server is asked again: a watchdog ends a stalled process within seconds.
 const WATCH_TIME: Duration = Duration::from_secs(6);
 /// Maximum number of sends that wait for their checks; those beyond are not checked.
 const MAX_CHECKS: usize = 256;
