abandoned sends: a request that was answered since did not end its server

Cause: a send whose connection broke is watched for six seconds, and any new instance of its server counts as a crash that the request may have caused. Parts of its prompt are excused if they were answered meanwhile; the request itself was not.

Ruled out: the classical path alone (only one of the three crashes was one), kills of daemons (none before the hold).

Change: the watch ends when the request was answered whole after it was sent, here or at a peer that knows of a crash with it. A fatal request never is, which the promise rests on already.

--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -157,7 +157,7 @@
     }
 
     /// Returns when a request was last answered whole, here or at a daemon that knew of a crash with it.
-    pub(super) fn answered_at(&self, fingerprint: &Fingerprint) -> Option<Moment> {
+    pub fn answered_at(&self, fingerprint: &Fingerprint) -> Option<Moment> {
         let whole = self.cleared.get(&(*fingerprint, RequestProgress::Complete));
         self.answered.get(fingerprint).max(whole).copied()
     }
--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -185,7 +185,9 @@
     asks: bool,
 ) -> Fate {
     let server = &exposure.server;
-    if exposure.survived.get() {
+    // Copies of a request that are answered by other servers show that it did not end this one.
+    let answered_at = daemon.quarantine.borrow().answered_at(&exposure.fingerprint);
+    if exposure.survived.get() || answered_at.is_some_and(|at| at > exposure.sent_at) {
         return Fate::Irrelevant;
     }
     let listed = daemon.directory.borrow().get(&server.id).cloned();
