quarantine: a request in use needs five crashes, whatever their stages

A request that was answered whole within the last minute is at many servers that end.

Test: in_use_trusted failed before (held after three crashes). test_quarantine 26, test_crashing_requests 16, test_fatal_courses 4, test_part_kills 17, test_crash_moments 26, test_sound_copies 6 pass after.

--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -231,7 +231,7 @@
         let is_sole = || crashes.iter().any(|crash| self.has_sole_suspect(crash, now));
         let is_proven = || {
             crashes.len() >= JOINT_SUSPECT_CRASHES
-                || crashes.len() >= SOLE_SUSPECT_CRASHES
+                || crashes.len() >= self.least_crashes(&fingerprint, now)
                     && (is_sole() || self.is_most_suspected(&fingerprint, &crashes, now))
         };
         // What cleared the request of stored crashes may have ended with the processes that saw it.
--- a/lib/src/cluster/request_exposures.rs
+++ b/lib/src/cluster/request_exposures.rs
@@ -84,10 +84,7 @@
         let crashes = self.exposures(fingerprint);
         let is_due =
             |crash: &&Crash| now >= crash.at + self.clear_time(crash.requests.get(fingerprint));
-        // One that was just answered is sent often, and so at many servers that crash.
-        let answered = self.answered_at(fingerprint);
-        let is_in_use = answered.is_some_and(|at| now <= at + ANSWERED_TRUST);
-        let least = if is_in_use { JOINT_SUSPECT_CRASHES } else { SOLE_SUSPECT_CRASHES };
+        let least = self.least_crashes(fingerprint, now);
         crashes.len() >= least
             && crashes.iter().any(|crash| crash.is_live)
             && crashes.iter().all(is_due)
@@ -96,6 +93,14 @@
                 || !crashes.iter().all(|crash| self.is_overshadowed(fingerprint, crash)))
     }
 
+    /// Returns the number of crashes after which a request is held if nothing else explains them: more for one that was just
+    /// answered, as it is sent often, and so is at many servers that crash.
+    pub(super) fn least_crashes(&self, fingerprint: &Fingerprint, now: Moment) -> usize {
+        let answered = self.answered_at(fingerprint);
+        let is_in_use = answered.is_some_and(|at| now <= at + ANSWERED_TRUST);
+        if is_in_use { JOINT_SUSPECT_CRASHES } else { SOLE_SUSPECT_CRASHES }
+    }
+
     /// Returns whether a more suspicious request is not cleared of a crash, and of others.
     fn is_overshadowed(&self, fingerprint: &Fingerprint, crash: &Crash) -> bool {
         let rank = |stage: &CrashStage| stage.rank();
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -214,6 +214,21 @@
     assert!(quarantine.is_held(&fingerprint(1), now));
 }
 
+/// Guards against a request that is in use being held after three crashes, of which it could not be cleared yet.
+#[test]
+fn in_use_trusted() {
+    let mut quarantine = Quarantine::default();
+    let mut now = start();
+    quarantine.record_progress(fingerprint(1), RequestProgress::Complete, now);
+    for n in 1..=5 {
+        now += SECOND;
+        let stage = CrashStage::FirstEvent;
+        quarantine.record_crash(&server(n), Moment::ZERO, fingerprint(1), stage, now);
+        quarantine.evaluate(fingerprint(1), now + SECOND / 2);
+        assert_eq!(quarantine.is_held(&fingerprint(1), now), n == 5, "after {n} crashes");
+    }
+}
+
 /// Two requests are always at the crashed servers together, and nothing shows which one is to blame. After
 /// five crashes both must be held.
 #[test]
