quarantine: a hold that the store did not take is written again at once

Cause of its first part: d7 held the part at 15.47 s, while the store was silent, and wrote it; the call timed out a second later, the write was repeated a second after that, and all daemons were killed at 17.28 s, 1.4 s after the store's return. So the hold was lost. The class: a value whose end comes before the outcome that it stands for.

Ruled out: a hold released or refused by peers (all eight had it within 10 ms, no release in their logs).

Change: a write that got no answer is abandoned once the store answers later calls, as reads are, and repeated after 50 ms, doubled up to a second. track_read is track_repeatable now.

--- a/lib/src/serve/config_reads.rs
+++ b/lib/src/serve/config_reads.rs
@@ -10,7 +10,7 @@
 use crate::boot_clock::Moment;
 use crate::ids::FeedOffset;
 use crate::serve::daemon_state::DaemonState;
-use crate::serve::store_calls::track_read;
+use crate::serve::store_calls::track_repeatable;
 use crate::store::Batch;
 use crate::store::Feed;
 use crate::store::LocalFuture;
@@ -56,7 +56,7 @@
             self.pending.remove(0);
         }
         let call = daemon.store.read(Feed::Configuration, from, wait);
-        let call = Box::pin(track_read(daemon, Feed::Configuration, call));
+        let call = Box::pin(track_repeatable(daemon, Feed::Configuration, call));
         self.pending.push(PendingRead { call, sent_at: daemon.now(), wait });
     }
 
--- a/lib/src/serve/follow_servers.rs
+++ b/lib/src/serve/follow_servers.rs
@@ -10,7 +10,7 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::store_calls::backoff_after;
 use crate::serve::store_calls::track_call;
-use crate::serve::store_calls::track_read;
+use crate::serve::store_calls::track_repeatable;
 use crate::store::Feed;
 use crate::store::StoreError;
 
@@ -43,7 +43,7 @@
             track_call(&daemon, Feed::Servers, daemon.store.list_latest(Feed::Servers)).await
         } else {
             let call = daemon.store.read(Feed::Servers, end, Duration::ZERO);
-            track_read(&daemon, Feed::Servers, call).await
+            track_repeatable(&daemon, Feed::Servers, call).await
         };
         match result {
             Ok(batch) => {
--- a/lib/src/serve/store_calls.rs
+++ b/lib/src/serve/store_calls.rs
@@ -37,15 +37,15 @@
     result
 }
 
-/// Waits for the result of a read and records it; abandons the read once the store has recovered, as shown by a
-/// response to a call that was sent later.
+/// Waits for the result of a read, or of a write that may be repeated, and records it; abandons the call once the store has
+/// recovered, as shown by a response to a call that was sent later.
 ///
 /// A call sent during an outage is never answered, and would time out only seconds after the store's recovery.
 ///
 /// # Errors
 ///
 /// Returns the error of the call, or `StoreError::UnknownOutcome` if the call was abandoned.
-pub async fn track_read<T>(
+pub async fn track_repeatable<T>(
     daemon: &DaemonState,
     feed: Feed,
     call: LocalFuture<'_, Result<T, StoreError>>,
--- a/lib/src/serve/stored_quarantine.rs
+++ b/lib/src/serve/stored_quarantine.rs
@@ -7,7 +7,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
-use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::boot_clock::Moment;
@@ -18,17 +17,16 @@
 use crate::serve::daemon_state::DaemonState;
 use crate::serve::part_suspects;
 use crate::serve::store_calls::backoff_after;
-use crate::serve::store_calls::track_call;
-use crate::serve::store_calls::track_read;
+use crate::serve::store_calls::track_repeatable;
 use crate::serve::stored_crashes;
 use crate::serve::suspects::log_quarantined;
 use crate::store::Feed;
 use crate::store::FeedRecord;
 
-/// Delay before a failed call to the store is retried.
-const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Delay after the first failed read at a daemon's start; each further one doubles it.
-const MIN_READ_DELAY: Duration = Duration::from_millis(50);
+/// Delay after the first failed call; each further one doubles it.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest delay before a failed call to the store is retried.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a daemon's first requests wait for the quarantine: several responses of a store that all daemons call at
 /// once, and little beside the time that callers allow a first token.
 const MAX_READ_WAIT: Duration = Duration::from_millis(300);
@@ -72,13 +70,17 @@
     records
 }
 
+/// Writes a record, again and again until the store has taken it: a hold that is not stored is lost if all daemons are killed.
 pub(super) async fn append(daemon: Rc<DaemonState>, record: FeedRecord) {
+    let mut delay = MIN_RETRY_DELAY;
     loop {
+        let sent_at = daemon.now();
         let call = daemon.store.append(Feed::Quarantine, record.clone(), None);
-        if track_call(&daemon, Feed::Quarantine, call).await.is_ok() {
+        if track_repeatable(&daemon, Feed::Quarantine, call).await.is_ok() {
             return;
         }
-        sleep(STORE_RETRY_DELAY).await;
+        backoff_after(&daemon, sent_at, delay).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
 }
 
@@ -109,14 +111,14 @@
     daemon.part_quarantine.borrow_mut().set_unread(true);
     let began = daemon.now();
     let mut calls = 0;
-    let mut delay = MIN_READ_DELAY;
+    let mut delay = MIN_RETRY_DELAY;
     loop {
         calls += 1;
         let sent_at = daemon.now();
         let call = daemon.store.list_latest(Feed::Quarantine);
-        let Ok(batch) = track_read(&daemon, Feed::Quarantine, call).await else {
+        let Ok(batch) = track_repeatable(&daemon, Feed::Quarantine, call).await else {
             backoff_after(&daemon, sent_at, delay).await;
-            delay = (delay * 2).min(STORE_RETRY_DELAY);
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
             continue;
         };
         daemon.log_unreadable_records(Feed::Quarantine, &batch);
