abandoned sends: the listing of the next instance shows one crash, not two

Cause: a request that was sent after a known crash, but before the next instance was listed, reached that instance; when its connection broke, the new listing counted as a second crash of the first one. Class: one fact counted by each that learns of it.

Ruled out: a second restart (none in the course); a crash detected by a refused port (the line before says that it accepted).

Change: after a known crash of an instance its new listing says nothing of requests that were sent since.

Test: restart_once::case_2_six failed before (2 crashes); case_1_one did not fail. test_crash_moments (32) passes.

--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -196,8 +196,15 @@
     if is_planned || daemon.directory.borrow().has_announced(server) {
         return Fate::Irrelevant;
     }
-    let mut is_ended =
-        is_replaced || daemon.quarantine.borrow().has_crashed(server, exposure.sent_at);
+    let quarantine = daemon.quarantine.borrow();
+    let has_crashed = quarantine.has_crashed(server, exposure.sent_at);
+    let crashed_before = quarantine.crash_after(server, exposure.sent_at).earlier > 0;
+    drop(quarantine);
+    // After a known crash the request reached the next instance, which a new listing does not show to have ended.
+    if is_replaced && crashed_before && !has_crashed {
+        return Fate::Irrelevant;
+    }
+    let mut is_ended = is_replaced || has_crashed;
     if let Some(listed) = listed.filter(|_| asks && !is_ended) {
         is_ended = refuses_connections(daemon, server, listed.addr).await;
     }
