--- a/lib/src/serve/suspects.rs
+++ b/lib/src/serve/suspects.rs
@@ -196,10 +196,11 @@
     if is_planned || daemon.directory.borrow().has_announced(server) {
         return Fate::Irrelevant;
     }
-    let quarantine = daemon.quarantine.borrow();
-    let has_crashed = quarantine.has_crashed(server, exposure.sent_at);
-    let crashed_before = quarantine.crash_after(server, exposure.sent_at).earlier > 0;
-    drop(quarantine);
+    let (has_crashed, crashed_before) = {
+        let quarantine = daemon.quarantine.borrow();
+        let crash = quarantine.crash_after(server, exposure.sent_at);
+        (quarantine.has_crashed(server, exposure.sent_at), crash.earlier > 0)
+    };
     // After a known crash the request reached the next instance, which a new listing does not show to have ended.
     if is_replaced && crashed_before && !has_crashed {
         return Fate::Irrelevant;
