quarantine: daemons report that a request of a crash was just answered

Class: knowledge of one process taken for the fleet's.

Change: reports of a crash say which of its requests were answered whole within the last minute, and when. Such an answer clears no later crash; it releases a hold only if fewer than three crashes remain (before, any answer did, whatever came after it).

--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -18,6 +18,9 @@
 /// Number of suspected crashes after which a request is held, if it is the only suspect of at least one, or the others
 /// of one are suspected of fewer.
 pub(super) const SOLE_SUSPECT_CRASHES: usize = 3;
+/// Number of suspected crashes after which a request is held that was just answered, if it is the only or the most suspected
+/// one: one less than there may be, as another copy may be under way.
+const IN_USE_CRASHES: usize = 4;
 /// Number of suspected crashes after which a request is held, if each has other suspects of as many as well.
 pub(super) const JOINT_SUSPECT_CRASHES: usize = 5;
 /// Number of crashes at any stage after which a request is tried.
@@ -83,7 +86,7 @@
     pub(super) crashes: HashMap<CrashId, Crash>,
     /// Requests that reached a stage of progress without a crash, and when.
     pub(super) cleared: HashMap<(Fingerprint, RequestProgress), Moment>,
-    /// Requests that were answered whole here, and when: crashes of before may be reported, or read from the store, later.
+    /// Requests that were answered whole, and when: crashes of before may be reported, or read from the store, later.
     answered: HashMap<Fingerprint, Moment>,
     /// Held requests, and the time of each one's last attempt by a caller.
     pub(super) held: HashMap<Fingerprint, Moment>,
@@ -156,20 +159,21 @@
         is_change
     }
 
-    /// Returns when a request was last answered whole, here or at a daemon that knew of a crash with it.
+    /// Returns when a request was last answered whole, here or at a daemon that knows of a crash with it.
     pub fn answered_at(&self, fingerprint: &Fingerprint) -> Option<Moment> {
         let whole = self.cleared.get(&(*fingerprint, RequestProgress::Complete));
         self.answered.get(fingerprint).max(whole).copied()
     }
 
-    fn record_answered(&mut self, fingerprint: Fingerprint, now: Moment) {
+    fn record_answered(&mut self, fingerprint: Fingerprint, at: Moment) {
         let is_full = self.answered.len() >= MAX_ANSWERED;
         if is_full && !self.answered.contains_key(&fingerprint) {
             let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
             let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
             oldest.and_then(|fingerprint| self.answered.remove(&fingerprint));
         }
-        self.answered.insert(fingerprint, now);
+        let known = self.answered.entry(fingerprint).or_insert(at);
+        *known = (*known).max(at);
     }
 
     /// Returns the crashes that a request is suspected of.
@@ -229,9 +233,11 @@
         let suspected = self.crashes.values().filter(|crash| self.is_suspect(&fingerprint, crash));
         let crashes: Vec<&Crash> = suspected.collect();
         let is_sole = || crashes.iter().any(|crash| self.has_sole_suspect(crash, now));
+        let is_in_use = self.is_in_use(&fingerprint, now);
+        let least = if is_in_use { IN_USE_CRASHES } else { SOLE_SUSPECT_CRASHES };
         let is_proven = || {
             crashes.len() >= JOINT_SUSPECT_CRASHES
-                || crashes.len() >= self.least_crashes(&fingerprint, now)
+                || crashes.len() >= least
                     && (is_sole() || self.is_most_suspected(&fingerprint, &crashes, now))
         };
         // What cleared the request of stored crashes may have ended with the processes that saw it.
@@ -284,8 +290,13 @@
     /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
     pub fn report(&self, now: Moment, is_reader: bool) -> QuarantineReport {
         let is_fresh = |crash: &Crash| now <= crash.updated_at + REPORT_TIME;
+        let mut cleared = newest_entries(&self.cleared, now, REPORT_TIME);
+        let in_use = self.in_use(is_fresh, now).into_iter();
+        let is_new = |(key, _): &(_, Duration)| !cleared.iter().any(|(known, _)| known == key);
+        let in_use: Vec<_> = in_use.filter(is_new).take(MAX_REPORTED).collect();
+        cleared.extend(in_use);
         QuarantineReport {
-            cleared: newest_entries(&self.cleared, now, REPORT_TIME),
+            cleared,
             held: newest_entries(&self.held, now, HOLD_TIME),
             ..self.crash_report(
                 |crash| is_fresh(crash) && crash.is_live && (crash.is_own() || is_reader),
@@ -399,7 +410,12 @@
 
     fn merge_all(&mut self, report: &QuarantineReport, is_live: bool, now: Moment) {
         for ((fingerprint, progress), age) in &report.cleared {
-            self.clear_at(*fingerprint, *progress, now.saturating_sub(*age));
+            let at = now.saturating_sub(*age);
+            if *age > REPORT_TIME && *progress == RequestProgress::Complete {
+                self.record_answered(*fingerprint, at);
+            } else {
+                self.clear_at(*fingerprint, *progress, at);
+            }
         }
         for crash in &report.crashes {
             let at = now.saturating_sub(crash.age);
@@ -474,10 +490,13 @@
 
     fn clear_at(&mut self, fingerprint: Fingerprint, progress: RequestProgress, at: Moment) {
         if progress == RequestProgress::Complete {
-            self.held.remove(&fingerprint);
             for crash in self.crashes.values_mut().filter(|c| c.at <= at) {
                 crash.requests.remove(&fingerprint);
             }
+            let later = self.crashes.values().filter(|c| c.requests.contains_key(&fingerprint));
+            if later.count() < SOLE_SUSPECT_CRASHES {
+                self.held.remove(&fingerprint);
+            }
         }
         if self.cleared.len() < MAX_REQUESTS {
             let known = self.cleared.entry((fingerprint, progress)).or_insert(at);
--- a/lib/src/cluster/request_exposures.rs
+++ b/lib/src/cluster/request_exposures.rs
@@ -3,6 +3,7 @@
 //! A request that crashes servers before the head of the response, or late in a stream, is less suspicious than others at each
 //! crash, but it is at all of them and never answered whole.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::boot_clock::Moment;
@@ -14,6 +15,7 @@
 use crate::cluster::quarantine::SOLE_SUSPECT_CRASHES;
 use crate::cluster::quarantine::SUSPECT_CLEAR_TIME;
 use crate::cluster::quarantine_report::CrashStage;
+use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::survival::Survival;
 
 /// Mean run times within which most copies that are sent after a crash are answered whole.
@@ -84,7 +86,8 @@
         let crashes = self.exposures(fingerprint);
         let is_due =
             |crash: &&Crash| now >= crash.at + self.clear_time(crash.requests.get(fingerprint));
-        let least = self.least_crashes(fingerprint, now);
+        let is_in_use = self.is_in_use(fingerprint, now);
+        let least = if is_in_use { JOINT_SUSPECT_CRASHES } else { SOLE_SUSPECT_CRASHES };
         crashes.len() >= least
             && crashes.iter().any(|crash| crash.is_live)
             && crashes.iter().all(is_due)
@@ -93,12 +96,24 @@
                 || !crashes.iter().all(|crash| self.is_overshadowed(fingerprint, crash)))
     }
 
-    /// Returns the number of crashes after which a request is held if nothing else explains them: more for one that was just
-    /// answered, as it is sent often, and so is at many servers that crash.
-    pub(super) fn least_crashes(&self, fingerprint: &Fingerprint, now: Moment) -> usize {
-        let answered = self.answered_at(fingerprint);
-        let is_in_use = answered.is_some_and(|at| now <= at + ANSWERED_TRUST);
-        if is_in_use { JOINT_SUSPECT_CRASHES } else { SOLE_SUSPECT_CRASHES }
+    /// Returns the requests of some crashes that were answered whole shortly before, and how long ago: other daemons may not have
+    /// answered them.
+    pub(super) fn in_use(
+        &self,
+        is_reported: impl Fn(&Crash) -> bool,
+        now: Moment,
+    ) -> Vec<((Fingerprint, RequestProgress), Duration)> {
+        let crashes = self.crashes.values().filter(|crash| crash.is_live && is_reported(crash));
+        let requests: BTreeSet<_> = crashes.flat_map(|crash| crash.requests.keys()).collect();
+        let age = |print: &Fingerprint| Some(now.saturating_sub(self.answered_at(print)?));
+        let ages = requests.into_iter().filter_map(|print| Some((*print, age(print)?)));
+        let recent = ages.filter(|(_, age)| *age <= ANSWERED_TRUST);
+        recent.map(|(print, age)| ((print, RequestProgress::Complete), age)).collect()
+    }
+
+    /// Returns whether a request was just answered: it is sent often, and so is at many servers that crash.
+    pub(super) fn is_in_use(&self, fingerprint: &Fingerprint, now: Moment) -> bool {
+        self.answered_at(fingerprint).is_some_and(|at| now <= at + ANSWERED_TRUST)
     }
 
     /// Returns whether a more suspicious request is not cleared of a crash, and of others.
