soak: each soak claims its addresses

Each now binds a port at its first address for as long as it runs, and takes the next block where another soak has it.

Test: blocks_apart; the former formula gives both of its claims 127.111.42.1.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,5 +1,6 @@
 //! Runs daemons as processes under random faults, and checks their guarantees from outside.
 
+pub mod address_block;
 pub mod callers;
 pub mod calm_stop;
 pub mod crashed_port;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -6,7 +6,6 @@
 use std::fs::File;
 use std::io;
 use std::io::Write as _;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -26,6 +25,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::address_block::AddressBlock;
 use crate::callers::EVENTS;
 use crate::crashed_port::CrashedPort;
 use crate::process::BUDGET_LIMITS;
@@ -93,6 +93,7 @@
     pub is_releasing: Cell<bool>,
     version: Cell<u64>,
     number: Cell<u64>,
+    _addresses: AddressBlock,
     started_at: Instant,
     notes: RefCell<File>,
 }
@@ -102,7 +103,7 @@
     ///
     /// # Errors
     ///
-    /// No port can be bound, a file cannot be written, or a daemon's program cannot be started.
+    /// No addresses are free, no port can be bound, a file cannot be written, or a daemon's program cannot be started.
     pub async fn start(
         size: Size,
         seed: u64,
@@ -115,17 +116,14 @@
         let mut daemons = Vec::new();
         let mut store_proxies = Vec::new();
         let mut front_proxies = Vec::new();
-        let process = std::process::id().to_be_bytes();
+        let addresses = AddressBlock::claim(std::process::id(), seed)?;
         let limits = BudgetLimits { slack: size.slack, ..BUDGET_LIMITS };
         for n in 0..size.daemons {
-            let host = |n: usize| {
-                let [_, high, low] = [0, (n / 250) as u8, (n % 250 + 1) as u8];
-                Ipv4Addr::new(127, 101 + process[3] % 100, (seed % 40) as u8 * 6 + high, low)
-            };
-            let front = SocketAddr::from((host(n), 7200));
+            let front = SocketAddr::from((addresses.host(n), 7200));
             let to_store = Proxy::start(store.addr).await?;
             front_proxies.push(Proxy::start(front).await?);
-            let other = SocketAddr::from((host((n + 1) % size.daemons), 7380));
+            let next = addresses.host((n + 1) % size.daemons);
+            let other = SocketAddr::from((next, 7380));
             let name = format!("d{n}");
             let daemon = Daemon::new(&name, program, folder, front, to_store.addr, other, &limits);
             daemons.push(RefCell::new(daemon));
@@ -150,6 +148,7 @@
             is_releasing: Cell::default(),
             version: Cell::new(1),
             number: Cell::new(0),
+            _addresses: addresses,
             started_at: Instant::now(),
             notes: RefCell::new(File::create(folder.join("course.log"))?),
         });
