stored crashes: a daemon updates the records of its former processes

It had been answered 35 times a second since, but the processes that saw that had been killed, too: each process reads the records of those that were killed before it, nobody changes these, and they last ten minutes. Class: evidence that outlives what refutes it.

Ruled out: clearings that peers do not report (all daemons answer this note).

Change: a daemon keeps the records of its own former processes up to date like its own: what was cleared since is left out, and a record in which nothing is left is removed. Paced by the daemon's share of the store's write rate.

--- a/lib/src/cluster/part_reports.rs
+++ b/lib/src/cluster/part_reports.rs
@@ -20,6 +20,7 @@
 use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::served_part::ServedPart;
+use crate::cluster::survival::Survival;
 
 /// Maximum number of crashes in a report, of prompts in each, and of parts in each other list.
 const MAX_REPORTED: usize = 16;
@@ -44,14 +45,25 @@
     /// that start after all others ended; empty if requests of other daemons are more suspicious at each of them.
     pub fn open_crashes(&self, now: Moment) -> PartReport {
         let mut survivals = HashMap::new();
-        let mut is_open = |crash: &PromptCrash| {
-            crash.parts().any(|part| self.may_have_caused(&part, crash))
-                || self.has_open_exposure(crash, &mut survivals)
-        };
-        let mut open: Vec<_> = self.crashes.iter().filter(|(_, crash)| is_open(crash)).collect();
-        if !open.iter().any(|(_, crash)| crash.has_own_suspect()) {
+        let mut own = self.crashes.values().filter(|crash| crash.has_own_suspect());
+        if !own.any(|crash| self.is_open(crash, &mut survivals)) {
             return PartReport::default();
         }
+        self.open_among(|_| true, now)
+    }
+
+    /// Returns whether a part may have caused a crash.
+    fn is_open(&self, crash: &PromptCrash, survivals: &mut HashMap<PromptPart, Survival>) -> bool {
+        crash.parts().any(|part| self.may_have_caused(&part, crash))
+            || self.has_open_exposure(crash, survivals)
+    }
+
+    /// Returns the newest of some crashes that are not put down to one part yet, and which parts are cleared of them.
+    pub fn open_among(&self, is_chosen: impl Fn(&CrashId) -> bool, now: Moment) -> PartReport {
+        let mut survivals = HashMap::new();
+        let chosen = self.crashes.iter().filter(|(id, _)| is_chosen(id));
+        let mut open: Vec<_> =
+            chosen.filter(|(_, crash)| self.is_open(crash, &mut survivals)).collect();
         open.sort_by_key(|(id, crash)| (std::cmp::Reverse(crash.at), *id));
         open.truncate(MAX_OPEN);
         let parts: BTreeSet<_> = open.iter().flat_map(|(_, crash)| crash.all_parts()).collect();
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -14,6 +14,7 @@
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::request_exposures::is_exposed;
 use crate::cluster::server_instance::ServerInstance;
+use crate::cluster::survival::Survival;
 
 /// Number of suspected crashes after which a request is held, if it is the only suspect of at least one, or the others
 /// of one are suspected of fewer.
@@ -299,7 +300,7 @@
             cleared,
             held: newest_entries(&self.held, now, HOLD_TIME),
             ..self.crash_report(
-                |crash| is_fresh(crash) && crash.is_live && (crash.is_own() || is_reader),
+                |_, crash| is_fresh(crash) && crash.is_live && (crash.is_own() || is_reader),
                 now,
             )
         }
@@ -308,40 +309,61 @@
     /// Returns the newest crashes that requests may have caused, for processes that start after all others ended; empty if
     /// requests of other daemons are more suspicious at each of them.
     pub fn open_crashes(&self, now: Moment) -> QuarantineReport {
-        let mut survivals = HashMap::new();
-        for fingerprint in self.crashes.values().flat_map(|crash| crash.requests.keys()) {
-            let survival = survivals.entry(*fingerprint);
-            survival.or_insert_with(|| self.survival(fingerprint));
-        }
-        let is_open = |print: &Fingerprint, crash: &Crash| {
-            survivals.get(print).is_some_and(|survival| is_exposed(print, crash, survival))
-        };
-        let suspects = |crash: &Crash| {
-            let all = crash.requests.keys();
-            let all = all.filter(|p| self.is_suspect(p, crash) || is_open(p, crash));
-            all.copied().collect::<Vec<_>>()
-        };
-        let is_open = |crash: &Crash| !suspects(crash).is_empty();
-        let worst_rank = |crash: &Crash| crash.worst_stage.rank();
-        let has_own =
-            |crash: &Crash| crash.own_stage.map(CrashStage::rank) == Some(worst_rank(crash));
-        if !self.crashes.values().any(|crash| has_own(crash) && is_open(crash)) {
+        let survivals = self.survivals();
+        let has_own = |c: &Crash| c.own_stage.map(CrashStage::rank) == Some(c.worst_stage.rank());
+        let mut own = self.crashes.values().filter(|crash| has_own(crash));
+        if !own.any(|crash| !self.open_requests(crash, &survivals).is_empty()) {
             return QuarantineReport::default();
         }
-        let mut report = self.crash_report(is_open, now);
+        self.open_among(|_| true, now)
+    }
+
+    /// Returns the newest of some crashes that requests may have caused, with these requests.
+    pub fn open_among(
+        &self,
+        is_chosen: impl Fn(&CrashId) -> bool,
+        now: Moment,
+    ) -> QuarantineReport {
+        let survivals = self.survivals();
+        let open = |crash: &Crash| self.open_requests(crash, &survivals);
+        let mut report = self.crash_report(|id, c| is_chosen(id) && !open(c).is_empty(), now);
         report.crashes.sort_by(|a, b| (a.age, &a.id).cmp(&(b.age, &b.id)));
         report.crashes.truncate(MAX_OPEN);
         for reported in &mut report.crashes {
-            let open = self.crashes.get(&reported.id).map(suspects).unwrap_or_default();
+            let open = self.crashes.get(&reported.id).map(open).unwrap_or_default();
             reported.requests.retain(|(print, _)| open.contains(print));
         }
         report
     }
 
+    /// Returns how far each request got that a server had when it crashed.
+    fn survivals(&self) -> HashMap<Fingerprint, Survival> {
+        let mut survivals = HashMap::new();
+        for fingerprint in self.crashes.values().flat_map(|crash| crash.requests.keys()) {
+            let survival = survivals.entry(*fingerprint);
+            survival.or_insert_with(|| self.survival(fingerprint));
+        }
+        survivals
+    }
+
+    /// Returns the requests that may have caused a crash.
+    fn open_requests(
+        &self,
+        crash: &Crash,
+        survivals: &HashMap<Fingerprint, Survival>,
+    ) -> Vec<Fingerprint> {
+        let is_open = |print: &Fingerprint| {
+            let survival = survivals.get(print);
+            survival.is_some_and(|survival| is_exposed(print, crash, survival))
+        };
+        let all = crash.requests.keys();
+        all.filter(|print| self.is_suspect(print, crash) || is_open(print)).copied().collect()
+    }
+
     /// Returns the crashes that this daemon detected, or learned more of, at or after `since`.
     pub fn own_crashes(&self, since: Moment, now: Moment) -> QuarantineReport {
         let is_news = |crash: &Crash| crash.is_own() && crash.updated_at >= since;
-        self.crash_report(is_news, now)
+        self.crash_report(|_, crash| is_news(crash), now)
     }
 
     /// Returns what is known of a request that a peer is about to send: the crashes that it is suspected of, and whether it
@@ -362,15 +384,20 @@
         if only_own && !self.crashes.values().any(is_own) {
             return None;
         }
-        let mut report = self.crash_report(is_known, now);
+        let mut report = self.crash_report(|_, crash| is_known(crash), now);
         let held = self.held.get(fingerprint);
         report.held.extend(held.map(|at| (*fingerprint, now.saturating_sub(*at))));
         (!report.crashes.is_empty() || !report.held.is_empty()).then_some(report)
     }
 
     /// Returns a report of the newest of some crashes.
-    fn crash_report(&self, is_reported: impl Fn(&Crash) -> bool, now: Moment) -> QuarantineReport {
-        let mut crashes: Vec<_> = self.crashes.iter().filter(|(_, c)| is_reported(c)).collect();
+    fn crash_report(
+        &self,
+        is_reported: impl Fn(&CrashId, &Crash) -> bool,
+        now: Moment,
+    ) -> QuarantineReport {
+        let crashes = self.crashes.iter().filter(|(id, crash)| is_reported(id, crash));
+        let mut crashes: Vec<_> = crashes.collect();
         crashes.sort_by_key(|(_, c)| std::cmp::Reverse(c.updated_at));
         let crash = |(id, crash): (&CrashId, &Crash)| {
             // If there are too many requests for a report, the most suspicious ones are reported.
--- a/lib/src/serve/stored_crashes.rs
+++ b/lib/src/serve/stored_crashes.rs
@@ -1,8 +1,11 @@
 //! Crashes whose cause is not found yet in the platform's store, from which they are known after all daemons were killed at
 //! once.
 //!
-//! Each process has one record of the crashes that it knows, while requests of its own may have caused one of them.
+//! Each process has one record of the crashes that it knows, while requests of its own may have caused one of them, and keeps those
+//! of the daemon's former processes up to date.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +20,7 @@
 
 use crate::cluster::part_report::PartReport;
 use crate::cluster::quarantine::CRASH_RETENTION;
+use crate::cluster::quarantine_report::CrashId;
 use crate::cluster::quarantine_report::QuarantineReport;
 use crate::ids::FeedOffset;
 use crate::placement::entries;
@@ -34,10 +38,13 @@
 /// Delay before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Signalled when a crash was detected under a request that had just begun.
+/// The stored records that this process keeps up to date.
 #[derive(Debug, Default)]
 pub struct StoredCrashes {
+    /// Signalled when a crash was detected under a request that had just begun.
     detected: Notify,
+    /// Records of former processes of this daemon, by key; what they suspect may have been answered since.
+    former: RefCell<BTreeMap<SmolStr, CrashRecord>>,
 }
 
 impl StoredCrashes {
@@ -61,6 +68,15 @@
         Self { requests, parts: daemon.part_quarantine.borrow().open_crashes(now) }
     }
 
+    /// Returns what is still open of a record.
+    fn still_open(&self, daemon: &DaemonState) -> Self {
+        let now = daemon.now();
+        let is_request_crash = |id: &CrashId| self.requests.crashes.iter().any(|c| c.id == *id);
+        let is_part_crash = |id: &CrashId| self.parts.crashes.iter().any(|c| c.id == *id);
+        let requests = daemon.quarantine.borrow().open_among(is_request_crash, now);
+        Self { requests, parts: daemon.part_quarantine.borrow().open_among(is_part_crash, now) }
+    }
+
     fn is_empty(&self) -> bool {
         self.requests.crashes.is_empty() && self.parts.crashes.is_empty()
     }
@@ -87,6 +103,7 @@
     let (mut last, mut offset) = (CrashRecord::default(), FeedOffset::default());
     loop {
         let _checked = timeout(CHECK_INTERVAL, daemon.stored_crashes.detected.notified()).await;
+        update_former(&daemon, &mut pacer).await;
         let is_restored = !last.is_empty() && daemon.is_restored_since(offset);
         if CrashRecord::new(&daemon).without_ages() == last && !is_restored {
             continue;
@@ -103,6 +120,31 @@
     }
 }
 
+/// Writes the records of this daemon's former processes again without what was cleared since. Each would otherwise count against
+/// requests in every later process, as what cleared them is known to running processes only.
+async fn update_former(daemon: &Rc<DaemonState>, pacer: &mut WritePacer) {
+    let former = daemon.stored_crashes.former.borrow().clone();
+    for (key, known) in former {
+        if known.still_open(daemon).without_ages() == known.without_ages() {
+            continue;
+        }
+        let interval =
+            WritePacer::interval(daemon.settings().store_writes, daemon.peers.borrow().daemons());
+        sleep(pacer.next_write(interval).saturating_sub(daemon.now())).await;
+        let open = known.still_open(daemon);
+        pacer.record_write(interval, daemon.now());
+        if write(daemon, &key, &open).await.is_none() {
+            return;
+        }
+        let mut former = daemon.stored_crashes.former.borrow_mut();
+        if open.is_empty() {
+            former.remove(&key);
+        } else {
+            former.insert(key, open);
+        }
+    }
+}
+
 /// Writes a record, or removes it if it is empty; returns its offset, or `None` if the store did not take it.
 async fn write(
     daemon: &Rc<DaemonState>,
@@ -124,6 +166,10 @@
             let now = daemon.now();
             daemon.quarantine.borrow_mut().merge_stored(&record.requests, now);
             daemon.part_quarantine.borrow_mut().merge_stored(&record.parts, now);
+            let id = format_smolstr!("{KEY_PREFIX}{}/", daemon.settings().id);
+            if key.starts_with(id.as_str()) {
+                daemon.stored_crashes.former.borrow_mut().insert(key.into(), record);
+            }
         }
         Err(error) => daemon.log_unreadable(Feed::Quarantine, key, &error.0),
     }
