quarantine: reports have a module of their own

quarantine.rs had 546 lines: what servers had when they crashed, and the reports of that for peers and the store. The latter are crash_reports.rs now. Nothing but the place and the visibility of what both use has changed; test_quarantine 27 pass.

--- a/lib/src/cluster.rs
+++ b/lib/src/cluster.rs
@@ -5,6 +5,7 @@
 mod clearing;
 pub mod config_history;
 pub mod configuration;
+mod crash_reports;
 pub mod demand_meter;
 pub mod digest;
 pub mod directory;
--- a/lib/src/cluster/quarantine.rs
+++ b/lib/src/cluster/quarantine.rs
@@ -8,13 +8,10 @@
 use crate::boot_clock::Moment;
 use crate::cluster::fingerprint::Fingerprint;
 use crate::cluster::quarantine_report::CrashId;
-use crate::cluster::quarantine_report::CrashReport;
 use crate::cluster::quarantine_report::CrashStage;
-use crate::cluster::quarantine_report::QuarantineReport;
 use crate::cluster::quarantine_report::RequestProgress;
 use crate::cluster::request_exposures::is_exposed;
 use crate::cluster::server_instance::ServerInstance;
-use crate::cluster::survival::Survival;
 
 /// Number of suspected crashes after which a request is held, if it is the only suspect of at least one, or the others
 /// of one are suspected of fewer.
@@ -44,10 +41,6 @@
 const MAX_REQUESTS: usize = 1024;
 /// Maximum number of requests that are remembered as answered: those of a minute.
 const MAX_ANSWERED: usize = 4096;
-/// Maximum number of crashes in a digest, and of requests in each of its lists.
-const MAX_REPORTED: usize = 16;
-/// Maximum number of open crashes in the record of a process.
-const MAX_OPEN: usize = 8;
 
 /// A server's crash, and the requests that it had.
 #[derive(Debug)]
@@ -57,17 +50,17 @@
     /// Whether a running process detected it; `false` if it is known from the store only.
     pub is_live: bool,
     /// When this daemon last learned of the crash or of another of its requests.
-    updated_at: Moment,
+    pub updated_at: Moment,
     /// The most suspicious stage of this daemon's own requests; `None` if it did not detect the crash.
-    own_stage: Option<CrashStage>,
+    pub own_stage: Option<CrashStage>,
     pub requests: BTreeMap<Fingerprint, CrashStage>,
     /// The most suspicious stage of all its requests, including those cleared since.
-    worst_stage: CrashStage,
+    pub worst_stage: CrashStage,
 }
 
 impl Crash {
     /// Returns whether this daemon detected it.
-    fn is_own(&self) -> bool {
+    pub fn is_own(&self) -> bool {
         self.own_stage.is_some()
     }
 
@@ -166,7 +159,7 @@
         self.answered.get(fingerprint).max(whole).copied()
     }
 
-    fn record_answered(&mut self, fingerprint: Fingerprint, at: Moment) {
+    pub(super) fn record_answered(&mut self, fingerprint: Fingerprint, at: Moment) {
         let is_full = self.answered.len() >= MAX_ANSWERED;
         if is_full && !self.answered.contains_key(&fingerprint) {
             let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
@@ -288,172 +281,6 @@
         self.held.keys()
     }
 
-    /// Returns the report for peers; that of a reader also contains the crashes that other daemons reported.
-    pub fn report(&self, now: Moment, is_reader: bool) -> QuarantineReport {
-        let is_fresh = |crash: &Crash| now <= crash.updated_at + REPORT_TIME;
-        let mut cleared = newest_entries(&self.cleared, now, REPORT_TIME);
-        let in_use = self.in_use(is_fresh, now).into_iter();
-        let is_new = |(key, _): &(_, Duration)| !cleared.iter().any(|(known, _)| known == key);
-        let in_use: Vec<_> = in_use.filter(is_new).take(MAX_REPORTED).collect();
-        cleared.extend(in_use);
-        QuarantineReport {
-            cleared,
-            held: newest_entries(&self.held, now, HOLD_TIME),
-            ..self.crash_report(
-                |_, crash| is_fresh(crash) && crash.is_live && (crash.is_own() || is_reader),
-                now,
-            )
-        }
-    }
-
-    /// Returns the newest crashes that requests may have caused, for processes that start after all others ended; empty if
-    /// requests of other daemons are more suspicious at each of them.
-    pub fn open_crashes(&self, now: Moment) -> QuarantineReport {
-        let survivals = self.survivals();
-        let has_own = |c: &Crash| c.own_stage.map(CrashStage::rank) == Some(c.worst_stage.rank());
-        let mut own = self.crashes.values().filter(|crash| has_own(crash));
-        if !own.any(|crash| !self.open_requests(crash, &survivals).is_empty()) {
-            return QuarantineReport::default();
-        }
-        self.open_among(|_| true, now)
-    }
-
-    /// Returns the newest of some crashes that requests may have caused, with these requests.
-    pub fn open_among(
-        &self,
-        is_chosen: impl Fn(&CrashId) -> bool,
-        now: Moment,
-    ) -> QuarantineReport {
-        let survivals = self.survivals();
-        let open = |crash: &Crash| self.open_requests(crash, &survivals);
-        let mut report = self.crash_report(|id, c| is_chosen(id) && !open(c).is_empty(), now);
-        report.crashes.sort_by(|a, b| (a.age, &a.id).cmp(&(b.age, &b.id)));
-        report.crashes.truncate(MAX_OPEN);
-        for reported in &mut report.crashes {
-            let open = self.crashes.get(&reported.id).map(open).unwrap_or_default();
-            reported.requests.retain(|(print, _)| open.contains(print));
-        }
-        report
-    }
-
-    /// Returns how far each request got that a server had when it crashed.
-    fn survivals(&self) -> HashMap<Fingerprint, Survival> {
-        let mut survivals = HashMap::new();
-        for fingerprint in self.crashes.values().flat_map(|crash| crash.requests.keys()) {
-            let survival = survivals.entry(*fingerprint);
-            survival.or_insert_with(|| self.survival(fingerprint));
-        }
-        survivals
-    }
-
-    /// Returns the requests that may have caused a crash.
-    fn open_requests(
-        &self,
-        crash: &Crash,
-        survivals: &HashMap<Fingerprint, Survival>,
-    ) -> Vec<Fingerprint> {
-        let is_open = |print: &Fingerprint| {
-            let survival = survivals.get(print);
-            survival.is_some_and(|survival| is_exposed(print, crash, survival))
-        };
-        let all = crash.requests.keys();
-        all.filter(|print| self.is_suspect(print, crash) || is_open(print)).copied().collect()
-    }
-
-    /// Returns the crashes that this daemon detected, or learned more of, at or after `since`.
-    pub fn own_crashes(&self, since: Moment, now: Moment) -> QuarantineReport {
-        let is_news = |crash: &Crash| crash.is_own() && crash.updated_at >= since;
-        self.crash_report(|_, crash| is_news(crash), now)
-    }
-
-    /// Returns what is known of a request that a peer is about to send: the crashes that it is suspected of, and whether it
-    /// is held. With `only_own`, only if this daemon detected one of the crashes. `None` if nothing is known.
-    pub fn known_of(
-        &self,
-        fingerprint: &Fingerprint,
-        only_own: bool,
-        now: Moment,
-    ) -> Option<QuarantineReport> {
-        let survival = self.survival(fingerprint);
-        let is_known = |crash: &Crash| {
-            let is_open =
-                self.is_suspect(fingerprint, crash) || is_exposed(fingerprint, crash, &survival);
-            crash.is_live && is_open
-        };
-        let is_own = |crash: &Crash| crash.is_own() && is_known(crash);
-        if only_own && !self.crashes.values().any(is_own) {
-            return None;
-        }
-        let mut report = self.crash_report(|_, crash| is_known(crash), now);
-        let held = self.held.get(fingerprint);
-        report.held.extend(held.map(|at| (*fingerprint, now.saturating_sub(*at))));
-        (!report.crashes.is_empty() || !report.held.is_empty()).then_some(report)
-    }
-
-    /// Returns a report of the newest of some crashes.
-    fn crash_report(
-        &self,
-        is_reported: impl Fn(&CrashId, &Crash) -> bool,
-        now: Moment,
-    ) -> QuarantineReport {
-        let crashes = self.crashes.iter().filter(|(id, crash)| is_reported(id, crash));
-        let mut crashes: Vec<_> = crashes.collect();
-        crashes.sort_by_key(|(_, c)| std::cmp::Reverse(c.updated_at));
-        let crash = |(id, crash): (&CrashId, &Crash)| {
-            // If there are too many requests for a report, the most suspicious ones are reported.
-            let mut requests: Vec<_> =
-                crash.requests.iter().map(|(fingerprint, stage)| (*fingerprint, *stage)).collect();
-            requests.sort_by_key(|(_, stage)| (stage.rank(), stage.progress()));
-            requests.truncate(MAX_REPORTED);
-            let age = now.saturating_sub(crash.at);
-            CrashReport { id: id.clone(), age, worst_stage: crash.worst_stage, requests }
-        };
-        let crashes = crashes.into_iter().take(MAX_REPORTED).map(crash).collect();
-        QuarantineReport { crashes, ..QuarantineReport::default() }
-    }
-
-    /// Merges a peer's report; returns the requests that are held from now on.
-    pub fn merge(&mut self, report: &QuarantineReport, now: Moment) -> Vec<Fingerprint> {
-        self.merge_all(report, true, now);
-        let mut held = Vec::new();
-        for crash in &report.crashes {
-            let fingerprints = crash.requests.iter().map(|(fingerprint, _)| *fingerprint);
-            held.extend(fingerprints.filter(|fingerprint| self.evaluate(*fingerprint, now)));
-        }
-        for (fingerprint, age) in &report.held {
-            let last_attempt = now.saturating_sub(*age);
-            let is_cleared = self.answered_at(fingerprint).is_some_and(|at| at >= last_attempt);
-            if !is_cleared && self.hold(*fingerprint, last_attempt) {
-                held.push(*fingerprint);
-            }
-        }
-        held
-    }
-
-    /// Merges what a process that may have ended stored of crashes.
-    pub fn merge_stored(&mut self, report: &QuarantineReport, now: Moment) {
-        self.merge_all(report, false, now);
-    }
-
-    fn merge_all(&mut self, report: &QuarantineReport, is_live: bool, now: Moment) {
-        for ((fingerprint, progress), age) in &report.cleared {
-            let at = now.saturating_sub(*age);
-            if *age > REPORT_TIME && *progress == RequestProgress::Complete {
-                self.record_answered(*fingerprint, at);
-            } else {
-                self.clear_at(*fingerprint, *progress, at);
-            }
-        }
-        for crash in &report.crashes {
-            let at = now.saturating_sub(crash.age);
-            self.merge_crash(&crash.id, at, &crash.requests, now);
-            if let Some(known) = self.crashes.get_mut(&crash.id) {
-                known.worst_stage = known.worst_stage.min(crash.worst_stage);
-                known.is_live |= is_live;
-            }
-        }
-    }
-
     /// Removes expired records; returns the requests that are no longer held.
     pub fn sweep(&mut self, now: Moment) -> Vec<Fingerprint> {
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_RETENTION);
@@ -463,7 +290,7 @@
         expired.map(|(fingerprint, _)| fingerprint).collect()
     }
 
-    fn merge_crash(
+    pub(super) fn merge_crash(
         &mut self,
         id: &CrashId,
         at: Moment,
@@ -515,7 +342,12 @@
         true
     }
 
-    fn clear_at(&mut self, fingerprint: Fingerprint, progress: RequestProgress, at: Moment) {
+    pub(super) fn clear_at(
+        &mut self,
+        fingerprint: Fingerprint,
+        progress: RequestProgress,
+        at: Moment,
+    ) {
         if progress == RequestProgress::Complete {
             for crash in self.crashes.values_mut().filter(|c| c.at <= at) {
                 crash.requests.remove(&fingerprint);
@@ -531,16 +363,3 @@
         }
     }
 }
-
-/// Returns the newest entries that are at most `within` old, with their ages.
-fn newest_entries<K: Copy>(
-    all: &HashMap<K, Moment>,
-    now: Moment,
-    within: Duration,
-) -> Vec<(K, Duration)> {
-    let ages = all.iter().map(|(key, at)| (*key, now.saturating_sub(*at)));
-    let mut fresh: Vec<_> = ages.filter(|(_, age)| *age <= within).collect();
-    fresh.sort_by_key(|(_, age)| *age);
-    fresh.truncate(MAX_REPORTED);
-    fresh
-}
