stored crashes: a process's own record is written before those of former processes

Now one record of a former process is written at a time, only while the own one is up to date and room for another write is left. No test of its own; former_updated and the others of test_part_kills (22) pass.

--- a/lib/src/serve/stored_crashes.rs
+++ b/lib/src/serve/stored_crashes.rs
@@ -103,9 +103,9 @@
     let (mut last, mut offset) = (CrashRecord::default(), FeedOffset::default());
     loop {
         let _checked = timeout(CHECK_INTERVAL, daemon.stored_crashes.detected.notified()).await;
-        update_former(&daemon, &mut pacer).await;
         let is_restored = !last.is_empty() && daemon.is_restored_since(offset);
         if CrashRecord::new(&daemon).without_ages() == last && !is_restored {
+            update_former(&daemon, &mut pacer).await;
             continue;
         }
         let interval =
@@ -120,28 +120,30 @@
     }
 }
 
-/// Writes the records of this daemon's former processes again without what was cleared since. Each would otherwise count against
-/// requests in every later process, as what cleared them is known to running processes only.
+/// Writes a record of this daemon's former processes again without what was cleared since, if there is one to write. It would
+/// otherwise count against requests in every later process, as what cleared them is known to running processes only.
 async fn update_former(daemon: &Rc<DaemonState>, pacer: &mut WritePacer) {
-    let former = daemon.stored_crashes.former.borrow().clone();
-    for (key, known) in former {
-        if known.still_open(daemon).without_ages() == known.without_ages() {
-            continue;
-        }
-        let interval =
-            WritePacer::interval(daemon.settings().store_writes, daemon.peers.borrow().daemons());
-        sleep(pacer.next_write(interval).saturating_sub(daemon.now())).await;
+    let now = daemon.now();
+    let interval =
+        WritePacer::interval(daemon.settings().store_writes, daemon.peers.borrow().daemons());
+    // The process's own record must not wait for these, so they leave room for one write.
+    if pacer.next_write(interval) + interval > now {
+        return;
+    }
+    let outdated = daemon.stored_crashes.former.borrow().iter().find_map(|(key, known)| {
         let open = known.still_open(daemon);
-        pacer.record_write(interval, daemon.now());
-        if write(daemon, &key, &open).await.is_none() {
-            return;
-        }
-        let mut former = daemon.stored_crashes.former.borrow_mut();
-        if open.is_empty() {
-            former.remove(&key);
-        } else {
-            former.insert(key, open);
-        }
+        (open.without_ages() != known.without_ages()).then(|| (key.clone(), open))
+    });
+    let Some((key, open)) = outdated else { return };
+    pacer.record_write(interval, now);
+    if write(daemon, &key, &open).await.is_none() {
+        return;
+    }
+    let mut former = daemon.stored_crashes.former.borrow_mut();
+    if open.is_empty() {
+        former.remove(&key);
+    } else {
+        former.insert(key, open);
     }
 }
 
